--- /dev/null
+++ b/packages/cli/src/askCommands.ts
@@ -0,0 +1,91 @@
+/** Commands that ask a running instance: status and explain. */
+import type { ExplainAnswer, OperatorStatus } from "@mulberryseam/instance";
+import * as undici from "undici";
+import { ExitCode, type ExitCodeValue } from "./exitCode";
+import type { Output } from "./output";
+
+const timeoutMilliseconds = 3000;
+
+const ask = async <T>(instance: string, path: string, output: Output): Promise<T | undefined> => {
+    try {
+        const response = await undici.request(`http://${instance}${path}`, {
+            signal: AbortSignal.timeout(timeoutMilliseconds),
+        });
+        return await response.body.json() as T;
+    }
+    catch (error) {
+        output.error(`${instance} does not answer: ${(error as Error).message}`);
+        return undefined;
+    }
+};
+
+const describeAge = (milliseconds: number | undefined): string =>
+    milliseconds === undefined ? "never" : `${Math.round(milliseconds)} ms ago`;
+
+const describeStatus = (status: OperatorStatus): string =>
+    [
+        `instance      ${status.identifier} (${status.region})`,
+        `document      ${status.environmentVersion ?? "none in force"}`,
+        `log           offset ${status.offset}, read ${describeAge(status.logAgeMilliseconds)}`,
+        `leader        ${status.leader ?? "none"} (term ${status.term})`,
+        `member        ${status.isMember ? "yes" : "no"}, of ${status.members.length}`,
+        `confirmed     ${describeAge(status.confirmedAgeMilliseconds)}`,
+        `peers         ${status.livePeers.length} answer`,
+        `ended ahead   ${status.lapses.length === 0 ? "none" : status.lapses.join(", ")}`,
+        `in flight     ${status.requestsInFlight}`,
+        `memory        ${Math.round(status.residentBytes / 1_048_576)} MB`,
+    ].join("\n");
+
+const describeExplanation = (explained: ExplainAnswer): string =>
+    [
+        `service       ${explained.service}`,
+        `slot          ${explained.slot}`,
+        `owner         ${explained.owner ?? "none"} ${explained.address ?? ""}`,
+        `token         ${explained.token ?? "none"}`,
+        `lease         ${explained.lease}`,
+        `answered by   ${explained.instance}`,
+    ].join("\n");
+
+/**
+ * Shows the status of an instance.
+ *
+ * @param instance - address for operators, `IP:PORT`
+ * @param output - where to print
+ * @returns the exit code
+ */
+export const showStatus = async (instance: string, output: Output): Promise<ExitCodeValue> => {
+    const status = await ask<OperatorStatus>(instance, "/status", output);
+    if (status === undefined) {
+        return ExitCode.failure;
+    }
+    output.result(status, describeStatus(status));
+    return ExitCode.success;
+};
+
+/**
+ * Shows who owns a key.
+ *
+ * @param key - the key
+ * @param instance - address for operators, `IP:PORT`
+ * @param service - one keyed service, or undefined for all
+ * @param output - where to print
+ * @returns the exit code; a failure when no service has the key
+ */
+export const explain = async (
+    key: string,
+    instance: string,
+    service: string | undefined,
+    output: Output,
+): Promise<ExitCodeValue> => {
+    const query = `key=${encodeURIComponent(key)}${service === undefined ? "" : `&service=${service}`}`;
+    const explained = await ask<ExplainAnswer[]>(instance, `/explain?${query}`, output);
+    if (explained === undefined) {
+        return ExitCode.failure;
+    }
+    if (explained.length === 0) {
+        output.error("no keyed service of that name is in force");
+        return ExitCode.failure;
+    }
+    output.result(explained, explained.map(describeExplanation).join("\n\n"));
+    return ExitCode.success;
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The command line. */
+export { runCommandLine } from "./commandLine";
+export { ExitCode } from "./exitCode";
--- /dev/null
+++ b/packages/configuration/src/address.ts
@@ -0,0 +1,30 @@
+/** Addresses of the form `IP:PORT`. */
+import * as net from "node:net";
+import * as zod from "zod";
+
+/** An IP number and a port. */
+export interface Address {
+    host: string;
+    port: number;
+}
+
+const highestPort = 65535;
+
+/**
+ * Splits an address.
+ *
+ * @param text - `127.0.0.1:80` or `[::1]:80`
+ * @returns the address, or undefined when the text is not an IP number and a port
+ */
+export const parseAddress = (text: string): Address | undefined => {
+    const separator = text.lastIndexOf(":");
+    const host = text.slice(0, Math.max(separator, 0)).replace(/^\[(.*)\]$/, "$1");
+    const port = Number(text.slice(separator + 1));
+    const isValid = net.isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port <= highestPort;
+    return isValid ? { host, port } : undefined;
+};
+
+/** Schema of an address that is kept as text. */
+export const addressSchema = zod.string().refine(text => parseAddress(text) !== undefined, {
+    error: "expected an IP number and a port, such as 127.0.0.1:8080",
+});
--- /dev/null
+++ b/packages/foundation/src/index.ts
@@ -0,0 +1,14 @@
+/** Facilities that every other package builds on: ownership of resources, time, randomness, hashing, logs, metrics. */
+export { createOwner } from "./cleanup";
+export type { Cleanup, Owner } from "./cleanup";
+export { hashText, rendezvousOrder } from "./hashing";
+export { createLogger, createSilentLogger, LogLevel } from "./logging";
+export type { Logger } from "./logging";
+export { createMetrics, createSilentMetrics } from "./metrics";
+export type { Metrics, MetricsOptions } from "./metrics";
+export { createRandom } from "./random";
+export type { Random } from "./random";
+export { createTimerService } from "./timerService";
+export type { Subscription, TimerService } from "./timerService";
+export { createVirtualTimerService } from "./virtualTimerService";
+export type { VirtualTimerService } from "./virtualTimerService";
--- /dev/null
+++ b/packages/gateway/src/lane.ts
@@ -0,0 +1,131 @@
+/** A queue in front of some upstreams, with the slots that this instance may hold of them. */
+import type { Subscription, TimerService } from "@mulberryseam/foundation";
+import {
+    createRankQueue,
+    type QueueRefusal,
+    type RankPolicy,
+    RefusalReason,
+    type Waiting,
+} from "@mulberryseam/traffic";
+import { Err, Ok, type Result } from "ts-results";
+
+/** A request that wants a slot. */
+export interface LaneRequest {
+    rank: string;
+    deadlineAt: number;
+    bytes: number;
+    /** Upstreams already tried. */
+    excluded: readonly string[];
+    /** Ends the wait when the caller leaves. */
+    signal: AbortSignal;
+}
+
+/** A slot, and the upstream to use it at. */
+export interface Slot<Target> {
+    target: Target;
+    /** Gives the slot back; the second call does nothing. */
+    release: () => void;
+}
+
+/** Hands out slots. */
+export interface Lane<Target> {
+    acquire: (request: LaneRequest) => Promise<Result<Slot<Target>, QueueRefusal>>;
+    /** Looks for requests that can go now. */
+    pump: () => void;
+    waiting: () => number;
+    held: () => number;
+}
+
+/** How a lane decides. */
+export interface LaneOptions<Target> {
+    ranks: readonly RankPolicy[];
+    timers: TimerService;
+    capacity: () => number;
+    /** Chooses an upstream for a request, or none for now. */
+    choose: (request: LaneRequest) => Target | undefined;
+}
+
+interface Ticket<Target> {
+    request: LaneRequest;
+    target: Target | undefined;
+    resolve: (result: Result<Slot<Target>, QueueRefusal>) => void;
+}
+
+/**
+ * Creates a lane.
+ *
+ * @param options - how it decides
+ * @returns an empty lane
+ */
+export const createLane = <Target>(options: LaneOptions<Target>): Lane<Target> => {
+    const { timers } = options;
+    const queue = createRankQueue<Ticket<Target>>(options.ranks);
+    let wakeUp: Subscription | undefined;
+
+    const hold = (waiting: Waiting<Ticket<Target>>): void => {
+        const heldSince = timers.now();
+        const ticket = waiting.item;
+        let isReleased = false;
+        const release = (): void => {
+            if (!isReleased) {
+                isReleased = true;
+                queue.onDone(waiting.rank, timers.now() - heldSince);
+                pump();
+            }
+        };
+        ticket.resolve(Ok({ target: ticket.target as Target, release }));
+    };
+
+    const refuseExpired = (): void => {
+        for (const waiting of queue.expire(timers.now())) {
+            waiting.item.resolve(Err({ reason: RefusalReason.deadline, retryAfterMilliseconds: 0 }));
+        }
+    };
+
+    const mayRun = (ticket: Ticket<Target>): boolean => {
+        ticket.target = options.choose(ticket.request);
+        return ticket.target !== undefined;
+    };
+
+    const scheduleWakeUp = (): void => {
+        if (wakeUp === undefined && queue.length() > 0) {
+            wakeUp = timers.onDelay(wakeUpMilliseconds, () => {
+                wakeUp = undefined;
+                pump();
+            });
+        }
+    };
+
+    const pump = (): void => {
+        refuseExpired();
+        const next = (): Waiting<Ticket<Target>> | undefined => queue.next(options.capacity(), timers.now(), mayRun);
+        for (let waiting = next(); waiting !== undefined; waiting = next()) {
+            hold(waiting);
+        }
+        scheduleWakeUp();
+    };
+
+    return {
+        acquire: request =>
+            new Promise(resolve => {
+                const ticket: Ticket<Target> = { request, target: undefined, resolve };
+                const { rank, deadlineAt, bytes } = request;
+                const refusal = queue.enqueue({ item: ticket, rank, deadlineAt, bytes }, timers.now());
+                if (refusal !== undefined) {
+                    resolve(Err(refusal));
+                    return;
+                }
+                request.signal.addEventListener("abort", () => {
+                    if (queue.withdraw(ticket)) {
+                        resolve(Err({ reason: RefusalReason.deadline, retryAfterMilliseconds: 0 }));
+                    }
+                }, { once: true });
+                pump();
+            }),
+        pump,
+        waiting: queue.length,
+        held: queue.held,
+    };
+};
+
+const wakeUpMilliseconds = 10;
--- /dev/null
+++ b/packages/gateway/src/serviceLanes.ts
@@ -0,0 +1,136 @@
+/** The lanes of a service: one for a pool, one for each server of a keyed service. */
+import type { Environment, Service } from "@mulberryseam/configuration";
+import type { Random, TimerService } from "@mulberryseam/foundation";
+import {
+    chooseUpstream,
+    createAdaptiveWindow,
+    createEjection,
+    type Ejection,
+    type LinkBudget,
+} from "@mulberryseam/traffic";
+import { createLane, type Lane } from "./lane";
+import { createUpstreamState, type UpstreamState } from "./upstreamState";
+
+/** The lanes of a service and what is known of its upstreams. */
+export interface ServiceLanes {
+    service: Service;
+    /** The part of the document that the lanes were made from, as text. */
+    basis: string;
+    states: ReadonlyMap<string, UpstreamState>;
+    ejection: Ejection;
+    /** The lane of a pool. */
+    pool: Lane<UpstreamState>;
+    /** The lane of one server of a keyed service. */
+    server: (name: string) => Lane<UpstreamState> | undefined;
+    /** Refusals for want of capacity, for the pool's window. */
+    onShed: (now: number) => void;
+    onAnswered: () => void;
+    setInstances: (instances: number) => void;
+    lanes: () => Lane<UpstreamState>[];
+    close: () => Promise<void>;
+}
+
+/** What the lanes of a service depend on. */
+export interface ServiceLanesOptions {
+    service: Service;
+    basis: string;
+    environment: Environment;
+    region: string;
+    instances: number;
+    timers: TimerService;
+    random: Random;
+    /** The budget of the link to another region; undefined when there is no link. */
+    linkTo: (region: string) => LinkBudget | undefined;
+}
+
+/**
+ * Gives the region of a failure domain.
+ *
+ * @param environment - the document in force
+ * @param failureDomain - name of the failure domain
+ * @returns name of the region
+ */
+export const regionOf = (environment: Environment, failureDomain: string): string =>
+    environment.regions.find(region => region.failureDomains.includes(failureDomain))?.name ?? "";
+
+/**
+ * Creates the lanes of a service.
+ *
+ * @param options - what they depend on
+ * @returns the lanes
+ */
+export const createServiceLanes = (options: ServiceLanesOptions): ServiceLanes => {
+    const { service, environment, timers } = options;
+    const ejection = createEjection();
+    const totalConcurrency = service.concurrency * service.upstreams.length;
+    const window = createAdaptiveWindow({ share: totalConcurrency / options.instances, maximum: totalConcurrency });
+    const limits = {
+        concurrency: service.concurrency,
+        connections: service.connections,
+        instances: options.instances,
+    };
+    const states = new Map(service.upstreams.map(upstream => {
+        const region = regionOf(environment, upstream.failureDomain);
+        return [upstream.name, createUpstreamState(upstream, region, limits)];
+    }));
+    ejection.setUpstreams([...states.keys()]);
+
+    const candidates = () => {
+        const now = timers.now();
+        return [...states.values()].map(state => ({
+            name: state.upstream.name,
+            region: state.region,
+            outstanding: state.outstanding,
+            limit: state.window.limit(),
+            latencyMilliseconds: state.latencyMilliseconds,
+            isEjected: ejection.isEjected(state.upstream.name, now),
+            isDraining: state.drainingUntil > now,
+        }));
+    };
+
+    const pool = createLane<UpstreamState>({
+        ranks: environment.ranks,
+        timers,
+        capacity: () => window.limit(),
+        choose: request => {
+            const chosen = chooseUpstream(candidates(), {
+                region: options.region,
+                mayCross: region => options.linkTo(region)?.mayUse(request.rank, timers.now()) ?? false,
+                excluded: request.excluded,
+                random: options.random,
+            });
+            return chosen === undefined ? undefined : states.get(chosen.name);
+        },
+    });
+
+    const servers = new Map([...states].map(([name, state]) => {
+        const lane = createLane<UpstreamState>({
+            ranks: environment.ranks,
+            timers,
+            capacity: () => state.window.limit(),
+            choose: () => state,
+        });
+        return [name, lane];
+    }));
+
+    return {
+        service,
+        basis: options.basis,
+        states,
+        ejection,
+        pool,
+        server: name => servers.get(name),
+        onShed: now => window.onShed(now),
+        onAnswered: () => window.onAnswered(pool.held()),
+        setInstances: instances => {
+            window.setShare(totalConcurrency / instances);
+            states.forEach(state => state.window.setShare(service.concurrency / instances));
+        },
+        lanes: () => [pool, ...servers.values()],
+        close: async () => {
+            for (const state of states.values()) {
+                await state.client.close();
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/gateway/src/slots.ts
@@ -0,0 +1,11 @@
+/** From keys to slots. */
+import { hashText } from "@mulberryseam/foundation";
+
+/**
+ * Gives the slot of a key.
+ *
+ * @param key - the key
+ * @param slotCount - number of slots of the service
+ * @returns a number from 0 to `slotCount - 1`
+ */
+export const slotOf = (key: string, slotCount: number): number => hashText(key) % slotCount;
--- /dev/null
+++ b/packages/instance/src/logTask.ts
@@ -0,0 +1,89 @@
+/** Follows the log and tells what it has folded. */
+import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
+import { type FoldedRecord, type LogClient, type LogFollower, type LogState } from "@mulberryseam/ledger";
+
+/** How the log is followed. */
+export interface LogTaskOptions {
+    client: LogClient;
+    follower: LogFollower;
+    timers: TimerService;
+    logger: Logger;
+    onState: (state: LogState) => void;
+    onFolded: (folded: FoldedRecord) => void;
+    /** The end of the log has been reached. */
+    onEnd: () => void;
+}
+
+/** A task that follows the log. */
+export interface LogTask {
+    /** Age of the last page read, in milliseconds; undefined before the first. */
+    ageMilliseconds: () => number | undefined;
+    /** Takes a state folded by a peer. */
+    takeState: (state: LogState) => void;
+}
+
+const pollWaitMilliseconds = 1000;
+const errorPauseMilliseconds = 200;
+
+/**
+ * Starts to follow the log.
+ *
+ * @param options - how the log is followed
+ * @param owner - ends the task
+ * @returns the task
+ */
+export const createLogTask = (options: LogTaskOptions, owner: Owner): LogTask => {
+    const { client, follower, timers, logger } = options;
+    let readAt: number | undefined;
+    let isReachable = true;
+
+    const noteReachable = (now: boolean, reason: string): void => {
+        if (now !== isReachable) {
+            isReachable = now;
+            if (now) {
+                logger.information("The log service answers again.");
+            }
+            else {
+                logger.warning("The log service does not answer.", { reason });
+            }
+        }
+    };
+
+    const pause = (milliseconds: number): Promise<void> =>
+        new Promise(resolve => timers.onDelay(milliseconds, () => resolve()));
+
+    const readOnce = async (): Promise<void> => {
+        const page = await client.read(follower.nextOffset(), pollWaitMilliseconds);
+        noteReachable(page.ok, page.err ? page.val.message : "");
+        if (page.err) {
+            await pause(errorPauseMilliseconds);
+            return;
+        }
+        readAt = timers.now();
+        const folded = follower.takePage(page.val);
+        const state = follower.state();
+        if (state !== undefined) {
+            options.onState(state);
+        }
+        folded.forEach(options.onFolded);
+        if (follower.nextOffset() >= page.val.nextOffset && state !== undefined) {
+            options.onEnd();
+        }
+    };
+
+    const run = async (): Promise<void> => {
+        while (!owner.isDisposed()) {
+            await readOnce();
+        }
+    };
+    void run();
+
+    return {
+        ageMilliseconds: () => readAt === undefined ? undefined : timers.now() - readAt,
+        takeState: state => {
+            if (follower.takeState(state)) {
+                options.onState(state);
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/fold.ts
@@ -0,0 +1,215 @@
+/**
+ * Folds a record into the state. Pure: no clock, no randomness, so equal records give equal states everywhere.
+ * A record whose basis is not current changes nothing, which makes every append a compare-and-set.
+ */
+import { type Assignment, type LogRecord, type RecordBody, RecordKind, ServerStatus } from "./records";
+import {
+    type EnvironmentVersion,
+    holdingOf,
+    isSessionEnded,
+    type LogState,
+    memberIdentifier,
+    type ServerIdentifier,
+    type ServerRegistration,
+    type ServiceTable,
+    type SlotEntry,
+    type WriterProgress,
+} from "./state";
+
+/** What a record came to. */
+export const OutcomeKind = { accepted: "accepted", repeated: "repeated", refused: "refused" } as const;
+
+/** What a record came to, and why it was refused. */
+export interface FoldOutcome {
+    kind: typeof OutcomeKind[keyof typeof OutcomeKind];
+    /** A sentence for people; empty unless refused. */
+    reason: string;
+}
+
+/** The next state and what the record came to. */
+export interface FoldResult {
+    state: LogState;
+    outcome: FoldOutcome;
+}
+
+type StateChange = Partial<LogState> | string;
+type BodyOf<K extends RecordBody["kind"]> = Extract<RecordBody, { kind: K; }>;
+
+const rememberedWriters = 64;
+
+const environmentOf = (state: LogState, name: string): EnvironmentVersion | undefined =>
+    state.environments.find(entry => entry.environment === name);
+
+const lostTo = (current: EnvironmentVersion | undefined, name: string): string =>
+    current === undefined
+        ? `environment "${name}" has no version yet`
+        : `environment "${name}" is at version ${current.version}, written by ${current.writer}`;
+
+const withEnvironment = (state: LogState, entry: EnvironmentVersion): StateChange => ({
+    environments: [...state.environments.filter(other => other.environment !== entry.environment), entry],
+});
+
+const foldPublish = (state: LogState, body: BodyOf<"publish">, offset: number, writer: string): StateChange => {
+    const current = environmentOf(state, body.environment);
+    if ((current?.version ?? -1) !== body.basedOn) {
+        return lostTo(current, body.environment);
+    }
+    return withEnvironment(state, { environment: body.environment, version: offset, document: body.document, writer });
+};
+
+const foldPromote = (state: LogState, body: BodyOf<"promote">, offset: number, writer: string): StateChange => {
+    const source = environmentOf(state, body.from);
+    const target = environmentOf(state, body.to);
+    if (source === undefined || source.version !== body.basedOnFrom) {
+        return lostTo(source, body.from);
+    }
+    if ((target?.version ?? -1) !== body.basedOnTo) {
+        return lostTo(target, body.to);
+    }
+    return withEnvironment(state, { environment: body.to, version: offset, document: source.document, writer });
+};
+
+const foldClaim = (state: LogState, body: BodyOf<"claim">, offset: number): StateChange => {
+    if (body.term !== state.term + 1) {
+        return `term ${state.term} is led by ${state.leader ?? "nobody"}`;
+    }
+    const leader = memberIdentifier(body.member);
+    if (state.members.length === 0) {
+        return { term: body.term, leader, members: [body.member], membersVersion: offset };
+    }
+    if (!state.members.some(member => memberIdentifier(member) === leader)) {
+        return `${leader} is no member`;
+    }
+    return { term: body.term, leader };
+};
+
+const foldMembers = (state: LogState, body: BodyOf<"members">, offset: number): StateChange => {
+    if (body.term !== state.term || body.basedOn !== state.membersVersion) {
+        return `members are at version ${state.membersVersion} in term ${state.term}`;
+    }
+    if ((body.add === undefined) === (body.remove === undefined)) {
+        return "members change by one at a time";
+    }
+    if (body.add !== undefined) {
+        const added = body.add;
+        return state.members.some(member => member.name === added.name)
+            ? `${added.name} is a member already`
+            : { members: [...state.members, added], membersVersion: offset };
+    }
+    const members = state.members.filter(member => memberIdentifier(member) !== body.remove);
+    return members.length === state.members.length || members.length === 0
+        ? `${body.remove} cannot be removed`
+        : { members, membersVersion: offset };
+};
+
+const foldServers = (state: LogState, body: BodyOf<"servers">, offset: number): StateChange => {
+    if (body.term !== state.term || body.basedOn !== state.serversVersion) {
+        return `servers are at version ${state.serversVersion} in term ${state.term}`;
+    }
+    let servers = [...state.servers];
+    for (const change of body.changes) {
+        const current = servers.find(server => server.name === change.name);
+        const isNewSession = change.status === ServerStatus.serving && current?.status !== ServerStatus.leaving;
+        if (current === undefined && !isNewSession) {
+            continue;
+        }
+        const next: ServerRegistration = {
+            name: change.name,
+            incarnation: change.incarnation,
+            session: isNewSession || current === undefined ? offset : current.session,
+            status: change.status,
+            statusAt: offset,
+        };
+        servers = [...servers.filter(server => server.name !== change.name), next];
+    }
+    return { servers, serversVersion: offset };
+};
+
+const createEntry = (
+    assignment: Assignment,
+    before: SlotEntry | undefined,
+    isEnded: (identifier: ServerIdentifier) => boolean,
+    offset: number,
+): SlotEntry => {
+    const replaced = before === undefined ? undefined : holdingOf(before, isEnded);
+    const isSameHolder = replaced !== undefined && replaced.holder === assignment.owner;
+    const keepsHeir = isSameHolder && before?.owner === assignment.owner && before.heir === assignment.heir;
+    return {
+        owner: assignment.owner,
+        token: isSameHolder ? replaced.token : offset * 2,
+        heir: assignment.heir,
+        heirToken: keepsHeir ? before.heirToken : offset * 2 + 1,
+        previous: isSameHolder ? before?.previous : replaced,
+    };
+};
+
+const foldAssign = (state: LogState, body: BodyOf<"assign">, offset: number): StateChange => {
+    const table = state.tables.find(entry => entry.service === body.service);
+    if (body.term !== state.term || body.basedOn !== (table?.version ?? -1)) {
+        return `the table of ${body.service} is at version ${table?.version ?? -1} in term ${state.term}`;
+    }
+    const isSameSize = table !== undefined && table.slots.length === body.slotCount;
+    const slots: SlotEntry[] = isSameSize ? [...table.slots] : [];
+    const isEnded = (identifier: ServerIdentifier): boolean => isSessionEnded(state.servers, identifier);
+    for (const assignment of body.assignments) {
+        slots[assignment.slot] = createEntry(assignment, slots[assignment.slot], isEnded, offset);
+    }
+    for (let slot = 0; slot < body.slotCount; slot++) {
+        if (slots[slot] === undefined) {
+            return `slot ${slot} of ${body.service} has no owner`;
+        }
+    }
+    const next: ServiceTable = { service: body.service, version: offset, slots };
+    return { tables: [...state.tables.filter(entry => entry.service !== body.service), next] };
+};
+
+const foldBody = (state: LogState, record: LogRecord, offset: number): StateChange => {
+    const body = record.body;
+    switch (body.kind) {
+        case RecordKind.publish:
+            return foldPublish(state, body, offset, record.identifier.writer);
+        case RecordKind.promote:
+            return foldPromote(state, body, offset, record.identifier.writer);
+        case RecordKind.claim:
+            return foldClaim(state, body, offset);
+        case RecordKind.members:
+            return foldMembers(state, body, offset);
+        case RecordKind.servers:
+            return foldServers(state, body, offset);
+        case RecordKind.assign:
+            return foldAssign(state, body, offset);
+        case RecordKind.checkpoint:
+            return {};
+    }
+};
+
+const rememberWriter = (state: LogState, record: LogRecord, offset: number): readonly WriterProgress[] => {
+    const { writer, sequence } = record.identifier;
+    const others = state.writers.filter(entry => entry.writer !== writer);
+    return [...others, { writer, sequence, offset }].slice(-rememberedWriters);
+};
+
+/**
+ * Folds one record.
+ *
+ * @param state - the state before the record
+ * @param record - the record
+ * @param offset - the record's offset in the log
+ * @returns the state after the record and what the record came to
+ */
+export const fold = (state: LogState, record: LogRecord, offset: number): FoldResult => {
+    const progress = state.writers.find(entry => entry.writer === record.identifier.writer);
+    if (progress !== undefined && record.identifier.sequence <= progress.sequence) {
+        return { state: { ...state, offset }, outcome: { kind: OutcomeKind.repeated, reason: "" } };
+    }
+    const change = foldBody(state, record, offset);
+    const changesState = record.body.kind !== RecordKind.checkpoint;
+    const writers = rememberWriter(state, record, offset);
+    if (typeof change === "string") {
+        return { state: { ...state, offset, writers }, outcome: { kind: OutcomeKind.refused, reason: change } };
+    }
+    return {
+        state: { ...state, ...change, offset, changedAt: changesState ? offset : state.changedAt, writers },
+        outcome: { kind: OutcomeKind.accepted, reason: "" },
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/logWriter.ts
@@ -0,0 +1,114 @@
+/**
+ * Appends records one at a time. An append whose answer is lost is repeated under the same identifier until the
+ * record is read back; a record counts as accepted only then.
+ */
+import type { TimerService } from "@mulberryseam/foundation";
+import { Err, Ok, type Result } from "ts-results";
+import { type FoldOutcome, OutcomeKind } from "./fold";
+import { type LogClient, LogErrorKind } from "./logClient";
+import type { FoldedRecord } from "./logFollower";
+import type { RecordBody, RecordIdentifier } from "./records";
+
+/** Why a write did not take effect, or is not known to have. */
+export interface WriteError {
+    kind: "refused" | "unknown";
+    message: string;
+}
+
+/** Writes records and learns from the reader what became of them. */
+export interface LogWriter {
+    /**
+     * Appends a record and waits until it is read back.
+     *
+     * @returns the offset of the accepted record; `refused` when the fold or the service refused it; `unknown` when
+     * it was not read back before the time was up
+     */
+    write: (body: RecordBody) => Promise<Result<number, WriteError>>;
+    /** Tells the writer of a folded record. */
+    takeFolded: (folded: FoldedRecord) => void;
+    /** Tells whether a write is under way. */
+    isBusy: () => boolean;
+}
+
+/** How a writer behaves. */
+export interface LogWriterOptions {
+    client: LogClient;
+    timers: TimerService;
+    /** Identifies the writer across all processes and restarts. */
+    writer: string;
+    /** Time after which an append is repeated. */
+    repeatMilliseconds?: number;
+    /** Time after which the outcome is given as unknown. */
+    giveUpMilliseconds?: number;
+}
+
+interface PendingWrite {
+    identifier: RecordIdentifier;
+    body: RecordBody;
+    settle: (result: Result<number, WriteError>) => void;
+}
+
+const defaultRepeatMilliseconds = 1000;
+const defaultGiveUpMilliseconds = 10_000;
+
+/**
+ * Creates a writer.
+ *
+ * @param options - how the writer behaves
+ * @returns the writer
+ */
+export const createLogWriter = (options: LogWriterOptions): LogWriter => {
+    const { client, timers, writer } = options;
+    const repeatMilliseconds = options.repeatMilliseconds ?? defaultRepeatMilliseconds;
+    const giveUpMilliseconds = options.giveUpMilliseconds ?? defaultGiveUpMilliseconds;
+    let sequence = 0;
+    let pending: PendingWrite | undefined;
+    let queue: Promise<unknown> = Promise.resolve();
+
+    const resultOf = (outcome: FoldOutcome, offset: number): Result<number, WriteError> =>
+        outcome.kind === OutcomeKind.refused ? Err({ kind: "refused", message: outcome.reason }) : Ok(offset);
+
+    const send = async (write: PendingWrite): Promise<void> => {
+        const answer = await client.append({ identifier: write.identifier, body: write.body });
+        const isRefused = answer.err && answer.val.kind === LogErrorKind.refused;
+        if (isRefused && pending === write) {
+            write.settle(Err({ kind: "refused", message: answer.val.message }));
+        }
+    };
+
+    const start = (body: RecordBody): Promise<Result<number, WriteError>> =>
+        new Promise(resolve => {
+            const write: PendingWrite = {
+                identifier: { writer, sequence: sequence++ },
+                body,
+                settle: result => {
+                    pending = undefined;
+                    repeat.cancel();
+                    giveUp.cancel();
+                    resolve(result);
+                },
+            };
+            const repeat = timers.onInterval(repeatMilliseconds, () => void send(write));
+            const giveUp = timers.onDelay(giveUpMilliseconds, () => {
+                write.settle(Err({ kind: "unknown", message: "the record was not read back in time" }));
+            });
+            pending = write;
+            void send(write);
+        });
+
+    return {
+        write: body => {
+            const result = queue.then(() => start(body));
+            queue = result;
+            return result;
+        },
+        takeFolded: ({ offset, record, outcome }) => {
+            const isOwn = pending !== undefined && record.identifier.writer === writer
+                && record.identifier.sequence === pending.identifier.sequence;
+            if (isOwn) {
+                pending?.settle(resultOf(outcome, offset));
+            }
+        },
+        isBusy: () => pending !== undefined,
+    };
+};
--- /dev/null
+++ b/packages/ownership/src/grantLedger.ts
@@ -0,0 +1,170 @@
+/**
+ * Keeps, for each slot, since when confirmed knowledge has named its holder, and so from when the holder may be
+ * granted the slot: one lease after the naming was confirmed, or at once when the holder before gave the slot up.
+ */
+import {
+    type Holding,
+    holdingOf,
+    isSessionEnded,
+    type LogState,
+    type ServerIdentifier,
+    type ServiceTable,
+    type SlotEntry,
+} from "@mulberryseam/ledger";
+import type { ConfirmedRound } from "./confirmation";
+import { waitOutMilliseconds } from "./lease";
+
+/** A slot that a server may be granted. */
+export interface GrantedSlot {
+    service: string;
+    slot: number;
+    token: number;
+}
+
+interface TrackedHolding extends Holding {
+    /** When a round that names the holding was first complete. */
+    namedAt: number;
+    /** The holding whose early end makes this one due at once. */
+    previous: Holding | undefined;
+    /** Whether a grant of the holding has once been due; it stays due while the holding lasts. */
+    isDue: boolean;
+}
+
+/** Grants that are due, by confirmed knowledge. */
+export interface GrantLedger {
+    /**
+     * Takes a confirmed round. Rounds older than the last one taken, and rounds whose knowledge is not exactly what
+     * the state has folded, are passed over.
+     */
+    takeRound: (round: ConfirmedRound, state: LogState, durationMilliseconds: number) => void;
+    /** When the last round taken began; leases on these holdings are counted from here. */
+    confirmedAt: () => number | undefined;
+    /** Takes the word of a server that held a slot under a token and has given it up. */
+    takeRelease: (released: GrantedSlot) => void;
+    /** Slots that a server may be granted now. */
+    dueFor: (server: ServerIdentifier, now: number) => GrantedSlot[];
+    /** Slots that a server holds or may still hold but that are named for another one. */
+    toRelease: (server: ServerIdentifier) => GrantedSlot[];
+    /** The holder of a slot, with whether its grant is due. */
+    holder: (service: string, slot: number, now: number) => (Holding & { isDue: boolean; }) | undefined;
+}
+
+const releaseMemory = 65_536;
+
+const releaseName = (released: GrantedSlot): string => `${released.service}/${released.slot}/${released.token}`;
+
+/**
+ * Creates a ledger of grants.
+ *
+ * @returns a ledger that knows of no holdings
+ */
+export const createGrantLedger = (): GrantLedger => {
+    const services = new Map<string, (TrackedHolding | undefined)[]>();
+    const releases = new Set<string>();
+    let lastTables: readonly ServiceTable[] | undefined;
+    let lastServers: LogState["servers"] | undefined;
+    let lastLapses = "";
+    let confirmedAt: number | undefined;
+    let waitMilliseconds = waitOutMilliseconds(0);
+
+    const isReleased = (service: string, slot: number, holding: Holding): boolean =>
+        releases.has(releaseName({ service, slot, token: holding.token }));
+
+    const track = (
+        before: TrackedHolding | undefined,
+        entry: SlotEntry,
+        holding: Holding | undefined,
+        now: number,
+        isPreviousAlive: boolean,
+    ): TrackedHolding | undefined => {
+        if (holding === undefined) {
+            return undefined;
+        }
+        const isSame = before?.holder === holding.holder && before.token === holding.token;
+        if (isSame) {
+            return before;
+        }
+        // A release counts only for the owner named by the log while the owner before it may hold the slot: an heir
+        // takes over from a lost owner, which gives nothing up.
+        const previous = holding.holder === entry.owner && isPreviousAlive ? entry.previous : undefined;
+        return { ...holding, namedAt: now, isDue: false, previous };
+    };
+
+    const refresh = (tracked: TrackedHolding, service: string, slot: number, now: number): boolean => {
+        if (!tracked.isDue) {
+            const isGivenUp = tracked.previous !== undefined && isReleased(service, slot, tracked.previous);
+            tracked.isDue = isGivenUp || now >= tracked.namedAt + waitMilliseconds;
+        }
+        return tracked.isDue;
+    };
+
+    const takeTable = (table: ServiceTable, now: number, isEnded: (identifier: string) => boolean): void => {
+        const before = services.get(table.service) ?? [];
+        services.set(
+            table.service,
+            table.slots.map((entry, slot) => {
+                const isPreviousAlive = entry.previous !== undefined && !isEnded(entry.previous.holder);
+                return track(before[slot], entry, holdingOf(entry, isEnded), now, isPreviousAlive);
+            }),
+        );
+    };
+
+    return {
+        takeRound: (round, state, durationMilliseconds) => {
+            const isOlder = confirmedAt !== undefined && round.beganAt < confirmedAt;
+            if (isOlder || state.changedAt !== round.knowledge.offset) {
+                return;
+            }
+            confirmedAt = round.beganAt;
+            waitMilliseconds = waitOutMilliseconds(durationMilliseconds);
+            const lapses = round.knowledge.lapses.join();
+            if (state.tables === lastTables && state.servers === lastServers && lapses === lastLapses) {
+                return;
+            }
+            lastTables = state.tables;
+            lastServers = state.servers;
+            lastLapses = lapses;
+            const isEnded = (identifier: string): boolean =>
+                round.knowledge.lapses.includes(identifier) || isSessionEnded(state.servers, identifier);
+            state.tables.forEach(table => takeTable(table, round.completedAt, isEnded));
+        },
+        confirmedAt: () => confirmedAt,
+        takeRelease: released => {
+            if (releases.size >= releaseMemory) {
+                releases.clear();
+            }
+            releases.add(releaseName(released));
+        },
+        dueFor: (server, now) => {
+            const due: GrantedSlot[] = [];
+            for (const [service, slots] of services) {
+                slots.forEach((tracked, slot) => {
+                    if (tracked?.holder === server && refresh(tracked, service, slot, now)) {
+                        due.push({ service, slot, token: tracked.token });
+                    }
+                });
+            }
+            return due;
+        },
+        toRelease: server => {
+            const slots: GrantedSlot[] = [];
+            for (const [service, holdings] of services) {
+                holdings.forEach((tracked, slot) => {
+                    const isPrevious = tracked?.previous?.holder === server && tracked.holder !== server;
+                    if (isPrevious && !tracked.isDue && tracked.previous !== undefined) {
+                        slots.push({ service, slot, token: tracked.previous.token });
+                    }
+                });
+            }
+            return slots;
+        },
+        holder: (service, slot, now) => {
+            const tracked = services.get(service)?.[slot];
+            if (tracked === undefined) {
+                return undefined;
+            }
+            const isDue = refresh(tracked, service, slot, now);
+            return { holder: tracked.holder, token: tracked.token, isDue };
+        },
+    };
+};
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,20 @@
+/** Decisions on who owns what: knowledge, confirmation, leases, failure detection, placement and planning. */
+export { createConfirmation } from "./confirmation";
+export type { Confirmation, ConfirmedRound } from "./confirmation";
+export { createCoordinator } from "./coordinator";
+export type { Coordinator, CoordinatorOptions, CoordinatorStatus, Renewal, Route, ServerReply } from "./coordinator";
+export type { InForce } from "./environmentInForce";
+export { createFailureDetector } from "./failureDetector";
+export type { FailureDetector, ServerObservation } from "./failureDetector";
+export { createGrantLedger } from "./grantLedger";
+export type { GrantedSlot, GrantLedger } from "./grantLedger";
+export { emptyKnowledge, knowsMore, mergeKnowledge } from "./knowledge";
+export type { Knowledge } from "./knowledge";
+export { leaseExpiry, waitOutMilliseconds } from "./lease";
+export type { ClockSample } from "./lease";
+export type { ListedInstance } from "./peerDirectory";
+export { measureImbalance, planBalance, planRepair } from "./placement";
+export type { PlacementServer, SlotLoad } from "./placement";
+export { planNext } from "./planner";
+export type { PlannerView, ServerSighting } from "./planner";
+export { chooseRenewers } from "./renewers";
--- /dev/null
+++ b/packages/ownership/src/leadership.ts
@@ -0,0 +1,42 @@
+/** Decides when an instance claims to lead. The log settles competing claims; this only keeps them rare. */
+import { rendezvousOrder } from "@mulberryseam/foundation";
+import { type LogState, type Member, memberIdentifier, type RecordBody, RecordKind } from "@mulberryseam/ledger";
+
+/** What the decision rests on. */
+export interface LeadershipView {
+    state: LogState;
+    self: Member;
+    now: number;
+    /** Identifiers of the members that answer, the own one included where it is a member. */
+    liveMembers: readonly string[];
+    /** When the leader was last heard from, or when the instance began to listen. */
+    leaderHeardAt: number;
+    /** Place of the instance among all that could found the membership. */
+    founderRank: number;
+}
+
+const leaderSilenceMilliseconds = 1000;
+const rankDelayMilliseconds = 400;
+
+/**
+ * Plans a claim.
+ *
+ * @param view - what the decision rests on
+ * @returns the claim to append, or undefined when another leads or should claim first
+ */
+export const planClaim = (view: LeadershipView): RecordBody | undefined => {
+    const { state, self } = view;
+    const identifier = memberIdentifier(self);
+    if (state.leader === identifier) {
+        return undefined;
+    }
+    const isFounding = state.members.length === 0;
+    if (!isFounding && !view.liveMembers.includes(identifier)) {
+        return undefined;
+    }
+    const order = rendezvousOrder(`term ${state.term + 1}`, view.liveMembers);
+    const rank = isFounding ? view.founderRank : order.indexOf(identifier);
+    const silence = view.now - view.leaderHeardAt;
+    const isDue = silence >= leaderSilenceMilliseconds + rank * rankDelayMilliseconds;
+    return isDue ? { kind: RecordKind.claim, term: state.term + 1, member: self } : undefined;
+};
--- /dev/null
+++ b/packages/site/src/exampleDocument.ts
@@ -0,0 +1,24 @@
+/** The example documents, with their addresses moved to loopback. */
+import type { Environment } from "@mulberryseam/configuration";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as yaml from "yaml";
+import { reservePorts } from "./ports";
+
+const examplesFolder = path.resolve(__dirname, "../../../examples");
+
+/**
+ * Loads an example document and gives every upstream a free port on loopback.
+ *
+ * @param name - name of the example, without its ending
+ * @returns the document as plain data
+ */
+export const loadExample = async (name: string): Promise<Environment> => {
+    const document = yaml.parse(fs.readFileSync(path.join(examplesFolder, `${name}.yaml`), "utf8")) as Environment;
+    const upstreams = document.services.flatMap(service => service.upstreams);
+    const ports = await reservePorts(upstreams.length);
+    upstreams.forEach((upstream, index) => {
+        upstream.address = `127.0.0.1:${ports[index]}`;
+    });
+    return document;
+};
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,11 @@
+/** Stand-ins for the platform and for upstreams, by their published protocols. No part of the shipped binary. */
+export { createGrantTable } from "./grantTable";
+export type { GrantMessage, GrantReply, GrantTable, OwnershipEvent } from "./grantTable";
+export { createInstanceListStandIn } from "./instanceListStandIn";
+export type { InstanceListStandIn } from "./instanceListStandIn";
+export { createLinkStandIn } from "./linkStandIn";
+export type { LinkStandIn } from "./linkStandIn";
+export { createLogServiceStandIn, createLogStore } from "./logServiceStandIn";
+export type { LogFaults, LogStore } from "./logServiceStandIn";
+export { createUpstreamStandIn } from "./upstreamStandIn";
+export type { UpstreamStandInOptions } from "./upstreamStandIn";
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,27 @@
+/** Runs one stand-in as a process: `log PORT`, `list PORT LAG`, or `upstream JSON...` with one or more options. */
+import { createOwner } from "@mulberryseam/foundation";
+import { createInstanceListStandIn } from "./instanceListStandIn";
+import { createLogServiceStandIn } from "./logServiceStandIn";
+import { createUpstreamStandIn, type UpstreamStandInOptions } from "./upstreamStandIn";
+
+const run = async (role: string, parameters: readonly string[]): Promise<void> => {
+    const owner = createOwner();
+    process.on("SIGTERM", () => void owner.dispose().then(() => process.exit(0)));
+    if (role === "log") {
+        await createLogServiceStandIn(Number(parameters[0]), owner);
+    }
+    else if (role === "list") {
+        await createInstanceListStandIn(Number(parameters[0]), Number(parameters[1]), owner);
+    }
+    else if (role === "upstream") {
+        for (const parameter of parameters) {
+            await createUpstreamStandIn(JSON.parse(parameter) as UpstreamStandInOptions, owner);
+        }
+    }
+    else {
+        throw new Error(`unknown stand-in ${role}`);
+    }
+    process.stdout.write("ready\n");
+};
+
+void run(process.argv[2], process.argv.slice(3));
