--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -8,7 +8,7 @@
 export type { Metrics, MetricsOptions } from "./metrics";
 export { createRandom } from "./random";
 export type { Random } from "./random";
-export { createTimerService } from "./timerService";
+export { createTimerService, pause } from "./timerService";
 export type { Subscription, TimerService } from "./timerService";
 export { createVirtualTimerService } from "./virtualTimerService";
 export type { VirtualTimerService } from "./virtualTimerService";
--- a/packages/foundation/src/timerService.ts
+++ b/packages/foundation/src/timerService.ts
@@ -17,6 +17,18 @@
     onInterval: (intervalMilliseconds: number, callback: () => void) => Subscription;
 }
 
+/**
+ * Waits.
+ *
+ * @param timers - the timer service
+ * @param milliseconds - how long
+ * @returns when the time is up
+ */
+export const pause = (timers: TimerService, milliseconds: number): Promise<void> =>
+    new Promise(resolve => {
+        timers.onDelay(milliseconds, () => resolve());
+    });
+
 /**
  * Creates a timer service on the clock of the process.
  *
--- /dev/null
+++ b/packages/gateway/src/acquisition.ts
@@ -0,0 +1,76 @@
+/** How a request gets a slot: in the lane of its pool, or in the lane of the one owner of its key. */
+import type { Service } from "@mulberryseam/configuration";
+import { pause, type TimerService } from "@mulberryseam/foundation";
+import { type QueueRefusal, RefusalReason } from "@mulberryseam/traffic";
+import type { Exchange } from "./exchange";
+import type { LaneRequest, Slot } from "./lane";
+import type { ServiceLanes } from "./serviceLanes";
+import type { UpstreamState } from "./upstreamState";
+
+/** Where the requests of a slot go. */
+export interface OwnerRoute {
+    server: string;
+    token: number;
+    /** Whether the server may be sent requests now. */
+    isReady: boolean;
+}
+
+/** Tells the owner of a slot. */
+export type RouteOf = (service: Service, slot: number) => OwnerRoute | undefined;
+
+/** A slot at an upstream, with the token that a server of keys wants to see. */
+export type AcquiredSlot = Slot<UpstreamState> & { token: number | undefined; };
+
+/** Gets slots for requests. */
+export type Acquire = (exchange: Exchange, lanes: ServiceLanes) => Promise<AcquiredSlot | QueueRefusal>;
+
+const routePollMilliseconds = 10;
+const noOwnerRetryMilliseconds = 1000;
+
+const laneRequestOf = (exchange: Exchange): LaneRequest => ({
+    rank: exchange.head.rank.name,
+    deadlineAt: exchange.deadlineAt,
+    bytes: exchange.body.heldBytes,
+    excluded: exchange.excluded,
+    signal: exchange.caller.signal,
+});
+
+const acquirePool = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
+    const slot = await lanes.pool.acquire(laneRequestOf(exchange));
+    return slot.ok ? { ...slot.val, token: undefined } : slot.val;
+};
+
+/**
+ * Creates the way to a slot.
+ *
+ * @param timers - the timer service
+ * @param route - tells the owner of a slot
+ * @returns gets a slot, or the reason why there is none
+ */
+export const createAcquire = (timers: TimerService, route: RouteOf): Acquire => {
+    // The owner may change while a request waits; it then goes to the lane of the new owner.
+    const acquireOwner = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
+        const slotNumber = exchange.head.slot ?? 0;
+        while (timers.now() < exchange.deadlineAt && !exchange.caller.signal.aborted) {
+            const before = route(lanes.service, slotNumber);
+            const lane = before?.isReady === true ? lanes.server(before.server) : undefined;
+            if (before === undefined || lane === undefined) {
+                await pause(timers, routePollMilliseconds);
+                continue;
+            }
+            const slot = await lane.acquire(laneRequestOf(exchange));
+            if (slot.err) {
+                return slot.val;
+            }
+            const current = route(lanes.service, slotNumber);
+            if (current?.isReady === true && current.server === before.server) {
+                return { ...slot.val, token: current.token };
+            }
+            slot.val.release();
+        }
+        return { reason: RefusalReason.deadline, retryAfterMilliseconds: noOwnerRetryMilliseconds };
+    };
+
+    return (exchange, lanes) =>
+        lanes.service.kind === "keyed" ? acquireOwner(exchange, lanes) : acquirePool(exchange, lanes);
+};
--- /dev/null
+++ b/packages/gateway/src/attempts.ts
@@ -0,0 +1,116 @@
+/** One attempt of a request at an upstream, and what is learned from it. */
+import type { TimerService } from "@mulberryseam/foundation";
+import type { Subscription } from "@mulberryseam/foundation";
+import { AttemptResult } from "@mulberryseam/traffic";
+import type { AcquiredSlot, RouteOf } from "./acquisition";
+import type { Exchange } from "./exchange";
+import { connectionHeaders, HeaderName, internalHeaders } from "./headers";
+import type { ServiceLanes } from "./serviceLanes";
+import type { Hop } from "./tracing";
+import type { Attempt } from "./upstreamClient";
+import { noteAnswer, noteDraining, type UpstreamState } from "./upstreamState";
+
+/** Attempts a request once, in a slot. */
+export type AttemptOnce = (exchange: Exchange, lanes: ServiceLanes, slot: AcquiredSlot) => Promise<Attempt>;
+
+const deadlineCheckMilliseconds = 50;
+/** Part of the remaining time after which an idempotent request is tried elsewhere. */
+const firstAttemptShare = 0.5;
+
+/**
+ * Creates the way to attempt requests.
+ *
+ * @param timers - the timer service
+ * @param route - tells the owner of a slot
+ * @returns attempts a request once
+ */
+export const createAttemptOnce = (timers: TimerService, route: RouteOf): AttemptOnce => {
+    const headersFor = (exchange: Exchange, token: number | undefined, hop: Hop): Record<string, string | string[]> => {
+        const headers: Record<string, string | string[]> = {};
+        const dropped = [...connectionHeaders, ...internalHeaders, "host"];
+        const listed = (exchange.request.headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
+        for (const [name, value] of Object.entries(exchange.request.headers)) {
+            if (value !== undefined && !dropped.includes(name) && !listed.includes(name)) {
+                headers[name] = value;
+            }
+        }
+        headers[HeaderName.service] = exchange.head.service.name;
+        headers[HeaderName.rank] = exchange.head.rank.name;
+        headers[HeaderName.requestIdentifier] = exchange.head.identifier;
+        headers[HeaderName.deadline] = String(Math.max(1, Math.floor(exchange.deadlineAt - timers.now())));
+        if (token !== undefined) {
+            headers[HeaderName.slot] = String(exchange.head.slot);
+            headers[HeaderName.token] = String(token);
+        }
+        hop.inject(headers as Record<string, string>);
+        return headers;
+    };
+
+    // A deadline bounds the wait for an answer, not a body that is still on its way up.
+    const watchAttempt = (
+        exchange: Exchange,
+        lanes: ServiceLanes,
+        target: UpstreamState,
+        abort: AbortController,
+    ): Subscription => {
+        const startedAt = timers.now();
+        const { head } = exchange;
+        const attemptEnd = head.isIdempotent && lanes.service.kind === "pool"
+            ? startedAt + (exchange.deadlineAt - startedAt) * firstAttemptShare
+            : exchange.deadlineAt;
+        return timers.onInterval(deadlineCheckMilliseconds, () => {
+            const isSending = !exchange.request.complete;
+            const hasMoved = head.isIdempotent && head.slot !== undefined
+                && route(lanes.service, head.slot)?.server !== target.upstream.name;
+            if ((timers.now() >= attemptEnd && !isSending) || hasMoved) {
+                abort.abort();
+            }
+        });
+    };
+
+    const noteAttempt = (attempt: Attempt, lanes: ServiceLanes, target: UpstreamState, startedAt: number): void => {
+        const now = timers.now();
+        const name = target.upstream.name;
+        if (attempt.result === AttemptResult.answered) {
+            lanes.ejection.onSuccess(name);
+            noteAnswer(target, now - startedAt);
+            lanes.onAnswered();
+        }
+        else if (attempt.result !== AttemptResult.refused) {
+            lanes.ejection.onFailure(name, now);
+        }
+        else if (attempt.reason === "draining") {
+            noteDraining(target, now);
+        }
+        else if (attempt.reason === "shedding") {
+            target.window.onShed(now);
+            lanes.onShed(now);
+        }
+    };
+
+    return async (exchange, lanes, slot) => {
+        const target = slot.target;
+        const hop = exchange.hop.child("attempt", { upstream: target.upstream.name, rank: exchange.head.rank.name });
+        const abort = new AbortController();
+        const leave = (): void => abort.abort();
+        exchange.caller.signal.addEventListener("abort", leave, { once: true });
+        const watch = watchAttempt(exchange, lanes, target, abort);
+        const startedAt = timers.now();
+        try {
+            const attempt = await target.client.attempt({
+                method: exchange.head.method,
+                path: exchange.head.path,
+                headers: headersFor(exchange, slot.token, hop),
+                body: exchange.body.take(),
+                signal: abort.signal,
+            });
+            noteAttempt(attempt, lanes, target, startedAt);
+            hop.end({ result: attempt.result, reason: attempt.reason });
+            return attempt;
+        }
+        finally {
+            watch.cancel();
+            exchange.caller.signal.removeEventListener("abort", leave);
+        }
+    };
+};
--- a/packages/gateway/src/door.ts
+++ b/packages/gateway/src/door.ts
@@ -1,5 +1,5 @@
 /** Where callers connect: limits on heads, bodies and connections, and the planned stop. */
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
+import { type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -103,9 +103,6 @@
         server.listen(options.port, options.host, () => resolve());
     });
 
-    const pause = (milliseconds: number): Promise<void> =>
-        new Promise(resolve => timers.onDelay(milliseconds, () => resolve()));
-
     owner.onCleanup(() => {
         server.close();
         server.closeAllConnections();
@@ -115,11 +112,11 @@
         openRequests: () => openRequests,
         drain: async () => {
             isDraining = true;
-            await pause(drainNoticeMilliseconds);
+            await pause(timers, drainNoticeMilliseconds);
             server.close();
             while (openRequests > 0) {
                 server.closeIdleConnections();
-                await pause(drainCheckMilliseconds);
+                await pause(timers, drainCheckMilliseconds);
             }
         },
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,38 +1,29 @@
 /** Serves requests: admission, attempts, retries, and what the caller is told in the end. */
 import type { Environment, Service } from "@mulberryseam/configuration";
-import type { Logger, Metrics, Owner, Random, TimerService } from "@mulberryseam/foundation";
+import { type Logger, type Metrics, type Owner, pause, type Random, type TimerService } from "@mulberryseam/foundation";
 import {
     AttemptResult,
-    type AttemptResultKind,
     createLinkBudget,
     createLoadCounter,
     createRetryBudget,
     type LinkBudget,
     type LoadCounter,
     mayAttemptAgain,
-    Outcome,
     outcomeOf,
     type QueueRefusal,
     RefusalReason,
 } from "@mulberryseam/traffic";
 import type * as http from "node:http";
-import * as stream from "node:stream/promises";
-import { connectionHeaders, HeaderName, internalHeaders } from "./headers";
-import type { LaneRequest, Slot } from "./lane";
-import { prepareBody, type RequestBody } from "./requestBody";
-import { readHead, type RequestHead } from "./requestHead";
+import { createAcquire, type RouteOf } from "./acquisition";
+import { refuseRequest, relayAnswer, tellOutcome } from "./answers";
+import { createAttemptOnce } from "./attempts";
+import type { Exchange } from "./exchange";
+import { prepareBody } from "./requestBody";
+import { readHead } from "./requestHead";
 import { createServiceLanes, type ServiceLanes } from "./serviceLanes";
-import type { Hop, Tracing } from "./tracing";
+import type { Tracing } from "./tracing";
 import type { Attempt } from "./upstreamClient";
-import { noteAnswer, noteDraining, type UpstreamState } from "./upstreamState";
-
-/** Where the requests of a slot go. */
-export interface OwnerRoute {
-    server: string;
-    token: number;
-    /** Whether the server may be sent requests now. */
-    isReady: boolean;
-}
+import type { UpstreamState } from "./upstreamState";
 
 /** What a gateway works with. */
 export interface GatewayOptions {
@@ -44,7 +35,7 @@
     random: Random;
     tracing: Tracing;
     /** Tells the owner of a slot. */
-    route: (service: Service, slot: number) => OwnerRoute | undefined;
+    route: RouteOf;
     /** Number of live instances that share the upstreams. */
     instanceCount: () => number;
 }
@@ -62,33 +53,11 @@
     crossRegionBytes: () => number;
 }
 
-interface Exchange {
-    head: RequestHead;
-    body: RequestBody;
-    request: http.IncomingMessage;
-    response: http.ServerResponse;
-    deadlineAt: number;
-    hop: Hop;
-    /** Aborted when the caller leaves. */
-    caller: AbortController;
-    attempts: AttemptResultKind[];
-    excluded: string[];
-    reason: string;
-}
-
-type SlotResult = Slot<UpstreamState> & { token: number | undefined; };
-
 const firstPauseMilliseconds = 10;
 const longestPauseMilliseconds = 100;
-const routePollMilliseconds = 10;
-const deadlineCheckMilliseconds = 50;
 const loadSampleMilliseconds = 1000;
-const idleAttemptShare = 0.5;
-const millisecondsPerSecond = 1000;
 const bitsPerMegabit = 1_000_000;
 
-const statusOf = { [Outcome.notRun]: 503, [Outcome.unknown]: 502 } as const;
-
 /**
  * Creates a gateway.
  *
@@ -98,6 +67,8 @@
  */
 export const createGateway = (options: GatewayOptions, owner: Owner): Gateway => {
     const { timers, metrics } = options;
+    const acquire = createAcquire(timers, options.route);
+    const attemptOnce = createAttemptOnce(timers, options.route);
     const budget = createRetryBudget();
     const loads = createLoadCounter(timers.now());
     let environment: Environment | undefined;
@@ -152,192 +123,22 @@
         });
     };
 
-    const pause = (milliseconds: number): Promise<void> =>
-        new Promise(resolve => timers.onDelay(milliseconds, () => resolve()));
-
     const meter = (state: UpstreamState, rank: string, bytes: number): void => {
         if (state.region !== options.region) {
             links.get(state.region)?.onBytes(rank, bytes, timers.now());
         }
     };
 
-    const laneRequestOf = (exchange: Exchange): LaneRequest => ({
-        rank: exchange.head.rank.name,
-        deadlineAt: exchange.deadlineAt,
-        bytes: exchange.body.heldBytes,
-        excluded: exchange.excluded,
-        signal: exchange.caller.signal,
-    });
-
-    const acquirePool = async (exchange: Exchange, lanes: ServiceLanes): Promise<SlotResult | QueueRefusal> => {
-        const slot = await lanes.pool.acquire(laneRequestOf(exchange));
-        return slot.ok ? { ...slot.val, token: undefined } : slot.val;
-    };
-
-    // The owner may change while a request waits; it then goes to the lane of the new owner.
-    const acquireOwner = async (exchange: Exchange, lanes: ServiceLanes): Promise<SlotResult | QueueRefusal> => {
-        const slotNumber = exchange.head.slot ?? 0;
-        while (timers.now() < exchange.deadlineAt && !exchange.caller.signal.aborted) {
-            const route = options.route(lanes.service, slotNumber);
-            const lane = route?.isReady === true ? lanes.server(route.server) : undefined;
-            if (route === undefined || lane === undefined) {
-                await pause(routePollMilliseconds);
-                continue;
-            }
-            const slot = await lane.acquire(laneRequestOf(exchange));
-            if (slot.err) {
-                return slot.val;
-            }
-            const current = options.route(lanes.service, slotNumber);
-            if (current?.isReady === true && current.server === route.server) {
-                return { ...slot.val, token: current.token };
-            }
-            slot.val.release();
-        }
-        return { reason: RefusalReason.deadline, retryAfterMilliseconds: millisecondsPerSecond };
-    };
-
-    const headersFor = (exchange: Exchange, token: number | undefined, hop: Hop): Record<string, string | string[]> => {
-        const headers: Record<string, string | string[]> = {};
-        const dropped = [...connectionHeaders, ...internalHeaders, "host"];
-        const listed = (exchange.request.headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
-        for (const [name, value] of Object.entries(exchange.request.headers)) {
-            if (value !== undefined && !dropped.includes(name) && !listed.includes(name)) {
-                headers[name] = value;
-            }
-        }
-        headers[HeaderName.service] = exchange.head.service.name;
-        headers[HeaderName.rank] = exchange.head.rank.name;
-        headers[HeaderName.requestIdentifier] = exchange.head.identifier;
-        headers[HeaderName.deadline] = String(Math.max(1, Math.floor(exchange.deadlineAt - timers.now())));
-        if (token !== undefined) {
-            headers[HeaderName.slot] = String(exchange.head.slot);
-            headers[HeaderName.token] = String(token);
-        }
-        hop.inject(headers as Record<string, string>);
-        return headers;
-    };
-
-    // A deadline bounds the wait for an answer, not a body that is still on its way up.
-    const watchAttempt = (exchange: Exchange, lanes: ServiceLanes, target: UpstreamState, abort: AbortController) => {
-        const startedAt = timers.now();
-        const { head } = exchange;
-        const attemptEnd = head.isIdempotent && lanes.service.kind === "pool"
-            ? startedAt + (exchange.deadlineAt - startedAt) * idleAttemptShare
-            : exchange.deadlineAt;
-        return timers.onInterval(deadlineCheckMilliseconds, () => {
-            const isSending = !exchange.request.complete;
-            const hasMoved = head.isIdempotent && head.slot !== undefined
-                && options.route(lanes.service, head.slot)?.server !== target.upstream.name;
-            if ((timers.now() >= attemptEnd && !isSending) || hasMoved) {
-                abort.abort();
-            }
-        });
-    };
-
-    const noteAttempt = (attempt: Attempt, lanes: ServiceLanes, target: UpstreamState, startedAt: number): void => {
-        const now = timers.now();
-        const name = target.upstream.name;
-        if (attempt.result === AttemptResult.answered) {
-            lanes.ejection.onSuccess(name);
-            noteAnswer(target, now - startedAt);
-            lanes.onAnswered();
-        }
-        else if (attempt.result !== AttemptResult.refused) {
-            lanes.ejection.onFailure(name, now);
-        }
-        else if (attempt.reason === "draining") {
-            noteDraining(target, now);
-        }
-        else if (attempt.reason === "shedding") {
-            target.window.onShed(now);
-            lanes.onShed(now);
-        }
-    };
-
-    const attemptOnce = async (exchange: Exchange, lanes: ServiceLanes, slot: SlotResult): Promise<Attempt> => {
-        const target = slot.target;
-        const hop = exchange.hop.child("attempt", { upstream: target.upstream.name, rank: exchange.head.rank.name });
-        const abort = new AbortController();
-        const leave = (): void => abort.abort();
-        exchange.caller.signal.addEventListener("abort", leave, { once: true });
-        const watch = watchAttempt(exchange, lanes, target, abort);
-        const startedAt = timers.now();
-        target.outstanding += 1;
-        try {
-            const attempt = await target.client.attempt({
-                method: exchange.head.method,
-                path: exchange.head.path,
-                headers: headersFor(exchange, slot.token, hop),
-                body: exchange.body.take(),
-                signal: abort.signal,
-            });
-            noteAttempt(attempt, lanes, target, startedAt);
-            hop.end({ result: attempt.result, reason: attempt.reason });
-            meter(target, exchange.head.rank.name, Number(exchange.request.headers["content-length"] ?? 0));
-            return attempt;
-        }
-        finally {
-            watch.cancel();
-            target.outstanding -= 1;
+    const relay = async (exchange: Exchange, attempt: Attempt, target: UpstreamState): Promise<void> => {
+        const service = exchange.head.service.name;
+        meter(target, exchange.head.rank.name, Number(attempt.answer?.headers["content-length"] ?? 0));
+        const cutReason = await relayAnswer(exchange, attempt, options.instance);
+        if (cutReason !== undefined) {
+            options.logger.warning("An answer was cut.", { service, reason: cutReason });
+            metrics.count("answers.cut", 1, { service });
         }
     };
 
-    const relayAnswer = async (exchange: Exchange, attempt: Attempt, target: UpstreamState): Promise<void> => {
-        const { response, head } = exchange;
-        const answer = attempt.answer;
-        if (answer === undefined) {
-            return;
-        }
-        const headers: http.OutgoingHttpHeaders = {};
-        for (const [name, value] of Object.entries(answer.headers)) {
-            if (value !== undefined && !connectionHeaders.includes(name)) {
-                headers[name] = value;
-            }
-        }
-        headers[HeaderName.outcome] = Outcome.answered;
-        headers[HeaderName.instance] = options.instance;
-        headers[HeaderName.requestIdentifier] = head.identifier;
-        response.writeHead(answer.statusCode, headers);
-        meter(target, head.rank.name, Number(answer.headers["content-length"] ?? 0));
-        try {
-            await stream.pipeline(answer.body, response);
-        }
-        catch (error) {
-            // The head has gone out, so only a broken connection can tell the caller that the body is not whole.
-            options.logger.warning("An answer was cut.", {
-                service: head.service.name,
-                reason: (error as Error).message,
-            });
-            metrics.count("answers.cut", 1, { service: head.service.name });
-            response.destroy();
-        }
-    };
-
-    const tell = (exchange: Exchange, refusal: QueueRefusal | undefined): void => {
-        const { response, head } = exchange;
-        const outcome = outcomeOf(exchange.attempts);
-        if (response.headersSent || outcome === Outcome.answered) {
-            return;
-        }
-        const retryAfter = Math.max(1, Math.ceil((refusal?.retryAfterMilliseconds ?? 0) / millisecondsPerSecond));
-        const headers: http.OutgoingHttpHeaders = {
-            [HeaderName.outcome]: outcome,
-            [HeaderName.reason]: refusal?.reason ?? exchange.reason,
-            [HeaderName.instance]: options.instance,
-            [HeaderName.requestIdentifier]: head.identifier,
-            "content-type": "text/plain",
-        };
-        if (outcome === Outcome.notRun) {
-            headers["retry-after"] = String(retryAfter);
-        }
-        if (!exchange.request.complete) {
-            headers.connection = "close";
-        }
-        response.writeHead(statusOf[outcome], headers);
-        response.end(`${outcome}\n`);
-    };
-
     const countOutcome = (exchange: Exchange, startedAt: number): void => {
         const tags = { service: exchange.head.service.name, rank: exchange.head.rank.name };
         const outcome = outcomeOf(exchange.attempts);
@@ -367,17 +168,18 @@
             }
             const isKeyed = lanes.service.kind === "keyed";
             const queueHop = exchange.hop.child("queue");
-            const slot = isKeyed ? await acquireOwner(exchange, lanes) : await acquirePool(exchange, lanes);
+            const slot = await acquire(exchange, lanes);
             queueHop.end();
             if ("reason" in slot) {
                 return slot;
             }
             try {
                 const attempt = await attemptOnce(exchange, lanes, slot);
+                meter(slot.target, exchange.head.rank.name, Number(exchange.request.headers["content-length"] ?? 0));
                 exchange.attempts.push(attempt.result);
                 exchange.reason = attempt.reason;
                 if (attempt.result === AttemptResult.answered) {
-                    await relayAnswer(exchange, attempt, slot.target);
+                    await relay(exchange, attempt, slot.target);
                     return undefined;
                 }
                 if (!wantsMore(exchange, attempt)) {
@@ -392,7 +194,7 @@
                     ? [...exchange.excluded, slot.target.upstream.name]
                     : [];
             }
-            await pause(pauseMilliseconds);
+            await pause(timers, pauseMilliseconds);
             pauseMilliseconds = Math.min(longestPauseMilliseconds, pauseMilliseconds * 2);
         }
     };
@@ -404,30 +206,20 @@
             loads.onRequest(exchange.head.service.name, exchange.head.slot);
         }
         const refusal = await run(exchange);
-        tell(exchange, refusal);
+        tellOutcome(exchange, refusal, options.instance);
         countOutcome(exchange, startedAt);
     };
 
-    const refuseHead = (response: http.ServerResponse, status: number, message: string): void => {
-        response.writeHead(status, {
-            [HeaderName.outcome]: Outcome.notRun,
-            [HeaderName.instance]: options.instance,
-            "content-type": "text/plain",
-            "connection": "close",
-        });
-        response.end(`${message}\n`);
-    };
-
     const handle = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
         const document = environment;
         if (document === undefined) {
-            refuseHead(response, 503, "no environment is in force yet");
+            refuseRequest(response, 503, "no environment is in force yet", options.instance);
             return;
         }
         const head = readHead(request, document);
         if (head.err) {
             options.logger.information("A request was refused.", { status: head.val.status, reason: head.val.message });
-            refuseHead(response, head.val.status, head.val.message);
+            refuseRequest(response, head.val.status, head.val.message, options.instance);
             return;
         }
         const caller = new AbortController();
--- a/packages/gateway/src/lane.ts
+++ b/packages/gateway/src/lane.ts
@@ -43,6 +43,9 @@
     capacity: () => number;
     /** Chooses an upstream for a request, or none for now. */
     choose: (request: LaneRequest) => Target | undefined;
+    /** A slot at an upstream has been taken, or given back. */
+    onHeld: (target: Target) => void;
+    onReleased: (target: Target) => void;
 }
 
 interface Ticket<Target> {
@@ -65,15 +68,18 @@
     const hold = (waiting: Waiting<Ticket<Target>>): void => {
         const heldSince = timers.now();
         const ticket = waiting.item;
+        const target = ticket.target as Target;
         let isReleased = false;
         const release = (): void => {
             if (!isReleased) {
                 isReleased = true;
+                options.onReleased(target);
                 queue.onDone(waiting.rank, timers.now() - heldSince);
                 pump();
             }
         };
-        ticket.resolve(Ok({ target: ticket.target as Target, release }));
+        options.onHeld(target);
+        ticket.resolve(Ok({ target, release }));
     };
 
     const refuseExpired = (): void => {
--- a/packages/gateway/src/serviceLanes.ts
+++ b/packages/gateway/src/serviceLanes.ts
@@ -88,7 +88,16 @@
         }));
     };
 
+    const onHeld = (state: UpstreamState): void => {
+        state.outstanding += 1;
+    };
+    const onReleased = (state: UpstreamState): void => {
+        state.outstanding -= 1;
+    };
+
     const pool = createLane<UpstreamState>({
+        onHeld,
+        onReleased,
         ranks: environment.ranks,
         timers,
         capacity: () => window.limit(),
@@ -105,6 +114,8 @@
 
     const servers = new Map([...states].map(([name, state]) => {
         const lane = createLane<UpstreamState>({
+            onHeld,
+            onReleased,
             ranks: environment.ranks,
             timers,
             capacity: () => state.window.limit(),
--- a/packages/instance/src/logTask.ts
+++ b/packages/instance/src/logTask.ts
@@ -1,5 +1,5 @@
 /** Follows the log and tells what it has folded. */
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
+import { type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
 import { type FoldedRecord, type LogClient, type LogFollower, type LogState } from "@mulberryseam/ledger";
 
 /** How the log is followed. */
@@ -49,14 +49,11 @@
         }
     };
 
-    const pause = (milliseconds: number): Promise<void> =>
-        new Promise(resolve => timers.onDelay(milliseconds, () => resolve()));
-
     const readOnce = async (): Promise<void> => {
         const page = await client.read(follower.nextOffset(), pollWaitMilliseconds);
         noteReachable(page.ok, page.err ? page.val.message : "");
         if (page.err) {
-            await pause(errorPauseMilliseconds);
+            await pause(timers, errorPauseMilliseconds);
             return;
         }
         readAt = timers.now();
--- /dev/null
+++ b/packages/ownership/src/coordinatorContext.ts
@@ -0,0 +1,129 @@
+/** What the parts of a coordinator share: the folded state, knowledge, and who is there. */
+import type { Environment, Service } from "@mulberryseam/configuration";
+import type { Logger, TimerService } from "@mulberryseam/foundation";
+import {
+    isSessionEnded,
+    type LogState,
+    type Member,
+    memberIdentifier,
+    type ServerIdentifier,
+    type ServerRegistration,
+} from "@mulberryseam/ledger";
+import { type Confirmation, createConfirmation } from "./confirmation";
+import { createEnvironmentInForce, type EnvironmentInForce } from "./environmentInForce";
+import { createFailureDetector, type FailureDetector } from "./failureDetector";
+import { createGrantLedger, type GrantLedger } from "./grantLedger";
+import { emptyKnowledge, type Knowledge, mergeKnowledge } from "./knowledge";
+import { createPeerDirectory, type PeerDirectory } from "./peerDirectory";
+
+/** What the context is made from. */
+export interface ContextOptions {
+    self: Member;
+    environmentName: string;
+    timers: TimerService;
+    logger: Logger;
+}
+
+/** State shared by the parts of one coordinator. */
+export interface CoordinatorContext {
+    self: Member;
+    /** Identifier of the instance as a member. */
+    identifier: string;
+    timers: TimerService;
+    logger: Logger;
+    startedAt: number;
+    confirmation: Confirmation;
+    grants: GrantLedger;
+    detector: FailureDetector;
+    directory: PeerDirectory;
+    inForce: EnvironmentInForce;
+    state: () => LogState | undefined;
+    setState: (state: LogState) => void;
+    knowledge: () => Knowledge;
+    /** Adds to what is known; what the log has ended since is dropped. */
+    learn: (more: Knowledge) => void;
+    isLeaving: () => boolean;
+    setLeaving: () => void;
+    lease: () => Environment["lease"];
+    /** Silence after which a server counts as lost, in milliseconds. */
+    suspicionMilliseconds: () => number;
+    isMember: () => boolean;
+    /** Tells whether the folded log has ended a session. */
+    isEnded: (session: ServerIdentifier) => boolean;
+    registrationOf: (server: string) => ServerRegistration | undefined;
+    keyedUpstreams: () => Service["upstreams"];
+    /** Instances that answer and are not leaving, the own one included. */
+    liveInstances: () => Member[];
+}
+
+/** Time without a report after which an instance no longer counts as live. */
+export const heartbeatSilenceMilliseconds = 1000;
+
+const suspicionShare = 0.6;
+const fallbackLease = { durationMilliseconds: 700, renewalMilliseconds: 150 };
+
+/**
+ * Creates the context of a coordinator.
+ *
+ * @param options - what it is made from
+ * @returns the context, with nothing folded
+ */
+export const createCoordinatorContext = (options: ContextOptions): CoordinatorContext => {
+    const { self, timers, logger } = options;
+    const identifier = memberIdentifier(self);
+    const directory = createPeerDirectory(self.name);
+    const inForce = createEnvironmentInForce(options.environmentName, logger);
+    let state: LogState | undefined;
+    let knowledge = emptyKnowledge();
+    let isLeaving = false;
+
+    const lease = (): Environment["lease"] => inForce.current()?.environment.lease ?? fallbackLease;
+    const isEnded = (session: ServerIdentifier): boolean =>
+        state !== undefined && isSessionEnded(state.servers, session);
+    const livePeers = (): Member[] =>
+        directory.heardWithin(timers.now(), heartbeatSilenceMilliseconds)
+            .filter(heard => !heard.report.isLeaving)
+            .map(({ report }) => ({
+                name: report.name,
+                incarnation: report.incarnation,
+                address: report.address,
+                region: report.region,
+                failureDomain: report.failureDomain,
+            }));
+
+    return {
+        self,
+        identifier,
+        timers,
+        logger,
+        startedAt: timers.now(),
+        confirmation: createConfirmation(),
+        grants: createGrantLedger(),
+        detector: createFailureDetector(),
+        directory,
+        inForce,
+        state: () => state,
+        setState: next => {
+            state = next;
+        },
+        knowledge: () => knowledge,
+        learn: more => {
+            const merged = mergeKnowledge(knowledge, more);
+            knowledge = { ...merged, lapses: merged.lapses.filter(session => !isEnded(session)) };
+        },
+        isLeaving: () => isLeaving,
+        setLeaving: () => {
+            isLeaving = true;
+        },
+        lease,
+        suspicionMilliseconds: () => lease().durationMilliseconds * suspicionShare,
+        isMember: () => state?.members.some(member => memberIdentifier(member) === identifier) ?? false,
+        isEnded,
+        registrationOf: server => state?.servers.find(entry => entry.name === server),
+        keyedUpstreams: () =>
+            (inForce.current()?.environment.services ?? [])
+                .filter(service => service.kind === "keyed")
+                .flatMap(service => service.upstreams),
+        liveInstances: () => isLeaving ? livePeers() : [self, ...livePeers()],
+    };
+};
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -2,7 +2,8 @@
 export { createConfirmation } from "./confirmation";
 export type { Confirmation, ConfirmedRound } from "./confirmation";
 export { createCoordinator } from "./coordinator";
-export type { Coordinator, CoordinatorOptions, CoordinatorStatus, Renewal, Route, ServerReply } from "./coordinator";
+export type { Coordinator, CoordinatorOptions, Sender } from "./coordinator";
+export type { CoordinatorStatus, Route } from "./coordinatorViews";
 export type { InForce } from "./environmentInForce";
 export { createFailureDetector } from "./failureDetector";
 export type { FailureDetector, ServerObservation } from "./failureDetector";
@@ -17,4 +18,5 @@
 export type { PlacementServer, SlotLoad } from "./placement";
 export { planNext } from "./planner";
 export type { PlannerView, ServerSighting } from "./planner";
+export type { Renewal, ServerReply } from "./renewal";
 export { chooseRenewers } from "./renewers";
--- /dev/null
+++ b/packages/ownership/src/leaderDuty.ts
@@ -0,0 +1,169 @@
+/** What an instance does to lead: claim when nobody leads, and append one planned record at a time. */
+import type { Environment } from "@mulberryseam/configuration";
+import { type LogState, memberIdentifier, type RecordBody } from "@mulberryseam/ledger";
+import type { PeerReport } from "@mulberryseam/protocol";
+import { type CoordinatorContext, heartbeatSilenceMilliseconds } from "./coordinatorContext";
+import { planClaim } from "./leadership";
+import { waitOutMilliseconds } from "./lease";
+import type { SlotLoad } from "./placement";
+import { planNext, type ServerSighting } from "./planner";
+
+/** Means by which the duty is done. */
+export interface LeaderDutyOptions {
+    /** Appends a record; settles when its outcome is known, whatever it is. */
+    append: (body: RecordBody) => Promise<unknown>;
+    ownLoads: () => PeerReport["loads"];
+    /** Number of the round before the last one begun. */
+    lastFullRound: () => number;
+}
+
+/** Leads, or waits to. */
+export interface LeaderDuty {
+    /** Looks whether a record should be appended now. */
+    look: () => void;
+    /** The end of the log has been reached, so claims may be made. */
+    takeLogReached: () => void;
+    /** The leader was heard, or another one leads. */
+    takeLeaderSign: () => void;
+    /** Sets the place of this instance among those that could found the membership. */
+    setFounderRank: (rank: number) => void;
+}
+
+const memberSilenceMilliseconds = 3000;
+const balanceIntervalMilliseconds = 2000;
+
+/**
+ * Creates the duty of a leader.
+ *
+ * @param context - state of the instance
+ * @param options - means by which the duty is done
+ * @returns the duty
+ */
+export const createLeaderDuty = (context: CoordinatorContext, options: LeaderDutyOptions): LeaderDuty => {
+    const { timers, directory, detector, confirmation, identifier } = context;
+    let isLogReached = false;
+    let isAppending = false;
+    let leaderHeardAt = context.startedAt;
+    let balancedAt = context.startedAt;
+    let founderRank = 0;
+
+    const loadsOf = (service: string): SlotLoad[] => {
+        const sums = new Map<number, number>();
+        const heard = directory.heardWithin(timers.now(), heartbeatSilenceMilliseconds);
+        const all = [...options.ownLoads(), ...heard.flatMap(entry => entry.report.loads)];
+        for (const load of all.filter(entry => entry.service === service)) {
+            sums.set(load.slot, (sums.get(load.slot) ?? 0) + load.requestsPerSecond);
+        }
+        return [...sums].map(([slot, requestsPerSecond]) => ({ slot, requestsPerSecond }));
+    };
+
+    const goneMembers = (state: LogState): string[] => {
+        const now = timers.now();
+        const leaving = directory.heardWithin(now, heartbeatSilenceMilliseconds)
+            .filter(heard => heard.report.isLeaving)
+            .map(heard => memberIdentifier(heard.report));
+        const isGone = (member: LogState["members"][number]): boolean => {
+            const heardAt = directory.lastHeard(memberIdentifier(member)) ?? context.startedAt;
+            const isSilent = now - heardAt > memberSilenceMilliseconds;
+            return isSilent || directory.endedSince(member) !== undefined || leaving.includes(memberIdentifier(member));
+        };
+        return state.members.filter(isGone).map(memberIdentifier);
+    };
+
+    // A member that has ended for certain can agree to nothing any more, old or new, once its last leases are out.
+    const isConfirmedBySurvivors = (state: LogState): boolean => {
+        const agreed = confirmation.agreedTo(options.lastFullRound());
+        const wait = waitOutMilliseconds(context.lease().durationMilliseconds);
+        return state.members.every(member => {
+            const endedSince = directory.endedSince(member);
+            const hasEnded = endedSince !== undefined && timers.now() - endedSince > wait;
+            return hasEnded || agreed.includes(memberIdentifier(member));
+        });
+    };
+
+    const areMembersConfirmed = (state: LogState): boolean => {
+        const latest = confirmation.latest();
+        const isByMajority = latest !== undefined && latest.knowledge.offset >= state.membersVersion
+            && timers.now() - latest.beganAt < context.lease().durationMilliseconds;
+        return isByMajority || isConfirmedBySurvivors(state);
+    };
+
+    const sightings = (): ServerSighting[] => {
+        const now = timers.now();
+        return context.keyedUpstreams()
+            .map(upstream => detector.latest(upstream.name))
+            .filter(seen => seen !== undefined)
+            .filter(seen => now - seen.answeredAt < context.suspicionMilliseconds())
+            .map(seen => ({ name: seen.server, incarnation: seen.incarnation, isDraining: seen.isDraining }));
+    };
+
+    const planAsLeader = (state: LogState, environment: Environment): RecordBody | undefined => {
+        const now = timers.now();
+        const mayBalance = now - balancedAt >= balanceIntervalMilliseconds;
+        if (mayBalance) {
+            balancedAt = now;
+        }
+        return planNext({
+            state,
+            environment,
+            self: context.self,
+            liveInstances: context.liveInstances(),
+            goneMembers: goneMembers(state),
+            sightings: sightings(),
+            lapses: context.knowledge().lapses,
+            loadsOf,
+            mayBalance,
+            areMembersConfirmed: areMembersConfirmed(state),
+        });
+    };
+
+    const planAsFollower = (state: LogState): RecordBody | undefined => {
+        const mayClaim = isLogReached && !context.isLeaving();
+        if (!mayClaim) {
+            return undefined;
+        }
+        const live = context.liveInstances().map(memberIdentifier);
+        return planClaim({
+            state,
+            self: context.self,
+            now: timers.now(),
+            liveMembers: state.members.map(memberIdentifier).filter(member => live.includes(member)),
+            leaderHeardAt,
+            founderRank,
+        });
+    };
+
+    const plan = (state: LogState): RecordBody | undefined => {
+        if (state.leader !== identifier) {
+            return planAsFollower(state);
+        }
+        const environment = context.inForce.current()?.environment;
+        return environment === undefined ? undefined : planAsLeader(state, environment);
+    };
+
+    return {
+        look: () => {
+            const state = context.state();
+            const isInformed = state !== undefined && state.changedAt >= context.knowledge().offset;
+            if (!isInformed || isAppending) {
+                return;
+            }
+            const body = plan(state);
+            if (body !== undefined) {
+                isAppending = true;
+                void options.append(body).finally(() => {
+                    isAppending = false;
+                });
+            }
+        },
+        takeLogReached: () => {
+            isLogReached = true;
+        },
+        takeLeaderSign: () => {
+            leaderHeardAt = timers.now();
+        },
+        setFounderRank: rank => {
+            founderRank = rank;
+        },
+    };
+};
--- /dev/null
+++ b/packages/ownership/src/renewal.ts
@@ -0,0 +1,104 @@
+/** Messages of grants to servers: who sends them, when, and what they say. */
+import { type ServerIdentifier, serverIdentifier, ServerStatus } from "@mulberryseam/ledger";
+import type { CoordinatorContext } from "./coordinatorContext";
+import type { GrantedSlot } from "./grantLedger";
+import { type ClockSample, leaseExpiry } from "./lease";
+import { chooseRenewers } from "./renewers";
+
+/** What a server is told by one message. */
+export interface Renewal {
+    /** Session that the grants are for; undefined in a mere probe. */
+    session: ServerIdentifier | undefined;
+    /** Run of the server's process that the grants are for. */
+    incarnation: string | undefined;
+    /** Instant on the server's clock at which these grants end. */
+    expiresAt: number | undefined;
+    slots: readonly GrantedSlot[];
+    /** Slots to give up, with the tokens they were held under. */
+    release: readonly GrantedSlot[];
+}
+
+/** What a server answers. */
+export interface ServerReply {
+    incarnation: string;
+    /** The server's monotonic clock, in milliseconds. */
+    clock: number;
+    isDraining: boolean;
+    /** Slots that it held under the given tokens and gave up. */
+    released: readonly GrantedSlot[];
+}
+
+/** Renews the leases of servers. */
+export interface ServerRenewal {
+    /** Tells whether this instance renews a server. */
+    renews: (server: string) => boolean;
+    /** Sends to every server that this instance renews, or to those chosen; without grants when unconfirmed. */
+    renew: (mayGrant: boolean, isChosen?: (server: string) => boolean) => void;
+    /** Takes a reading of a server's clock. */
+    takeSample: (server: string, sample: ClockSample) => void;
+    /** When a server last answered this instance. */
+    answeredAt: (server: string) => number | undefined;
+}
+
+const renewerCount = 3;
+const probe: Renewal = {
+    session: undefined,
+    incarnation: undefined,
+    expiresAt: undefined,
+    slots: [],
+    release: [],
+};
+
+/**
+ * Creates the renewal of servers.
+ *
+ * @param context - state of the instance
+ * @param send - sends to a server by name and address
+ * @returns the renewal
+ */
+export const createServerRenewal = (
+    context: CoordinatorContext,
+    send: (server: string, address: string, renewal: Renewal) => void,
+): ServerRenewal => {
+    const { timers, grants, detector } = context;
+    const samples = new Map<string, ClockSample>();
+
+    const renews = (server: string): boolean =>
+        chooseRenewers(server, context.liveInstances(), renewerCount).includes(context.identifier);
+
+    const renewalOf = (server: string, mayGrant: boolean): Renewal => {
+        const registration = context.registrationOf(server);
+        const sample = samples.get(server);
+        const confirmedAt = grants.confirmedAt();
+        if (registration === undefined || !mayGrant || sample === undefined || confirmedAt === undefined) {
+            return probe;
+        }
+        const session = serverIdentifier(registration);
+        const isEnded = registration.status === ServerStatus.lost || context.knowledge().lapses.includes(session);
+        if (isEnded) {
+            return probe;
+        }
+        return {
+            session,
+            incarnation: registration.incarnation,
+            expiresAt: leaseExpiry(sample, confirmedAt, context.lease().durationMilliseconds),
+            slots: grants.dueFor(session, timers.now()),
+            release: grants.toRelease(session),
+        };
+    };
+
+    return {
+        renews,
+        renew: (mayGrant, isChosen) => {
+            for (const upstream of context.keyedUpstreams()) {
+                const isWanted = isChosen === undefined || isChosen(upstream.name);
+                if (isWanted && renews(upstream.name)) {
+                    detector.watch(upstream.name, timers.now());
+                    send(upstream.name, upstream.address, renewalOf(upstream.name, mayGrant));
+                }
+            }
+        },
+        takeSample: (server, sample) => samples.set(server, sample),
+        answeredAt: server => samples.get(server)?.receivedAt,
+    };
+};
--- a/scripts/absentModule.cjs
+++ b/scripts/absentModule.cjs
@@ -1,2 +1,2 @@
-// Takes the place of an optional native module: datagram sockets of the file system are not used.
+// Takes the place of optional native modules, which a single binary cannot load.
 module.exports = undefined;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,6 +16,6 @@
         target: "node20",
         format: "cjs",
         mainFields: ["module", "main"],
-        alias: { "unix-dgram": "./scripts/absentModule.cjs" },
+        alias: { "unix-dgram": "./scripts/absentModule.cjs", "cbor-extract": "./scripts/absentModule.cjs" },
         logLevel: "error",
     });
