Remove lost members when the leader stands before them in the list

Cause: a leader never hears its own report, so its own silence made it the first member to look gone, and the removal of real losses behind it never came. Ruled out: a claim that was not accepted (term 2 was recorded), survivors not agreeing (both agreed in the trace).

--- a/packages/ownership/src/leaderDuty.ts
+++ b/packages/ownership/src/leaderDuty.ts
@@ -67,7 +67,7 @@
             const isSilent = now - heardAt > memberSilenceMilliseconds;
             return isSilent || directory.endedSince(member) !== undefined || leaving.includes(memberIdentifier(member));
         };
-        return state.members.filter(isGone).map(memberIdentifier);
+        return state.members.filter(isGone).map(memberIdentifier).filter(member => member !== identifier);
     };
 
     // A member that has ended for certain can agree to nothing any more, old or new, once its last leases are out.
@@ -106,7 +106,6 @@
         return planNext({
             state,
             environment,
-            self: context.self,
             liveInstances: context.liveInstances(),
             goneMembers: goneMembers(state),
             sightings: sightings(),
--- a/packages/ownership/src/planner.ts
+++ b/packages/ownership/src/planner.ts
@@ -25,11 +25,9 @@
 export interface PlannerView {
     state: LogState;
     environment: Environment;
-    /** The instance itself. */
-    self: Member;
     /** Instances that answer and are not leaving, the own one included. */
     liveInstances: readonly Member[];
-    /** Members that are certainly or very probably gone. */
+    /** Members that are certainly or very probably gone, the own one excluded. */
     goneMembers: readonly string[];
     /** Servers that answer. */
     sightings: readonly ServerSighting[];
@@ -50,9 +48,8 @@
         return undefined;
     }
     const body = { kind: RecordKind.members, term: state.term, basedOn: state.membersVersion };
-    const self = memberIdentifier(view.self);
     const gone = state.members.map(memberIdentifier).find(member => view.goneMembers.includes(member));
-    if (gone !== undefined && gone !== self) {
+    if (gone !== undefined) {
         return { ...body, remove: gone };
     }
     const names = state.members.map(member => member.name);
