--- /dev/null
+++ b/packages/ownership/test/interleavings.test.ts
@@ -0,0 +1,47 @@
+/** Random interleavings of faults, with a fixed seed here and any seed by `npm run interleavings`. */
+import { expect } from "earl";
+import * as fastCheck from "fast-check";
+import { describe, it } from "node:test";
+import { createServingWorld } from "./fixtures/world";
+import { type Action, ActionKind, mendAll, perform } from "./fixtures/worldActions";
+import { findLastingViolations, findViolations } from "./fixtures/worldProperties";
+
+const seed = Number(process.env.INTERLEAVINGS_SEED ?? 20261204);
+const runs = Number(process.env.INTERLEAVINGS_RUNS ?? 40);
+
+const actionArbitrary: fastCheck.Arbitrary<Action> = fastCheck.record({
+    kind: fastCheck.constantFrom(...Object.values(ActionKind).filter(kind => kind !== ActionKind.expireLog)),
+    target: fastCheck.nat(7),
+    waitMilliseconds: fastCheck.constantFrom(0, 20, 100, 300, 700, 1500),
+});
+
+const judge = async (worldSeed: number, actions: readonly Action[]): Promise<string[]> => {
+    const world = await createServingWorld({
+        seed: worldSeed,
+        lateShare: 0.2,
+        lateServerMilliseconds: 1500,
+        latePeerMilliseconds: 600,
+    });
+    const outcomes: string[] = [];
+    for (const action of actions) {
+        await perform(world, action, outcomes);
+    }
+    const violations = findViolations(world);
+    mendAll(world);
+    return [...violations, ...await findLastingViolations(world, outcomes)];
+};
+
+describe("random interleavings", () => {
+    it("keep one owner, never revert, and recover", async () => {
+        await fastCheck.assert(
+            fastCheck.asyncProperty(
+                fastCheck.integer({ min: 1, max: 1_000_000 }),
+                fastCheck.array(actionArbitrary, { minLength: 3, maxLength: 14 }),
+                async (worldSeed, actions) => {
+                    expect(await judge(worldSeed, actions)).toEqual([]);
+                },
+            ),
+            { seed, numRuns: runs, endOnFailure: process.env.INTERLEAVINGS_QUICK === "1" },
+        );
+    });
+});
--- /dev/null
+++ b/scripts/mutants.mjs
@@ -0,0 +1,70 @@
+import { spawnSync } from "node:child_process";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+
+/**
+ * Applies one mutant at a time to a copy of the packages and runs the fault tests there: a mutant that no test fails
+ * on shows a gap. `npm run mutants [-- PART_OF_A_NAME]`.
+ */
+const root = process.cwd();
+const wanted = process.argv[2] ?? "";
+const mutants = JSON.parse(fs.readFileSync("scripts/mutants.json", "utf8"))
+    .filter(mutant => mutant.name.includes(wanted));
+const suites = ["ownership", "ledger", "traffic", "gateway"];
+
+const createCopy = () => {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mutants-"));
+    fs.cpSync("packages", path.join(folder, "packages"), { recursive: true });
+    fs.copyFileSync("package.json", path.join(folder, "package.json"));
+    fs.mkdirSync(path.join(folder, "node_modules"));
+    for (const entry of fs.readdirSync("node_modules")) {
+        if (entry !== "@mulberryseam") {
+            fs.symlinkSync(path.join(root, "node_modules", entry), path.join(folder, "node_modules", entry));
+        }
+    }
+    fs.mkdirSync(path.join(folder, "node_modules/@mulberryseam"));
+    for (const entry of fs.readdirSync("packages")) {
+        const link = path.join(folder, "node_modules/@mulberryseam", entry);
+        fs.symlinkSync(path.join(folder, "packages", entry), link);
+    }
+    return folder;
+};
+
+const runTests = folder => {
+    const files = suites.flatMap(suite => {
+        const tests = path.join(folder, "packages", suite, "test");
+        return fs.readdirSync(tests).filter(file => file.endsWith(".test.ts")).map(file => path.join(tests, file));
+    });
+    const result = spawnSync(process.execPath, ["--import", "tsx", "--test", ...files], {
+        cwd: folder,
+        encoding: "utf8",
+        env: { ...process.env, INTERLEAVINGS_QUICK: "1" },
+    });
+    const failed = result.stdout.split("\n").map(line => line.trim())
+        .filter(line => line.startsWith("not ok"))
+        .map(line => line.replace(/^not ok \d+ - /, ""));
+    return failed;
+};
+
+const folder = createCopy();
+let survivors = 0;
+for (const mutant of mutants) {
+    const file = path.join(folder, mutant.file);
+    const original = fs.readFileSync(file, "utf8");
+    if (!original.includes(mutant.find)) {
+        console.log(`STALE     ${mutant.name}: the text to replace is not in ${mutant.file}`);
+        survivors += 1;
+        continue;
+    }
+    fs.writeFileSync(file, original.replace(mutant.find, mutant.replace));
+    const failed = runTests(folder);
+    fs.writeFileSync(file, original);
+    survivors += failed.length === 0 ? 1 : 0;
+    console.log(
+        `${failed.length === 0 ? "SURVIVED " : "caught   "} ${mutant.name}${failed.length ? `: ${failed[0]}` : ""}`,
+    );
+}
+fs.rmSync(folder, { recursive: true, force: true });
+console.log(`${mutants.length - survivors} of ${mutants.length} caught`);
+process.exit(survivors === 0 ? 0 : 1);
