--- a/packages/configuration/src/problems.ts
+++ b/packages/configuration/src/problems.ts
@@ -56,6 +56,19 @@
     return issue.message;
 };
 
+// Aliases could make a short text grow without bound.
+const toPlainData = (document: yaml.Document.Parsed): Result<unknown, string> => {
+    try {
+        return Ok(document.toJS({ maxAliasCount: 0 }));
+    }
+    catch (error) {
+        return Err((error as Error).message);
+    }
+};
+
+const pathOf = (issue: zod.core.$ZodIssue): PropertyKey[] =>
+    issue.code === "unrecognized_keys" ? [...issue.path, issue.keys[0]] : issue.path;
+
 /**
  * Parses YAML and checks it against a schema.
  *
@@ -83,13 +96,17 @@
             expected: error.message.split("\n")[0],
         })));
     }
-    const parsed = schema.safeParse(document.toJS({ maxAliasCount: 0 }));
+    const value = toPlainData(document);
+    if (value.err) {
+        return Err([{ file, line: 1, field: "", expected: value.val }]);
+    }
+    const parsed = schema.safeParse(value.val);
     if (parsed.success) {
         return Ok(parsed.data);
     }
     return Err(parsed.error.issues.map(issue => ({
         file,
-        line: lineOf(document, counter, issue.path),
+        line: lineOf(document, counter, pathOf(issue)),
         field: issue.path.join("."),
         expected: describeIssue(issue),
     })));
--- /dev/null
+++ b/packages/gateway/test/door.test.ts
@@ -0,0 +1,77 @@
+/** Hardening of the door: malformed, oversized and forged requests. */
+import { expect } from "earl";
+import * as net from "node:net";
+import { describe, it } from "node:test";
+import { type GatewayFixture, withGateway } from "./fixtures/gatewayFixture";
+
+/** Sends raw bytes and gives all that comes back until the connection ends. */
+const exchangeRaw = (fixture: GatewayFixture, text: string): Promise<string> =>
+    new Promise(resolve => {
+        let answer = "";
+        const socket = net.connect({ host: "127.0.0.1", port: fixture.port }, () => socket.write(text));
+        socket.on("data", bytes => {
+            answer += String(bytes);
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(answer));
+    });
+
+const head = (lines: readonly string[], path = "/desk/work", method = "GET"): string =>
+    [`${method} ${path} HTTP/1.1`, "Host: entry", "Connection: close", ...lines, "", ""].join("\r\n");
+
+const statusOf = (answer: string): number => Number(answer.split(" ")[1]);
+
+const cases: readonly [what: string, request: string, status: number][] = [
+    [
+        "both length headers",
+        head(["Content-Length: 3", "Transfer-Encoding: chunked"], "/desk/work", "POST") + "abc",
+        400,
+    ],
+    ["two content lengths", head(["Content-Length: 3", "Content-Length: 4"], "/desk/work", "POST") + "abc", 400],
+    ["a bare line feed in the head", "GET /desk/work HTTP/1.1\nHost: entry\nX: a\r\n\r\n", 400],
+    ["a head that is too long", head([`X-Long: ${"x".repeat(20_000)}`]), 431],
+    ["no host", "GET /desk/work HTTP/1.1\r\nConnection: close\r\n\r\n", 400],
+    ["an unknown rank", head(["mulberryseam-rank: king"]), 400],
+    ["an unknown service", head([], "/nothing/work"), 404],
+    ["a method that is not allowed", head([], "/desk/work", "TRACE"), 405],
+    ["a deadline that is no number", head(["mulberryseam-deadline-milliseconds: soon"]), 400],
+    ["an idempotence that is neither true nor false", head(["mulberryseam-idempotent: maybe"]), 400],
+    ["no key for a keyed service", head([], "/records/work"), 400],
+    ["an absolute target", head([], "http://elsewhere/desk/work"), 404],
+    ["garbage", "\u0000\u0001\u0002\r\n\r\n", 400],
+];
+
+describe("the door", () => {
+    for (const [what, request, status] of cases) {
+        it(`refuses ${what} with ${status}`, () =>
+            withGateway({}, async fixture => {
+                expect(statusOf(await exchangeRaw(fixture, request))).toEqual(status);
+                expect(fixture.pool.flatMap(upstream => [...upstream.journal()])).toEqual([]);
+            }));
+    }
+
+    it("takes forged internal headers off", () =>
+        withGateway({}, async fixture => {
+            fixture.setRoute({ server: "keyed-1", token: 0, isReady: true });
+            const forged = head([
+                "mulberryseam-key: key",
+                "mulberryseam-token: 1",
+                "mulberryseam-slot: 0",
+                "mulberryseam-deadline-milliseconds: 200",
+            ], "/records/work");
+            const answer = await exchangeRaw(fixture, forged);
+            expect(answer.includes("mulberryseam-outcome: not-run")).toEqual(true);
+        }));
+
+    it("passes on no header that the caller ties to its connection", () =>
+        withGateway({}, async fixture => {
+            const tied = ["GET /desk/work HTTP/1.1", "Host: entry", "Connection: close, stand-in-answer-bytes"];
+            const answer = await exchangeRaw(fixture, [...tied, "stand-in-answer-bytes: 9", "", ""].join("\r\n"));
+            expect(answer.includes("\"padding\":\"\"")).toEqual(true);
+        }));
+
+    it("answers the balancer's question for health", () =>
+        withGateway({}, async fixture => {
+            expect(statusOf(await exchangeRaw(fixture, head([], "/-/health")))).toEqual(200);
+        }));
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,4 +8,4 @@
 export { createLogServiceStandIn, createLogStore } from "./logServiceStandIn";
 export type { LogFaults, LogStore } from "./logServiceStandIn";
 export { createUpstreamStandIn } from "./upstreamStandIn";
-export type { UpstreamStandInOptions } from "./upstreamStandIn";
+export type { UpstreamStandIn, UpstreamStandInOptions } from "./upstreamStandIn";
--- /dev/null
+++ b/packages/traffic/test/rankQueue.test.ts
@@ -0,0 +1,108 @@
+/** The queue by rank: urgent first, floors kept, hopeless work refused early. */
+import { createRankQueue, type RankQueue } from "@mulberryseam/traffic";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+const ranks = [
+    { name: "lookup", floorShare: 0.3, maximumShare: 1 },
+    { name: "order", floorShare: 0.2, maximumShare: 1 },
+    { name: "scan", floorShare: 0.1, maximumShare: 0.5 },
+];
+const always = (): boolean => true;
+
+const fill = (queue: RankQueue<number>, rank: string, count: number, deadlineAt = 1_000_000): void => {
+    for (let index = 0; index < count; index++) {
+        queue.enqueue({ item: index, rank, deadlineAt, bytes: 0 }, 0);
+    }
+};
+
+const serve = (queue: RankQueue<number>, rounds: number, heldMilliseconds: Record<string, number>) => {
+    const served: Record<string, number> = { lookup: 0, order: 0, scan: 0 };
+    for (let round = 0; round < rounds; round++) {
+        const next = queue.next(1, 0, always);
+        if (next === undefined) {
+            break;
+        }
+        served[next.rank] += 1;
+        queue.onDone(next.rank, heldMilliseconds[next.rank] ?? 5);
+    }
+    return served;
+};
+
+describe("the queue by rank", () => {
+    it("serves the most urgent rank first", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "scan", 1);
+        fill(queue, "lookup", 1);
+        expect(queue.next(1, 0, always)?.rank).toEqual("lookup");
+    });
+
+    it("keeps each rank's floor while urgent work floods", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "lookup", 500);
+        fill(queue, "order", 500);
+        fill(queue, "scan", 500);
+        const served = serve(queue, 200, {});
+        expect(served.order >= 38).toEqual(true);
+        expect(served.scan >= 18).toEqual(true);
+        expect(served.lookup >= 120).toEqual(true);
+    });
+
+    it("counts floors in time held, so dear requests take their turn less often", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "lookup", 900);
+        fill(queue, "scan", 500);
+        const served = serve(queue, 600, { scan: 50 });
+        const scanTime = served.scan * 50;
+        const share = scanTime / (scanTime + served.lookup * 5);
+        expect(share > 0.05 && share < 0.2).toEqual(true);
+    });
+
+    it("never lets a rank hold more than its largest share", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "scan", 10);
+        const taken = [...Array(10).keys()].map(() => queue.next(6, 0, always)).filter(next => next !== undefined);
+        expect(taken.length).toEqual(3);
+    });
+
+    it("refuses at once what cannot be answered in time", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "lookup", 1);
+        queue.next(1, 0, always);
+        fill(queue, "lookup", 100);
+        const refusal = queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 50, bytes: 0 }, 0);
+        expect(refusal?.reason).toEqual("deadline");
+        expect((refusal?.retryAfterMilliseconds ?? 0) > 0).toEqual(true);
+    });
+
+    it("admits urgent work past a long queue of other work", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "scan", 1000);
+        expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 50, bytes: 0 }, 0)).toEqual(undefined);
+    });
+
+    it("bounds what waits by number and by bytes", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "scan", 2000);
+        expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 9e9, bytes: 0 }, 0)?.reason).toEqual("overload");
+        const heavy = createRankQueue<number>(ranks);
+        heavy.enqueue({ item: 1, rank: "scan", deadlineAt: 9e9, bytes: 30_000_000 }, 0);
+        expect(heavy.enqueue({ item: 2, rank: "scan", deadlineAt: 9e9, bytes: 9_000_000 }, 0)?.reason)
+            .toEqual("overload");
+    });
+
+    it("gives out what has expired", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "lookup", 2, 100);
+        fill(queue, "scan", 1, 900);
+        expect(queue.expire(200).length).toEqual(2);
+        expect(queue.length()).toEqual(1);
+    });
+
+    it("lets a rank that can run go ahead of one that cannot", () => {
+        const queue = createRankQueue<number>(ranks);
+        queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 9e9, bytes: 0 }, 0);
+        queue.enqueue({ item: 2, rank: "scan", deadlineAt: 9e9, bytes: 0 }, 0);
+        expect(queue.next(4, 0, item => item === 2)?.rank).toEqual("scan");
+    });
+});
