Mend two ways to lose service and one way to two owners, found by the matrix and by random interleavings

The entry now names the lost owner. Ruled out: late messages (the overlap came with none late), clock arithmetic.

No service while the log is down. What counts as known is now only what was folded, and a member agrees only to exactly that.

No recovery when every member has ended (founder lost alone, all instances replaced at once): nobody else could become a member. An instance may now found the membership anew once the platform's list shows that every member has ended and a lease has passed.

The check that a member with a lower offset agrees was wrong for 2 and is replaced by one that refuses it. The stand-in test for foreign runs was blind (a release in the same message fenced the slot); shown by its mutant, mended.

--- a/packages/ledger/src/fold.ts
+++ b/packages/ledger/src/fold.ts
@@ -74,7 +74,7 @@
         return `term ${state.term} is led by ${state.leader ?? "nobody"}`;
     }
     const leader = memberIdentifier(body.member);
-    if (state.members.length === 0) {
+    if (body.founds === true || state.members.length === 0) {
         return { term: body.term, leader, members: [body.member], membersVersion: offset };
     }
     if (!state.members.some(member => memberIdentifier(member) === leader)) {
@@ -133,13 +133,16 @@
 ): SlotEntry => {
     const replaced = before === undefined ? undefined : holdingOf(before, isEnded);
     const isSameHolder = replaced !== undefined && replaced.holder === assignment.owner;
-    const keepsHeir = isSameHolder && before?.owner === assignment.owner && before.heir === assignment.heir;
+    const isSameOwner = isSameHolder && before?.owner === assignment.owner;
+    const keepsHeir = isSameOwner && before.heir === assignment.heir;
+    const lostOwner = before === undefined ? undefined : { holder: before.owner, token: before.token };
     return {
         owner: assignment.owner,
         token: isSameHolder ? replaced.token : offset * 2,
         heir: assignment.heir,
         heirToken: keepsHeir ? before.heirToken : offset * 2 + 1,
-        previous: isSameHolder ? before?.previous : replaced,
+        // An heir that becomes the owner replaced the lost owner, not whom that one had replaced.
+        previous: isSameOwner ? before.previous : isSameHolder ? lostOwner : replaced,
     };
 };
 
--- a/packages/ledger/src/records.ts
+++ b/packages/ledger/src/records.ts
@@ -53,7 +53,13 @@
         basedOnFrom: offset,
         basedOnTo: offset,
     }),
-    zod.object({ kind: zod.literal(RecordKind.claim), term: count, member: memberSchema }),
+    zod.object({
+        kind: zod.literal(RecordKind.claim),
+        term: count,
+        member: memberSchema,
+        /** The claimant becomes the only member, since every member before has ended. */
+        founds: zod.boolean().optional(),
+    }),
     zod.object({
         kind: zod.literal(RecordKind.members),
         term: count,
--- a/packages/ledger/test/fold.test.ts
+++ b/packages/ledger/test/fold.test.ts
@@ -119,6 +119,7 @@
         log.append(assign(2, "b@1", "c@1"));
         const after = followToEnd(log).state()?.tables[0].slots[0];
         expect(after?.token).toEqual(before?.heirToken);
+        expect(after?.previous).toEqual({ holder: "a@1", token: before?.token ?? -1 });
     });
 
     it("refuses an assignment based on an old table", () => {
--- a/packages/ownership/src/confirmation.ts
+++ b/packages/ownership/src/confirmation.ts
@@ -1,12 +1,12 @@
 /**
- * Rounds in which an instance learns from a majority of members that nobody among them knows more than it does.
+ * Rounds in which an instance learns from a majority of members that each of them knows just what it does.
  *
  * A majority that has adopted some knowledge shares a member with every later majority. So once a round with that
  * knowledge completes, no instance can confirm older knowledge, and leases granted on older knowledge end within one
  * lease of that moment. This holds whether the log can be reached or not.
  */
 import type { ServerIdentifier } from "@mulberryseam/ledger";
-import { type Knowledge, knowsMore } from "./knowledge";
+import { isSameKnowledge, type Knowledge } from "./knowledge";
 
 /** A round that a majority has answered. */
 export interface ConfirmedRound {
@@ -45,7 +45,8 @@
      */
     begin: (now: number, question: RoundQuestion) => number;
     /**
-     * Takes what a member knows. It agrees when that is no more than the round asked, whatever has been learned since.
+     * Takes what a member knows. It agrees when that is just what the round asked, whatever has been learned since: a
+     * member that has not folded as much cannot vouch that it will refuse older knowledge.
      *
      * @returns the round, when this answer completes the majority
      */
@@ -94,7 +95,7 @@
             if (round === undefined || !round.members.includes(member) || round.agreed.has(member)) {
                 return undefined;
             }
-            if (knowsMore(theirs, round.knowledge, round.isEnded)) {
+            if (!isSameKnowledge(theirs, round.knowledge, round.isEnded)) {
                 return undefined;
             }
             round.agreed.add(member);
--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -18,7 +18,7 @@
 import { type CoordinatorStatus, createCoordinatorViews, type Route } from "./coordinatorViews";
 import type { InForce } from "./environmentInForce";
 import type { GrantedSlot } from "./grantLedger";
-import { type Knowledge, knowsMore } from "./knowledge";
+import type { Knowledge } from "./knowledge";
 import { createLeaderDuty } from "./leaderDuty";
 import { createLossDeclaration } from "./lossDeclaration";
 import type { ListedInstance } from "./peerDirectory";
@@ -66,6 +66,7 @@
 }
 
 const planIntervalMilliseconds = 50;
+const stateWaitMilliseconds = 100;
 
 /**
  * Creates the coordinator of an instance.
@@ -83,6 +84,7 @@
     const losses = createLossDeclaration(context, renewal.renews);
     let lastRound = 0;
     let lastFullRound = 0;
+    let wantedOffset = -1;
     const duty = createLeaderDuty(context, {
         append: options.append,
         ownLoads: options.ownLoads,
@@ -125,11 +127,9 @@
         const state = context.state();
         const knowledge = context.knowledge();
         options.onPeers(addresses());
-        // An instance that knows of changes it has not folded yet asks nobody: it cannot act on the answer.
-        const isInformed = state !== undefined && state.changedAt >= knowledge.offset;
         lastRound = confirmation.begin(timers.now(), {
             knowledge,
-            members: isInformed ? state.members.map(memberIdentifier) : [],
+            members: (state?.members ?? []).map(memberIdentifier),
             isEnded: session => state !== undefined && isSessionEnded(state.servers, session),
         });
         const message: Confirm = { kind: MessageKind.confirm, round: lastRound, knowledge, report: createReport() };
@@ -142,7 +142,7 @@
 
     const tick = (): void => {
         const lapses = losses.look();
-        context.learn({ offset: context.knowledge().offset, lapses });
+        context.learnLapses(lapses);
         lastFullRound = lastRound;
         beginRound();
         const confirmedAt = grants.confirmedAt();
@@ -158,16 +158,27 @@
         });
     };
 
-    const takeKnowledge = (peer: string, theirs: Knowledge): void => {
-        if (!knowsMore(theirs, context.knowledge(), context.isEnded)) {
+    // The log mostly brings the change a moment later; a peer is asked for it only when it does not.
+    const wantState = (peer: string, offset: number): void => {
+        if (offset <= wantedOffset) {
             return;
         }
-        context.learn(theirs);
-        const state = context.state();
-        if (state === undefined || state.changedAt < context.knowledge().offset) {
-            options.onStateWanted(peer);
+        wantedOffset = offset;
+        timers.onDelay(stateWaitMilliseconds, () => {
+            wantedOffset = -1;
+            if (context.knowledge().offset < offset) {
+                options.onStateWanted(peer);
+            }
+        });
+    };
+
+    const takeKnowledge = (peer: string, theirs: Knowledge): void => {
+        if (theirs.offset > context.knowledge().offset) {
+            wantState(peer, theirs.offset);
+        }
+        if (context.learnLapses(theirs.lapses)) {
+            beginRound();
         }
-        beginRound();
     };
 
     const takeReport = (report: PeerReport): void => {
@@ -219,7 +230,6 @@
             duty.takeLeaderSign();
         }
         context.setState(next);
-        context.learn({ offset: next.changedAt, lapses: [] });
         const changed = inForce.takeState(next);
         if (changed !== undefined) {
             options.onEnvironment(changed);
--- a/packages/ownership/src/coordinatorContext.ts
+++ b/packages/ownership/src/coordinatorContext.ts
@@ -13,7 +13,7 @@
 import { createEnvironmentInForce, type EnvironmentInForce } from "./environmentInForce";
 import { createFailureDetector, type FailureDetector } from "./failureDetector";
 import { createGrantLedger, type GrantLedger } from "./grantLedger";
-import { emptyKnowledge, type Knowledge, mergeKnowledge } from "./knowledge";
+import { emptyKnowledge, type Knowledge, mergeLapses } from "./knowledge";
 import { createPeerDirectory, type PeerDirectory } from "./peerDirectory";
 
 /** What the context is made from. */
@@ -40,8 +40,8 @@
     state: () => LogState | undefined;
     setState: (state: LogState) => void;
     knowledge: () => Knowledge;
-    /** Adds to what is known; what the log has ended since is dropped. */
-    learn: (more: Knowledge) => void;
+    /** Takes sessions declared ended that are new; gives whether there were any. */
+    learnLapses: (lapses: readonly ServerIdentifier[]) => boolean;
     isLeaving: () => boolean;
     setLeaving: () => void;
     lease: () => Environment["lease"];
@@ -105,11 +105,14 @@
         state: () => state,
         setState: next => {
             state = next;
+            knowledge = { offset: next.changedAt, lapses: knowledge.lapses.filter(session => !isEnded(session)) };
         },
         knowledge: () => knowledge,
-        learn: more => {
-            const merged = mergeKnowledge(knowledge, more);
-            knowledge = { ...merged, lapses: merged.lapses.filter(session => !isEnded(session)) };
+        learnLapses: lapses => {
+            const merged = mergeLapses(knowledge.lapses, lapses.filter(session => !isEnded(session)));
+            const hasGrown = merged.length > knowledge.lapses.length;
+            knowledge = { ...knowledge, lapses: merged };
+            return hasGrown;
         },
         isLeaving: () => isLeaving,
         setLeaving: () => {
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -9,7 +9,7 @@
 export type { FailureDetector, ServerObservation } from "./failureDetector";
 export { createGrantLedger } from "./grantLedger";
 export type { GrantedSlot, GrantLedger } from "./grantLedger";
-export { emptyKnowledge, knowsMore, mergeKnowledge } from "./knowledge";
+export { isSameKnowledge } from "./knowledge";
 export type { Knowledge } from "./knowledge";
 export { leaseExpiry, waitOutMilliseconds } from "./lease";
 export type { ClockSample } from "./lease";
--- a/packages/ownership/src/knowledge.ts
+++ b/packages/ownership/src/knowledge.ts
@@ -7,7 +7,7 @@
 
 /** What an instance knows. */
 export interface Knowledge {
-    /** Offset of the last change known to be in the log. */
+    /** Offset of the last change that the instance has folded; what it has merely heard of does not count. */
     offset: number;
     /** Sessions declared ended by instances, ahead of the log. */
     lapses: ServerIdentifier[];
@@ -21,29 +21,31 @@
 export const emptyKnowledge = (): Knowledge => ({ offset: -1, lapses: [] });
 
 /**
- * Merges knowledge.
+ * Merges sessions declared ended.
  *
- * @param left - some knowledge
- * @param right - more knowledge
- * @returns the least knowledge that covers both
+ * @param left - some sessions
+ * @param right - more sessions
+ * @returns every session, once
  */
-export const mergeKnowledge = (left: Knowledge, right: Knowledge): Knowledge => ({
-    offset: Math.max(left.offset, right.offset),
-    lapses: [...new Set([...left.lapses, ...right.lapses])],
-});
+export const mergeLapses = (
+    left: readonly ServerIdentifier[],
+    right: readonly ServerIdentifier[],
+): ServerIdentifier[] => [...new Set([...left, ...right])];
 
 /**
- * Tells whether knowledge holds anything that other knowledge lacks.
+ * Tells whether two instances know the same.
  *
- * @param candidate - the knowledge that may hold more
- * @param base - the knowledge to compare with
- * @param isEnded - tells whether the log that `base` has folded says that a session ended
- * @returns true when `candidate` holds something new to `base`
+ * @param left - knowledge of one
+ * @param right - knowledge of the other
+ * @param isEnded - tells whether the log, folded to that offset, says that a session ended
+ * @returns true when neither knows anything that the other lacks
  */
-export const knowsMore = (
-    candidate: Knowledge,
-    base: Knowledge,
+export const isSameKnowledge = (
+    left: Knowledge,
+    right: Knowledge,
     isEnded: (identifier: ServerIdentifier) => boolean,
-): boolean =>
-    candidate.offset > base.offset
-    || candidate.lapses.some(identifier => !base.lapses.includes(identifier) && !isEnded(identifier));
+): boolean => {
+    const covers = (some: Knowledge, other: Knowledge): boolean =>
+        other.lapses.every(identifier => some.lapses.includes(identifier) || isEnded(identifier));
+    return left.offset === right.offset && covers(left, right) && covers(right, left);
+};
--- a/packages/ownership/src/leaderDuty.ts
+++ b/packages/ownership/src/leaderDuty.ts
@@ -65,19 +65,23 @@
         const isGone = (member: LogState["members"][number]): boolean => {
             const heardAt = directory.lastHeard(memberIdentifier(member)) ?? context.startedAt;
             const isSilent = now - heardAt > memberSilenceMilliseconds;
-            return isSilent || directory.endedSince(member) !== undefined || leaving.includes(memberIdentifier(member));
+            return isSilent || directory.endedSince(member, now) !== undefined
+                || leaving.includes(memberIdentifier(member));
         };
         return state.members.filter(isGone).map(memberIdentifier).filter(member => member !== identifier);
     };
 
+    const hasEnded = (member: LogState["members"][number]): boolean => {
+        const endedSince = directory.endedSince(member, timers.now());
+        const wait = waitOutMilliseconds(context.lease().durationMilliseconds);
+        return endedSince !== undefined && timers.now() - endedSince > wait;
+    };
+
     // A member that has ended for certain can agree to nothing any more, old or new, once its last leases are out.
     const isConfirmedBySurvivors = (state: LogState): boolean => {
         const agreed = confirmation.agreedTo(options.lastFullRound());
-        const wait = waitOutMilliseconds(context.lease().durationMilliseconds);
         return state.members.every(member => {
-            const endedSince = directory.endedSince(member);
-            const hasEnded = endedSince !== undefined && timers.now() - endedSince > wait;
-            return hasEnded || agreed.includes(memberIdentifier(member));
+            return hasEnded(member) || agreed.includes(memberIdentifier(member));
         });
     };
 
@@ -127,6 +131,7 @@
             self: context.self,
             now: timers.now(),
             liveMembers: state.members.map(memberIdentifier).filter(member => live.includes(member)),
+            haveAllMembersEnded: state.members.every(hasEnded),
             leaderHeardAt,
             founderRank,
         });
@@ -143,8 +148,7 @@
     return {
         look: () => {
             const state = context.state();
-            const isInformed = state !== undefined && state.changedAt >= context.knowledge().offset;
-            if (!isInformed || isAppending) {
+            if (state === undefined || isAppending) {
                 return;
             }
             const body = plan(state);
--- a/packages/ownership/src/leadership.ts
+++ b/packages/ownership/src/leadership.ts
@@ -9,6 +9,8 @@
     now: number;
     /** Identifiers of the members that answer, the own one included where it is a member. */
     liveMembers: readonly string[];
+    /** Whether every member has ended for certain and its leases are out; true where there are none. */
+    haveAllMembersEnded: boolean;
     /** When the leader was last heard from, or when the instance began to listen. */
     leaderHeardAt: number;
     /** Place of the instance among all that could found the membership. */
@@ -30,7 +32,7 @@
     if (state.leader === identifier) {
         return undefined;
     }
-    const isFounding = state.members.length === 0;
+    const isFounding = view.haveAllMembersEnded;
     if (!isFounding && !view.liveMembers.includes(identifier)) {
         return undefined;
     }
@@ -38,5 +40,5 @@
     const rank = isFounding ? view.founderRank : order.indexOf(identifier);
     const silence = view.now - view.leaderHeardAt;
     const isDue = silence >= leaderSilenceMilliseconds + rank * rankDelayMilliseconds;
-    return isDue ? { kind: RecordKind.claim, term: state.term + 1, member: self } : undefined;
+    return isDue ? { kind: RecordKind.claim, term: state.term + 1, member: self, founds: isFounding } : undefined;
 };
--- a/packages/ownership/src/peerDirectory.ts
+++ b/packages/ownership/src/peerDirectory.ts
@@ -28,11 +28,16 @@
     lastHeard: (member: string) => number | undefined;
     /**
      * Since when a member is known to have ended: another process runs under its name, or the platform listed it and
-     * does so no longer.
+     * does so no longer, or the platform has not listed it for long while nothing was heard of it.
      */
-    endedSince: (member: Member) => number | undefined;
+    endedSince: (member: Member, now: number) => number | undefined;
 }
 
+/** An instance that the platform has not listed, and nobody has heard, for this long has ended. */
+const absenceMilliseconds = 10_000;
+/** A listing older than this proves nothing. */
+const listingAgeMilliseconds = 5000;
+
 /**
  * Creates a directory.
  *
@@ -44,8 +49,20 @@
     const ended = new Map<string, number>();
     const delisted = new Map<string, number>();
     let listing: readonly ListedInstance[] = [];
+    let firstListingAt: number | undefined;
+    let lastListingAt = -Infinity;
     let everListed = new Map<string, ListedInstance>();
 
+    const absentSince = (member: Member, now: number): number | undefined => {
+        const isListed = listing.some(instance => instance.name === member.name);
+        if (isListed || firstListingAt === undefined || now - lastListingAt > listingAgeMilliseconds) {
+            return undefined;
+        }
+        const heardAt = reports.get(memberIdentifier(member))?.heardAt ?? firstListingAt;
+        const endedAt = Math.max(heardAt, firstListingAt) + absenceMilliseconds;
+        return now >= endedAt ? endedAt : undefined;
+    };
+
     return {
         takeReport: (report, now) => {
             const identifier = memberIdentifier(report);
@@ -60,6 +77,8 @@
         },
         takeListing: (instances, now) => {
             listing = instances;
+            firstListingAt ??= now;
+            lastListingAt = now;
             const names = new Set(instances.map(instance => instance.name));
             for (const name of everListed.keys()) {
                 if (!names.has(name) && !delisted.has(name)) {
@@ -79,12 +98,13 @@
         },
         heardWithin: (now, milliseconds) => [...reports.values()].filter(heard => now - heard.heardAt <= milliseconds),
         lastHeard: member => reports.get(member)?.heardAt,
-        endedSince: member => {
+        endedSince: (member, now) => {
             const identifier = memberIdentifier(member);
             const replaced = [...reports.values()].find(({ report }) =>
                 report.name === member.name && report.incarnation !== member.incarnation
             );
-            return ended.get(identifier) ?? replaced?.heardAt ?? delisted.get(member.name);
+            return ended.get(identifier) ?? replaced?.heardAt ?? delisted.get(member.name)
+                ?? absentSince(member, now);
         },
     };
 };
--- a/packages/ownership/test/confirmation.test.ts
+++ b/packages/ownership/test/confirmation.test.ts
@@ -17,7 +17,7 @@
         const rounds = createConfirmation();
         const round = rounds.begin(100, question(knowledge(5)));
         expect(rounds.takeAnswer(round, "a", knowledge(5), 100)).toEqual(undefined);
-        expect(rounds.takeAnswer(round, "b", knowledge(4), 130)).toEqual(undefined);
+        expect(rounds.takeAnswer(round, "b", knowledge(5), 130)).toEqual(undefined);
         const confirmed = rounds.takeAnswer(round, "c", knowledge(5), 150);
         expect(confirmed).toEqual({ beganAt: 100, completedAt: 150, knowledge: knowledge(5) });
     });
@@ -40,12 +40,21 @@
         expect(rounds.takeAnswer(round, "e", knowledge(5), 130)?.completedAt).toEqual(130);
     });
 
+    it("does not count a member that has not folded or learned as much as the round asked", () => {
+        const rounds = createConfirmation();
+        const round = rounds.begin(100, question(knowledge(5, ["server@3"])));
+        rounds.takeAnswer(round, "a", knowledge(5, ["server@3"]), 100);
+        rounds.takeAnswer(round, "b", knowledge(5, ["server@3"]), 110);
+        expect(rounds.takeAnswer(round, "c", knowledge(4, ["server@3"]), 120)).toEqual(undefined);
+        expect(rounds.takeAnswer(round, "d", knowledge(5), 120)).toEqual(undefined);
+    });
+
     it("counts a member that names a session which the log had ended when the round began", () => {
         const rounds = createConfirmation();
         const round = rounds.begin(100, question(knowledge(5), ["server@3"]));
         rounds.takeAnswer(round, "a", knowledge(5), 100);
         rounds.takeAnswer(round, "b", knowledge(5), 110);
-        expect(rounds.takeAnswer(round, "c", knowledge(4, ["server@3"]), 120)?.completedAt).toEqual(120);
+        expect(rounds.takeAnswer(round, "c", knowledge(5, ["server@3"]), 120)?.completedAt).toEqual(120);
     });
 
     it("without members is never confirmed", () => {
--- a/packages/ownership/test/interleavings.test.ts
+++ b/packages/ownership/test/interleavings.test.ts
@@ -31,7 +31,25 @@
     return [...violations, ...await findLastingViolations(world, outcomes)];
 };
 
+/** Interleavings that once broke a property. */
+const regressions: readonly { name: string; worldSeed: number; actions: readonly Action[]; }[] = [
+    {
+        name: "the heir of an owner that had just taken over is not granted on a release to that owner",
+        worldSeed: 1,
+        actions: [
+            { kind: "drainServer", target: 3, waitMilliseconds: 1500 },
+            { kind: "freezeServer", target: 2, waitMilliseconds: 1500 },
+        ],
+    },
+];
+
 describe("random interleavings", () => {
+    for (const { name, worldSeed, actions } of regressions) {
+        it(name, async () => {
+            expect(await judge(worldSeed, actions)).toEqual([]);
+        });
+    }
+
     it("keep one owner, never revert, and recover", async () => {
         await fastCheck.assert(
             fastCheck.asyncProperty(
--- a/packages/ownership/test/takeover.test.ts
+++ b/packages/ownership/test/takeover.test.ts
@@ -1,7 +1,7 @@
 /** Sole ownership and short unavailability when servers and instances are lost. */
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createServingWorld } from "./fixtures/world";
+import { createServingWorld, createWorld } from "./fixtures/world";
 
 const targetMilliseconds = 2000;
 
@@ -54,6 +54,24 @@
         expect(world.longestGap(lostAt) < targetMilliseconds).toEqual(true);
     });
 
+    it("goes on when the only instance that read the last record is lost with it unread by the others", async () => {
+        const world = await createServingWorld();
+        const reader = world.addInstance();
+        await world.advanceUntil("the record", () => (reader.follower.state()?.members.length ?? 0) === 6, 5000);
+        world.instances.slice(0, 5).forEach(instance => {
+            instance.isCutFromLog = true;
+        });
+        const recordedAt = world.timers.now();
+        void reader.writer.write({ kind: "claim", term: 2, member: reader.member });
+        await world.advanceUntil("the claim", () => reader.follower.state()?.term === 2, 1000);
+        await world.advance(30);
+        world.kill(reader);
+        world.log.faults.isDown = true;
+        await world.advance(5000);
+        expect(world.longestGap(recordedAt)).toEqual(0);
+        expect(world.overlaps()).toEqual([]);
+    });
+
     it("interrupts nothing when an instance is lost", async () => {
         const world = await createServingWorld();
         const lostAt = world.timers.now();
@@ -66,11 +84,13 @@
     it("ends no session when an instance wakes from a pause", async () => {
         const world = await createServingWorld();
         const pausedAt = world.timers.now();
-        world.pause(world.instances[1]);
-        await world.advance(2500);
-        world.resume(world.instances[1]);
-        await world.advance(3000);
-        expect(world.instances[1].coordinator.status().lapses).toEqual([]);
+        for (const instance of world.instances) {
+            world.pause(instance);
+            await world.advance(2500);
+            world.resume(instance);
+            await world.advance(3000);
+        }
+        expect(JSON.stringify(world.log.appended).includes("\"status\":\"lost\"")).toEqual(false);
         expect(world.longestGap(pausedAt)).toEqual(0);
     });
 
@@ -81,6 +101,23 @@
         expect(world.overlaps()).toEqual([]);
     });
 
+    it("recovers when every instance is replaced at once", async () => {
+        const world = await createServingWorld();
+        [...world.instances].forEach(world.kill);
+        [1, 2, 3].forEach(number => world.addInstance(`new-${number}`));
+        await world.advanceUntil("serving", world.isServing, 20_000);
+        expect(world.overlaps()).toEqual([]);
+    });
+
+    it("recovers when the founder is lost before it has added another member", async () => {
+        const world = createWorld();
+        void world.publish("first");
+        await world.advanceUntil("a founder", () => world.leader() !== undefined, 5000);
+        world.kill(world.leader() as never);
+        await world.advanceUntil("serving", world.isServing, 20_000);
+        expect(world.overlaps()).toEqual([]);
+    });
+
     it("moves slots away from a draining server one owner at a time", async () => {
         const world = await createServingWorld();
         const startedAt = world.timers.now();
--- a/packages/standins/test/grantTable.test.ts
+++ b/packages/standins/test/grantTable.test.ts
@@ -33,9 +33,11 @@
 
     it("for another run of the server are refused", () => {
         const table = createGrantTable("run-2", () => false);
-        const reply = table.take(message({ slots: [slot(10)], release: [slot(10)] }), 900);
+        table.take(message({ slots: [slot(10)] }), 900);
         expect(table.owns(slot(10), 950)).toEqual(false);
-        expect(reply.released).toEqual([]);
+        table.take(message({ incarnation: "run-2", slots: [slot(10)] }), 900);
+        expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([]);
+        expect(table.owns(slot(10), 950)).toEqual(true);
     });
 
     it("once released cannot be revived by a late message under the same token", () => {
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -11,6 +11,7 @@
 const wanted = process.argv[2] ?? "";
 const mutants = JSON.parse(fs.readFileSync("scripts/mutants.json", "utf8"))
     .filter(mutant => mutant.name.includes(wanted));
+const slowSuites = ["faultMatrix.test.ts"];
 const suites = ["ownership", "ledger", "standins", "traffic"];
 
 const createCopy = () => {
@@ -34,7 +35,9 @@
 const runTests = folder => {
     const files = suites.flatMap(suite => {
         const tests = path.join(folder, "packages", suite, "test");
-        return fs.readdirSync(tests).filter(file => file.endsWith(".test.ts")).map(file => path.join(tests, file));
+        return fs.readdirSync(tests).filter(file => file.endsWith(".test.ts") && !slowSuites.includes(file)).map(file =>
+            path.join(tests, file)
+        );
     });
     const result = spawnSync(process.execPath, ["--import", "tsx", "--test", ...files], {
         cwd: folder,
@@ -49,6 +52,11 @@
 
 const folder = createCopy();
 let survivors = 0;
+const failedBefore = runTests(folder);
+if (failedBefore.length > 0) {
+    console.log(`the tests fail without any mutant: ${failedBefore[0]}`);
+    process.exit(2);
+}
 for (const mutant of mutants) {
     const originals = new Map();
     let isStale = false;
