Add the load and experiment tool with its first nine scenarios

Scenarios hop, takeover, outage, churn, configuration, flood-bulk, flood-urgent, upstream-faults and rolling-stop; open-loop arrivals, HDR histograms, the plainest router (first come first served, random, retry always) as a baseline in the same run, journals of upstreams against what callers were told.

--- /dev/null
+++ b/packages/measure/src/baseline.ts
@@ -0,0 +1,25 @@
+/** Starts the plainest router beside a site, in front of the same upstreams. */
+import type { Owner } from "@mulberryseam/foundation";
+import { bundleProgram, reservePorts, type Site, startProcess } from "@mulberryseam/site";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+
+/**
+ * Starts as many plain routers as the site has instances.
+ *
+ * @param site - the site
+ * @param owner - ends them
+ * @returns addresses for callers
+ */
+export const startBaseline = async (site: Site, owner: Owner): Promise<string[]> => {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-baseline-"));
+    owner.onCleanup(() => fs.rmSync(folder, { recursive: true, force: true }));
+    const script = await bundleProgram("packages/measure/src/baselineRouter.ts", folder);
+    const ports = await reservePorts(site.instances.length);
+    const document = JSON.stringify(site.document);
+    await Promise.all(
+        ports.map(port => startProcess({ script, parameters: [String(port), document], waitsForReady: true }, owner)),
+    );
+    return ports.map(port => `127.0.0.1:${port}`);
+};
--- /dev/null
+++ b/packages/measure/src/churnScenario.ts
@@ -0,0 +1,111 @@
+/** Placement against plain rendezvous hashing: moves and imbalance when servers and load change. */
+import { createRandom, rendezvousOrder } from "@mulberryseam/foundation";
+import type { ServiceTable } from "@mulberryseam/ledger";
+import {
+    measureImbalance,
+    type PlacementServer,
+    planBalance,
+    planRepair,
+    type SlotLoad,
+} from "@mulberryseam/ownership";
+import type { Figures, Scenario } from "./scenario";
+import { round } from "./tally";
+
+const slotCount = 256;
+const serverCount = 15;
+const imbalanceLimit = 1.3;
+const movesAtATime = 4;
+const highestRounds = 500;
+const totalRate = 3000;
+
+type Owners = string[];
+
+const createServer = (number: number): PlacementServer => ({
+    identifier: `server-${number}@1`,
+    failureDomain: `domain-${number % 6}`,
+    isLeaving: false,
+});
+
+const createZipfLoads = (seed: number): SlotLoad[] => {
+    const random = createRandom(seed);
+    const slots = [...Array(slotCount).keys()].sort(() => random.fraction() - 0.5);
+    const sum = slots.map((...entry) => 1 / (entry[1] + 1)).reduce((total, part) => total + part, 0);
+    return slots.map((slot, index) => ({ slot, requestsPerSecond: totalRate / (index + 1) / sum }));
+};
+
+const createTable = (owners: Owners): ServiceTable => ({
+    service: "records",
+    version: 1,
+    slots: owners.map(owner => ({ owner, heir: undefined, token: 1, heirToken: 2, previous: undefined })),
+});
+
+const placeByPlan = (before: Owners | undefined, servers: PlacementServer[], loads: SlotLoad[]): Owners => {
+    const isEnded = (identifier: string): boolean => !servers.some(server => server.identifier === identifier);
+    const table = before === undefined ? undefined : createTable(before);
+    const owners = before === undefined ? [] : [...before];
+    planRepair("records", slotCount, table, servers, loads, isEnded, slotCount).forEach(assignment => {
+        owners[assignment.slot] = assignment.owner;
+    });
+    for (let count = 0; count < highestRounds; count++) {
+        const plan = planBalance(createTable(owners), servers, loads, imbalanceLimit, movesAtATime);
+        if (plan.length === 0) {
+            break;
+        }
+        plan.forEach(assignment => {
+            owners[assignment.slot] = assignment.owner;
+        });
+    }
+    return owners;
+};
+
+const placeByRendezvous = (servers: PlacementServer[]): Owners =>
+    [...Array(slotCount).keys()].map(slot =>
+        rendezvousOrder(`records/${slot}`, servers.map(server => server.identifier))[0]
+    );
+
+const countMoves = (before: Owners, after: Owners): number =>
+    after.filter((owner, slot) => owner !== before[slot]).length;
+
+const compare = (
+    seed: number,
+    place: (before: Owners | undefined, servers: PlacementServer[], loads: SlotLoad[]) => Owners,
+): Figures => {
+    const servers = [...Array(serverCount).keys()].map(createServer);
+    const loads = createZipfLoads(seed);
+    const start = place(undefined, servers, loads);
+    const joinedServers = [...servers, createServer(serverCount)];
+    const joined = place(start, joinedServers, loads);
+    const leftServers = servers.slice(1);
+    const left = place(start, leftServers, loads);
+    const moved = createZipfLoads(seed + 1);
+    const hot = place(start, servers, moved);
+    const leastForJoin = Math.floor(slotCount / (serverCount + 1));
+    const leastForLeave = start.filter(owner => owner === servers[0].identifier).length;
+    const describe = (owners: Owners, on: PlacementServer[], at: SlotLoad[], least: number): Figures => ({
+        moved: countMoves(start, owners),
+        movedOverMinimum: least === 0 ? 0 : round(countMoves(start, owners) / least, 2),
+        imbalance: round(measureImbalance(owners, on, at), 2),
+    });
+    return {
+        start: { imbalance: round(measureImbalance(start, servers, loads), 2) },
+        join: describe(joined, joinedServers, loads, leastForJoin),
+        leave: describe(left, leftServers, loads, leastForLeave),
+        hotSpotChange: {
+            ...describe(hot, servers, moved, 0),
+            imbalanceWithoutMoves: round(measureImbalance(start, servers, moved), 2),
+        },
+    };
+};
+
+/** The scenario. */
+export const churnScenario: Scenario = {
+    name: "churn",
+    description:
+        "moves and imbalance when a server joins or leaves and when hot keys change, against rendezvous hashing",
+    run: async ({ seed }) => ({
+        slots: slotCount,
+        servers: serverCount,
+        ours: compare(seed, placeByPlan),
+        baseline: compare(seed, (...situation) => placeByRendezvous(situation[1])),
+    }),
+};
--- /dev/null
+++ b/packages/measure/src/ownershipGaps.ts
@@ -0,0 +1,22 @@
+/** Times in which slots had no server that could serve them, from the servers' own histories. */
+import type { OwnedInterval } from "@mulberryseam/site";
+
+/**
+ * Finds how long each slot of a lost server was without one.
+ *
+ * @param intervals - histories of all servers
+ * @param server - the server that was lost
+ * @param lostAt - when, on the clock of the histories
+ * @returns milliseconds for each slot that the server owned when it was lost
+ */
+export const findGaps = (intervals: readonly OwnedInterval[], server: string, lostAt: number): number[] => {
+    const slots = intervals
+        .filter(entry => entry.server === server && entry.from <= lostAt && entry.until > lostAt)
+        .map(entry => entry.slot);
+    return slots.map(slot => {
+        const next = intervals
+            .filter(entry => entry.slot === slot && entry.server !== server && entry.until > lostAt)
+            .map(entry => Math.max(entry.from, lostAt));
+        return next.length === 0 ? Infinity : Math.min(...next) - lostAt;
+    });
+};
--- /dev/null
+++ b/packages/measure/src/upstreamFaultsScenario.ts
@@ -0,0 +1,59 @@
+/** Upstreams that shed while they report no load, and one that swallows answers, against the plainest router. */
+import { createOwner } from "@mulberryseam/foundation";
+import { createSite, loadExample, type Site } from "@mulberryseam/site";
+import { startBaseline } from "./baseline";
+import { wait } from "./clock";
+import { judgeRuns, type RankLoad, runRankedLoad } from "./rankedLoad";
+import type { Figures, Scenario, ScenarioRun } from "./scenario";
+
+const durationMilliseconds = 10_000;
+const startTimeoutMilliseconds = 30_000;
+const service = "booking-desk";
+const pauseMilliseconds = 2500;
+const faultyAfterMilliseconds = 1000;
+
+const loads: readonly RankLoad[] = [
+    { rank: "lookup", perSecond: 120, workMilliseconds: 20, bodyBytes: 0, isIdempotent: true },
+    { rank: "booking", perSecond: 60, workMilliseconds: 60, bodyBytes: 300, isIdempotent: false },
+    { rank: "media", perSecond: 20, workMilliseconds: 150, bodyBytes: 20_000, isIdempotent: false },
+];
+
+const setFaults = async (site: Site, isFaulty: boolean): Promise<void> => {
+    await site.setUpstreamFaults("booking-1", { swallowsAnswers: isFaulty });
+    await site.setUpstreamFaults("booking-2", { sheds: isFaulty, misreportsLoad: isFaulty });
+    await site.setUpstreamFaults("booking-3", { sheds: isFaulty, misreportsLoad: isFaulty });
+};
+
+const runAgainst = async (site: Site, seed: number, entries: readonly string[]): Promise<Figures> => {
+    const targetOf = (rank: string): number =>
+        site.document.ranks.find(entry => entry.name === rank)?.targetMilliseconds ?? 0;
+    const running = runRankedLoad({ seed, entries: () => entries, service, loads, durationMilliseconds, targetOf });
+    await wait(faultyAfterMilliseconds);
+    await setFaults(site, true);
+    const results = await running;
+    await setFaults(site, false);
+    return {
+        ranks: Object.fromEntries(results.map(result => [result.rank, result.figures])),
+        ...await judgeRuns(site, service, results, loads),
+    };
+};
+
+/** The scenario. */
+export const upstreamFaultsScenario: Scenario = {
+    name: "upstream-faults",
+    description:
+        "one of 12 upstreams never answers and two shed while they report no load, against the plainest router",
+    run: async ({ seed, owner }: ScenarioRun): Promise<Figures> => {
+        const site = await createSite({ document: await loadExample("vatuwaqa"), instanceCount: 8 }, owner);
+        const baselineOwner = createOwner();
+        owner.onCleanup(baselineOwner.dispose);
+        const baselineEntries = await startBaseline(site, baselineOwner);
+        await site.waitUntilServing(startTimeoutMilliseconds);
+        const baseline = await runAgainst(site, seed, baselineEntries);
+        // The plain routers would go on holding connections that upstreams count.
+        await baselineOwner.dispose();
+        await wait(pauseMilliseconds);
+        const ours = await runAgainst(site, seed, site.instances.map(instance => instance.callers));
+        return { ...ours, baseline };
+    },
+};
--- a/packages/site/src/site.ts
+++ b/packages/site/src/site.ts
@@ -9,6 +9,7 @@
 import * as path from "node:path";
 import * as undici from "undici";
 import * as yaml from "yaml";
+import { bundleProgram } from "./bundles";
 import { type SiteProcess, startProcess } from "./childProcess";
 import { type OwnedInterval } from "./ownershipJudge";
 import { reservePorts } from "./ports";
@@ -67,24 +68,8 @@
     listInstances: (leaving?: readonly string[]) => Promise<void>;
 }
 
-interface Bundles {
-    instance: string;
-    standIns: string;
-}
-
 const pollMilliseconds = 50;
 
-const bundlePrograms = async (folder: string): Promise<Bundles> => {
-    const root = path.resolve(__dirname, "../../..");
-    const { bundle } = await import(path.join(root, "scripts/bundle.mjs")) as {
-        bundle: (entry: string, outfile: string) => Promise<unknown>;
-    };
-    const bundles = { instance: path.join(folder, "instance.cjs"), standIns: path.join(folder, "standIns.cjs") };
-    await bundle(path.join(root, "packages/cli/src/main.ts"), bundles.instance);
-    await bundle(path.join(root, "packages/standins/src/main.ts"), bundles.standIns);
-    return bundles;
-};
-
 const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
 
 const getJson = async <T>(url: string): Promise<T | undefined> => {
@@ -116,7 +101,10 @@
 export const createSite = async (options: SiteOptions, owner: Owner): Promise<Site> => {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-"));
     owner.onCleanup(() => fs.rmSync(folder, { recursive: true, force: true }));
-    const bundles = await bundlePrograms(folder);
+    const bundles = {
+        instance: await bundleProgram("packages/cli/src/main.ts", folder),
+        standIns: await bundleProgram("packages/standins/src/main.ts", folder),
+    };
     const ports = await reservePorts(2 + options.instanceCount * 3);
     const logService = `http://127.0.0.1:${ports[0]}`;
     const listUrl = `http://127.0.0.1:${ports[1]}/instances`;
