--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -37,6 +37,7 @@
     const { credentials, timers, logger } = options;
     let connection: MessageConnection | undefined;
     let socket: net.Socket | undefined;
+    let refusal: string | undefined;
 
     const open = (): net.Socket =>
         credentials === undefined
@@ -74,6 +75,7 @@
         const created = createMessageConnection(opened, options.hello, {
             onHello: hello => {
                 peer = hello;
+                refusal = undefined;
                 connection = created;
             },
             onMessage: message => {
@@ -81,7 +83,12 @@
                     options.onMessage(message, peer);
                 }
             },
-            onRefusal: reason => logger.warning("A peer refused the connection.", { reason, port: options.port }),
+            onRefusal: reason => {
+                if (reason !== refusal) {
+                    logger.warning("A peer refused the connection.", { reason, port: options.port });
+                }
+                refusal = reason;
+            },
         });
     };
 
--- a/packages/protocol/test/protocol.test.ts
+++ b/packages/protocol/test/protocol.test.ts
@@ -10,6 +10,7 @@
     parseMessage,
     protocolVersion,
 } from "@mulberryseam/protocol";
+import { reservePorts } from "@mulberryseam/site";
 import { expect } from "earl";
 import * as fastCheck from "fast-check";
 import * as net from "node:net";
@@ -23,15 +24,6 @@
     incarnation: "run-1",
 });
 
-const freePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = net.createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as net.AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 const withOwner = async (work: (owner: Owner) => Promise<void>): Promise<void> => {
     const owner = createOwner();
     try {
@@ -43,7 +35,7 @@
 };
 
 const startServer = async (owner: Owner, received: Message[]): Promise<number> => {
-    const port = await freePort();
+    const port = (await reservePorts(1))[0];
     await createPeerServer({
         host: "127.0.0.1",
         port,
--- a/packages/site/src/ports.ts
+++ b/packages/site/src/ports.ts
@@ -1,22 +1,34 @@
 /** Free ports on loopback. */
+import * as crypto from "node:crypto";
 import * as net from "node:net";
 
-const reserve = (): Promise<net.Server> =>
-    new Promise((resolve, reject) => {
+/** Below the ports that systems give to outgoing connections, which would take a reserved port away again. */
+const lowestPort = 12_000;
+const highestPort = 30_000;
+
+const given = new Set<number>();
+
+const isFree = (port: number): Promise<boolean> =>
+    new Promise(resolve => {
         const server = net.createServer();
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => resolve(server));
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 
 /**
  * Finds free ports.
  *
  * @param count - how many
- * @returns distinct ports, free a moment ago
+ * @returns distinct ports, free a moment ago and not given out before
  */
 export const reservePorts = async (count: number): Promise<number[]> => {
-    const servers = await Promise.all([...Array(count).keys()].map(reserve));
-    const ports = servers.map(server => (server.address() as net.AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise<void>(resolve => server.close(() => resolve()))));
+    const ports: number[] = [];
+    while (ports.length < count) {
+        const port = crypto.randomInt(lowestPort, highestPort);
+        if (!given.has(port) && await isFree(port)) {
+            given.add(port);
+            ports.push(port);
+        }
+    }
     return ports;
 };
