Bound waiting by the rank's target while an overload lasts

Cause: with a flood of urgent work the queue filled up to the callers' deadline (2 s), so nearly every answer came after the target (120 ms), and attempts begun just before the deadline were cut off by it and had to be told as unknown. One change: once waiting has made a rank late for 100 ms, a request must be able to start within 0.75 of the target less the time it needs; any request must be able to start by its deadline less that time.

--- a/packages/traffic/src/rankQueue.ts
+++ b/packages/traffic/src/rankQueue.ts
@@ -1,7 +1,8 @@
 /**
  * Queue in front of shared capacity. The most urgent rank goes first, yet each rank that waits earns credit by its
- * floor and goes ahead once it has saved up the cost of a request. Requests that cannot be answered by their deadline
- * are refused at once, while it is certain that they have not run.
+ * floor and goes ahead once it has saved up the cost of a request. Requests that cannot be answered in time are refused
+ * while it is certain that they have not run. In time means by the deadline; in a lasting overload, by the rank's target,
+ * since a queue of requests that all wait for their deadline answers every one of them late.
  */
 
 /** How a rank is treated. */
@@ -11,6 +12,8 @@
     floorShare: number;
     /** Largest share of the capacity that the rank may hold at a time. */
     maximumShare: number;
+    /** Time within which an answer is worth most. */
+    targetMilliseconds: number;
 }
 
 /** A request that waits. */
@@ -46,7 +49,7 @@
     onDone: (rank: string, heldMilliseconds: number) => void;
     /** Withdraws a request that still waits. */
     withdraw: (item: T) => boolean;
-    /** Takes out every request whose deadline has passed. */
+    /** Takes out every request that can no longer be answered in time. */
     expire: (now: number) => Waiting<T>[];
     length: () => number;
     held: () => number;
@@ -54,12 +57,19 @@
 
 interface RankState<T> {
     policy: RankPolicy;
-    waiting: Waiting<T>[];
+    waiting: Entry<T>[];
     held: number;
     /** Slot time, in milliseconds, that the rank is owed by its floor. */
     creditMilliseconds: number;
-    /** Smoothed time a request holds its slot. */
+    /** Smoothed time a request holds its slot, and how far that strays. */
     heldMilliseconds: number;
+    heldDeviation: number;
+    /** Since when waiting has made answers later than the target, without a break. */
+    lateSince: number | undefined;
+}
+
+interface Entry<T> extends Waiting<T> {
+    enqueuedAt: number;
 }
 
 const highestWaiting = 2000;
@@ -67,6 +77,13 @@
 const smoothing = 0.1;
 const initialHeldMilliseconds = 5;
 const creditLimit = 4;
+/** A burst shorter than this may wait up to its deadline; in a longer one, late answers would crowd out timely ones. */
+const burstMilliseconds = 100;
+const leastWaitMilliseconds = 5;
+/** Part of the target that waiting and running may take in an overload; the rest is for the ways there and back. */
+const overloadTargetShare = 0.75;
+/** Part of the target below which an overload has ended. */
+const recoveredTargetShare = 0.5;
 
 /**
  * Creates a queue.
@@ -81,6 +98,8 @@
         held: 0,
         creditMilliseconds: 0,
         heldMilliseconds: initialHeldMilliseconds,
+        heldDeviation: 0,
+        lateSince: undefined,
     }));
     const rankOf = (name: string): RankState<T> => ranks.find(rank => rank.policy.name === name) ?? ranks[0];
     let lastCapacity = 1;
@@ -106,6 +125,29 @@
         return isIdle ? 0 : Math.min(work / ownCapacity, throughFloor);
     };
 
+    const neededMilliseconds = (rank: RankState<T>): number => rank.heldMilliseconds + rank.heldDeviation;
+
+    const noteWait = (rank: RankState<T>, waitMilliseconds: number, now: number): void => {
+        const answeredIn = waitMilliseconds + neededMilliseconds(rank);
+        if (answeredIn > rank.policy.targetMilliseconds * overloadTargetShare) {
+            rank.lateSince ??= now;
+        }
+        else if (answeredIn < rank.policy.targetMilliseconds * recoveredTargetShare) {
+            rank.lateSince = undefined;
+        }
+    };
+
+    const isOverloaded = (rank: RankState<T>, now: number): boolean =>
+        rank.lateSince !== undefined && now - rank.lateSince >= burstMilliseconds;
+
+    // The latest instant at which a request may still be sent: later, it would be answered too late, or be cut off
+    // at its deadline with nobody knowing whether it ran.
+    const latestStart = (rank: RankState<T>, entry: Entry<T>, now: number): number => {
+        const target = entry.enqueuedAt + rank.policy.targetMilliseconds * overloadTargetShare;
+        const bound = isOverloaded(rank, now) ? Math.min(entry.deadlineAt, target) : entry.deadlineAt;
+        return Math.max(entry.enqueuedAt + leastWaitMilliseconds, bound - neededMilliseconds(rank));
+    };
+
     const pick = (capacity: number, mayRun: (item: T) => boolean): RankState<T> | undefined => {
         const able = ranks.filter(rank =>
             rank.waiting.length > 0 && rank.held < capOf(rank, capacity) && mayRun(rank.waiting[0].item)
@@ -133,10 +175,12 @@
             if (isFull) {
                 return { reason: RefusalReason.overload, retryAfterMilliseconds: wait };
             }
-            if (now + wait + rank.heldMilliseconds > waiting.deadlineAt && wait > 0) {
+            noteWait(rank, wait, now);
+            const entry = { ...waiting, enqueuedAt: now };
+            if (now + wait > latestStart(rank, entry, now)) {
                 return { reason: RefusalReason.deadline, retryAfterMilliseconds: wait };
             }
-            rank.waiting.push(waiting);
+            rank.waiting.push(entry);
             waitingBytes += waiting.bytes;
             return undefined;
         },
@@ -147,7 +191,7 @@
             }
             const rank = pick(capacity, mayRun);
             const waiting = rank?.waiting[0];
-            if (rank === undefined || waiting === undefined || waiting.deadlineAt < now) {
+            if (rank === undefined || waiting === undefined || latestStart(rank, waiting, now) < now) {
                 return undefined;
             }
             rank.waiting.shift();
@@ -159,7 +203,9 @@
         onDone: (name, heldMilliseconds) => {
             const rank = rankOf(name);
             rank.held -= 1;
-            rank.heldMilliseconds += (heldMilliseconds - rank.heldMilliseconds) * smoothing;
+            const distance = heldMilliseconds - rank.heldMilliseconds;
+            rank.heldMilliseconds += distance * smoothing;
+            rank.heldDeviation += (Math.abs(distance) - rank.heldDeviation) * smoothing;
         },
         withdraw: item => {
             for (const rank of ranks) {
@@ -175,9 +221,9 @@
         expire: now => {
             const expired: Waiting<T>[] = [];
             for (const rank of ranks) {
-                const overdue = rank.waiting.filter(waiting => waiting.deadlineAt < now);
+                const overdue = rank.waiting.filter(waiting => latestStart(rank, waiting, now) < now);
                 if (overdue.length > 0) {
-                    rank.waiting = rank.waiting.filter(waiting => waiting.deadlineAt >= now);
+                    rank.waiting = rank.waiting.filter(waiting => !overdue.includes(waiting));
                     overdue.forEach(waiting => waitingBytes -= waiting.bytes);
                     expired.push(...overdue);
                 }
--- a/packages/traffic/test/rankQueue.test.ts
+++ b/packages/traffic/test/rankQueue.test.ts
@@ -4,9 +4,9 @@
 import { describe, it } from "node:test";
 
 const ranks = [
-    { name: "lookup", floorShare: 0.3, maximumShare: 1 },
-    { name: "order", floorShare: 0.2, maximumShare: 1 },
-    { name: "scan", floorShare: 0.1, maximumShare: 0.5 },
+    { name: "lookup", floorShare: 0.3, maximumShare: 1, targetMilliseconds: 100 },
+    { name: "order", floorShare: 0.2, maximumShare: 1, targetMilliseconds: 100_000 },
+    { name: "scan", floorShare: 0.1, maximumShare: 0.5, targetMilliseconds: 100_000 },
 ];
 const always = (): boolean => true;
 
@@ -75,6 +75,33 @@
         expect((refusal?.retryAfterMilliseconds ?? 0) > 0).toEqual(true);
     });
 
+    it("answers within the target in a lasting overload, rather than every request late", () => {
+        const queue = createRankQueue<number>(ranks);
+        const waits: number[] = [];
+        const started = new Map<number, number>();
+        for (let now = 0; now < 5000; now++) {
+            queue.enqueue({ item: now, rank: "lookup", deadlineAt: now + 2000, bytes: 0 }, now);
+            queue.expire(now);
+            const isDone = now % 4 === 0;
+            const next = isDone ? queue.next(1, now, always) : undefined;
+            if (next !== undefined) {
+                started.set(next.item, now);
+                waits.push(now - next.item);
+                queue.onDone("lookup", 4);
+            }
+        }
+        const lasting = waits.slice(waits.length / 2);
+        expect(lasting.every(wait => wait <= 100)).toEqual(true);
+        expect(waits.length > 1100).toEqual(true);
+    });
+
+    it("lets a short burst wait for its deadline", () => {
+        const queue = createRankQueue<number>(ranks);
+        fill(queue, "lookup", 100, 2000);
+        expect(queue.length()).toEqual(100);
+        expect(queue.expire(90).length).toEqual(0);
+    });
+
     it("admits urgent work past a long queue of other work", () => {
         const queue = createRankQueue<number>(ranks);
         fill(queue, "scan", 1000);
