Keep bulk to some of a pool's upstreams, the same for every instance

Cause: a rank's largest share was kept by each instance alone, so eight instances together filled every slot of every upstream with uploads and lookups ran behind them inside the upstreams. Ruled out: order in the instances (lookups waited 0 ms there), capacity (uploads held half of each instance's window). One change: ranks with a largest share below one use that share of each region's upstreams, chosen by rendezvous hashing; other ranks prefer the rest.

--- a/packages/gateway/src/serviceLanes.ts
+++ b/packages/gateway/src/serviceLanes.ts
@@ -2,6 +2,7 @@
 import type { Environment, Service } from "@mulberryseam/configuration";
 import type { Random, TimerService } from "@mulberryseam/foundation";
 import {
+    chooseBulkUpstreams,
     chooseUpstream,
     createAdaptiveWindow,
     createEjection,
@@ -73,6 +74,12 @@
         const region = regionOf(environment, upstream.failureDomain);
         return [upstream.name, createUpstreamState(upstream, region, limits)];
     }));
+    const bulkRanks = environment.ranks.filter(rank => rank.maximumShare < 1);
+    const bulkShare = Math.max(0, ...bulkRanks.map(rank => rank.maximumShare));
+    const bulkUpstreams = chooseBulkUpstreams(
+        [...states.values()].map(state => ({ name: state.upstream.name, region: state.region })),
+        bulkShare,
+    );
     ejection.setUpstreams([...states.keys()]);
 
     const candidates = () => {
@@ -85,6 +92,7 @@
             latencyMilliseconds: state.latencyMilliseconds,
             isEjected: ejection.isEjected(state.upstream.name, now),
             isDraining: state.drainingUntil > now,
+            takesBulk: bulkUpstreams.has(state.upstream.name),
         }));
     };
 
@@ -106,6 +114,7 @@
                 region: options.region,
                 mayCross: region => options.linkTo(region)?.mayUse(request.rank, timers.now()) ?? false,
                 excluded: request.excluded,
+                isBulk: bulkRanks.some(rank => rank.name === request.rank),
                 random: options.random,
             });
             return chosen === undefined ? undefined : states.get(chosen.name);
--- a/packages/traffic/src/choice.ts
+++ b/packages/traffic/src/choice.ts
@@ -1,5 +1,8 @@
-/** Choice of an upstream: two at random, the one with less outstanding work, own region first. */
-import type { Random } from "@mulberryseam/foundation";
+/**
+ * Choice of an upstream: two at random, the one with less outstanding work, own region first. Bulk keeps to some of the
+ * upstreams, and other work prefers the rest.
+ */
+import { type Random, rendezvousOrder } from "@mulberryseam/foundation";
 
 /** An upstream that could take a request. */
 export interface Candidate {
@@ -13,6 +16,8 @@
     latencyMilliseconds: number;
     isEjected: boolean;
     isDraining: boolean;
+    /** Whether ranks with a largest share below one may use it. */
+    takesBulk: boolean;
 }
 
 /** What a choice depends on besides the candidates. */
@@ -23,6 +28,8 @@
     mayCross: (region: string) => boolean;
     /** Upstreams already tried. */
     excluded: readonly string[];
+    /** Whether the request is of a rank that may use only some upstreams. */
+    isBulk: boolean;
     random: Random;
 }
 
@@ -50,10 +57,30 @@
         !candidate.isDraining && !candidate.isEjected && candidate.outstanding < candidate.limit
         && !options.excluded.includes(candidate.name)
     );
-    const local = usable.filter(candidate => candidate.region === options.region);
-    if (local.length > 0) {
-        return chooseOfTwo(local, options.random);
+    const suitable = options.isBulk ? usable.filter(candidate => candidate.takesBulk) : usable;
+    const local = suitable.filter(candidate => candidate.region === options.region);
+    const reachable = local.length > 0 ? local : suitable.filter(candidate => options.mayCross(candidate.region));
+    const free = options.isBulk ? [] : reachable.filter(candidate => !candidate.takesBulk);
+    return chooseOfTwo(free.length > 0 ? free : reachable, options.random);
+};
+
+/**
+ * Chooses the upstreams that take bulk. Every instance chooses the same ones without a word to the others, so the rest
+ * of the pool is free of bulk whatever the instances do.
+ *
+ * @param upstreams - names and regions of the pool
+ * @param share - share of the pool, and of each region's part of it, that may take bulk
+ * @returns names of the chosen ones, at least one a region
+ */
+export const chooseBulkUpstreams = (
+    upstreams: readonly Pick<Candidate, "name" | "region">[],
+    share: number,
+): Set<string> => {
+    const chosen = new Set<string>();
+    for (const region of new Set(upstreams.map(upstream => upstream.region))) {
+        const names = upstreams.filter(upstream => upstream.region === region).map(upstream => upstream.name);
+        const count = Math.max(1, Math.floor(names.length * share));
+        rendezvousOrder("bulk", names).slice(0, count).forEach(name => chosen.add(name));
     }
-    const remote = usable.filter(candidate => options.mayCross(candidate.region));
-    return chooseOfTwo(remote, options.random);
+    return chosen;
 };
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -1,7 +1,7 @@
 /** Policies of the path of a request, each pure: admission, windows, choice of upstream, ejection, retries, links. */
 export { createAdaptiveWindow } from "./adaptiveWindow";
 export type { AdaptiveWindow } from "./adaptiveWindow";
-export { chooseUpstream } from "./choice";
+export { chooseBulkUpstreams, chooseUpstream } from "./choice";
 export type { Candidate } from "./choice";
 export { createEjection } from "./ejection";
 export type { Ejection } from "./ejection";
--- a/packages/traffic/test/policies.test.ts
+++ b/packages/traffic/test/policies.test.ts
@@ -3,6 +3,7 @@
 import {
     type AttemptResultKind,
     type Candidate,
+    chooseBulkUpstreams,
     chooseUpstream,
     createAdaptiveWindow,
     createEjection,
@@ -24,6 +25,7 @@
     latencyMilliseconds: 5,
     isEjected: false,
     isDraining: false,
+    takesBulk: true,
     ...change,
 });
 
@@ -69,7 +71,7 @@
 });
 
 describe("the choice of an upstream", () => {
-    const options = { region: "north", mayCross: () => true, excluded: [], random: createRandom(1) };
+    const options = { region: "north", mayCross: () => true, excluded: [], isBulk: false, random: createRandom(1) };
 
     it("takes the one with less outstanding work", () => {
         const candidates = [createCandidate("busy", { outstanding: 3 }), createCandidate("idle")];
@@ -94,6 +96,29 @@
     });
 });
 
+describe("bulk", () => {
+    const names = [...Array(12).keys()].map(index => ({ name: `upstream-${index}`, region: `region-${index % 3}` }));
+
+    it("keeps to its share of each region's upstreams, the same for every instance", () => {
+        const chosen = chooseBulkUpstreams(names, 0.5);
+        expect(chosen).toEqual(chooseBulkUpstreams([...names].reverse(), 0.5));
+        expect(
+            ["region-0", "region-1", "region-2"].map(region =>
+                names.filter(upstream => upstream.region === region && chosen.has(upstream.name)).length
+            ),
+        ).toEqual([2, 2, 2]);
+    });
+
+    it("never goes to the other upstreams, which other work prefers", () => {
+        const options = { region: "north", mayCross: () => true, excluded: [], random: createRandom(1) };
+        const free = createCandidate("free", { takesBulk: false, outstanding: 3 });
+        const bulk = createCandidate("bulk");
+        expect(chooseUpstream([free, bulk], { ...options, isBulk: false })?.name).toEqual("free");
+        expect(chooseUpstream([free, bulk], { ...options, isBulk: true })?.name).toEqual("bulk");
+        expect(chooseUpstream([free], { ...options, isBulk: true })).toEqual(undefined);
+    });
+});
+
 describe("ejection", () => {
     it("ejects after failures in a row and lets back in after a while", () => {
         const ejection = createEjection();
