--- a/packages/site/src/childProcess.ts
+++ b/packages/site/src/childProcess.ts
@@ -25,6 +25,7 @@
     waitsForReady: boolean;
 }
 
+const highestProcesses = 500;
 const keptErrorCharacters = 20_000;
 
 /**
@@ -39,6 +40,7 @@
         stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, NODE_OPTIONS: "" },
     });
+    process.setMaxListeners(highestProcesses);
     let errors = "";
     child.stderr.on("data", bytes => {
         errors = (errors + String(bytes)).slice(-keptErrorCharacters);
@@ -51,7 +53,15 @@
         }
         await exited;
     };
-    owner.onCleanup(kill);
+    // A process that ends without disposing of its owner still leaves nothing behind.
+    const killAtExit = (): void => {
+        child.kill("SIGKILL");
+    };
+    process.once("exit", killAtExit);
+    owner.onCleanup(async () => {
+        await kill();
+        process.off("exit", killAtExit);
+    });
     if (options.waitsForReady) {
         await new Promise<void>((resolve, reject) => {
             child.stdout.on("data", () => resolve());
