--- a/packages/ledger/src/fold.ts
+++ b/packages/ledger/src/fold.ts
@@ -4,14 +4,14 @@
  */
 import { type Assignment, type LogRecord, type RecordBody, RecordKind, ServerStatus } from "./records";
 import {
+    createSessionTest,
     type EnvironmentVersion,
     holdingOf,
-    isSessionEnded,
     type LogState,
     memberIdentifier,
-    type ServerIdentifier,
     type ServerRegistration,
     type ServiceTable,
+    type SessionTest,
     type SlotEntry,
     type WriterProgress,
 } from "./state";
@@ -128,7 +128,7 @@
 const createEntry = (
     assignment: Assignment,
     before: SlotEntry | undefined,
-    isEnded: (identifier: ServerIdentifier) => boolean,
+    isEnded: SessionTest,
     offset: number,
 ): SlotEntry => {
     const replaced = before === undefined ? undefined : holdingOf(before, isEnded);
@@ -153,7 +153,7 @@
     }
     const isSameSize = table !== undefined && table.slots.length === body.slotCount;
     const slots: SlotEntry[] = isSameSize ? [...table.slots] : [];
-    const isEnded = (identifier: ServerIdentifier): boolean => isSessionEnded(state.servers, identifier);
+    const isEnded = createSessionTest(state.servers);
     for (const assignment of body.assignments) {
         slots[assignment.slot] = createEntry(assignment, slots[assignment.slot], isEnded, offset);
     }
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -11,7 +11,7 @@
 export type { LogWriter, WriteError } from "./logWriter";
 export { parseRecord, RecordKind, ServerStatus } from "./records";
 export type { Assignment, LogRecord, RecordBody, RecordIdentifier, ServerChange } from "./records";
-export { emptyState, holdingOf, isSessionEnded, memberIdentifier, serverIdentifier } from "./state";
+export { createSessionTest, emptyState, holdingOf, memberIdentifier, serverIdentifier } from "./state";
 export type {
     EnvironmentVersion,
     Holding,
@@ -20,5 +20,6 @@
     ServerIdentifier,
     ServerRegistration,
     ServiceTable,
+    SessionTest,
     SlotEntry,
 } from "./state";
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -125,16 +125,18 @@
 export const serverIdentifier = (server: Pick<ServerRegistration, "name" | "session">): ServerIdentifier =>
     `${server.name}@${server.session}`;
 
+/** Tells whether a session of a server has ended for good: was lost, or replaced. */
+export type SessionTest = (identifier: ServerIdentifier) => boolean;
+
 /**
- * Tells whether a session of a server has ended for good.
+ * Creates a test of sessions.
  *
  * @param servers - registrations of the folded log
- * @param identifier - the session in question
- * @returns true when the session was lost or replaced
+ * @returns the test, fast for many questions
  */
-export const isSessionEnded = (servers: readonly ServerRegistration[], identifier: ServerIdentifier): boolean => {
-    const current = servers.find(server => serverIdentifier(server) === identifier);
-    return current === undefined || current.status === ServerStatus.lost;
+export const createSessionTest = (servers: readonly ServerRegistration[]): SessionTest => {
+    const current = new Set(servers.filter(server => server.status !== ServerStatus.lost).map(serverIdentifier));
+    return identifier => !current.has(identifier);
 };
 
 /**
@@ -146,7 +148,7 @@
  */
 export const holdingOf = (
     entry: SlotEntry,
-    isEnded: (identifier: ServerIdentifier) => boolean,
+    isEnded: SessionTest,
 ): Holding | undefined => {
     if (!isEnded(entry.owner)) {
         return { holder: entry.owner, token: entry.token };
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -10,6 +10,17 @@
 }
 
 const defaultSeed = 1;
+const spinSteps = 30_000_000;
+
+/** Times a fixed piece of work, so that a reader can tell a slow machine from a slow program. */
+const spin = (): number => {
+    const startedAt = performance.now();
+    let sum = 0;
+    for (let step = 0; step < spinSteps; step++) {
+        sum += step % 7;
+    }
+    return sum > 0 ? Math.round(performance.now() - startedAt) : 0;
+};
 
 const measure = async (name: string | undefined, options: MeasureOptions): Promise<number> => {
     if (options.list === true || name === undefined) {
@@ -27,11 +38,14 @@
         }
     };
     const owner = createOwner();
+    const spinBefore = spin();
     const startedAt = performance.now();
     try {
         const figures = await scenario.run({ seed: options.seed, owner, say });
         const seconds = Math.round((performance.now() - startedAt) / 1000);
-        process.stdout.write(`${JSON.stringify({ scenario: name, seed: options.seed, seconds, ...figures })}\n`);
+        const machine = { spinMilliseconds: { before: spinBefore, after: spin() } };
+        const result = { scenario: name, seed: options.seed, seconds, machine, ...figures };
+        process.stdout.write(`${JSON.stringify(result)}\n`);
         return 0;
     }
     catch (error) {
--- a/packages/measure/src/scenarios.ts
+++ b/packages/measure/src/scenarios.ts
@@ -1,11 +1,13 @@
 /** Every scenario. */
 import { churnScenario } from "./churnScenario";
 import { configurationScenario } from "./configurationScenario";
+import { controlScenario } from "./controlScenario";
 import { floodScenarios } from "./floodScenarios";
 import { hopScenario } from "./hopScenario";
 import { outageScenario } from "./outageScenario";
 import { rollingStopScenario } from "./rollingStopScenario";
 import type { Scenario } from "./scenario";
+import { slopesScenario } from "./slopesScenario";
 import { takeoverScenario } from "./takeoverScenario";
 import { upstreamFaultsScenario } from "./upstreamFaultsScenario";
 
@@ -19,4 +21,6 @@
     ...floodScenarios,
     upstreamFaultsScenario,
     rollingStopScenario,
+    controlScenario,
+    slopesScenario,
 ];
--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -4,14 +4,7 @@
  */
 import type { Service } from "@mulberryseam/configuration";
 import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
-import {
-    isSessionEnded,
-    type LogState,
-    type Member,
-    memberIdentifier,
-    type RecordBody,
-    serverIdentifier,
-} from "@mulberryseam/ledger";
+import { type LogState, type Member, memberIdentifier, type RecordBody, serverIdentifier } from "@mulberryseam/ledger";
 import { type Confirm, type Confirmed, type Message, MessageKind, type PeerReport } from "@mulberryseam/protocol";
 import type { ConfirmedRound } from "./confirmation";
 import { createCoordinatorContext } from "./coordinatorContext";
@@ -130,7 +123,7 @@
         lastRound = confirmation.begin(timers.now(), {
             knowledge,
             members: (state?.members ?? []).map(memberIdentifier),
-            isEnded: session => state !== undefined && isSessionEnded(state.servers, session),
+            isEnded: context.currentSessionTest(),
         });
         const message: Confirm = { kind: MessageKind.confirm, round: lastRound, knowledge, report: createReport() };
         sendToPeers(message);
--- a/packages/ownership/src/coordinatorContext.ts
+++ b/packages/ownership/src/coordinatorContext.ts
@@ -2,12 +2,13 @@
 import type { Environment, Service } from "@mulberryseam/configuration";
 import type { Logger, TimerService } from "@mulberryseam/foundation";
 import {
-    isSessionEnded,
+    createSessionTest,
     type LogState,
     type Member,
     memberIdentifier,
     type ServerIdentifier,
     type ServerRegistration,
+    type SessionTest,
 } from "@mulberryseam/ledger";
 import { type Confirmation, createConfirmation } from "./confirmation";
 import { createEnvironmentInForce, type EnvironmentInForce } from "./environmentInForce";
@@ -48,8 +49,10 @@
     /** Silence after which a server counts as lost, in milliseconds. */
     suspicionMilliseconds: () => number;
     isMember: () => boolean;
-    /** Tells whether the folded log has ended a session. */
-    isEnded: (session: ServerIdentifier) => boolean;
+    /** Tells whether the log, as folded now, has ended a session. */
+    isEnded: SessionTest;
+    /** The same test, bound to what is folded now whatever is folded later. */
+    currentSessionTest: () => SessionTest;
     registrationOf: (server: string) => ServerRegistration | undefined;
     keyedUpstreams: () => Service["upstreams"];
     /** Instances that answer and are not leaving, the own one included. */
@@ -78,8 +81,8 @@
     let isLeaving = false;
 
     const lease = (): Environment["lease"] => inForce.current()?.environment.lease ?? fallbackLease;
-    const isEnded = (session: ServerIdentifier): boolean =>
-        state !== undefined && isSessionEnded(state.servers, session);
+    let testSession: SessionTest = () => false;
+    const isEnded: SessionTest = session => testSession(session);
     const livePeers = (): Member[] =>
         directory.heardWithin(timers.now(), heartbeatSilenceMilliseconds)
             .filter(heard => !heard.report.isLeaving)
@@ -105,6 +108,7 @@
         state: () => state,
         setState: next => {
             state = next;
+            testSession = createSessionTest(next.servers);
             knowledge = { offset: next.changedAt, lapses: knowledge.lapses.filter(session => !isEnded(session)) };
         },
         knowledge: () => knowledge,
@@ -122,6 +126,7 @@
         suspicionMilliseconds: () => lease().durationMilliseconds * suspicionShare,
         isMember: () => state?.members.some(member => memberIdentifier(member) === identifier) ?? false,
         isEnded,
+        currentSessionTest: () => testSession,
         registrationOf: server => state?.servers.find(entry => entry.name === server),
         keyedUpstreams: () =>
             (inForce.current()?.environment.services ?? [])
--- a/packages/ownership/src/grantLedger.ts
+++ b/packages/ownership/src/grantLedger.ts
@@ -3,9 +3,9 @@
  * granted the slot: one lease after the naming was confirmed, or at once when the holder before gave the slot up.
  */
 import {
+    createSessionTest,
     type Holding,
     holdingOf,
-    isSessionEnded,
     type LogState,
     type ServerIdentifier,
     type ServiceTable,
@@ -30,6 +30,12 @@
     isDue: boolean;
 }
 
+interface IndexedHolding {
+    tracked: TrackedHolding;
+    service: string;
+    slot: number;
+}
+
 /** Grants that are due, by confirmed knowledge. */
 export interface GrantLedger {
     /**
@@ -60,6 +66,8 @@
  */
 export const createGrantLedger = (): GrantLedger => {
     const services = new Map<string, (TrackedHolding | undefined)[]>();
+    const byHolder = new Map<ServerIdentifier, IndexedHolding[]>();
+    const byPrevious = new Map<ServerIdentifier, IndexedHolding[]>();
     const releases = new Set<string>();
     let lastTables: readonly ServiceTable[] | undefined;
     let lastServers: LogState["servers"] | undefined;
@@ -109,6 +117,33 @@
         );
     };
 
+    const addTo = (index: Map<ServerIdentifier, IndexedHolding[]>, server: string, entry: IndexedHolding): void => {
+        const entries = index.get(server);
+        if (entries === undefined) {
+            index.set(server, [entry]);
+            return;
+        }
+        entries.push(entry);
+    };
+
+    const indexHolders = (): void => {
+        byHolder.clear();
+        byPrevious.clear();
+        for (const [service, holdings] of services) {
+            holdings.forEach((tracked, slot) => {
+                if (tracked === undefined) {
+                    return;
+                }
+                const entry = { tracked, service, slot };
+                addTo(byHolder, tracked.holder, entry);
+                const previous = tracked.previous?.holder;
+                if (previous !== undefined && previous !== tracked.holder) {
+                    addTo(byPrevious, previous, entry);
+                }
+            });
+        }
+    };
+
     return {
         takeRound: (round, state, durationMilliseconds) => {
             const isOlder = confirmedAt !== undefined && round.beganAt < confirmedAt;
@@ -124,9 +159,11 @@
             lastTables = state.tables;
             lastServers = state.servers;
             lastLapses = lapses;
+            const isRecordedEnded = createSessionTest(state.servers);
             const isEnded = (identifier: string): boolean =>
-                round.knowledge.lapses.includes(identifier) || isSessionEnded(state.servers, identifier);
+                round.knowledge.lapses.includes(identifier) || isRecordedEnded(identifier);
             state.tables.forEach(table => takeTable(table, round.completedAt, isEnded));
+            indexHolders();
         },
         confirmedAt: () => confirmedAt,
         takeRelease: released => {
@@ -136,27 +173,16 @@
             releases.add(releaseName(released));
         },
         dueFor: (server, now) => {
-            const due: GrantedSlot[] = [];
-            for (const [service, slots] of services) {
-                slots.forEach((tracked, slot) => {
-                    if (tracked?.holder === server && refresh(tracked, service, slot, now)) {
-                        due.push({ service, slot, token: tracked.token });
-                    }
-                });
-            }
-            return due;
+            const held = byHolder.get(server) ?? [];
+            return held
+                .filter(({ tracked, service, slot }) => refresh(tracked, service, slot, now))
+                .map(({ tracked, service, slot }) => ({ service, slot, token: tracked.token }));
         },
         toRelease: server => {
-            const slots: GrantedSlot[] = [];
-            for (const [service, holdings] of services) {
-                holdings.forEach((tracked, slot) => {
-                    const isPrevious = tracked?.previous?.holder === server && tracked.holder !== server;
-                    if (isPrevious && !tracked.isDue && tracked.previous !== undefined) {
-                        slots.push({ service, slot, token: tracked.previous.token });
-                    }
-                });
-            }
-            return slots;
+            const left = byPrevious.get(server) ?? [];
+            return left
+                .filter(({ tracked }) => !tracked.isDue)
+                .map(({ tracked, service, slot }) => ({ service, slot, token: tracked.previous?.token ?? -1 }));
         },
         holder: (service, slot, now) => {
             const tracked = services.get(service)?.[slot];
--- a/packages/ownership/src/planner.ts
+++ b/packages/ownership/src/planner.ts
@@ -1,7 +1,7 @@
 /** Chooses the next record that a leader appends. Pure: what it sees goes in, at most one record comes out. */
 import type { Environment, Service } from "@mulberryseam/configuration";
 import {
-    isSessionEnded,
+    createSessionTest,
     type LogState,
     type Member,
     memberIdentifier,
@@ -115,8 +115,9 @@
     const recorded = state.tables.find(entry => entry.service === service.name);
     const table = recorded?.slots.length === service.keySlots ? recorded : undefined;
     const servers = placementServers(view, service);
+    const isRecordedEnded = createSessionTest(state.servers);
     const isEnded = (identifier: ServerIdentifier): boolean =>
-        view.lapses.includes(identifier) || isSessionEnded(state.servers, identifier);
+        view.lapses.includes(identifier) || isRecordedEnded(identifier);
     const loads = view.loadsOf(service.name);
     let assignments = planRepair(
         service.name,
