--- /dev/null
+++ b/packages/cli/test/commandLine.test.ts
@@ -0,0 +1,92 @@
+/** The command line as a new user meets it, bad input included, against a stand-in of the log. */
+import { createOwner, type Owner } from "@mulberryseam/foundation";
+import { createLogServiceStandIn } from "@mulberryseam/standins";
+import { expect } from "earl";
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import { describe, it } from "node:test";
+
+const root = path.resolve(__dirname, "../../..");
+const binary = path.join(root, "dist/mulberryseam");
+
+interface Ended {
+    code: number;
+    output: string;
+    errors: string;
+}
+
+const runProgram = (program: string, parameters: readonly string[]): Promise<Ended> =>
+    new Promise(resolve => {
+        childProcess.execFile(program, parameters, { cwd: root }, (error, output, errors) => {
+            resolve({ code: typeof error?.code === "number" ? error.code : 0, output, errors });
+        });
+    });
+
+const run = (...parameters: string[]): Promise<Ended> =>
+    runProgram(process.execPath, ["--import", "tsx", "packages/cli/src/main.ts", ...parameters]);
+
+const withLog = async (work: (url: string) => Promise<void>): Promise<void> => {
+    const owner: Owner = createOwner();
+    try {
+        await work((await createLogServiceStandIn(0, owner)).url);
+    }
+    finally {
+        await owner.dispose();
+    }
+};
+
+describe("the command line", () => {
+    it("prints the version and help", async () => {
+        expect((await run("version")).output).toEqual("0.1.0\n");
+        expect((await run("version", "--json")).output).toEqual("{\"version\":\"0.1.0\"}\n");
+        const help = await run("--help");
+        expect([help.code, help.output.includes("publish <file>")]).toEqual([0, true]);
+    });
+
+    it("exits with 2 and says why on a wrong command", async () => {
+        for (const parameters of [[], ["nonsense"], ["serve"], ["check"], ["publish", "absent.yaml"], ["explain"]]) {
+            const ended = await run(...parameters);
+            expect([ended.code, ended.errors.startsWith("error: ")]).toEqual([2, true]);
+        }
+    });
+
+    it("names file, line and field of what is wrong in a document", async () => {
+        const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-cli-")), "bad.yaml");
+        fs.writeFileSync(file, "regions: []\nranks: 3\nservices: []\n");
+        const ended = await run("check", file);
+        expect(ended.code).toEqual(2);
+        expect(ended.errors.includes(`${file}:2: ranks: Invalid input: expected array, received number`)).toEqual(true);
+    });
+
+    it("publishes, refuses a stale basis with 3, and promotes", () =>
+        withLog(async url => {
+            const publish = (...more: string[]) =>
+                run("publish", "examples/vatuwaqa.yaml", "--log-service", url, "--json", ...more);
+            expect((await publish()).output).toEqual("{\"environment\":\"trial\",\"version\":0}\n");
+            const stale = await publish();
+            expect([stale.code, JSON.parse(stale.errors).error.includes("is at version 0")]).toEqual([3, true]);
+            expect((await publish("--based-on", "0")).output).toEqual("{\"environment\":\"trial\",\"version\":2}\n");
+            const promoted = await run("promote", "--log-service", url, "--json");
+            expect(promoted.output).toEqual("{\"environment\":\"production\",\"version\":3}\n");
+        }));
+
+    it("exits with 1 when nobody answers", async () => {
+        const status = await run("status", "--instance", "127.0.0.1:9");
+        expect([status.code, status.errors.startsWith("error: 127.0.0.1:9 does not answer")]).toEqual([1, true]);
+        const publish = await run("publish", "examples/vatuwaqa.yaml", "--log-service", "http://127.0.0.1:9");
+        expect(publish.code).toEqual(1);
+    });
+});
+
+describe("the binary", () => {
+    it("runs by itself and checks a document", async () => {
+        if (!fs.existsSync(binary)) {
+            childProcess.execFileSync(process.execPath, ["scripts/build.mjs"], { cwd: root, stdio: "ignore" });
+        }
+        expect(await runProgram(binary, ["version"])).toEqual({ code: 0, output: "0.1.0\n", errors: "" });
+        const checked = await runProgram(binary, ["check", "examples/dar-el-sikka.yaml"]);
+        expect(checked).toEqual({ code: 0, output: "examples/dar-el-sikka.yaml is valid\n", errors: "" });
+    });
+});
