--- a/packages/configuration/src/environment.ts
+++ b/packages/configuration/src/environment.ts
@@ -76,7 +76,7 @@
     }).prefault({}),
     lease: zod.strictObject({
         durationMilliseconds: zod.int().min(200).max(60_000).default(700),
-        renewalMilliseconds: zod.int().min(20).max(20_000).default(150),
+        renewalMilliseconds: zod.int().min(20).max(20_000).default(200),
     }).prefault({}),
 }).superRefine((document, context) => {
     const refuse = (path: PropertyKey[], message: string): void => {
--- a/packages/instance/src/serverTask.ts
+++ b/packages/instance/src/serverTask.ts
@@ -28,7 +28,13 @@
  * @returns the task
  */
 export const createServerTask = (onReply: (server: string, reply: ServerReply) => void, owner: Owner): ServerTask => {
-    const agent = new undici.Agent({ connections: connectionsPerServer, pipelining: 1 });
+    const agent = new undici.Agent({
+        connections: connectionsPerServer,
+        pipelining: 1,
+        connect: { timeout: timeoutMilliseconds },
+        headersTimeout: timeoutMilliseconds,
+        bodyTimeout: timeoutMilliseconds,
+    });
     const outstanding = new Map<string, number>();
     owner.onCleanup(() => agent.destroy());
 
@@ -38,7 +44,6 @@
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify(renewal),
-                signal: AbortSignal.timeout(timeoutMilliseconds),
                 dispatcher: agent,
             });
             const reply = replySchema.safeParse(await response.body.json());
--- a/packages/measure/src/upstreamFaultsScenario.ts
+++ b/packages/measure/src/upstreamFaultsScenario.ts
@@ -12,10 +12,25 @@
 const pauseMilliseconds = 2500;
 const faultyAfterMilliseconds = 1000;
 
+const createLoad = (
+    rank: string,
+    perSecond: number,
+    workMilliseconds: number,
+    bodyBytes: number,
+    deadlineMilliseconds: number,
+): RankLoad => ({
+    rank,
+    perSecond,
+    workMilliseconds,
+    bodyBytes,
+    deadlineMilliseconds,
+    isIdempotent: bodyBytes === 0,
+});
+
 const loads: readonly RankLoad[] = [
-    { rank: "lookup", perSecond: 120, workMilliseconds: 20, bodyBytes: 0, isIdempotent: true },
-    { rank: "booking", perSecond: 60, workMilliseconds: 60, bodyBytes: 300, isIdempotent: false },
-    { rank: "media", perSecond: 20, workMilliseconds: 150, bodyBytes: 20_000, isIdempotent: false },
+    createLoad("lookup", 120, 20, 0, 2000),
+    createLoad("booking", 60, 60, 300, 3000),
+    createLoad("media", 20, 150, 20_000, 5000),
 ];
 
 const setFaults = async (site: Site, isFaulty: boolean): Promise<void> => {
--- a/packages/ownership/src/coordinatorContext.ts
+++ b/packages/ownership/src/coordinatorContext.ts
@@ -63,7 +63,7 @@
 export const heartbeatSilenceMilliseconds = 1000;
 
 const suspicionShare = 0.6;
-const fallbackLease = { durationMilliseconds: 700, renewalMilliseconds: 150 };
+const fallbackLease = { durationMilliseconds: 700, renewalMilliseconds: 200 };
 
 /**
  * Creates the context of a coordinator.
--- a/packages/site/src/caller.ts
+++ b/packages/site/src/caller.ts
@@ -35,6 +35,9 @@
     milliseconds: number;
 }
 
+const defaultDeadlineMilliseconds = 60_000;
+/** Time beyond the deadline after which a caller gives up. */
+const patienceMilliseconds = 2000;
 const emptyDigest = crypto.createHash("sha256").digest("hex");
 
 /**
@@ -74,7 +77,7 @@
             method: request.method ?? "GET",
             headers,
             body: request.body,
-            headersTimeout: 120_000,
+            headersTimeout: (request.deadlineMilliseconds ?? defaultDeadlineMilliseconds) + patienceMilliseconds,
             dispatcher: request.dispatcher,
         });
         const text = await response.body.text();
