Keep one timeout listener a connection, and count answers of the hop measurement right

Cause 1: each request on a kept-alive connection added a listener for its idle timeout (MaxListenersExceededWarning in the instance's log); the new test failed with it first. The server's own event is used now. Cause 2: hop counted answers with an addition across an await, so that concurrent workers lost counts: 79 to 120 requests a second were reported where a count by outcome shows 2487 (24 workers, one instance, all answered).

--- a/packages/gateway/src/acquisition.ts
+++ b/packages/gateway/src/acquisition.ts
@@ -66,7 +66,7 @@
             if (current?.isReady === true && current.server === before.server) {
                 return { ...slot.val, token: current.token };
             }
-            slot.val.release();
+            slot.val.release(false);
         }
         return { reason: RefusalReason.deadline, retryAfterMilliseconds: noOwnerRetryMilliseconds };
     };
--- a/packages/gateway/src/door.ts
+++ b/packages/gateway/src/door.ts
@@ -48,6 +48,8 @@
  */
 export const createDoor = async (options: DoorOptions, owner: Owner): Promise<Door> => {
     const { timers, logger } = options;
+    /** Connections on which a body is under way. */
+    const guarded = new WeakSet<net.Socket>();
     let isDraining = false;
     let openRequests = 0;
 
@@ -59,12 +61,14 @@
 
     const guardBody = (request: http.IncomingMessage): void => {
         const socket = request.socket;
-        socket.setTimeout(idleBodyMilliseconds, () => {
-            logger.information("A caller sent nothing for too long.", { from: socket.remoteAddress });
-            socket.destroy();
-        });
-        request.once("close", () => socket.setTimeout(0));
-        request.once("end", () => socket.setTimeout(0));
+        const endGuard = (): void => {
+            guarded.delete(socket);
+            socket.setTimeout(0);
+        };
+        guarded.add(socket);
+        socket.setTimeout(idleBodyMilliseconds);
+        request.once("close", endGuard);
+        request.once("end", endGuard);
     };
 
     const onRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -90,6 +94,12 @@
         connectionsCheckingInterval: 1000,
         requireHostHeader: true,
     }, onRequest);
+    server.on("timeout", socket => {
+        if (guarded.has(socket)) {
+            logger.information("A caller sent nothing for too long.", { from: socket.remoteAddress });
+        }
+        socket.destroy();
+    });
     server.maxHeadersCount = highestHeaders;
     server.maxConnections = highestConnections;
     server.on("clientError", (error: NodeJS.ErrnoException, socket: net.Socket) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -187,7 +187,7 @@
                 }
             }
             finally {
-                slot.release();
+                slot.release(exchange.attempts[exchange.attempts.length - 1] === AttemptResult.answered);
             }
             if (!isKeyed) {
                 exchange.excluded = exchange.excluded.length < lanes.states.size / 2
--- a/packages/gateway/src/lane.ts
+++ b/packages/gateway/src/lane.ts
@@ -23,8 +23,11 @@
 /** A slot, and the upstream to use it at. */
 export interface Slot<Target> {
     target: Target;
-    /** Gives the slot back; the second call does nothing. */
-    release: () => void;
+    /**
+     * Gives the slot back; the second call does nothing. Only the time of a request that was answered tells how long
+     * such requests take.
+     */
+    release: (wasAnswered: boolean) => void;
 }
 
 /** Hands out slots. */
@@ -70,11 +73,11 @@
         const ticket = waiting.item;
         const target = ticket.target as Target;
         let isReleased = false;
-        const release = (): void => {
+        const release = (wasAnswered: boolean): void => {
             if (!isReleased) {
                 isReleased = true;
                 options.onReleased(target);
-                queue.onDone(waiting.rank, timers.now() - heldSince);
+                queue.onDone(waiting.rank, wasAnswered ? timers.now() - heldSince : undefined);
                 pump();
             }
         };
--- a/packages/gateway/test/door.test.ts
+++ b/packages/gateway/test/door.test.ts
@@ -1,5 +1,6 @@
 /** Hardening of the door: malformed, oversized and forged requests. */
 import { expect } from "earl";
+import * as http from "node:http";
 import * as net from "node:net";
 import { describe, it } from "node:test";
 import { type GatewayFixture, withGateway } from "./fixtures/gatewayFixture";
@@ -70,6 +71,30 @@
             expect(answer.includes("\"padding\":\"\"")).toEqual(true);
         }));
 
+    it("leaves nothing behind on a connection that carries many requests", () =>
+        withGateway({}, async fixture => {
+            const warnings: string[] = [];
+            const takeWarning = (warning: Error): void => {
+                warnings.push(warning.name);
+            };
+            process.on("warning", takeWarning);
+            const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+            const ask = (): Promise<number> =>
+                new Promise((resolve, reject) => {
+                    http.get({ host: "127.0.0.1", port: fixture.port, path: "/desk/work", agent }, response => {
+                        response.resume();
+                        response.on("end", () => resolve(response.statusCode ?? 0));
+                    }).on("error", reject);
+                });
+            for (let request = 0; request < 30; request++) {
+                expect(await ask()).toEqual(200);
+            }
+            agent.destroy();
+            await new Promise(resolve => setImmediate(resolve));
+            process.off("warning", takeWarning);
+            expect(warnings).toEqual([]);
+        }));
+
     it("answers the balancer's question for health", () =>
         withGateway({}, async fixture => {
             expect(statusOf(await exchangeRaw(fixture, head([], "/-/health")))).toEqual(200);
--- a/packages/measure/src/hopScenario.ts
+++ b/packages/measure/src/hopScenario.ts
@@ -58,7 +58,8 @@
     let answered = 0;
     const worker = async (): Promise<void> => {
         while (performance.now() < busyUntil) {
-            answered += Number.isFinite(await viaInstance()) ? 1 : 0;
+            const milliseconds = await viaInstance();
+            answered += Number.isFinite(milliseconds) ? 1 : 0;
         }
     };
     await Promise.all([...Array(busyConcurrency).keys()].map(worker));
--- a/packages/traffic/src/rankQueue.ts
+++ b/packages/traffic/src/rankQueue.ts
@@ -45,8 +45,8 @@
      * first request cannot run stands aside for the others.
      */
     next: (capacity: number, now: number, mayRun: (item: T) => boolean) => Waiting<T> | undefined;
-    /** Gives back the slot of a request taken out, with the time it was held. */
-    onDone: (rank: string, heldMilliseconds: number) => void;
+    /** Gives back the slot of a request taken out, with the time it was held where that is typical of the rank. */
+    onDone: (rank: string, heldMilliseconds: number | undefined) => void;
     /** Withdraws a request that still waits. */
     withdraw: (item: T) => boolean;
     /** Takes out every request that can no longer be answered in time. */
@@ -203,6 +203,9 @@
         onDone: (name, heldMilliseconds) => {
             const rank = rankOf(name);
             rank.held -= 1;
+            if (heldMilliseconds === undefined) {
+                return;
+            }
             const distance = heldMilliseconds - rank.heldMilliseconds;
             rank.heldMilliseconds += distance * smoothing;
             rank.heldDeviation += (Math.abs(distance) - rank.heldDeviation) * smoothing;
