Tell a few bad upstreams from a pool that is asked for too much, and leave a silent one early

Cause: refusals of two shedding upstreams shrank the window of the whole pool, and an idempotent request stayed with a silent upstream for half of its deadline (1 s against a target of 120 ms).

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -14,17 +14,23 @@
 export type AttemptOnce = (exchange: Exchange, lanes: ServiceLanes, slot: AcquiredSlot) => Promise<Attempt>;
 
 const deadlineCheckMilliseconds = 50;
-/** Part of the remaining time after which an idempotent request is tried elsewhere. */
-const firstAttemptShare = 0.5;
+/** Time and share of a pool within which refusals count as common. */
+const commonShedMilliseconds = 500;
+const commonShedShare = 1 / 3;
+/** Targets after which an idempotent request that has no answer is tried elsewhere. */
+const impatientTargets = 2;
+/** Usual latencies after which it is, where that is longer. */
+const impatientLatencies = 4;
 
 /**
  * Creates the way to attempt requests.
  *
  * @param timers - the timer service
  * @param route - tells the owner of a slot
+ * @param takeRetry - takes a retry from the budget, if there is one
  * @returns attempts a request once
  */
-export const createAttemptOnce = (timers: TimerService, route: RouteOf): AttemptOnce => {
+export const createAttemptOnce = (timers: TimerService, route: RouteOf, takeRetry: () => boolean): AttemptOnce => {
     const headersFor = (exchange: Exchange, token: number | undefined, hop: Hop): Record<string, string | string[]> => {
         const headers: Record<string, string | string[]> = {};
         const dropped = [...connectionHeaders, ...internalHeaders, "host"];
@@ -55,14 +61,23 @@
     ): Subscription => {
         const startedAt = timers.now();
         const { head } = exchange;
-        const attemptEnd = head.isIdempotent && lanes.service.kind === "pool"
-            ? startedAt + (exchange.deadlineAt - startedAt) * firstAttemptShare
-            : exchange.deadlineAt;
+        const impatience = Math.max(
+            head.rank.targetMilliseconds * impatientTargets,
+            target.latencyMilliseconds * impatientLatencies,
+        );
+        const mayGoElsewhere = head.isIdempotent && lanes.service.kind === "pool";
+        const isImpatient = (): boolean =>
+            mayGoElsewhere && exchange.body.isIntact() && timers.now() >= startedAt + impatience && takeRetry();
         return timers.onInterval(deadlineCheckMilliseconds, () => {
             const isSending = !exchange.request.complete;
             const hasMoved = head.isIdempotent && head.slot !== undefined
                 && route(lanes.service, head.slot)?.server !== target.upstream.name;
-            if ((timers.now() >= attemptEnd && !isSending) || hasMoved) {
+            const isOver = !isSending && timers.now() >= exchange.deadlineAt;
+            if (isOver || hasMoved) {
+                abort.abort();
+            }
+            else if (!isSending && !exchange.hasPaidRetry && isImpatient()) {
+                exchange.hasPaidRetry = true;
                 abort.abort();
             }
         });
@@ -84,8 +99,19 @@
         }
         else if (attempt.reason === "shedding") {
             target.window.onShed(now);
+            noteShed(lanes, target, now);
+        }
+    };
+
+    // Refusals of a few upstreams are their own trouble; refusals of many mean that all instances ask for too much.
+    const noteShed = (lanes: ServiceLanes, target: UpstreamState, now: number): void => {
+        target.shedAt = now;
+        const shedding = [...lanes.states.values()].filter(state => now - state.shedAt < commonShedMilliseconds);
+        if (shedding.length >= lanes.states.size * commonShedShare) {
             lanes.onShed(now);
+            return;
         }
+        lanes.ejection.onFailure(target.upstream.name, now);
     };
 
     return async (exchange, lanes, slot) => {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -19,6 +19,8 @@
     attempts: AttemptResultKind[];
     /** Upstreams of a pool that are passed over for now. */
     excluded: string[];
+    /** Whether the next attempt has been taken from the budget of retries. */
+    hasPaidRetry: boolean;
     /** Why the last attempt brought no answer. */
     reason: string;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,8 +68,8 @@
 export const createGateway = (options: GatewayOptions, owner: Owner): Gateway => {
     const { timers, metrics } = options;
     const acquire = createAcquire(timers, options.route);
-    const attemptOnce = createAttemptOnce(timers, options.route);
     const budget = createRetryBudget();
+    const attemptOnce = createAttemptOnce(timers, options.route, budget.take);
     const loads = createLoadCounter(timers.now());
     let environment: Environment | undefined;
     let services = new Map<string, ServiceLanes>();
@@ -155,7 +155,8 @@
             isBodyIntact: exchange.body.isIntact(),
             remainingMilliseconds: exchange.deadlineAt - timers.now(),
         });
-        const isFree = attempt.result !== AttemptResult.lost;
+        const isFree = attempt.result !== AttemptResult.lost || exchange.hasPaidRetry;
+        exchange.hasPaidRetry = false;
         return mayRepeat && !exchange.caller.signal.aborted && (isFree || budget.take());
     };
 
@@ -242,6 +243,7 @@
                 hop,
                 caller,
                 attempts: [],
+                hasPaidRetry: false,
                 excluded: [],
                 reason: "",
             };
--- a/packages/gateway/src/upstreamState.ts
+++ b/packages/gateway/src/upstreamState.ts
@@ -14,6 +14,8 @@
     /** Until when the upstream gets nothing new because it said that it drains. */
     drainingUntil: number;
     drainingNotices: number;
+    /** When the upstream last refused for want of capacity. */
+    shedAt: number;
 }
 
 /** What bounds the use of an upstream. */
@@ -49,6 +51,7 @@
     latencyMilliseconds: initialLatencyMilliseconds,
     drainingUntil: -Infinity,
     drainingNotices: 0,
+    shedAt: -Infinity,
 });
 
 /**
