--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -8,7 +8,7 @@
 import type { ServiceLanes } from "./serviceLanes";
 import type { Hop } from "./tracing";
 import type { Attempt } from "./upstreamClient";
-import { noteAnswer, noteDraining, noteReport, type UpstreamState } from "./upstreamState";
+import { noteAnswer, noteDraining, type UpstreamState } from "./upstreamState";
 
 /** Attempts a request once, in a slot. */
 export type AttemptOnce = (exchange: Exchange, lanes: ServiceLanes, slot: AcquiredSlot) => Promise<Attempt>;
@@ -89,7 +89,6 @@
         if (attempt.result === AttemptResult.answered) {
             lanes.ejection.onSuccess(name);
             noteAnswer(target, now - startedAt);
-            noteReport(target, attempt.answer?.headers[HeaderName.load], now);
             lanes.onAnswered();
         }
         else if (attempt.result !== AttemptResult.refused) {
--- a/packages/gateway/src/serviceLanes.ts
+++ b/packages/gateway/src/serviceLanes.ts
@@ -10,7 +10,7 @@
     type LinkBudget,
 } from "@mulberryseam/traffic";
 import { createLane, type Lane } from "./lane";
-import { createUpstreamState, reportedOutstanding, type UpstreamState } from "./upstreamState";
+import { createUpstreamState, type UpstreamState } from "./upstreamState";
 
 /** The lanes of a service and what is known of its upstreams. */
 export interface ServiceLanes {
@@ -88,7 +88,6 @@
             name: state.upstream.name,
             region: state.region,
             outstanding: state.outstanding,
-            reportedOutstanding: reportedOutstanding(state, service.concurrency, now),
             limit: state.window.limit(),
             latencyMilliseconds: state.latencyMilliseconds,
             isEjected: ejection.isEjected(state.upstream.name, now),
--- a/packages/gateway/src/upstreamState.ts
+++ b/packages/gateway/src/upstreamState.ts
@@ -14,9 +14,6 @@
     /** Until when the upstream gets nothing new because it said that it drains. */
     drainingUntil: number;
     drainingNotices: number;
-    /** Its work over its capacity, as it last reported, and when. */
-    reportedLoad: number;
-    reportedAt: number;
     /** When the upstream last refused for want of capacity. */
     shedAt: number;
 }
@@ -30,8 +27,6 @@
 }
 
 const latencySmoothing = 0.2;
-const reportLifeMilliseconds = 200;
-const highestReportedLoad = 4;
 const initialLatencyMilliseconds = 5;
 const firstDrainPauseMilliseconds = 2000;
 const longestDrainPauseMilliseconds = 60_000;
@@ -56,8 +51,6 @@
     latencyMilliseconds: initialLatencyMilliseconds,
     drainingUntil: -Infinity,
     drainingNotices: 0,
-    reportedLoad: 0,
-    reportedAt: -Infinity,
     shedAt: -Infinity,
 });
 
@@ -73,32 +66,6 @@
     state.drainingNotices = 0;
 };
 
-/**
- * Notes what an upstream reports of itself. Reports lag or mislead, so they only weigh in the choice, for a moment.
- *
- * @param state - the upstream
- * @param report - the header of its answer
- * @param now - the current instant
- */
-export const noteReport = (state: UpstreamState, report: string | string[] | undefined, now: number): void => {
-    const load = Number(report);
-    if (report !== undefined && Number.isFinite(load) && load >= 0) {
-        state.reportedLoad = Math.min(load, highestReportedLoad);
-        state.reportedAt = now;
-    }
-};
-
-/**
- * Gives the requests that a report stands for, faded by its age.
- *
- * @param state - the upstream
- * @param concurrency - what it runs at a time
- * @param now - the current instant
- * @returns a number of requests
- */
-export const reportedOutstanding = (state: UpstreamState, concurrency: number, now: number): number =>
-    state.reportedLoad * concurrency * Math.max(0, 1 - (now - state.reportedAt) / reportLifeMilliseconds);
-
 /**
  * Notes that an upstream drains. Each notice doubles the time until it is asked again.
  *
--- a/packages/traffic/src/choice.ts
+++ b/packages/traffic/src/choice.ts
@@ -10,9 +10,7 @@
     region: string;
     /** Requests of this instance that are out. */
     outstanding: number;
-    /** Requests of all instances that the upstream reported, faded by the age of the report; a hint only. */
-    reportedOutstanding: number;
-    /** Limit on the own ones. */
+    /** Limit on those. */
     limit: number;
     /** Smoothed time to an answer in milliseconds. */
     latencyMilliseconds: number;
@@ -36,7 +34,7 @@
 }
 
 const expectedWork = (candidate: Candidate): number =>
-    (candidate.outstanding + candidate.reportedOutstanding + 1) * Math.max(candidate.latencyMilliseconds, 1);
+    (candidate.outstanding + 1) * Math.max(candidate.latencyMilliseconds, 1);
 
 const chooseOfTwo = (candidates: readonly Candidate[], random: Random): Candidate | undefined => {
     if (candidates.length < 2) {
