--- a/packages/cli/src/changeCommands.ts
+++ b/packages/cli/src/changeCommands.ts
@@ -1,6 +1,6 @@
 /** Commands that change an environment: publish and promote. */
 import { parseEnvironment, parseSettings } from "@mulberryseam/configuration";
-import { type RecordBody, RecordKind } from "@mulberryseam/ledger";
+import { type LogState, type RecordBody, RecordKind } from "@mulberryseam/ledger";
 import { ExitCode, type ExitCodeValue } from "./exitCode";
 import { readChecked } from "./files";
 import { createLogSession, type LogSession, versionOf } from "./logSession";
@@ -43,6 +43,24 @@
     return createLogSession({ url: logService, stream: logStream });
 };
 
+interface OpenedLog {
+    session: LogSession;
+    state: LogState;
+}
+
+const openAtEnd = async (options: ChangeOptions, output: Output): Promise<OpenedLog | ExitCodeValue> => {
+    const session = openSession(options, output);
+    if (session === undefined) {
+        return ExitCode.usage;
+    }
+    const state = await session.readToEnd();
+    if (state.err) {
+        output.error(state.val);
+        return ExitCode.failure;
+    }
+    return { session, state: state.val };
+};
+
 const writeChange = async (
     session: LogSession,
     body: RecordBody,
@@ -76,14 +94,9 @@
         output.error(document.val);
         return ExitCode.usage;
     }
-    const session = openSession(options, output);
-    if (session === undefined) {
-        return ExitCode.usage;
-    }
-    const state = await session.readToEnd();
-    if (state.err) {
-        output.error(state.val);
-        return ExitCode.failure;
+    const opened = await openAtEnd(options, output);
+    if (typeof opened === "number") {
+        return opened;
     }
     const body: RecordBody = {
         kind: RecordKind.publish,
@@ -91,7 +104,7 @@
         basedOn: options.basedOn ?? -1,
         document: document.val.text,
     };
-    return writeChange(session, body, options.environment, output);
+    return writeChange(opened.session, body, options.environment, output);
 };
 
 /**
@@ -102,21 +115,16 @@
  * @returns the exit code
  */
 export const promote = async (options: PromoteOptions, output: Output): Promise<ExitCodeValue> => {
-    const session = openSession(options, output);
-    if (session === undefined) {
-        return ExitCode.usage;
-    }
-    const state = await session.readToEnd();
-    if (state.err) {
-        output.error(state.val);
-        return ExitCode.failure;
+    const opened = await openAtEnd(options, output);
+    if (typeof opened === "number") {
+        return opened;
     }
     const body: RecordBody = {
         kind: RecordKind.promote,
         from: options.from,
         to: options.to,
-        basedOnFrom: options.basedOn ?? versionOf(state.val, options.from),
-        basedOnTo: versionOf(state.val, options.to),
+        basedOnFrom: options.basedOn ?? versionOf(opened.state, options.from),
+        basedOnTo: versionOf(opened.state, options.to),
     };
-    return writeChange(session, body, options.to, output);
+    return writeChange(opened.session, body, options.to, output);
 };
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -2,6 +2,7 @@
 export { createOwner } from "./cleanup";
 export type { Cleanup, Owner } from "./cleanup";
 export { hashText, rendezvousOrder } from "./hashing";
+export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
 export type { Logger } from "./logging";
 export { createMetrics, createSilentMetrics } from "./metrics";
--- a/packages/gateway/src/door.ts
+++ b/packages/gateway/src/door.ts
@@ -1,5 +1,5 @@
 /** Where callers connect: limits on heads, bodies and connections, and the planned stop. */
-import { type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
+import { listenOn, type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -108,10 +108,7 @@
             socket.end(`HTTP/1.1 ${clientErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
         }
     });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.port, options.host, () => resolve());
-    });
+    await listenOn(server, options.host, options.port);
 
     owner.onCleanup(() => {
         server.close();
--- a/packages/instance/src/operatorApi.ts
+++ b/packages/instance/src/operatorApi.ts
@@ -1,5 +1,5 @@
 /** What operators may ask of one instance: its status, and who owns a key and why. */
-import { type Logger, type Owner } from "@mulberryseam/foundation";
+import { listenOn, type Logger, type Owner } from "@mulberryseam/foundation";
 import type { CoordinatorStatus } from "@mulberryseam/ownership";
 import * as http from "node:http";
 
@@ -66,10 +66,7 @@
             answer(response, 404, { error: "expected /status or /explain?key=KEY" });
         }
     });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.port, options.host, () => resolve());
-    });
+    await listenOn(server, options.host, options.port);
     owner.onCleanup(() => {
         server.close();
         server.closeAllConnections();
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -1,5 +1,5 @@
 /** Accepts connections from other instances. */
-import type { Logger, Owner } from "@mulberryseam/foundation";
+import { listenOn, type Logger, type Owner } from "@mulberryseam/foundation";
 import * as net from "node:net";
 import * as tls from "node:tls";
 import { createMessageConnection, type MessageConnection } from "./connection";
@@ -66,8 +66,5 @@
             server.close(() => resolve());
         })
     );
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.port, options.host, () => resolve());
-    });
+    await listenOn(server, options.host, options.port);
 };
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -1,5 +1,5 @@
 /** Small help for the HTTP side of stand-ins. */
-import type { Owner } from "@mulberryseam/foundation";
+import { listenOn, type Owner } from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -39,10 +39,7 @@
  */
 export const listen = async (port: number, handler: http.RequestListener, owner: Owner): Promise<http.Server> => {
     const server = http.createServer({ keepAliveTimeout: 60_000 }, handler);
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, "127.0.0.1", () => resolve());
-    });
+    await listenOn(server, "127.0.0.1", port);
     owner.onCleanup(() =>
         new Promise<void>(resolve => {
             server.close(() => resolve());
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -1,5 +1,5 @@
 /** Stand-in for a link between regions: any TCP connection can be led through it, delayed, narrowed or cut. */
-import type { Owner } from "@mulberryseam/foundation";
+import { listenOn, type Owner } from "@mulberryseam/foundation";
 import * as net from "node:net";
 import { portOf } from "./httpServer";
 
@@ -65,7 +65,7 @@
         carry(incoming, outgoing, () => cut.forward);
         carry(outgoing, incoming, () => cut.backward);
     });
-    await new Promise<void>(resolve => server.listen(options.port, "127.0.0.1", () => resolve()));
+    await listenOn(server, "127.0.0.1", options.port);
     owner.onCleanup(() =>
         new Promise<void>(resolve => {
             sockets.forEach(socket => socket.destroy());
