Send short reports between instances

Cause: every instance tells every member at every interval which servers it heard; field names and incarnations made 109 bytes a server, about 62 KB/s an instance at eight (budget 18). Ruled out: fewer messages (each round needs a majority), reports at longer intervals (losses are judged from them). At 8 instances, 15 servers, 200 ms, 6 servers each: 152 bytes x 35 a second each way and answers of about 30 bytes, about 13 KB/s.

--- a/packages/measure/src/slopesScenario.ts
+++ b/packages/measure/src/slopesScenario.ts
@@ -72,9 +72,8 @@
         isLeaving: false,
         answers: createServers(servers).map(server => ({
             server: server.name,
-            incarnation: server.incarnation,
-            ageMilliseconds: 123.456,
-            isDraining: false,
+            session: server.session,
+            ageMilliseconds: 123,
         })),
         loads: [],
     },
--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -5,7 +5,14 @@
 import type { Service } from "@mulberryseam/configuration";
 import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
 import { type LogState, type Member, memberIdentifier, type RecordBody, serverIdentifier } from "@mulberryseam/ledger";
-import { type Confirm, type Confirmed, type Message, MessageKind, type PeerReport } from "@mulberryseam/protocol";
+import {
+    type Confirm,
+    type Confirmed,
+    type Message,
+    MessageKind,
+    type PeerReport,
+    type ServerAnswer,
+} from "@mulberryseam/protocol";
 import type { ConfirmedRound } from "./confirmation";
 import { createCoordinatorContext } from "./coordinatorContext";
 import { type CoordinatorStatus, createCoordinatorViews, type Route } from "./coordinatorViews";
@@ -16,6 +23,7 @@
 import { createLossDeclaration } from "./lossDeclaration";
 import type { ListedInstance } from "./peerDirectory";
 import { createServerRenewal, type Renewal, type ServerReply } from "./renewal";
+import { createReports } from "./reports";
 
 /** Means by which the coordinator acts. */
 export interface CoordinatorOptions {
@@ -84,6 +92,8 @@
         lastFullRound: () => lastFullRound,
     });
 
+    const reports = createReports(context, renewal, duty, options.ownLoads);
+
     const addresses = (): Map<string, string> => directory.addresses(context.state()?.members ?? []);
 
     const sendToPeers = (message: Message): void => {
@@ -92,22 +102,6 @@
         }
     };
 
-    const createReport = (): PeerReport => {
-        const now = timers.now();
-        const answers = context.keyedUpstreams().map(upstream => ({
-            server: upstream.name,
-            incarnation: detector.latest(upstream.name)?.incarnation ?? "",
-            ageMilliseconds: now - (renewal.answeredAt(upstream.name) ?? -Infinity),
-            isDraining: detector.latest(upstream.name)?.isDraining ?? false,
-        }));
-        return {
-            ...options.self,
-            isLeaving: context.isLeaving(),
-            answers: answers.filter(answer => answer.ageMilliseconds < context.lease().durationMilliseconds),
-            loads: options.ownLoads(),
-        };
-    };
-
     const onRoundConfirmed = (round: ConfirmedRound): void => {
         const state = context.state();
         if (state !== undefined) {
@@ -125,7 +119,7 @@
             members: (state?.members ?? []).map(memberIdentifier),
             isEnded: context.currentSessionTest(),
         });
-        const message: Confirm = { kind: MessageKind.confirm, round: lastRound, knowledge, report: createReport() };
+        const message: Confirm = { kind: MessageKind.confirm, round: lastRound, knowledge, report: reports.create() };
         sendToPeers(message);
         const confirmed = confirmation.takeAnswer(lastRound, identifier, knowledge, timers.now());
         if (confirmed !== undefined) {
@@ -174,24 +168,8 @@
         }
     };
 
-    const takeReport = (report: PeerReport): void => {
-        const now = timers.now();
-        directory.takeReport(report, now);
-        if (memberIdentifier(report) === context.state()?.leader && !report.isLeaving) {
-            duty.takeLeaderSign();
-        }
-        for (const answer of report.answers) {
-            detector.takeAnswer({
-                server: answer.server,
-                incarnation: answer.incarnation,
-                isDraining: answer.isDraining,
-                answeredAt: now - answer.ageMilliseconds,
-            });
-        }
-    };
-
     const takeConfirm = (peer: string, message: Confirm, reply: (answer: Message) => void): void => {
-        takeReport(message.report);
+        reports.take(message.report);
         takeKnowledge(peer, message.knowledge);
         reply({ kind: MessageKind.confirmed, round: message.round, knowledge: context.knowledge() });
     };
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -7,6 +7,47 @@
 
 const lengthBytes = 4;
 
+/**
+ * Names of fields, sent as their place in this list. The list only ever grows at its end; any other change needs a new
+ * version of the protocol.
+ */
+const fieldNames = [
+    "kind",
+    "version",
+    "environment",
+    "name",
+    "incarnation",
+    "round",
+    "knowledge",
+    "offset",
+    "lapses",
+    "report",
+    "address",
+    "region",
+    "failureDomain",
+    "isLeaving",
+    "answers",
+    "loads",
+    "server",
+    "ageMilliseconds",
+    "isDraining",
+    "service",
+    "slot",
+    "requestsPerSecond",
+    "state",
+    "slots",
+    "token",
+    "reason",
+    "session",
+] as const;
+
+const codec = new cbor.Encoder({
+    keyMap: Object.fromEntries(fieldNames.map((name, index) => [name, index + 1])),
+    useRecords: false,
+    mapsAsObjects: true,
+    variableMapSize: true,
+});
+
 /** Kinds of malformed frame. */
 export const FrameErrorKind = { tooLong: "tooLong", notCbor: "notCbor" } as const;
 
@@ -29,7 +70,7 @@
  * @returns the bytes to send
  */
 export const encodeFrame = (value: unknown): Buffer => {
-    const payload = cbor.encode(value);
+    const payload = codec.encode(value);
     const frame = Buffer.allocUnsafe(lengthBytes + payload.length);
     frame.writeUInt32BE(payload.length, 0);
     payload.copy(frame, lengthBytes);
@@ -78,7 +119,7 @@
                     break;
                 }
                 try {
-                    frames.push(cbor.decode(takeFrame(length)));
+                    frames.push(codec.decode(takeFrame(length)));
                 }
                 catch (error) {
                     return Err({ kind: FrameErrorKind.notCbor, message: (error as Error).message });
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -21,10 +21,14 @@
 const answerSchema = zod.object({
     /** Name of the server. */
     server: zod.string(),
-    incarnation: zod.string(),
+    /** The session whose registered process answered; short, and clear whatever else the receiver has folded. */
+    session: zod.int().optional(),
+    /** The run of the server's process, where the sender knows no session of it. */
+    incarnation: zod.string().optional(),
     /** Time since the server's last answer to the reporter. */
     ageMilliseconds: zod.number(),
-    isDraining: zod.boolean(),
+    /** Left out when it does not drain. */
+    isDraining: zod.boolean().optional(),
 });
 
 const loadSchema = zod.object({ service: zod.string(), slot: zod.int(), requestsPerSecond: zod.number() });
