--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -11,7 +11,6 @@
     type Message,
     MessageKind,
     type PeerReport,
-    type ServerAnswer,
 } from "@mulberryseam/protocol";
 import type { ConfirmedRound } from "./confirmation";
 import { createCoordinatorContext } from "./coordinatorContext";
