--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -5,13 +5,7 @@
 import type { Service } from "@mulberryseam/configuration";
 import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
 import { type LogState, type Member, memberIdentifier, type RecordBody, serverIdentifier } from "@mulberryseam/ledger";
-import {
-    type Confirm,
-    type Confirmed,
-    type Message,
-    MessageKind,
-    type PeerReport,
-} from "@mulberryseam/protocol";
+import { type Confirm, type Confirmed, type Message, MessageKind, type PeerReport } from "@mulberryseam/protocol";
 import type { ConfirmedRound } from "./confirmation";
 import { createCoordinatorContext } from "./coordinatorContext";
 import { type CoordinatorStatus, createCoordinatorViews, type Route } from "./coordinatorViews";
