--- a/packages/ownership/test/takeover.test.ts
+++ b/packages/ownership/test/takeover.test.ts
@@ -72,6 +72,26 @@
         expect(world.overlaps()).toEqual([]);
     });
 
+    it("starts an instance while the log is down with the newest version that any peer has", async () => {
+        for (const seed of [1, 2, 3, 4, 5, 6]) {
+            const world = await createServingWorld({ seed, lateShare: 0.5, latePeerMilliseconds: 250 });
+            world.instances.slice(1).forEach(instance => {
+                instance.isCutFromLog = true;
+                instance.isCutFromPeers = true;
+            });
+            void world.publish("second");
+            await world.advanceUntil("the version", () => (world.instances[0].versions.at(-1) ?? 0) > 0, 2000);
+            const newest = world.instances[0].versions.at(-1);
+            world.log.faults.isDown = true;
+            world.instances.forEach(instance => {
+                instance.isCutFromPeers = false;
+            });
+            const started = world.addInstance();
+            await world.advance(3000);
+            expect(started.versions).toEqual([newest ?? -1]);
+        }
+    });
+
     it("interrupts nothing when an instance is lost", async () => {
         const world = await createServingWorld();
         const lostAt = world.timers.now();
