Check a state that a peer sends before it is folded on

Cause: the text was parsed without a check, so a peer could end an instance by garbage. A property test over arbitrary text and JSON shows that it is refused without a throw. Also: a lane's constant stands with the others, and a type no longer hides the language's Record.

--- a/packages/gateway/src/lane.ts
+++ b/packages/gateway/src/lane.ts
@@ -57,6 +57,9 @@
     resolve: (result: Result<Slot<Target>, QueueRefusal>) => void;
 }
 
+/** Interval at which a lane with waiting requests looks for deadlines and freed upstreams. */
+const wakeUpMilliseconds = 10;
+
 /**
  * Creates a lane.
  *
@@ -136,5 +139,3 @@
         held: queue.held,
     };
 };
-
-const wakeUpMilliseconds = 10;
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -19,6 +19,7 @@
     createLogWriter,
     type Member,
     memberIdentifier,
+    parseState,
 } from "@mulberryseam/ledger";
 import { createCoordinator } from "@mulberryseam/ownership";
 import { type Hello, type Message, MessageKind, type PeerCredentials, protocolVersion } from "@mulberryseam/protocol";
@@ -106,7 +107,16 @@
             }
         }
         else if (message.kind === MessageKind.state) {
-            logTask.takeState(JSON.parse(message.state));
+            const state = parseState(message.state);
+            if (state.ok) {
+                logTask.takeState(state.val);
+            }
+            else {
+                logger.part("peers").warning("A peer sent a malformed state.", {
+                    peer: sender.name,
+                    reason: state.val,
+                });
+            }
         }
         else {
             coordinator.takeMessage(sender, message, reply);
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -23,3 +23,4 @@
     SessionTest,
     SlotEntry,
 } from "./state";
+export { parseState } from "./stateText";
--- /dev/null
+++ b/packages/ledger/src/stateText.ts
@@ -0,0 +1,39 @@
+/** The folded state as text, for a peer that cannot read the log. */
+import { Err, Ok, type Result } from "ts-results";
+import * as zod from "zod";
+import type { LogState } from "./state";
+
+const stateSchema = zod.looseObject({
+    offset: zod.int(),
+    changedAt: zod.int(),
+    writers: zod.array(zod.looseObject({ writer: zod.string(), sequence: zod.int() })),
+    environments: zod.array(zod.looseObject({ environment: zod.string(), version: zod.int(), document: zod.string() })),
+    term: zod.int(),
+    membersVersion: zod.int(),
+    members: zod.array(zod.looseObject({ name: zod.string(), incarnation: zod.string(), address: zod.string() })),
+    servers: zod.array(zod.looseObject({ name: zod.string(), session: zod.int(), incarnation: zod.string() })),
+    serversVersion: zod.int(),
+    tables: zod.array(zod.looseObject({
+        service: zod.string(),
+        version: zod.int(),
+        slots: zod.array(zod.looseObject({ owner: zod.string(), token: zod.int(), heirToken: zod.int() })),
+    })),
+});
+
+/**
+ * Reads a state that a peer sent.
+ *
+ * @param text - JSON
+ * @returns the state, or what is wrong with the text
+ */
+export const parseState = (text: string): Result<LogState, string> => {
+    try {
+        const parsed = stateSchema.safeParse(JSON.parse(text));
+        return parsed.success
+            ? Ok(parsed.data as unknown as LogState)
+            : Err(parsed.error.issues[0]?.message ?? "malformed state");
+    }
+    catch (error) {
+        return Err((error as Error).message);
+    }
+};
--- a/packages/ledger/test/fold.test.ts
+++ b/packages/ledger/test/fold.test.ts
@@ -1,5 +1,5 @@
 /** The fold: what is accepted, what is refused, and that equal records give equal states. */
-import { createLogFollower, type RecordBody } from "@mulberryseam/ledger";
+import { createLogFollower, parseState, type RecordBody } from "@mulberryseam/ledger";
 import { expect } from "earl";
 import * as fastCheck from "fast-check";
 import { describe, it } from "node:test";
@@ -172,6 +172,17 @@
         fastCheck.assert(property, { seed: 7, numRuns: 200 });
     });
 
+    it("is read back from text, and garbage is refused without a throw", () => {
+        const log = createTestLog();
+        log.append(createPublish("first", -1));
+        const state = followToEnd(log).state();
+        expect(JSON.stringify(parseState(JSON.stringify(state)).unwrap())).toEqual(JSON.stringify(state));
+        const property = fastCheck.property(fastCheck.oneof(fastCheck.string(), fastCheck.json()), text => {
+            expect(parseState(text).err).toEqual(true);
+        });
+        fastCheck.assert(property, { seed: 23, numRuns: 300 });
+    });
+
     it("passes over records that are not well formed", () => {
         const follower = createLogFollower();
         follower.takePage({ oldestOffset: 0, nextOffset: 1, records: [{ offset: 0, value: { nonsense: true } }] });
--- a/packages/traffic/src/ejection.ts
+++ b/packages/traffic/src/ejection.ts
@@ -9,7 +9,7 @@
     setUpstreams: (upstreams: readonly string[]) => void;
 }
 
-interface Record {
+interface UpstreamRecord {
     consecutiveFailures: number;
     ejections: number;
     ejectedUntil: number;
@@ -26,10 +26,10 @@
  * @returns with no upstream ejected
  */
 export const createEjection = (): Ejection => {
-    const records = new Map<string, Record>();
+    const records = new Map<string, UpstreamRecord>();
     let count = 0;
 
-    const recordOf = (upstream: string): Record => {
+    const recordOf = (upstream: string): UpstreamRecord => {
         const record = records.get(upstream) ?? { consecutiveFailures: 0, ejections: 0, ejectedUntil: -Infinity };
         records.set(upstream, record);
         return record;
