--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,7 +4,7 @@
 export { createInstanceListStandIn } from "./instanceListStandIn";
 export type { InstanceListStandIn } from "./instanceListStandIn";
 export { createLinkStandIn } from "./linkStandIn";
-export type { LinkStandIn } from "./linkStandIn";
+export type { LinkOptions, LinkStandIn } from "./linkStandIn";
 export { createLogServiceStandIn, createLogStore } from "./logServiceStandIn";
 export type { LogFaults, LogStore } from "./logServiceStandIn";
 export { createUpstreamStandIn } from "./upstreamStandIn";
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -18,8 +18,17 @@
     targetHost: string;
     targetPort: number;
     delayMilliseconds: number;
+    /** Rate of each direction, shared by all connections; undefined for no limit. */
+    bytesPerSecond?: number;
 }
 
+/** When the line of one direction is free again. */
+interface Line {
+    freeAt: number;
+}
+
+const millisecondsPerSecond = 1000;
+
 /**
  * Starts a link on loopback.
  *
@@ -30,9 +39,20 @@
 export const createLinkStandIn = async (options: LinkOptions, owner: Owner): Promise<LinkStandIn> => {
     const sockets = new Set<net.Socket>();
     const cut = { forward: false, backward: false };
+    const lines: { forward: Line; backward: Line; } = { forward: { freeAt: 0 }, backward: { freeAt: 0 } };
     let carried = 0;
 
-    const carry = (from: net.Socket, to: net.Socket, isCut: () => boolean): void => {
+    // Time until bytes handed in now have been sent and have travelled; the line carries them one after the other.
+    const travelMilliseconds = (line: Line, bytes: number): number => {
+        const now = performance.now();
+        const sending = options.bytesPerSecond === undefined
+            ? 0
+            : bytes * millisecondsPerSecond / options.bytesPerSecond;
+        line.freeAt = Math.max(line.freeAt, now) + sending;
+        return line.freeAt - now + options.delayMilliseconds;
+    };
+
+    const carry = (from: net.Socket, to: net.Socket, line: Line, isCut: () => boolean): void => {
         from.on("data", bytes => {
             const data = bytes as Buffer;
             carried += data.length;
@@ -40,19 +60,19 @@
                 if (!isCut() && to.writable) {
                     to.write(data);
                 }
-            }, options.delayMilliseconds);
+            }, travelMilliseconds(line, data.length));
         });
         from.on("end", () => {
             setTimeout(() => {
                 if (!isCut()) {
                     to.end();
                 }
-            }, options.delayMilliseconds);
+            }, travelMilliseconds(line, 0));
         });
         from.on("error", () => to.destroy());
         from.on("close", () => {
             sockets.delete(from);
-            setTimeout(() => to.destroySoon(), options.delayMilliseconds);
+            setTimeout(() => to.destroySoon(), travelMilliseconds(line, 0));
         });
     };
 
@@ -62,8 +82,8 @@
         outgoing.setNoDelay(true);
         sockets.add(incoming);
         sockets.add(outgoing);
-        carry(incoming, outgoing, () => cut.forward);
-        carry(outgoing, incoming, () => cut.backward);
+        carry(incoming, outgoing, lines.forward, () => cut.forward);
+        carry(outgoing, incoming, lines.backward, () => cut.backward);
     });
     await listenOn(server, "127.0.0.1", options.port);
     owner.onCleanup(() =>
--- /dev/null
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -0,0 +1,81 @@
+/** The stand-in of a link: it carries whole streams, delays and narrows them, and swallows what is sent while cut. */
+import { createOwner, type Owner } from "@mulberryseam/foundation";
+import { createLinkStandIn, type LinkOptions, type LinkStandIn } from "@mulberryseam/standins";
+import { expect } from "earl";
+import * as crypto from "node:crypto";
+import * as net from "node:net";
+import { describe, it } from "node:test";
+import * as timers from "node:timers/promises";
+
+const startEcho = (owner: Owner): Promise<number> =>
+    new Promise(resolve => {
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.pipe(socket);
+        });
+        owner.onCleanup(() => {
+            server.close();
+        });
+        server.listen(0, "127.0.0.1", () => resolve((server.address() as net.AddressInfo).port));
+    });
+
+const exchange = (port: number, bytes: Buffer): Promise<Buffer> =>
+    new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        const socket = net.connect({ host: "127.0.0.1", port }, () => socket.end(bytes));
+        socket.on("data", chunk => chunks.push(chunk as Buffer));
+        socket.on("end", () => resolve(Buffer.concat(chunks)));
+        socket.on("error", reject);
+    });
+
+const withLink = async (
+    options: Partial<LinkOptions>,
+    work: (link: LinkStandIn) => Promise<void>,
+): Promise<void> => {
+    const owner = createOwner();
+    try {
+        const targetPort = await startEcho(owner);
+        const defaults = { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 };
+        await work(await createLinkStandIn({ ...defaults, ...options }, owner));
+    }
+    finally {
+        await owner.dispose();
+    }
+};
+
+describe("the stand-in of a link", () => {
+    it("carries a stream whole, delayed", () =>
+        withLink({ delayMilliseconds: 20 }, async link => {
+            const bytes = crypto.randomBytes(200_000);
+            const startedAt = performance.now();
+            expect((await exchange(link.port, bytes)).equals(bytes)).toEqual(true);
+            expect(performance.now() - startedAt >= 40).toEqual(true);
+            expect(link.carriedBytes()).toEqual(400_000);
+        }));
+
+    it("narrows a stream to its rate", () =>
+        withLink({ bytesPerSecond: 1_000_000 }, async link => {
+            const startedAt = performance.now();
+            await exchange(link.port, crypto.randomBytes(200_000));
+            expect(performance.now() - startedAt >= 200).toEqual(true);
+        }));
+
+    it("swallows what is sent while it is cut, in one direction alone if asked", () =>
+        withLink({}, async link => {
+            link.setCut({ forward: false, backward: true });
+            let received = 0;
+            const socket = net.connect({ host: "127.0.0.1", port: link.port }, () => socket.write("lost"));
+            socket.on("data", chunk => {
+                received += (chunk as Buffer).length;
+            });
+            await timers.setTimeout(50);
+            expect(received).toEqual(0);
+            link.setCut({ forward: false, backward: false });
+            socket.write("found");
+            while (received < 5) {
+                await timers.setTimeout(5);
+            }
+            expect(received).toEqual(5);
+            socket.destroy();
+        }));
+});
