--- a/packages/cli/test/commandLine.test.ts
+++ b/packages/cli/test/commandLine.test.ts
@@ -53,9 +53,11 @@
     });
 
     it("names file, line and field of what is wrong in a document", async () => {
-        const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-cli-")), "bad.yaml");
+        const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-cli-"));
+        const file = path.join(folder, "bad.yaml");
         fs.writeFileSync(file, "regions: []\nranks: 3\nservices: []\n");
         const ended = await run("check", file);
+        fs.rmSync(folder, { recursive: true });
         expect(ended.code).toEqual(2);
         expect(ended.errors.includes(`${file}:2: ranks: Invalid input: expected array, received number`)).toEqual(true);
     });
