Let every call to dispose wait until all is released

Cause: on Ctrl-C the demonstration's second call to dispose returned at once and the process ended before its folder was removed. Test seen failing first.

--- a/packages/foundation/src/cleanup.ts
+++ b/packages/foundation/src/cleanup.ts
@@ -7,7 +7,7 @@
 export interface Owner {
     /** Registers a cleanup; it runs at once when the owner has already been disposed of. */
     onCleanup: (cleanup: Cleanup) => void;
-    /** Runs every cleanup, the latest first; the second call does nothing. */
+    /** Runs every cleanup, the latest first; a later call waits for the first. */
     dispose: () => Promise<void>;
     /** Tells whether {@link dispose} has been called. */
     isDisposed: () => boolean;
@@ -20,24 +20,28 @@
  */
 export const createOwner = (): Owner => {
     const cleanups: Cleanup[] = [];
-    let disposed = false;
+    let disposal: Promise<void> | undefined;
+    let isDisposed = false;
+
+    const runAll = async (): Promise<void> => {
+        isDisposed = true;
+        for (const cleanup of cleanups.reverse()) {
+            await cleanup();
+        }
+    };
+
     return {
         onCleanup: cleanup => {
-            if (disposed) {
+            if (isDisposed) {
                 void cleanup();
                 return;
             }
             cleanups.push(cleanup);
         },
-        dispose: async () => {
-            if (disposed) {
-                return;
-            }
-            disposed = true;
-            for (const cleanup of cleanups.reverse()) {
-                await cleanup();
-            }
+        dispose: () => {
+            disposal ??= runAll();
+            return disposal;
         },
-        isDisposed: () => disposed,
+        isDisposed: () => isDisposed,
     };
 };
--- a/packages/foundation/test/foundation.test.ts
+++ b/packages/foundation/test/foundation.test.ts
@@ -22,6 +22,20 @@
     });
 });
 
+describe("an owner that is disposed of twice", () => {
+    it("lets both wait until everything is released", async () => {
+        const owner = createOwner();
+        let isReleased = false;
+        owner.onCleanup(async () => {
+            await new Promise(resolve => setImmediate(resolve));
+            isReleased = true;
+        });
+        void owner.dispose();
+        await owner.dispose();
+        expect(isReleased).toEqual(true);
+    });
+});
+
 describe("virtual time", () => {
     it("runs what falls due in order, and stops what is cancelled", () => {
         const timers = createVirtualTimerService();
