Route no key by a table made for another number of slots

Cause, found by reading: after a document changes keySlots, an instance that has it in force computed a key's slot by the new number and looked it up in the old table, whose owner accepts the slot and token; another instance still sent the key to its old owner. Two servers could run one key's requests until the new table was granted. A request could also wait while the document changed and keep the slot it had been given at the door. Ruled out: grants (a new table gives every slot a new token and waits a lease). Now a route exists only where the confirmed table has as many slots as the document, and the slot is computed where the route is asked. Test seen failing first (route gave an owner).

--- a/packages/gateway/src/acquisition.ts
+++ b/packages/gateway/src/acquisition.ts
@@ -5,6 +5,7 @@
 import type { Exchange } from "./exchange";
 import type { LaneRequest, Slot } from "./lane";
 import type { ServiceLanes } from "./serviceLanes";
+import { slotOf } from "./slots";
 import type { UpstreamState } from "./upstreamState";
 
 /** Where the requests of a slot go. */
@@ -18,8 +19,14 @@
 /** Tells the owner of a slot. */
 export type RouteOf = (service: Service, slot: number) => OwnerRoute | undefined;
 
-/** A slot at an upstream, with the token that a server of keys wants to see. */
-export type AcquiredSlot = Slot<UpstreamState> & { token: number | undefined; };
+/** What a server of keys wants to see of a request. */
+export interface KeyClaim {
+    slot: number;
+    token: number;
+}
+
+/** A slot at an upstream, with the claim on a key where the upstream is a server of keys. */
+export type AcquiredSlot = Slot<UpstreamState> & { claim: KeyClaim | undefined; };
 
 /** Gets slots for requests. */
 export type Acquire = (exchange: Exchange, lanes: ServiceLanes) => Promise<AcquiredSlot | QueueRefusal>;
@@ -37,7 +44,7 @@
 
 const acquirePool = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
     const slot = await lanes.pool.acquire(laneRequestOf(exchange));
-    return slot.ok ? { ...slot.val, token: undefined } : slot.val;
+    return slot.ok ? { ...slot.val, claim: undefined } : slot.val;
 };
 
 /**
@@ -50,7 +57,8 @@
 export const createAcquire = (timers: TimerService, route: RouteOf): Acquire => {
     // The owner may change while a request waits; it then goes to the lane of the new owner.
     const acquireOwner = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
-        const slotNumber = exchange.head.slot ?? 0;
+        // By the document that the lanes were made from: a key's slot changes with the number of slots.
+        const slotNumber = slotOf(exchange.head.key ?? "", lanes.service.keySlots);
         while (timers.now() < exchange.deadlineAt && !exchange.caller.signal.aborted) {
             const before = route(lanes.service, slotNumber);
             const lane = before?.isReady === true ? lanes.server(before.server) : undefined;
@@ -64,7 +72,7 @@
             }
             const current = route(lanes.service, slotNumber);
             if (current?.isReady === true && current.server === before.server) {
-                return { ...slot.val, token: current.token };
+                return { ...slot.val, claim: { slot: slotNumber, token: current.token } };
             }
             slot.val.release(false);
         }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from "@mulberryseam/foundation";
 import type { Subscription } from "@mulberryseam/foundation";
 import { AttemptResult } from "@mulberryseam/traffic";
-import type { AcquiredSlot, RouteOf } from "./acquisition";
+import type { AcquiredSlot, KeyClaim, RouteOf } from "./acquisition";
 import type { Exchange } from "./exchange";
 import { connectionHeaders, HeaderName, internalHeaders } from "./headers";
 import type { ServiceLanes } from "./serviceLanes";
@@ -31,7 +31,11 @@
  * @returns attempts a request once
  */
 export const createAttemptOnce = (timers: TimerService, route: RouteOf, takeRetry: () => boolean): AttemptOnce => {
-    const headersFor = (exchange: Exchange, token: number | undefined, hop: Hop): Record<string, string | string[]> => {
+    const headersFor = (
+        exchange: Exchange,
+        claim: KeyClaim | undefined,
+        hop: Hop,
+    ): Record<string, string | string[]> => {
         const headers: Record<string, string | string[]> = {};
         const dropped = [...connectionHeaders, ...internalHeaders, "host"];
         const listed = (exchange.request.headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
@@ -44,9 +48,9 @@
         headers[HeaderName.rank] = exchange.head.rank.name;
         headers[HeaderName.requestIdentifier] = exchange.head.identifier;
         headers[HeaderName.deadline] = String(Math.max(1, Math.floor(exchange.deadlineAt - timers.now())));
-        if (token !== undefined) {
-            headers[HeaderName.slot] = String(exchange.head.slot);
-            headers[HeaderName.token] = String(token);
+        if (claim !== undefined) {
+            headers[HeaderName.slot] = String(claim.slot);
+            headers[HeaderName.token] = String(claim.token);
         }
         hop.inject(headers as Record<string, string>);
         return headers;
@@ -56,9 +60,10 @@
     const watchAttempt = (
         exchange: Exchange,
         lanes: ServiceLanes,
-        target: UpstreamState,
+        slot: AcquiredSlot,
         abort: AbortController,
     ): Subscription => {
+        const target = slot.target;
         const startedAt = timers.now();
         const { head } = exchange;
         const impatience = Math.max(
@@ -70,8 +75,8 @@
             mayGoElsewhere && exchange.body.isIntact() && timers.now() >= startedAt + impatience && takeRetry();
         return timers.onInterval(deadlineCheckMilliseconds, () => {
             const isSending = !exchange.request.complete;
-            const hasMoved = head.isIdempotent && head.slot !== undefined
-                && route(lanes.service, head.slot)?.server !== target.upstream.name;
+            const hasMoved = head.isIdempotent && slot.claim !== undefined
+                && route(lanes.service, slot.claim.slot)?.server !== target.upstream.name;
             const isOver = !isSending && timers.now() >= exchange.deadlineAt;
             if (isOver || hasMoved) {
                 abort.abort();
@@ -120,13 +125,13 @@
         const abort = new AbortController();
         const leave = (): void => abort.abort();
         exchange.caller.signal.addEventListener("abort", leave, { once: true });
-        const watch = watchAttempt(exchange, lanes, target, abort);
+        const watch = watchAttempt(exchange, lanes, slot, abort);
         const startedAt = timers.now();
         try {
             const attempt = await target.client.attempt({
                 method: exchange.head.method,
                 path: exchange.head.path,
-                headers: headersFor(exchange, slot.token, hop),
+                headers: headersFor(exchange, slot.claim, hop),
                 body: exchange.body.take(),
                 signal: abort.signal,
             });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { prepareBody } from "./requestBody";
 import { readHead } from "./requestHead";
 import { createServiceLanes, type ServiceLanes } from "./serviceLanes";
+import { slotOf } from "./slots";
 import type { Tracing } from "./tracing";
 import type { Attempt } from "./upstreamClient";
 import type { UpstreamState } from "./upstreamState";
@@ -203,8 +204,9 @@
     const serve = async (exchange: Exchange): Promise<void> => {
         const startedAt = timers.now();
         budget.onRequest();
-        if (exchange.head.slot !== undefined) {
-            loads.onRequest(exchange.head.service.name, exchange.head.slot);
+        const { key, service } = exchange.head;
+        if (service.kind === "keyed" && key !== undefined) {
+            loads.onRequest(service.name, slotOf(key, service.keySlots));
         }
         const refusal = await run(exchange);
         tellOutcome(exchange, refusal, options.instance);
--- a/packages/gateway/src/requestHead.ts
+++ b/packages/gateway/src/requestHead.ts
@@ -4,14 +4,12 @@
 import type * as http from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import { HeaderName } from "./headers";
-import { slotOf } from "./slots";
 
 /** What a caller asks for. */
 export interface RequestHead {
     service: Service;
     rank: Rank;
     key: string | undefined;
-    slot: number | undefined;
     /** Path and query passed to the upstream. */
     path: string;
     method: string;
@@ -96,7 +94,6 @@
         service,
         rank,
         key,
-        slot: isKeyed && key !== undefined ? slotOf(key, service.keySlots) : undefined,
         path: target.slice(serviceName.length + 1) || "/",
         method,
         identifier,
--- a/packages/ownership/src/coordinatorViews.ts
+++ b/packages/ownership/src/coordinatorViews.ts
@@ -49,6 +49,10 @@
 
     return {
         route: (service, slot) => {
+            // A table made for another number of slots maps keys otherwise; its owners are not this document's owners.
+            if (grants.slotCount(service.name) !== service.keySlots) {
+                return undefined;
+            }
             const holder = grants.holder(service.name, slot, timers.now());
             const server = holder?.holder.slice(0, holder.holder.lastIndexOf("@"));
             const upstream = service.upstreams.find(entry => entry.name === server);
--- a/packages/ownership/src/grantLedger.ts
+++ b/packages/ownership/src/grantLedger.ts
@@ -51,6 +51,8 @@
     dueFor: (server: ServerIdentifier, now: number) => GrantedSlot[];
     /** Slots that a server holds or may still hold but that are named for another one. */
     toRelease: (server: ServerIdentifier) => GrantedSlot[];
+    /** Number of slots of a service, by confirmed knowledge; 0 while nothing is known of it. */
+    slotCount: (service: string) => number;
     /** The holder of a slot, with whether its grant is due. */
     holder: (service: string, slot: number, now: number) => (Holding & { isDue: boolean; }) | undefined;
 }
@@ -184,6 +186,7 @@
                 .filter(({ tracked }) => !tracked.isDue)
                 .map(({ tracked, service, slot }) => ({ service, slot, token: tracked.previous?.token ?? -1 }));
         },
+        slotCount: service => services.get(service)?.length ?? 0,
         holder: (service, slot, now) => {
             const tracked = services.get(service)?.[slot];
             if (tracked === undefined) {
--- a/packages/ownership/test/takeover.test.ts
+++ b/packages/ownership/test/takeover.test.ts
@@ -92,6 +92,14 @@
         }
     });
 
+    it("routes no key by a table that was made for another number of slots", async () => {
+        const world = await createServingWorld({ slots: 12 });
+        const instance = world.running()[0];
+        const [service] = instance.coordinator.environment()?.environment.services ?? [];
+        expect(instance.coordinator.route(service, 3)?.isReady).toEqual(true);
+        expect(instance.coordinator.route({ ...service, keySlots: 6 }, 3)).toEqual(undefined);
+    });
+
     it("interrupts nothing when an instance is lost", async () => {
         const world = await createServingWorld();
         const lostAt = world.timers.now();
