--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,11 +8,11 @@
 ];
 
 export default typescriptEslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/target/**", "**/node_modules/**"] },
     eslint.configs.recommended,
     ...typescriptEslint.configs.recommended,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         rules: {
             "curly": ["error", "all"],
             "eqeqeq": "error",
--- /dev/null
+++ b/packages/assignment/src/authority.ts
@@ -0,0 +1,65 @@
+/** How long a leader may send orders after the store last showed that it leads. */
+
+/** Time after a proof in which orders may be sent, in milliseconds; a successor waits as long. */
+export const authorityMilliseconds = 2000;
+/** Age of a proof from which the longest leases are granted, in milliseconds: two beats that were not acknowledged. */
+const troubleMilliseconds = 1300;
+/** Lease in ordinary times, in milliseconds: three renewals, and longer than a change of the leader takes. */
+export const ordinaryLeaseMilliseconds = 3500;
+/** Difference between clocks from which the process is taken to have been suspended, in milliseconds. */
+const suspensionMilliseconds = 250;
+
+/** Keeps the authority of a leader. */
+export interface Authority {
+    /** The store has shown, in answer to a call sent at a time, that this instance leads. */
+    onProof: (sentAt: number) => void;
+    /** Called often; ends the authority when the process was suspended meanwhile. */
+    observe: (now: number, wallClock: number) => void;
+    mayOrder: (now: number) => boolean;
+    /** Lease to grant now, in milliseconds. */
+    leaseMilliseconds: (now: number) => number;
+    /** Longest lease granted lately, in milliseconds. */
+    longestLeaseMilliseconds: (now: number) => number;
+}
+
+/** Time for which long leases are remembered, in milliseconds: longer than any lease. */
+const longLeaseMemoryMilliseconds = 15_000;
+
+/**
+ * Creates an authority that has no proof.
+ *
+ * @param longestMilliseconds - longest lease that upstreams accept
+ * @returns the authority
+ */
+export const createAuthority = (longestMilliseconds: number): Authority => {
+    let provenAt = -Infinity;
+    let seenAt: number | undefined;
+    let seenWallClock = 0;
+    let lastLongLeaseAt = -Infinity;
+    const ordinary = Math.min(ordinaryLeaseMilliseconds, longestMilliseconds);
+    return {
+        onProof: sentAt => {
+            provenAt = Math.max(provenAt, sentAt);
+        },
+        observe: (now, wallClock) => {
+            if (seenAt !== undefined) {
+                const drift = Math.abs(wallClock - seenWallClock - (now - seenAt));
+                if (drift > suspensionMilliseconds) {
+                    provenAt = -Infinity;
+                }
+            }
+            seenAt = now;
+            seenWallClock = wallClock;
+        },
+        mayOrder: now => now - provenAt < authorityMilliseconds,
+        leaseMilliseconds: now => {
+            if (now - provenAt < troubleMilliseconds) {
+                return ordinary;
+            }
+            lastLongLeaseAt = now;
+            return longestMilliseconds;
+        },
+        longestLeaseMilliseconds: now =>
+            now - lastLongLeaseAt < longLeaseMemoryMilliseconds ? longestMilliseconds : ordinary,
+    };
+};
--- /dev/null
+++ b/packages/assignment/src/balance.ts
@@ -0,0 +1,185 @@
+/**
+ * Decides who owns which keys: keys without a usable owner get one, and the hottest stretch of the busiest owner moves
+ * to the least busy one. A stretch is cut as narrow as its load allows, because moved keys are paid for by their number
+ * and busy keys lie close together.
+ */
+import * as keyRange from "./keyRange";
+
+/** An upstream that may own keys. */
+export interface Candidate {
+    owner: keyRange.Owner;
+    /** Load that it can carry, relative to the others. */
+    capacity: number;
+}
+
+/** What the decision depends on. */
+export interface BalanceInput {
+    assignment: keyRange.ServiceAssignment;
+    candidates: readonly Candidate[];
+    /** {@link KeyLoad.prefixSums}. */
+    loadSums: Float64Array;
+    /** Whether a range's former owner still has to give it up; such a range is only moved when its owner is lost. */
+    isMoving: (range: keyRange.KeyRange) => boolean;
+    /** Whether a range's owner has seen a higher token, so that the range needs a new one. */
+    isFenced: (range: keyRange.KeyRange) => boolean;
+}
+
+/** Load above the mean, as a factor, from which an owner gives keys away. */
+const overloadFactor = 1.2;
+/** Changes in one round, so that few keys are between owners at a time. */
+const highestMoves = 12;
+/** Keys that change owners in one round for the sake of balance. */
+const highestMovedKeys = 1500;
+/** Ranges above which no range is cut any more; each one costs a renewal a second. */
+const highestRanges = 480;
+/** Weighted requests below which the load says too little. */
+const lowestEvidence = 60;
+/** Load that every key is taken to have, so that cold keys are spread too. */
+const baselineLoad = 0.0005;
+
+interface Share {
+    candidate: Candidate;
+    load: number;
+}
+
+const loadBetween = (sums: Float64Array, first: number, last: number): number =>
+    sums[last + 1] - sums[first] + (last - first + 1) * baselineLoad;
+
+const relativeLoad = (share: Share): number => share.load / share.candidate.capacity;
+
+const leastLoaded = (shares: Iterable<Share>): Share =>
+    [...shares].reduce((best, share) => (relativeLoad(share) < relativeLoad(best) ? share : best));
+
+const mostLoaded = (shares: Iterable<Share>): Share =>
+    [...shares].reduce((best, share) => (relativeLoad(share) > relativeLoad(best) ? share : best));
+
+/** Finds the narrowest stretch of a range whose load reaches a target without passing a limit. */
+const narrowestStretch = (
+    range: keyRange.KeyRange,
+    sums: Float64Array,
+    target: number,
+    limit: number,
+): { first: number; last: number; } | undefined => {
+    let best: { first: number; last: number; } | undefined;
+    let last = range.first;
+    for (let first = range.first; first <= range.last; first += 1) {
+        last = Math.max(last, first);
+        while (last < range.last && loadBetween(sums, first, last) < target) {
+            last += 1;
+        }
+        const load = loadBetween(sums, first, last);
+        const isNarrower = best === undefined || last - first < best.last - best.first;
+        if (load >= target && load <= limit && isNarrower) {
+            best = { first, last };
+        }
+    }
+    return best;
+};
+
+const cut = (
+    ranges: keyRange.KeyRange[],
+    range: keyRange.KeyRange,
+    stretch: { first: number; last: number; },
+    moved: keyRange.KeyRange,
+): void => {
+    const parts = [
+        ...(stretch.first > range.first ? [{ ...range, last: stretch.first - 1 }] : []),
+        moved,
+        ...(stretch.last < range.last ? [{ ...range, first: stretch.last + 1 }] : []),
+    ];
+    ranges.splice(ranges.indexOf(range), 1, ...parts);
+};
+
+/**
+ * Decides the next assignment.
+ *
+ * @param input - what is known
+ * @returns the next assignment, or undefined when nothing has to change
+ */
+export const balance = (input: BalanceInput): keyRange.ServiceAssignment | undefined => {
+    const { candidates, loadSums } = input;
+    if (candidates.length === 0) {
+        return undefined;
+    }
+    const ranges = [...input.assignment.ranges];
+    let { nextToken } = input.assignment;
+    const shares = new Map<string, Share>(
+        candidates.map(candidate => [keyRange.ownerName(candidate.owner), { candidate, load: 0 }]),
+    );
+    const shareOf = (range: keyRange.KeyRange): Share | undefined =>
+        range.owner === undefined ? undefined : shares.get(keyRange.ownerName(range.owner));
+    const orphans: keyRange.KeyRange[] = [];
+    for (const range of ranges) {
+        const share = shareOf(range);
+        if (share === undefined) {
+            orphans.push(range);
+        }
+        else {
+            share.load += loadBetween(loadSums, range.first, range.last);
+        }
+    }
+    const giveTo = (range: keyRange.KeyRange, stretch: { first: number; last: number; }, to: Share): void => {
+        const former = input.isMoving(range) ? range.former : range.owner;
+        const moved = { ...stretch, owner: to.candidate.owner, token: nextToken, former };
+        nextToken += 1;
+        cut(ranges, range, stretch, moved);
+        to.load += loadBetween(loadSums, stretch.first, stretch.last);
+    };
+    const heaviestFirst = orphans.sort((left, right) =>
+        loadBetween(loadSums, right.first, right.last) - loadBetween(loadSums, left.first, left.last)
+    );
+    heaviestFirst.forEach(range => giveTo(range, range, leastLoaded(shares.values())));
+
+    const fenced = ranges.filter(range => input.isFenced(range) && shareOf(range) !== undefined);
+    for (const range of fenced) {
+        ranges.splice(ranges.indexOf(range), 1, { ...range, token: nextToken, former: undefined });
+        nextToken += 1;
+    }
+
+    let moves = 0;
+    let movedKeys = 0;
+    const total = [...shares.values()].reduce((sum, share) => sum + share.load, 0);
+    const mean = total / candidates.reduce((sum, candidate) => sum + candidate.capacity, 0);
+    const tired = new Set<Share>();
+    while (
+        total >= lowestEvidence && moves < highestMoves && movedKeys < highestMovedKeys && ranges.length < highestRanges
+        && tired.size < shares.size
+    ) {
+        const from = mostLoaded([...shares.values()].filter(share => !tired.has(share)));
+        const to = leastLoaded(shares.values());
+        if (relativeLoad(from) < mean * overloadFactor || from === to) {
+            break;
+        }
+        const excess = from.load - mean * from.candidate.capacity;
+        const room = mean * to.candidate.capacity - to.load;
+        const target = Math.min(excess, room);
+        const own = ranges.filter(range => shareOf(range) === from && !input.isMoving(range) && range.token > 0);
+        const density = (range: keyRange.KeyRange): number =>
+            loadBetween(loadSums, range.first, range.last) / (range.last - range.first + 1);
+        const [densest] = own.sort((left, right) => density(right) - density(left));
+        if (densest === undefined) {
+            tired.add(from);
+            continue;
+        }
+        const densestLoad = loadBetween(loadSums, densest.first, densest.last);
+        // Whatever moves must leave the receiver below where the giver was.
+        const limit = Math.max(target * 1.3, from.load - to.load * (from.candidate.capacity / to.candidate.capacity))
+            * 0.9;
+        const stretch = densestLoad <= target
+            ? { first: densest.first, last: densest.last }
+            : narrowestStretch(densest, loadSums, target, limit)
+                ?? narrowestStretch(densest, loadSums, target / 4, limit);
+        const width = stretch === undefined ? 0 : stretch.last - stretch.first + 1;
+        if (stretch === undefined || movedKeys + width > highestMovedKeys) {
+            tired.add(from);
+            continue;
+        }
+        from.load -= loadBetween(loadSums, stretch.first, stretch.last);
+        giveTo(densest, stretch, to);
+        moves += 1;
+        movedKeys += width;
+    }
+    return heaviestFirst.length + fenced.length + moves === 0
+        ? undefined
+        : { service: input.assignment.service, nextToken, ranges };
+};
--- /dev/null
+++ b/packages/assignment/src/leadership.ts
@@ -0,0 +1,54 @@
+/** Decides when an instance follows, looks into the store, or asks to lead. */
+import * as records from "./records";
+
+/** What an instance does next about the leader. */
+export const LeadershipStep = { follow: "follow", read: "read", campaign: "campaign" } as const;
+
+/** One of {@link LeadershipStep}. */
+export type LeadershipStepValue = typeof LeadershipStep[keyof typeof LeadershipStep];
+
+/** What the decision depends on; times are on the clock of the instance. */
+export interface LeadershipInput {
+    now: number;
+    /** The newest leader's record; undefined when there is none. */
+    leader: records.LeaderRecord | undefined;
+    /** Whether the store has been read at all. */
+    hasRead: boolean;
+    lastReadAt: number;
+    /** Time at which the record was first seen as it is. */
+    unchangedSince: number;
+    /** Whether the leader's messages arrive. */
+    isHearing: boolean;
+    /** Whether nothing listens at the leader's address any more. */
+    isLeaderEnded: boolean;
+    /** Address of this instance for its peers. */
+    host: string;
+}
+
+/** Time after which a record that does not change is taken as a leader's loss, in milliseconds: one beat and a half. */
+export const leaderSilenceMilliseconds = 1600;
+/** Time between two looks into the store while the leader is not heard, in milliseconds. */
+const readIntervalMilliseconds = 350;
+
+/**
+ * Decides.
+ *
+ * @param input - what is known
+ * @returns the next step
+ */
+export const nextLeadershipStep = (input: LeadershipInput): LeadershipStepValue => {
+    const { now, leader } = input;
+    if (!input.hasRead) {
+        return LeadershipStep.read;
+    }
+    if (leader === undefined || leader.isResigned || leader.host === input.host) {
+        return LeadershipStep.campaign;
+    }
+    if (input.isHearing) {
+        return LeadershipStep.follow;
+    }
+    if (input.isLeaderEnded || now - input.unchangedSince >= leaderSilenceMilliseconds) {
+        return LeadershipStep.campaign;
+    }
+    return now - input.lastReadAt >= readIntervalMilliseconds ? LeadershipStep.read : LeadershipStep.follow;
+};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,3 @@
+/** One entry instance of the site. */
+export { startEntry } from "./entry";
+export type { Entry } from "./entry";
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -1,6 +1,8 @@
 /** Facilities that every other package builds on: ownership of resources, time, randomness, hashing, logs, metrics. */
 export { createOwner } from "./cleanup";
 export type { Cleanup, Owner } from "./cleanup";
+export { createEventLog } from "./eventLog";
+export type { EventFields, EventLog, EventSink } from "./eventLog";
 export { hashText, rendezvousOrder } from "./hashing";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,3 +8,7 @@
 export type { PeerClient, PeerClientOptions } from "./peerClient";
 export { createPeerServer } from "./peerServer";
 export type { PeerServerOptions } from "./peerServer";
+export { createRoutingConnection, routingSilenceMilliseconds } from "./routingConnection";
+export type { RoutingConnection, RoutingConnectionHandlers } from "./routingConnection";
+export { parseRoutingMessage, RoutingMessageKind, routingProtocolVersion } from "./routingMessages";
+export type { RoutingMessage, RoutingReport } from "./routingMessages";
--- /dev/null
+++ b/packages/relay/src/upstreamConnections.ts
@@ -0,0 +1,58 @@
+/** Connections to one upstream. They are kept, the newest is used first, and one with unasked bytes is closed. */
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** Connections to one upstream. */
+export interface UpstreamConnections {
+    agent: http.Agent;
+    /** Takes the idle time that the upstream announced, in milliseconds. */
+    onIdleHint: (milliseconds: number) => void;
+    close: () => void;
+}
+
+/** Idle time before the upstream has told its own, in milliseconds. */
+const usualIdleMilliseconds = 4000;
+/** How much earlier than the upstream a connection is closed, in milliseconds: an answer's way, and whole seconds. */
+const idleMarginMilliseconds = 1200;
+const shortestIdleMilliseconds = 300;
+
+/**
+ * Creates the connections; none is open yet.
+ *
+ * @param limit - the most connections
+ * @returns the connections
+ */
+export const createUpstreamConnections = (limit: number): UpstreamConnections => {
+    const agent = new http.Agent({ keepAlive: true, noDelay: true, maxSockets: limit, maxFreeSockets: limit });
+    let idleMilliseconds = usualIdleMilliseconds;
+    const surplusListeners = new WeakMap<net.Socket, () => void>();
+    const keepSocketAlive = (socket: net.Socket): boolean => {
+        const onSurplus = (): void => {
+            socket.destroy();
+        };
+        surplusListeners.set(socket, onSurplus);
+        socket.on("data", onSurplus);
+        socket.setKeepAlive(true, 1000);
+        socket.setTimeout(idleMilliseconds);
+        socket.unref();
+        return true;
+    };
+    const reuseSocket = (socket: net.Socket, request: http.ClientRequest): void => {
+        const onSurplus = surplusListeners.get(socket);
+        if (onSurplus !== undefined) {
+            socket.off("data", onSurplus);
+        }
+        socket.setTimeout(0);
+        request.reusedSocket = true;
+        socket.ref();
+    };
+    // The agent's hooks for kept connections, typed as taking any stream.
+    Object.assign(agent, { keepSocketAlive, reuseSocket });
+    return {
+        agent,
+        onIdleHint: milliseconds => {
+            idleMilliseconds = Math.max(shortestIdleMilliseconds, milliseconds - idleMarginMilliseconds);
+        },
+        close: () => agent.destroy(),
+    };
+};
--- /dev/null
+++ b/packages/relay/src/upstreamHealth.ts
@@ -0,0 +1,139 @@
+/** What an instance knows of one upstream: its speed, its queue, whether it answers and how often it fails. */
+
+/** A report of load that came with an answer. */
+export interface LoadReport {
+    running: number;
+    waiting: number;
+    slots: number;
+}
+
+/** How an attempt ended, as far as it tells about the upstream. */
+export const AttemptSign = {
+    answered: "answered",
+    /** It answered with a failure of its own. */
+    failed: "failed",
+    /** It refused to run the request. */
+    shed: "shed",
+    /** No connection, or no whole answer. */
+    broken: "broken",
+    /** The attempt was given up; it says nothing. */
+    none: "none",
+} as const;
+
+/** One of {@link AttemptSign}. */
+export type AttemptSignValue = typeof AttemptSign[keyof typeof AttemptSign];
+
+/** An attempt that is out. */
+export interface OpenAttempt {
+    startedAt: number;
+}
+
+/** What is known of one upstream. */
+export interface UpstreamHealth {
+    begin: (now: number) => OpenAttempt;
+    end: (attempt: OpenAttempt, sign: AttemptSignValue, report: LoadReport | undefined, now: number) => void;
+    outstanding: () => number;
+    /** Requests at the upstream, those of other instances included as far as they are known. */
+    queueLength: (now: number) => number;
+    /** Smoothed time that one request takes in a slot, in milliseconds; undefined before the first answer. */
+    serviceMilliseconds: () => number | undefined;
+    /** Smoothed share of attempts that were refused or failed. */
+    failureShare: (now: number) => number;
+    /** Whether it has stopped answering, or cannot be reached. */
+    isAvoided: (now: number) => boolean;
+}
+
+const speedSmoothing = 0.15;
+const failureSmoothing = 0.15;
+/** Time in which half of a failure share is forgotten while nothing is sent, in milliseconds. */
+const failureHalfLifeMilliseconds = 2000;
+/** Time in which most of what a report says of others is outdated, in milliseconds: a few services. */
+const reportMemoryMilliseconds = 300;
+/** Silence that is suspicious whatever the speed, in milliseconds. */
+const lowestSilenceMilliseconds = 450;
+/** Silence that is suspicious, in services. */
+const silentServices = 6;
+/** Time between two attempts at an upstream that is silent, in milliseconds. */
+const probeMilliseconds = 500;
+/** Time without attempts after a broken one, in milliseconds, doubled with each in a row. */
+const baseAvoidanceMilliseconds = 150;
+const longestAvoidanceMilliseconds = 1500;
+/** Broken attempts in a row from which an upstream is avoided. */
+const brokenToAvoid = 2;
+
+/**
+ * Creates the record of an upstream of which nothing is known.
+ *
+ * @returns the record
+ */
+export const createUpstreamHealth = (): UpstreamHealth => {
+    const open = new Set<OpenAttempt>();
+    let service: number | undefined;
+    let failure = 0;
+    let failureAt = -Infinity;
+    let others = 0;
+    let reportedAt = -Infinity;
+    let lastAnswerAt = -Infinity;
+    let lastBeginAt = -Infinity;
+    let broken = 0;
+    let avoidedUntil = -Infinity;
+
+    const failureNow = (now: number): number => failure * 0.5 ** ((now - failureAt) / failureHalfLifeMilliseconds);
+    const onReport = (report: LoadReport, now: number): void => {
+        others = Math.max(0, report.running + report.waiting - open.size - 1);
+        reportedAt = now;
+    };
+    const onService = (milliseconds: number, report: LoadReport | undefined): void => {
+        if (report === undefined || report.waiting === 0) {
+            service = service === undefined ? milliseconds : service + (milliseconds - service) * speedSmoothing;
+        }
+    };
+    return {
+        begin: now => {
+            const attempt = { startedAt: now };
+            open.add(attempt);
+            lastBeginAt = now;
+            return attempt;
+        },
+        end: (attempt, sign, report, now) => {
+            open.delete(attempt);
+            if (report !== undefined) {
+                onReport(report, now);
+            }
+            if (sign === AttemptSign.none) {
+                return;
+            }
+            const isGood = sign === AttemptSign.answered;
+            const before = failureAt === -Infinity ? 0 : failureNow(now);
+            failure = before + ((isGood ? 0 : 1) - before) * failureSmoothing;
+            failureAt = now;
+            if (sign === AttemptSign.broken) {
+                broken += 1;
+                if (broken >= brokenToAvoid) {
+                    const avoidance = baseAvoidanceMilliseconds * 2 ** Math.min(broken - brokenToAvoid, 10);
+                    avoidedUntil = now + Math.min(avoidance, longestAvoidanceMilliseconds);
+                }
+                return;
+            }
+            broken = 0;
+            lastAnswerAt = now;
+            avoidedUntil = -Infinity;
+            if (sign === AttemptSign.answered) {
+                onService(now - attempt.startedAt, report);
+            }
+        },
+        outstanding: () => open.size,
+        queueLength: now => open.size + others * Math.exp(-(now - reportedAt) / reportMemoryMilliseconds),
+        serviceMilliseconds: () => service,
+        failureShare: now => (failureAt === -Infinity ? 0 : failureNow(now)),
+        isAvoided: now => {
+            if (now < avoidedUntil) {
+                return true;
+            }
+            const silence = Math.max(lowestSilenceMilliseconds, silentServices * (service ?? 0));
+            const [oldest] = open;
+            const isSilent = oldest !== undefined && now - Math.max(oldest.startedAt, lastAnswerAt) > silence;
+            return isSilent && now - lastBeginAt < probeMilliseconds;
+        },
+    };
+};
--- /dev/null
+++ b/packages/relay/src/upstreamPool.ts
@@ -0,0 +1,165 @@
+/** The upstreams that an instance sends to, with what it knows of each. */
+import * as routing from "@mulberryseam/routing";
+import * as choice from "./choice";
+import * as upstreamConnections from "./upstreamConnections";
+import * as upstreamHealth from "./upstreamHealth";
+
+/** An upstream that can be sent to. */
+export interface PooledUpstream {
+    upstream: routing.Upstream;
+    health: upstreamHealth.UpstreamHealth;
+    connections: upstreamConnections.UpstreamConnections;
+    region: string;
+}
+
+/** What the pool needs. */
+export interface UpstreamPoolOptions {
+    directory: routing.UpstreamDirectory;
+    now: () => number;
+    /** Failure domain of the instance. */
+    failureDomain: string;
+    /** Region of each failure domain. */
+    regions: Record<string, string>;
+    /** Connections that one upstream of a service takes from all instances. */
+    connectionLimit: (service: string) => number;
+    instances: () => number;
+}
+
+/** The upstreams of an instance. */
+export interface UpstreamPool {
+    /** Upstreams of a service that may get new requests, those that are avoided last. */
+    usable: (service: string) => PooledUpstream[];
+    find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
+    /** Describes an upstream for the choice. */
+    describe: (pooled: PooledUpstream, bytes: number) => choice.Option;
+    /** Takes the time that a new connection took, in milliseconds. */
+    onConnected: (pooled: PooledUpstream, milliseconds: number) => void;
+    /** Time for a new connection, in milliseconds. */
+    connectMilliseconds: (pooled: PooledUpstream) => number;
+    /** Whether the instance uses its part of the upstream's connections. */
+    isFull: (pooled: PooledUpstream) => boolean;
+    /** Drops what belongs to upstreams that are gone. */
+    prune: () => void;
+    speeds: () => [string, number][];
+}
+
+/** Time that a request is taken to need before any was answered, in milliseconds. */
+const assumedServiceMilliseconds = 120;
+/** Times to another region and back, and within one, before any connection was made, in milliseconds. */
+const assumedRegionRoundTripMilliseconds = 60;
+const assumedNearRoundTripMilliseconds = 2;
+/** What a kilobyte to another region, or another failure domain, is taken to cost, in milliseconds: they are paid for. */
+const regionMillisecondsPerKilobyte = 5;
+const domainMillisecondsPerKilobyte = 0.5;
+/** Time after its start in which an upstream is slower, as a factor. */
+const coldFactor = 2;
+/** Time for a new connection beyond the way there and back, in milliseconds. */
+const connectMarginMilliseconds = 250;
+const roundTripSmoothing = 0.2;
+/** Part of an upstream's connections that instances use, since their number is known with a delay. */
+const connectionPart = 0.85;
+const fewestConnections = 3;
+
+/**
+ * Creates the pool.
+ *
+ * @param options - what it needs
+ * @returns a pool without connections
+ */
+export const createUpstreamPool = (options: UpstreamPoolOptions): UpstreamPool => {
+    const { directory, now, regions } = options;
+    const pooled = new Map<string, PooledUpstream>();
+    const roundTrips = new Map<string, number>();
+    const ownRegion = regions[options.failureDomain];
+    /** Connections to one upstream that this instance may hold. */
+    const limitOf = (service: string): number =>
+        Math.max(
+            fewestConnections,
+            Math.floor(options.connectionLimit(service) * connectionPart / Math.max(1, options.instances())),
+        );
+    const pool = (upstream: routing.Upstream): PooledUpstream => {
+        const known = pooled.get(upstream.identifier);
+        if (known !== undefined && known.upstream.startedAt === upstream.startedAt) {
+            known.upstream = upstream;
+            return known;
+        }
+        known?.connections.close();
+        const created = {
+            upstream,
+            health: upstreamHealth.createUpstreamHealth(),
+            connections: upstreamConnections.createUpstreamConnections(options.connectionLimit(upstream.service)),
+            region: regions[upstream.failureDomain] ?? "",
+        };
+        pooled.set(upstream.identifier, created);
+        return created;
+    };
+    const distanceKey = (target: PooledUpstream): string =>
+        target.region === ownRegion ? `domain ${target.upstream.failureDomain}` : `region ${target.region}`;
+    const roundTripOf = (target: PooledUpstream): number =>
+        roundTrips.get(distanceKey(target))
+            ?? (target.region === ownRegion ? assumedNearRoundTripMilliseconds : assumedRegionRoundTripMilliseconds);
+    /** Measured times hold the way there and back. */
+    const serviceOf = (target: PooledUpstream): number => {
+        const measured = target.health.serviceMilliseconds();
+        return measured === undefined ? assumedServiceMilliseconds : Math.max(1, measured - roundTripOf(target));
+    };
+    const perKilobyte = (target: PooledUpstream): number => {
+        if (target.region !== ownRegion) {
+            return regionMillisecondsPerKilobyte;
+        }
+        return target.upstream.failureDomain === options.failureDomain ? 0 : domainMillisecondsPerKilobyte;
+    };
+    return {
+        usable: service => {
+            const ready = directory.ofService(service).filter(entry => entry.leavingSince === undefined);
+            const all = ready.map(entry => pool(entry.upstream));
+            const answering = all.filter(one => !one.health.isAvoided(now()));
+            return answering.length > 0 ? answering : all;
+        },
+        find: (identifier, startedAt) => {
+            const entry = directory.find(identifier);
+            return entry !== undefined && entry.upstream.startedAt === startedAt ? pool(entry.upstream) : undefined;
+        },
+        describe: (target, bytes) => {
+            const { upstream, health } = target;
+            const entry = directory.find(upstream.identifier);
+            const age = now() - (entry?.firstSeenAt ?? -Infinity);
+            const factor = age < upstream.warmupMilliseconds ? coldFactor : 1;
+            return {
+                identifier: upstream.identifier,
+                queueLength: health.queueLength(now()),
+                slots: upstream.slots,
+                serviceMilliseconds: serviceOf(target) * factor,
+                roundTripMilliseconds: roundTripOf(target),
+                failureShare: health.failureShare(now()),
+                detourMilliseconds: perKilobyte(target) * bytes / 1024,
+            };
+        },
+        onConnected: (target, milliseconds) => {
+            const key = distanceKey(target);
+            const known = roundTrips.get(key) ?? milliseconds;
+            // Connections that waited for a busy upstream say nothing of the way.
+            const sample = Math.min(milliseconds, known * 2);
+            roundTrips.set(key, known + (sample - known) * roundTripSmoothing);
+        },
+        connectMilliseconds: target => roundTripOf(target) + connectMarginMilliseconds,
+        isFull: target => target.health.outstanding() >= limitOf(target.upstream.service),
+        prune: () => {
+            for (const [identifier, { connections, health }] of pooled) {
+                if (directory.find(identifier) === undefined && health.outstanding() === 0) {
+                    connections.close();
+                    pooled.delete(identifier);
+                }
+            }
+        },
+        speeds: () => {
+            const known: [string, number][] = [];
+            for (const [identifier, target] of pooled) {
+                if (target.health.serviceMilliseconds() !== undefined) {
+                    known.push([identifier, serviceOf(target)]);
+                }
+            }
+            return known;
+        },
+    };
+};
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,7 @@
+/** Routes, services and upstreams, and how a request finds its service. */
+export { RouteKind } from "./document";
+export type { CallerLimits, Destination, Route, RouteKindValue, RoutingDocument, Service, Upstream } from "./document";
+export { createRouteTable, createSplitter } from "./routeTable";
+export type { RouteEntry, RouteTable } from "./routeTable";
+export { createUpstreamDirectory } from "./upstreamDirectory";
+export type { DirectoryEntry, UpstreamDirectory } from "./upstreamDirectory";
