--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -20,6 +20,8 @@
     loadSums: Float64Array;
     /** Whether a range's former owner still has to give it up; such a range is only moved when its owner is lost. */
     isMoving: (range: keyRange.KeyRange) => boolean;
+    /** Whether two owners may hold a range, so that it cannot be moved. */
+    isUndecided: (range: keyRange.KeyRange) => boolean;
     /** Whether a range's owner has seen a higher token, so that the range needs a new one. */
     isFenced: (range: keyRange.KeyRange) => boolean;
 }
@@ -111,10 +113,10 @@
     const orphans: keyRange.KeyRange[] = [];
     for (const range of ranges) {
         const share = shareOf(range);
-        if (share === undefined) {
+        if (share === undefined && !input.isUndecided(range)) {
             orphans.push(range);
         }
-        else {
+        else if (share !== undefined) {
             share.load += loadBetween(loadSums, range.first, range.last);
         }
     }
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -54,6 +54,13 @@
     onEnded: (owner: keyRange.Owner) => void;
     /** Whether a range's former owner may still hold it. */
     isMoving: (range: keyRange.KeyRange) => boolean;
+    /** Whether both a range's former owner and its owner may hold it, so that no third one can be named. */
+    isUndecided: (range: keyRange.KeyRange, now: number) => boolean;
+    /**
+     * Tells which assignment is being agreed, or that none is. A range whose owner it changes is not granted for the
+     * first time meanwhile: the plan does not know of that grant and would not take it back.
+     */
+    setPlanned: (plan: keyRange.ServiceAssignment | undefined) => void;
     /** Whether a range's owner has seen a higher token. */
     isFenced: (range: keyRange.KeyRange) => boolean;
     /** Ranges whose routing changed since the last call. */
@@ -99,12 +106,16 @@
     isInFlight: boolean;
     /** Time at which a lease has surely ended that is granted by the order in flight. */
     pendingLeaseUntil: number;
+    /** Whether another owner is being agreed. */
+    isBlocked: boolean;
     /** Whether the owner has seen a higher token, so that the range needs a new one. */
     isFenced: boolean;
     dueAt: number;
     handover: string | undefined;
 }
 
+const leaseEnd = (holding: Holding): number => Math.max(holding.leaseUntil, holding.pendingLeaseUntil);
+
 const overlaps = (left: keyRange.KeyRange, right: keyRange.KeyRange): boolean =>
     left.first <= right.last && right.first <= left.last;
 
@@ -141,7 +152,7 @@
         }
         const leases = old.map(holding => {
             if (keyRange.isSameOwner(holding.range.owner, owner)) {
-                return Math.max(holding.leaseUntil, holding.pendingLeaseUntil);
+                return leaseEnd(holding);
             }
             if (keyRange.isSameOwner(holding.range.former, owner)) {
                 return holding.isFormerDone ? -Infinity : holding.formerLeaseUntil;
@@ -160,7 +171,14 @@
             // The answer to an order for other keys is not awaited, but what it granted is remembered.
             const isSame = only.range.first === range.first && only.range.last === range.last;
             const leaseUntil = Math.max(only.leaseUntil, isSame ? -Infinity : only.pendingLeaseUntil);
-            return { ...only, range, isFormerDone, leaseUntil, isInFlight: only.isInFlight && isSame };
+            return {
+                ...only,
+                range,
+                isFormerDone,
+                leaseUntil,
+                isBlocked: false,
+                isInFlight: only.isInFlight && isSame,
+            };
         }
         const formerLeaseUntil = leaseOf(range.former, old, unknownLeaseUntil);
         return {
@@ -171,6 +189,7 @@
             isHeld: false,
             isInFlight: false,
             pendingLeaseUntil: -Infinity,
+            isBlocked: false,
             isFenced: false,
             dueAt: -Infinity,
             handover: undefined,
@@ -214,7 +233,9 @@
 
     const takeGrant = (holding: Holding, now: number, leaseMilliseconds: number): Order | undefined => {
         const { owner, first, last, token } = holding.range;
-        const isIdle = !holding.isInFlight && !holding.isFenced && now >= holding.dueAt;
+        const isFirst = leaseEnd(holding) === -Infinity;
+        const isIdle = !holding.isInFlight && !holding.isFenced && now >= holding.dueAt
+            && !(holding.isBlocked && isFirst);
         if (owner === undefined || !isIdle || ended.has(keyRange.ownerName(owner))) {
             return undefined;
         }
@@ -332,6 +353,24 @@
             const holding = at(range.first, range.last);
             return holding !== undefined && !holding.isFormerDone;
         },
+        isUndecided: (range, now) => {
+            const holding = at(range.first, range.last);
+            return holding !== undefined && !holding.isFormerDone && leaseEnd(holding) > now;
+        },
+        setPlanned: plan => {
+            const ranges = plan?.ranges ?? [];
+            let position = 0;
+            for (const holding of holdings) {
+                const { first, last, token } = holding.range;
+                while (position < ranges.length && ranges[position].last < first) {
+                    position += 1;
+                }
+                holding.isBlocked = false;
+                for (let index = position; index < ranges.length && ranges[index].first <= last; index += 1) {
+                    holding.isBlocked ||= ranges[index].token !== token;
+                }
+            }
+        },
         isFenced: range => at(range.first, range.last)?.isFenced === true,
         takeChanges: () => {
             const taken = changes;
--- a/packages/assignment/src/leadership.ts
+++ b/packages/assignment/src/leadership.ts
@@ -15,7 +15,7 @@
     /** Whether the store has been read at all. */
     hasRead: boolean;
     lastReadAt: number;
-    /** Time at which the record was first seen as it is. */
+    /** Time at which the record was first seen as it is, or the leader was last heard. */
     unchangedSince: number;
     /** Whether the leader's messages arrive. */
     isHearing: boolean;
@@ -27,6 +27,8 @@
 
 /** Time after which a record that does not change is taken as a leader's loss, in milliseconds: one beat and a half. */
 export const leaderSilenceMilliseconds = 1600;
+/** Age of a reading that is recent enough to campaign on, in milliseconds. */
+const recentMilliseconds = 400;
 /** Time between two looks into the store while the leader is not heard, in milliseconds. */
 const readIntervalMilliseconds = 350;
 
@@ -41,14 +43,13 @@
     if (!input.hasRead) {
         return LeadershipStep.read;
     }
-    if (leader === undefined || leader.isResigned || leader.host === input.host) {
-        return LeadershipStep.campaign;
-    }
-    if (input.isHearing) {
+    const isVacant = leader === undefined || leader.isResigned || leader.host === input.host;
+    if (!isVacant && input.isHearing) {
         return LeadershipStep.follow;
     }
-    if (input.isLeaderEnded || now - input.unchangedSince >= leaderSilenceMilliseconds) {
-        return LeadershipStep.campaign;
+    const isLost = input.isLeaderEnded || now - input.unchangedSince >= leaderSilenceMilliseconds;
+    if (isVacant || isLost) {
+        return now - input.lastReadAt < recentMilliseconds ? LeadershipStep.campaign : LeadershipStep.read;
     }
     return now - input.lastReadAt >= readIntervalMilliseconds ? LeadershipStep.read : LeadershipStep.follow;
 };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -21,8 +21,10 @@
 /** Time before the platform ends a stopping process at which it closes what is still open, in milliseconds. */
 const stopMarginMilliseconds = 500;
 /** Time after SIGTERM in which callers still come, in milliseconds: the platform asks each second, and twice. */
-const leavingMilliseconds = 2600;
+const leavingMilliseconds = 3000;
 const stopCheckMilliseconds = 50;
+/** Part of the drain time that calls to the registry and to the upstream may take, in milliseconds. */
+const drainMarginMilliseconds = 350;
 
 /**
  * Starts an instance.
@@ -64,6 +66,7 @@
         regions: settings.regions,
         connectionLimit: service => inForce?.document.services.get(service)?.maximumConnections ?? 16,
         instances: ownership.instances,
+        leavingMilliseconds: settings.drainMilliseconds - registryPauseMilliseconds - drainMarginMilliseconds,
     });
     const passing = relay.createRelay({
         timers,
@@ -191,12 +194,13 @@
         log.write("stopping", { open: passing.open() });
         await ownership.resign();
         const lastAt = startedAt + settings.stopMilliseconds - stopMarginMilliseconds;
-        const isDone = (): boolean => passing.open() === 0 && timers.now() >= startedAt + leavingMilliseconds;
-        while (!isDone() && timers.now() < lastAt) {
+        await foundation.pause(timers, leavingMilliseconds);
+        callers.stopListening();
+        while (passing.open() > 0 && timers.now() < lastAt) {
+            callers.closeIdle();
             await foundation.pause(timers, stopCheckMilliseconds);
         }
         log.write("stopped", { open: passing.open() });
-        callers.closeIdle();
         await owner.dispose();
     };
     return { stop };
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -37,6 +37,8 @@
     /** Gives the duty up, so that a successor need not wait. */
     resign: () => Promise<void>;
     term: number;
+    /** Age of the last proof that the store gave of this leadership, in milliseconds. */
+    proofAge: () => number;
 }
 
 /** Time between two looks at the balance, in milliseconds. */
@@ -123,9 +125,14 @@
     let isCommitting = false;
     let isStopped = false;
     let needsRead = false;
+    let provenAt = timers.now();
     let nextCommitAt = timers.now();
     let lastBeatAt = timers.now();
 
+    const onProof = (sentAt: number): void => {
+        provenAt = sentAt;
+        authority.onProof(sentAt);
+    };
     const createService = (name: string): KeyedService => {
         const created = { keeper: assignment.createKeeper(), load: assignment.createKeyLoad() };
         services.set(name, created);
@@ -229,6 +236,7 @@
             candidates: candidatesOf(name, keeper),
             loadSums: load.prefixSums(),
             isMoving: keeper.isMoving,
+            isUndecided: range => keeper.isUndecided(range, timers.now()),
             isFenced: keeper.isFenced,
         });
     };
@@ -243,9 +251,10 @@
             options.onDeposed();
             return;
         }
-        authority.onProof(sentAt);
+        onProof(sentAt);
         record = snapshot.leader ?? record;
         end = snapshot.end;
+        services.forEach(({ keeper }) => keeper.setPlanned(undefined));
         adoptSnapshot(snapshot, -Infinity);
         needsRead = false;
     };
@@ -264,7 +273,7 @@
             needsRead = true;
             return false;
         }
-        authority.onProof(sentAt);
+        onProof(sentAt);
         record = next;
         end = answer.end;
         lastBeatAt = timers.now();
@@ -281,6 +290,7 @@
         if (plans.length === 0 && timers.now() - lastBeatAt < beatMilliseconds) {
             return;
         }
+        plans.forEach(plan => services.get(plan.service)?.keeper.setPlanned(plan));
         if (await append({ ...record, beat: record.beat + 1 }, plans)) {
             for (const plan of plans) {
                 services.get(plan.service)?.keeper.adopt(plan, -Infinity);
@@ -307,7 +317,7 @@
     };
 
     adoptSnapshot(options.snapshot, options.unknownLeaseUntil);
-    authority.onProof(timers.now());
+    onProof(timers.now());
 
     return {
         tick: () => {
@@ -352,5 +362,6 @@
             log.write("leadership-resigned", { term: record.term });
         },
         term: record.term,
+        proofAge: () => timers.now() - provenAt,
     };
 };
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -46,6 +46,8 @@
 /** Time in which a grant that was queued at an earlier leader is surely over, in milliseconds. */
 const earlierGrantMilliseconds = 700;
 const clockDrift = 1.02;
+/** Age of a leader's proof from which others look into the store, in milliseconds: more than a beat takes. */
+const staleProofMilliseconds = 1500;
 
 interface LeaderLink {
     connection: protocol.RoutingConnection;
@@ -110,6 +112,7 @@
 
     const read = async (): Promise<void> => {
         const sentAt = timers.now();
+        lastReadAt = sentAt;
         const next = await ownershipStore.readOwnership(store, log);
         const isSame = next.leader?.identifier === snapshot?.leader?.identifier
             && next.leader?.beat === snapshot?.leader?.beat && next.leader?.term === snapshot?.leader?.term;
@@ -183,7 +186,8 @@
     const onLeaderMessage = (message: protocol.RoutingMessage): void => {
         switch (message.kind) {
             case "beat":
-                lastBeatAt = timers.now();
+                // A leader that the store does not answer must not keep others from taking over.
+                lastBeatAt = message.proofAge < staleProofMilliseconds ? timers.now() : lastBeatAt;
                 instances = Math.max(1, message.instances);
                 return;
             case "routing":
@@ -238,13 +242,12 @@
             leader: snapshot?.leader,
             hasRead: snapshot !== undefined,
             lastReadAt,
-            unchangedSince,
+            unchangedSince: Math.max(unchangedSince, lastBeatAt),
             isHearing: isHearing(),
             isLeaderEnded: endedLeader !== undefined && endedLeader === snapshot?.leader?.identifier,
             host: settings.host,
         });
         if (next === assignment.LeadershipStep.read) {
-            lastReadAt = timers.now();
             await read();
         }
         else if (next === assignment.LeadershipStep.campaign && snapshot !== undefined && !isResigning) {
@@ -269,6 +272,13 @@
             });
     };
 
+    const beatOf = (leading: leaderSession.LeaderSession): protocol.RoutingMessage => ({
+        kind: "beat",
+        term: leading.term,
+        proofAge: leading.proofAge(),
+        instances: followers.size + 1,
+    });
+
     const acceptFollower = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
             onMessage: message => {
@@ -278,7 +288,7 @@
                 }
                 else if (message.kind === "join") {
                     followers.add(connection);
-                    connection.send({ kind: "beat", term: session.term, instances: followers.size + 1 });
+                    connection.send(beatOf(session));
                     session.routing().forEach(connection.send);
                 }
                 else if (message.kind === "report") {
@@ -292,7 +302,7 @@
     const sendBeat = (): void => {
         if (session !== undefined) {
             instances = followers.size + 1;
-            broadcast({ kind: "beat", term: session.term, instances });
+            broadcast(beatOf(session));
         }
     };
     const sendReport = (): void => {
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -12,6 +12,8 @@
     rawHeaders: string[];
     /** The whole body, or its first part. */
     body: Buffer;
+    /** Whether only the end of the connection marks the end of the body, so that a part of it cannot be told. */
+    isUnframed: boolean;
     /** What follows; ends in an error when the upstream breaks off. Undefined when the body is whole. */
     rest: http.IncomingMessage | undefined;
 }
@@ -138,6 +140,8 @@
                 connections.onIdleHint(Number(hint) * 1000);
             }
             const isEarly = !request.writableFinished;
+            const isUnframed = response.headers["content-length"] === undefined
+                && response.headers["transfer-encoding"] === undefined;
             const fault = faultOf(response, options.requestIdentifier);
             if (fault !== undefined) {
                 response.on("error", () => undefined);
@@ -171,7 +175,7 @@
                 const { rawHeaders, statusCode = 0 } = response;
                 finish({
                     kind: "answered",
-                    answer: { status: statusCode, rawHeaders, body: Buffer.concat(chunks), rest },
+                    answer: { status: statusCode, rawHeaders, body: Buffer.concat(chunks), isUnframed, rest },
                     report,
                 });
             };
--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -14,6 +14,8 @@
 /** A listener for callers. */
 export interface CallerServer {
     setLimits: (limits: routing.CallerLimits) => void;
+    /** Takes no new connections. */
+    stopListening: () => void;
     /** Closes connections on which no request is under way. */
     closeIdle: () => void;
 }
@@ -75,6 +77,7 @@
             server.headersTimeout = limits.headerMilliseconds;
             server.keepAliveTimeout = limits.idleMilliseconds;
         },
+        stopListening: () => server.close(),
         closeIdle: () => server.closeIdleConnections(),
     };
 };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -213,6 +213,18 @@
     const select = (state: RequestState): Selection =>
         state.isKeyed && state.key !== undefined ? selectOwner(state, state.key) : selectAny(state);
 
+    const finishStream = (state: RequestState, rest: http.IncomingMessage | undefined): void => {
+        if (rest === undefined) {
+            state.response.end();
+            return;
+        }
+        stream.pipeline(rest, state.response, error => {
+            if (error) {
+                log.write("answer-broke-off", { request: state.requestIdentifier, reason: error.message });
+            }
+        });
+    };
+
     const deliver = (state: RequestState, answer: attempts.UpstreamAnswer): void => {
         state.isOver = true;
         record(state, answer.status, "");
@@ -222,6 +234,15 @@
             answer.rest?.destroy();
             return;
         }
+        if (answer.isUnframed && answer.body.length > 0) {
+            // The length is not known, so the answer must not claim one.
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+            response.writeHead(answer.status, [...kept, "Connection", "close"]);
+            response.write(answer.body);
+            finishStream(state, answer.rest);
+            return;
+        }
         if (answer.rest === undefined) {
             const hasBody = state.request.method !== "HEAD" && answer.status !== 204 && answer.status !== 304;
             const length = hasBody ? ["Content-Length", String(answer.body.length)] : [];
@@ -231,11 +252,7 @@
         }
         response.writeHead(answer.status, answerHeaders([...kept, "Transfer-Encoding", "chunked"]));
         response.write(answer.body);
-        stream.pipeline(answer.rest, response, error => {
-            if (error) {
-                log.write("answer-broke-off", { request: state.requestIdentifier, reason: error.message });
-            }
-        });
+        finishStream(state, answer.rest);
     };
 
     const signOf = (end: attempts.AttemptEnd): upstreamHealth.AttemptSignValue => {
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -23,12 +23,15 @@
     /** Connections that one upstream of a service takes from all instances. */
     connectionLimit: (service: string) => number;
     instances: () => number;
+    /** Time in which an upstream that was seen leaving may get requests for its keys, in milliseconds. */
+    leavingMilliseconds: number;
 }
 
 /** The upstreams of an instance. */
 export interface UpstreamPool {
     /** Upstreams of a service that may get new requests, those that are avoided last. */
     usable: (service: string) => PooledUpstream[];
+    /** Finds an upstream that may still be sent requests for its keys. */
     find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
     /** Describes an upstream for the choice. */
     describe: (pooled: PooledUpstream, bytes: number) => choice.Option;
@@ -118,7 +121,11 @@
         },
         find: (identifier, startedAt) => {
             const entry = directory.find(identifier);
-            return entry !== undefined && entry.upstream.startedAt === startedAt ? pool(entry.upstream) : undefined;
+            if (entry === undefined || entry.upstream.startedAt !== startedAt) {
+                return undefined;
+            }
+            const isLeft = entry.leavingSince !== undefined && now() - entry.leavingSince > options.leavingMilliseconds;
+            return isLeft ? undefined : pool(entry.upstream);
         },
         describe: (target, bytes) => {
             const { upstream, health } = target;
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -32,6 +32,8 @@
 
 /** Time after the store's return in which entries that lapsed come back, in milliseconds. */
 const returnMilliseconds = 2200;
+/** Time in which an upstream whose entry is gone still serves what cannot go elsewhere, in milliseconds. */
+const leavingMilliseconds = 1500;
 
 /**
  * Creates an empty directory.
@@ -43,6 +45,8 @@
     const byService = new Map<string, DirectoryEntry[]>();
     /** Identifiers whose removal waits for the store's return, with the time at which they are gone. */
     const lapsed = new Map<string, number>();
+    /** Identifiers without an entry, with the time at which they are forgotten. */
+    const leaving = new Map<string, number>();
     let ended: documents.Upstream[] = [];
     let isAway = false;
     let returnedAt = -Infinity;
@@ -58,8 +62,17 @@
     const remove = (identifier: string): void => {
         entries.delete(identifier);
         lapsed.delete(identifier);
+        leaving.delete(identifier);
         index();
     };
+    const leave = (identifier: string, now: number): void => {
+        const entry = entries.get(identifier);
+        if (entry !== undefined && !leaving.has(identifier)) {
+            entries.set(identifier, { ...entry, leavingSince: entry.leavingSince ?? now });
+            leaving.set(identifier, now + leavingMilliseconds);
+            index();
+        }
+    };
     /** An entry may be written late, after another life has begun under its name or at its address. */
     const isOutdated = (upstream: documents.Upstream): boolean =>
         upstream.startedAt !== 0
@@ -84,6 +97,7 @@
             }
             const known = entries.get(upstream.identifier);
             lapsed.delete(upstream.identifier);
+            leaving.delete(upstream.identifier);
             const isSameLife = known !== undefined && known.upstream.startedAt === upstream.startedAt;
             if (known !== undefined && !isSameLife) {
                 ended.push(known.upstream);
@@ -106,7 +120,7 @@
                 lapsed.set(identifier, Math.max(now, returnedAt) + returnMilliseconds);
                 return;
             }
-            remove(identifier);
+            leave(identifier, now);
         },
         onContactLost: () => {
             isAway = true;
@@ -121,6 +135,12 @@
         expire: now => {
             for (const [identifier, goneAt] of lapsed) {
                 if (!isAway && now >= goneAt) {
+                    lapsed.delete(identifier);
+                    leave(identifier, now);
+                }
+            }
+            for (const [identifier, goneAt] of leaving) {
+                if (now >= goneAt) {
                     remove(identifier);
                 }
             }
