--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -39,6 +39,11 @@
 /** Load that every key is taken to have, so that cold keys are spread too. */
 const baselineLoad = 0.0005;
 
+/** Load of a receiver after a move, as a part of the giver's before, from which a move is not worth it. */
+const improvementFactor = 0.9;
+/** Part of an owner's excess that a range must carry to be worth moving. */
+const smallestPart = 0.03;
+
 interface Share {
     candidate: Candidate;
     load: number;
@@ -92,6 +97,53 @@
     ranges.splice(ranges.indexOf(range), 1, ...parts);
 };
 
+interface Move {
+    range: keyRange.KeyRange;
+    first: number;
+    last: number;
+    to: Share;
+}
+
+/**
+ * Finds keys whose move takes load off an owner. The densest range comes first; where a single key is too much for any
+ * other owner, the owner's other ranges make room for it.
+ */
+const findMove = (
+    own: readonly keyRange.KeyRange[],
+    from: Share,
+    shares: readonly Share[],
+    mean: number,
+    sums: Float64Array,
+    highestKeys: number,
+): Move | undefined => {
+    const density = (range: keyRange.KeyRange): number =>
+        loadBetween(sums, range.first, range.last) / (range.last - range.first + 1);
+    const excess = from.load - mean * from.candidate.capacity;
+    const others = shares.filter(share => share !== from);
+    for (const range of [...own].sort((left, right) => density(right) - density(left))) {
+        const load = loadBetween(sums, range.first, range.last);
+        const wanted = Math.min(load, excess);
+        const loadAfter = (share: Share): number => (share.load + wanted) / share.candidate.capacity;
+        const [to] = others.sort((left, right) => loadAfter(left) - loadAfter(right));
+        if (to === undefined) {
+            return undefined;
+        }
+        // Whatever moves must leave the receiver below where the giver was.
+        const limit = relativeLoad(from) * improvementFactor * to.candidate.capacity - to.load;
+        const room = Math.max(0, mean * to.candidate.capacity - to.load);
+        const target = Math.min(excess, Math.max(room, excess / 4));
+        const whole = { first: range.first, last: range.last };
+        const stretch = load <= target
+            ? (load <= limit ? whole : undefined)
+            : narrowestStretch(range, sums, target, limit) ?? narrowestStretch(range, sums, target / 4, limit);
+        const isWorthIt = load >= excess * smallestPart;
+        if (stretch !== undefined && isWorthIt && stretch.last - stretch.first < highestKeys) {
+            return { range, ...stretch, to };
+        }
+    }
+    return undefined;
+};
+
 /**
  * Decides the next assignment.
  *
@@ -148,38 +200,19 @@
         && tired.size < shares.size
     ) {
         const from = mostLoaded([...shares.values()].filter(share => !tired.has(share)));
-        const to = leastLoaded(shares.values());
-        if (relativeLoad(from) < mean * overloadFactor || from === to) {
+        if (relativeLoad(from) < mean * overloadFactor) {
             break;
         }
-        const excess = from.load - mean * from.candidate.capacity;
-        const room = mean * to.candidate.capacity - to.load;
-        const target = Math.min(excess, room);
         const own = ranges.filter(range => shareOf(range) === from && !input.isMoving(range) && range.token > 0);
-        const density = (range: keyRange.KeyRange): number =>
-            loadBetween(loadSums, range.first, range.last) / (range.last - range.first + 1);
-        const [densest] = own.sort((left, right) => density(right) - density(left));
-        if (densest === undefined) {
-            tired.add(from);
-            continue;
-        }
-        const densestLoad = loadBetween(loadSums, densest.first, densest.last);
-        // Whatever moves must leave the receiver below where the giver was.
-        const limit = Math.max(target * 1.3, from.load - to.load * (from.candidate.capacity / to.candidate.capacity))
-            * 0.9;
-        const stretch = densestLoad <= target
-            ? { first: densest.first, last: densest.last }
-            : narrowestStretch(densest, loadSums, target, limit)
-                ?? narrowestStretch(densest, loadSums, target / 4, limit);
-        const width = stretch === undefined ? 0 : stretch.last - stretch.first + 1;
-        if (stretch === undefined || movedKeys + width > highestMovedKeys) {
+        const move = findMove(own, from, [...shares.values()], mean, loadSums, highestMovedKeys - movedKeys);
+        if (move === undefined) {
             tired.add(from);
             continue;
         }
-        from.load -= loadBetween(loadSums, stretch.first, stretch.last);
-        giveTo(densest, stretch, to);
+        from.load -= loadBetween(loadSums, move.first, move.last);
+        giveTo(move.range, { first: move.first, last: move.last }, move.to);
         moves += 1;
-        movedKeys += width;
+        movedKeys += move.last - move.first + 1;
     }
     return heaviestFirst.length + fenced.length + moves === 0
         ? undefined
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -86,6 +86,8 @@
 const deliveryMilliseconds = 100;
 /** Grants to an upstream that does not answer, so that its other leases run out meanwhile. */
 const probesWhileSilent = 1;
+/** Orders that are out at one upstream: no more than it has connections for, so that none waits unsent. */
+export const ordersPerOwner = 8;
 
 /** Time after which an owner that is asked nothing any more gets another chance, in milliseconds. */
 const silenceMemoryMilliseconds = 4000;
@@ -290,29 +292,37 @@
         assignment: () => agreed,
         takeDueOrders: (now, leaseMilliseconds) => {
             const orders: Order[] = [];
-            const probes = new Map<string, number>();
+            const outstanding = new Map<string, number>();
+            const count = (name: string): void => {
+                outstanding.set(name, (outstanding.get(name) ?? 0) + 1);
+            };
             for (const holding of holdings) {
-                if (!holding.isFormerDone) {
-                    const release = takeRelease(holding, now);
-                    if (release !== undefined) {
-                        orders.push(release);
-                    }
+                const release = holding.isFormerDone ? undefined : takeRelease(holding, now);
+                if (release !== undefined) {
+                    orders.push(release);
+                }
+                else if (holding.isInFlight && holding.isFormerDone && holding.range.owner !== undefined) {
+                    count(keyRange.ownerName(holding.range.owner));
                 }
+            }
+            const idle = holdings.filter(holding =>
+                holding.isFormerDone && !holding.isInFlight && now >= holding.dueAt
+            );
+            // Keys that nobody serves first, then the leases that end soonest.
+            for (const holding of idle.sort((left, right) => left.leaseUntil - right.leaseUntil)) {
                 const { owner } = holding.range;
-                if (!holding.isFormerDone || owner === undefined) {
+                if (owner === undefined) {
                     continue;
                 }
                 const name = keyRange.ownerName(owner);
-                const sent = probes.get(name) ?? 0;
-                if (silences.has(name) && sent >= probesWhileSilent) {
+                const limit = silences.has(name) ? probesWhileSilent : ordersPerOwner;
+                if ((outstanding.get(name) ?? 0) >= limit) {
                     continue;
                 }
                 const grant = takeGrant(holding, now, leaseMilliseconds);
                 if (grant !== undefined) {
                     orders.push(grant);
-                }
-                if (holding.isInFlight) {
-                    probes.set(name, sent + 1);
+                    count(name);
                 }
             }
             return orders;
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -53,6 +53,8 @@
 const refusalMilliseconds = 250;
 /** Keys in a range before the load is known. */
 const initialRangeKeys = 256;
+/** Time in which upstreams register when a site starts, before keys are dealt for the first time, in milliseconds. */
+const firstDealMilliseconds = 2500;
 /** How much of a new measurement enters an upstream's speed. */
 const speedSmoothing = 0.3;
 
@@ -125,7 +127,8 @@
     let isCommitting = false;
     let isStopped = false;
     let needsRead = false;
-    let provenAt = timers.now();
+    const startedAt = timers.now();
+    let provenAt = startedAt;
     let nextCommitAt = timers.now();
     let lastBeatAt = timers.now();
 
@@ -230,7 +233,11 @@
 
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
         const { keeper, load } = services.get(name) ?? createService(name);
-        const current = keeper.settled() ?? assignment.createEmptyAssignment(name, initialRangeKeys);
+        const settled = keeper.settled();
+        if (settled === undefined && timers.now() - startedAt < firstDealMilliseconds) {
+            return undefined;
+        }
+        const current = settled ?? assignment.createEmptyAssignment(name, initialRangeKeys);
         return assignment.balance({
             assignment: current,
             candidates: candidatesOf(name, keeper),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -354,7 +354,9 @@
             const { expectedMilliseconds, waitMilliseconds } = selection.choice;
             state.lastWaitMilliseconds = waitMilliseconds;
             const remainingMilliseconds = state.endsAt - timers.now();
-            if (!admission.isServable({ expectedMilliseconds, remainingMilliseconds })) {
+            const targetMilliseconds = state.arrivedAt + state.route.targetMilliseconds - timers.now();
+            const expectation = { expectedMilliseconds, waitMilliseconds, remainingMilliseconds, targetMilliseconds };
+            if (!admission.isServable(expectation)) {
                 fail(state, Reason.noRoom, waitMilliseconds);
                 return;
             }
