--- a/packages/assignment/src/authority.ts
+++ b/packages/assignment/src/authority.ts
@@ -1,5 +1,7 @@
 /** How long a leader may send orders after the store last showed that it leads. */
 
+import type * as records from "./records";
+
 /** Time after a proof in which orders may be sent, in milliseconds; a successor waits as long. */
 export const authorityMilliseconds = 2000;
 /** Age of a proof from which the longest leases are granted, in milliseconds: two beats that were not acknowledged. */
@@ -9,6 +11,33 @@
 /** Difference between clocks from which the process is taken to have been suspended, in milliseconds. */
 const suspensionMilliseconds = 250;
 
+/** A clock that measures a lease may run this much slow. */
+const clockDrift = 1.02;
+/** Time in which an order that was sent has arrived or never will, in milliseconds. */
+const orderMilliseconds = 750;
+
+/**
+ * Tells when every lease has ended that leaders before may have granted.
+ *
+ * @param before - the record of the leader before; undefined at a site's first start
+ * @param now - time at which this leader was accepted
+ * @param longestMilliseconds - longest lease that upstreams accept
+ * @returns a time on the clock of `now`
+ */
+export const earlierLeasesEnd = (
+    before: records.LeaderRecord | undefined,
+    now: number,
+    longestMilliseconds: number,
+): number => {
+    if (before === undefined) {
+        return -Infinity;
+    }
+    if (before.isResigned) {
+        return now + orderMilliseconds + before.longestLeaseMilliseconds * clockDrift;
+    }
+    return now + authorityMilliseconds + orderMilliseconds + longestMilliseconds * clockDrift;
+};
+
 /** Keeps the authority of a leader. */
 export interface Authority {
     /** The store has shown, in answer to a call sent at a time, that this instance leads. */
--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -41,8 +41,8 @@
 
 /** Load of a receiver after a move, as a part of the giver's before, from which a move is not worth it. */
 const improvementFactor = 0.9;
-/** Part of an owner's excess that a range must carry to be worth moving. */
-const smallestPart = 0.03;
+/** Load of a key, relative to the mean key, below which a range is not worth moving. */
+const lowestDensity = 0.25;
 
 interface Share {
     candidate: Candidate;
@@ -136,7 +136,7 @@
         const stretch = load <= target
             ? (load <= limit ? whole : undefined)
             : narrowestStretch(range, sums, target, limit) ?? narrowestStretch(range, sums, target / 4, limit);
-        const isWorthIt = load >= excess * smallestPart;
+        const isWorthIt = density(range) >= lowestDensity * sums[keyRange.keyCount] / keyRange.keyCount;
         if (stretch !== undefined && isWorthIt && stretch.last - stretch.first < highestKeys) {
             return { range, ...stretch, to };
         }
--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -1,9 +1,16 @@
 /** Sole ownership of keys through an ordered log with conditional appends. */
-export { authorityMilliseconds, createAuthority, ordinaryLeaseMilliseconds } from "./authority";
+export { authorityMilliseconds, createAuthority, earlierLeasesEnd, ordinaryLeaseMilliseconds } from "./authority";
 export type { Authority } from "./authority";
 export { balance } from "./balance";
 export type { BalanceInput, Candidate } from "./balance";
-export { createKeeper, grantTimeoutMilliseconds, OrderKind, OrderOutcome, renewalMilliseconds } from "./keeper";
+export {
+    createKeeper,
+    grantTimeoutMilliseconds,
+    OrderKind,
+    OrderOutcome,
+    ordersPerOwner,
+    renewalMilliseconds,
+} from "./keeper";
 export type { Keeper, Order, OrderOutcomeValue, RoutingChange } from "./keeper";
 export { createKeyLoad } from "./keyLoad";
 export type { KeyLoad } from "./keyLoad";
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -106,6 +106,8 @@
     isFormerDone: boolean;
     isHeld: boolean;
     isInFlight: boolean;
+    /** Lease that the last order granted, in milliseconds. */
+    grantedMilliseconds: number;
     /** Time at which a lease has surely ended that is granted by the order in flight. */
     pendingLeaseUntil: number;
     /** Whether another owner is being agreed. */
@@ -118,6 +120,11 @@
 
 const leaseEnd = (holding: Holding): number => Math.max(holding.leaseUntil, holding.pendingLeaseUntil);
 
+/** Whether a grant is due; one with a longer lease than the last is due at once, as the store may be away for long. */
+const isDue = (holding: Holding, now: number, leaseMilliseconds: number): boolean =>
+    !holding.isInFlight
+    && (now >= holding.dueAt || (holding.isHeld && leaseMilliseconds > holding.grantedMilliseconds));
+
 const overlaps = (left: keyRange.KeyRange, right: keyRange.KeyRange): boolean =>
     left.first <= right.last && right.first <= left.last;
 
@@ -190,6 +197,7 @@
             isFormerDone: formerLeaseUntil === -Infinity,
             isHeld: false,
             isInFlight: false,
+            grantedMilliseconds: 0,
             pendingLeaseUntil: -Infinity,
             isBlocked: false,
             isFenced: false,
@@ -236,12 +244,12 @@
     const takeGrant = (holding: Holding, now: number, leaseMilliseconds: number): Order | undefined => {
         const { owner, first, last, token } = holding.range;
         const isFirst = leaseEnd(holding) === -Infinity;
-        const isIdle = !holding.isInFlight && !holding.isFenced && now >= holding.dueAt
-            && !(holding.isBlocked && isFirst);
+        const isIdle = isDue(holding, now, leaseMilliseconds) && !holding.isFenced && !(holding.isBlocked && isFirst);
         if (owner === undefined || !isIdle || ended.has(keyRange.ownerName(owner))) {
             return undefined;
         }
         holding.isInFlight = true;
+        holding.grantedMilliseconds = leaseMilliseconds;
         holding.pendingLeaseUntil = now + grantTimeoutMilliseconds + deliveryMilliseconds
             + leaseMilliseconds * clockDrift;
         return { kind: OrderKind.grant, owner, first, last, token, leaseMilliseconds, handover: holding.handover };
@@ -252,10 +260,12 @@
         if (outcome === OrderOutcome.unanswered) {
             holding.leaseUntil = Math.max(holding.leaseUntil, holding.pendingLeaseUntil);
             silences.set(name, { since: silences.get(name)?.since ?? now, lastAt: now });
+            holding.pendingLeaseUntil = -Infinity;
             holding.dueAt = now + grantRetryMilliseconds;
             return;
         }
         silences.delete(name);
+        holding.pendingLeaseUntil = -Infinity;
         const isDone = outcome === OrderOutcome.done;
         if (isDone) {
             holding.leaseUntil = Math.max(holding.leaseUntil, now + order.leaseMilliseconds * clockDrift);
@@ -305,9 +315,7 @@
                     count(keyRange.ownerName(holding.range.owner));
                 }
             }
-            const idle = holdings.filter(holding =>
-                holding.isFormerDone && !holding.isInFlight && now >= holding.dueAt
-            );
+            const idle = holdings.filter(holding => holding.isFormerDone && isDue(holding, now, leaseMilliseconds));
             // Keys that nobody serves first, then the leases that end soonest.
             for (const holding of idle.sort((left, right) => left.leaseUntil - right.leaseUntil)) {
                 const { owner } = holding.range;
--- /dev/null
+++ b/packages/assignment/test/balance.test.ts
@@ -0,0 +1,156 @@
+/** Placement of keys: played loads, and what it costs in moved keys. */
+import * as assignment from "@mulberryseam/assignment";
+import * as earl from "earl";
+import * as test from "node:test";
+
+const createCandidates = (count: number, capacity = 6): assignment.Candidate[] =>
+    Array.from({ length: count }, (_, index) => ({
+        owner: { identifier: `owner-${index}`, startedAt: 1, host: "127.0.0.1", port: index + 1 },
+        capacity,
+    }));
+
+const createInput = (
+    current: assignment.ServiceAssignment,
+    candidates: assignment.Candidate[],
+    loads: (key: number) => number,
+): assignment.BalanceInput => {
+    const loadSums = new Float64Array(assignment.keyCount + 1);
+    for (let key = 0; key < assignment.keyCount; key += 1) {
+        loadSums[key + 1] = loadSums[key] + loads(key);
+    }
+    return {
+        assignment: current,
+        candidates,
+        loadSums,
+        isMoving: () => false,
+        isUndecided: () => false,
+        isFenced: () => false,
+    };
+};
+
+const settle = (current: assignment.ServiceAssignment): assignment.ServiceAssignment => ({
+    ...current,
+    ranges: current.ranges.map(range => ({ ...range, former: undefined })),
+});
+
+const busiestOverMean = (
+    current: assignment.ServiceAssignment,
+    candidates: assignment.Candidate[],
+    loads: (key: number) => number,
+): number => {
+    const byOwner = new Map(candidates.map(({ owner }) => [owner.identifier, 0]));
+    let total = 0;
+    for (const range of current.ranges) {
+        for (let key = range.first; key <= range.last; key += 1) {
+            const name = range.owner?.identifier ?? "";
+            byOwner.set(name, (byOwner.get(name) ?? 0) + loads(key));
+            total += loads(key);
+        }
+    }
+    return Math.max(...byOwner.values()) / (total / candidates.length);
+};
+
+const deal = (candidates: assignment.Candidate[]): assignment.ServiceAssignment =>
+    settle(
+        assignment.balance(
+            createInput(assignment.createEmptyAssignment("records", 256), candidates, () => 0),
+        ) as assignment.ServiceAssignment,
+    );
+
+const play = (
+    start: assignment.ServiceAssignment,
+    candidates: assignment.Candidate[],
+    loads: (key: number) => number,
+    rounds: number,
+): { end: assignment.ServiceAssignment; movedKeys: number; } => {
+    let current = start;
+    let movedKeys = 0;
+    for (let round = 0; round < rounds; round += 1) {
+        const next = assignment.balance(createInput(current, candidates, loads));
+        if (next === undefined) {
+            break;
+        }
+        for (const range of next.ranges.filter(one => one.former !== undefined)) {
+            movedKeys += range.last - range.first + 1;
+        }
+        current = settle(next);
+    }
+    return { end: current, movedKeys };
+};
+
+const covers = (current: assignment.ServiceAssignment): boolean =>
+    current.ranges[0].first === 0
+    && current.ranges[current.ranges.length - 1].last === assignment.keyCount - 1
+    && current.ranges.every((range, index) =>
+        index === 0 || range.first === current.ranges[index - 1].last + 1
+    );
+
+test.describe("the balance of keys", () => {
+    const candidates = createCandidates(14);
+
+    test.it("deals every key evenly at first", () => {
+        const dealt = deal(candidates);
+        earl.expect(covers(dealt)).toEqual(true);
+        earl.expect(busiestOverMean(dealt, candidates, () => 1) < 1.1).toEqual(true);
+    });
+
+    for (const width of [60, 200]) {
+        test.it(`spreads a hot stretch of ${width} keys within two rounds and moves few keys`, () => {
+            const loads = (key: number): number => 0.01 + (key >= 30_000 && key < 30_000 + width ? 500 / width : 0);
+            const dealt = deal(candidates);
+            earl.expect(busiestOverMean(dealt, candidates, loads) > 4).toEqual(true);
+            const { end, movedKeys } = play(dealt, candidates, loads, 2);
+            earl.expect(covers(end)).toEqual(true);
+            earl.expect(busiestOverMean(end, candidates, loads) < 2).toEqual(true);
+            earl.expect(movedKeys < assignment.keyCount * 0.02).toEqual(true);
+        });
+    }
+
+    test.it("frees the owner of one hot key from its other load", () => {
+        const loads = (key: number): number => key === 4242 ? 300 : key < 20_000 ? 0.05 : 0.01;
+        const dealt = deal(candidates);
+        const { end } = play(dealt, candidates, loads, 12);
+        const owner = end.ranges.find(range => range.first <= 4242 && range.last >= 4242)?.owner;
+        let others = 0;
+        for (const range of end.ranges.filter(one => one.owner?.identifier === owner?.identifier)) {
+            for (let key = range.first; key <= range.last; key += 1) {
+                others += key === 4242 ? 0 : loads(key);
+            }
+        }
+        let total = 0;
+        for (let key = 0; key < assignment.keyCount; key += 1) {
+            total += loads(key);
+        }
+        earl.expect(others < total / candidates.length / 2).toEqual(true);
+    });
+
+    test.it("gives an empty upstream some of the load", () => {
+        const loads = (key: number): number => 0.01 + (key >= 100 && key < 200 ? 3 : 0);
+        const { end } = play(deal(createCandidates(4)), createCandidates(4), loads, 10);
+        const { end: grown } = play(end, createCandidates(5), loads, 10);
+        earl.expect(busiestOverMean(grown, createCandidates(5), loads) < 1.35).toEqual(true);
+    });
+
+    test.it("gives a slow upstream less", () => {
+        const uneven = createCandidates(4).map((candidate, index) => ({ ...candidate, capacity: index === 0 ? 2 : 6 }));
+        const loads = (): number => 0.02;
+        const { end } = play(deal(createCandidates(4)), uneven, loads, 60);
+        const slow = end.ranges.filter(range => range.owner?.identifier === "owner-0");
+        const keys = slow.reduce((sum, range) => sum + range.last - range.first + 1, 0);
+        earl.expect(keys < assignment.keyCount * 0.14).toEqual(true);
+    });
+
+    test.it("leaves a balanced assignment as it is", () => {
+        const dealt = deal(candidates);
+        earl.expect(assignment.balance(createInput(dealt, candidates, () => 0.02))).toEqual(undefined);
+    });
+
+    test.it("gives tokens that were never given before", () => {
+        const dealt = deal(candidates);
+        const { end } = play(dealt, candidates, key => key < 50 ? 20 : 0.01, 5);
+        const tokens = new Set(end.ranges.filter(range => range.token >= dealt.nextToken).map(range => range.token));
+        const changed = end.ranges.filter(range => range.token >= dealt.nextToken);
+        earl.expect(changed.every(range => range.token < end.nextToken)).toEqual(true);
+        earl.expect(tokens.size > 0).toEqual(true);
+    });
+});
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -43,9 +43,6 @@
 const reconnectMilliseconds = 150;
 /** Instances that are assumed before the leader has told how many there are. */
 const assumedInstances = 8;
-/** Time in which a grant that was queued at an earlier leader is surely over, in milliseconds. */
-const earlierGrantMilliseconds = 700;
-const clockDrift = 1.02;
 /** Age of a leader's proof from which others look into the store, in milliseconds: more than a beat takes. */
 const staleProofMilliseconds = 1500;
 
@@ -125,17 +122,6 @@
         }
     };
 
-    const unknownLeaseUntil = (before: assignment.LeaderRecord | undefined): number => {
-        if (before === undefined) {
-            return -Infinity;
-        }
-        if (before.isResigned) {
-            return timers.now() + earlierGrantMilliseconds + before.longestLeaseMilliseconds * clockDrift;
-        }
-        return timers.now() + assignment.authorityMilliseconds + earlierGrantMilliseconds
-            + settings.longestLeaseMilliseconds * clockDrift;
-    };
-
     const campaign = async (known: ownershipStore.OwnershipSnapshot): Promise<void> => {
         const record: assignment.LeaderRecord = {
             identifier,
@@ -170,7 +156,11 @@
             log,
             record,
             snapshot: current,
-            unknownLeaseUntil: unknownLeaseUntil(known.leader),
+            unknownLeaseUntil: assignment.earlierLeasesEnd(
+                known.leader,
+                timers.now(),
+                settings.longestLeaseMilliseconds,
+            ),
             longestLeaseMilliseconds: settings.longestLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
