--- a/packages/assignment/src/authority.ts
+++ b/packages/assignment/src/authority.ts
@@ -16,6 +16,17 @@
 /** Time in which an order that was sent has arrived or never will, in milliseconds. */
 const orderMilliseconds = 750;
 
+/**
+ * Tells until when leaders before may send orders.
+ *
+ * @param before - the record of the leader before; undefined at a site's first start
+ * @param now - time at which this leader was accepted
+ * @param hasEnded - whether the process of the leader before is known to have ended
+ * @returns a time on the clock of `now`
+ */
+export const earlierOrdersEnd = (before: records.LeaderRecord | undefined, now: number, hasEnded: boolean): number =>
+    before === undefined || before.isResigned || hasEnded ? now : now + authorityMilliseconds + orderMilliseconds;
+
 /**
  * Tells when every lease has ended that leaders before may have granted.
  *
--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -20,8 +20,8 @@
     loadSums: Float64Array;
     /** Whether a range's former owner still has to give it up; such a range is only moved when its owner is lost. */
     isMoving: (range: keyRange.KeyRange) => boolean;
-    /** Whether two owners may hold a range, so that it cannot be moved. */
-    isUndecided: (range: keyRange.KeyRange) => boolean;
+    /** Whether a range may get another owner now. */
+    mayMove: (range: keyRange.KeyRange) => boolean;
     /** Whether a range's owner has seen a higher token, so that the range needs a new one. */
     isFenced: (range: keyRange.KeyRange) => boolean;
 }
@@ -29,7 +29,7 @@
 /** Load above the mean, as a factor, from which an owner gives keys away. */
 const overloadFactor = 1.2;
 /** Changes in one round, so that few keys are between owners at a time. */
-const highestMoves = 12;
+const highestMoves = 16;
 /** Keys that change owners in one round for the sake of balance. */
 const highestMovedKeys = 1500;
 /** Ranges above which no range is cut any more; each one costs a renewal a second. */
@@ -131,7 +131,7 @@
         // Whatever moves must leave the receiver below where the giver was.
         const limit = relativeLoad(from) * improvementFactor * to.candidate.capacity - to.load;
         const room = Math.max(0, mean * to.candidate.capacity - to.load);
-        const target = Math.min(excess, Math.max(room, excess / 4));
+        const target = Math.min(excess, Math.max(room, excess / others.length));
         const whole = { first: range.first, last: range.last };
         const stretch = load <= target
             ? (load <= limit ? whole : undefined)
@@ -156,7 +156,8 @@
         return undefined;
     }
     const ranges = [...input.assignment.ranges];
-    let { nextToken } = input.assignment;
+    const firstToken = input.assignment.nextToken;
+    let nextToken = firstToken;
     const shares = new Map<string, Share>(
         candidates.map(candidate => [keyRange.ownerName(candidate.owner), { candidate, load: 0 }]),
     );
@@ -165,7 +166,7 @@
     const orphans: keyRange.KeyRange[] = [];
     for (const range of ranges) {
         const share = shareOf(range);
-        if (share === undefined && !input.isUndecided(range)) {
+        if (share === undefined && input.mayMove(range)) {
             orphans.push(range);
         }
         else if (share !== undefined) {
@@ -203,7 +204,10 @@
         if (relativeLoad(from) < mean * overloadFactor) {
             break;
         }
-        const own = ranges.filter(range => shareOf(range) === from && !input.isMoving(range) && range.token > 0);
+        // What this plan has changed already keeps its former owner on record, so it is not changed again.
+        const own = ranges.filter(range =>
+            shareOf(range) === from && range.token < firstToken && !input.isMoving(range) && input.mayMove(range)
+        );
         const move = findMove(own, from, [...shares.values()], mean, loadSums, highestMovedKeys - movedKeys);
         if (move === undefined) {
             tired.add(from);
--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -1,19 +1,20 @@
 /** Sole ownership of keys through an ordered log with conditional appends. */
-export { authorityMilliseconds, createAuthority, earlierLeasesEnd, ordinaryLeaseMilliseconds } from "./authority";
+export {
+    authorityMilliseconds,
+    createAuthority,
+    earlierLeasesEnd,
+    earlierOrdersEnd,
+    ordinaryLeaseMilliseconds,
+} from "./authority";
 export type { Authority } from "./authority";
 export { balance } from "./balance";
 export type { BalanceInput, Candidate } from "./balance";
-export {
-    createKeeper,
-    grantTimeoutMilliseconds,
-    OrderKind,
-    OrderOutcome,
-    ordersPerOwner,
-    renewalMilliseconds,
-} from "./keeper";
-export type { Keeper, Order, OrderOutcomeValue, RoutingChange } from "./keeper";
+export { createKeeper, grantTimeoutMilliseconds, ordersPerOwner, renewalMilliseconds } from "./keeper";
+export type { Keeper, RoutingChange } from "./keeper";
 export { createKeyLoad } from "./keyLoad";
 export type { KeyLoad } from "./keyLoad";
+export { OrderKind, OrderOutcome } from "./keyOrders";
+export type { Order, OrderOutcomeValue } from "./keyOrders";
 export { createEmptyAssignment, isSameOwner, keyCount, ownerName } from "./keyRange";
 export type { KeyRange, Owner, ServiceAssignment } from "./keyRange";
 export { LeadershipStep, leaderSilenceMilliseconds, nextLeadershipStep } from "./leadership";
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -4,6 +4,8 @@
 import * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
 import * as routing from "@mulberryseam/routing";
+import * as orderSender from "./orderSender";
+import * as ownershipLog from "./ownershipLog";
 import * as ownershipStore from "./ownershipStore";
 
 /** What a leader needs. */
@@ -18,6 +20,8 @@
     snapshot: ownershipStore.OwnershipSnapshot;
     /** Time at which every lease that an earlier leader may have granted has ended. */
     unknownLeaseUntil: number;
+    /** Time until which an earlier leader may send orders. */
+    quietUntil: number;
     longestLeaseMilliseconds: number;
     /** Names of the keyed services in force. */
     keyedServices: () => string[];
@@ -47,10 +51,11 @@
 const beatMilliseconds = 1000;
 /** Pause after a call to the store that failed, in milliseconds. */
 const retryMilliseconds = 200;
+/** Longest wait for an append under way before leadership is given up, in milliseconds. */
+const longestResignMilliseconds = 600;
+const resignPauseMilliseconds = 20;
 /** Silence of an owner from which its keys are given to others, in milliseconds: several probes. */
 const silentOwnerMilliseconds = 900;
-/** Time between refused connections from which an upstream has surely ended, in milliseconds. */
-const refusalMilliseconds = 250;
 /** Keys in a range before the load is known. */
 const initialRangeKeys = 256;
 /** Time in which upstreams register when a site starts, before keys are dealt for the first time, in milliseconds. */
@@ -100,15 +105,6 @@
     };
 };
 
-const outcomes: Record<platform.OrderAnswer["result"], assignment.OrderOutcomeValue> = {
-    done: assignment.OrderOutcome.done,
-    fenced: assignment.OrderOutcome.fenced,
-    refused: assignment.OrderOutcome.refused,
-    replaced: assignment.OrderOutcome.refused,
-    notListening: assignment.OrderOutcome.unanswered,
-    unknown: assignment.OrderOutcome.unanswered,
-};
-
 /**
  * Starts a leader's work.
  *
@@ -116,21 +112,16 @@
  * @returns the work; the caller drives it by {@link LeaderSession.tick}
  */
 export const createLeaderSession = (options: LeaderSessionOptions): LeaderSession => {
-    const { store, grants, directory, timers, log } = options;
+    const { directory, timers, log } = options;
     const authority = assignment.createAuthority(options.longestLeaseMilliseconds);
     const services = new Map<string, KeyedService>();
     const speeds = new Map<string, number>();
-    const refusals = new Map<string, number>();
-    const ended = new Set<string>();
-    let record = options.record;
-    let { end } = options.snapshot;
-    let isCommitting = false;
-    let isStopped = false;
-    let needsRead = false;
     const startedAt = timers.now();
     let provenAt = startedAt;
-    let nextCommitAt = timers.now();
-    let lastBeatAt = timers.now();
+    let isCommitting = false;
+    let isStopped = false;
+    let nextCommitAt = startedAt;
+    let uncertainPlans: assignment.ServiceAssignment[] = [];
 
     const onProof = (sentAt: number): void => {
         provenAt = sentAt;
@@ -147,79 +138,43 @@
             keeper.adopt(stored, unknownLeaseUntil);
         }
     };
+    const setPlanned = (plans: readonly assignment.ServiceAssignment[]): void =>
+        services.forEach(({ keeper }, name) => keeper.setPlanned(plans.find(plan => plan.service === name)));
 
-    const markEnded = (owner: assignment.Owner, reason: string): void => {
-        const name = assignment.ownerName(owner);
-        if (!ended.has(name)) {
-            ended.add(name);
-            log.write("owner-ended", { owner: name, reason });
+    const sender = orderSender.createOrderSender({
+        grants: options.grants,
+        timers,
+        log,
+        onEnded: owner => {
             services.forEach(({ keeper }) => keeper.onEnded(owner));
             nextCommitAt = timers.now();
-        }
-    };
-
-    const onOrderAnswer = (
-        service: string,
-        keeper: assignment.Keeper,
-        order: assignment.Order,
-        answer: platform.OrderAnswer,
-    ): void => {
-        const now = timers.now();
-        const name = assignment.ownerName(order.owner);
-        if (answer.result === platform.OrderResult.notListening) {
-            const since = refusals.get(name) ?? now;
-            refusals.set(name, since);
-            if (now - since >= refusalMilliseconds) {
-                markEnded(order.owner, answer.reason);
-            }
-        }
-        else if (answer.result === platform.OrderResult.done) {
-            refusals.delete(name);
-        }
-        if (answer.result === platform.OrderResult.replaced) {
-            markEnded(order.owner, answer.reason);
-        }
-        keeper.onAnswer(order, outcomes[answer.result], answer.handover, now);
-        if (order.kind === assignment.OrderKind.release || answer.result !== platform.OrderResult.done) {
-            log.write("order", {
-                kind: order.kind,
-                service,
-                owner: name,
-                first: order.first,
-                last: order.last,
-                token: order.token,
-                result: answer.result,
-                reason: answer.reason,
-            });
-        }
-    };
-
-    const send = (service: string, keeper: assignment.Keeper, order: assignment.Order): void => {
-        const upstream: routing.Upstream = {
-            ...order.owner,
-            service,
-            failureDomain: "",
-            slots: 1,
-            isDraining: false,
-            warmupMilliseconds: 0,
-        };
-        const keys = { first: order.first, last: order.last, token: order.token };
-        const answer = order.kind === assignment.OrderKind.grant
-            ? grants.grant(upstream, keys, order.leaseMilliseconds, order.handover)
-            : grants.release(upstream, keys);
-        void answer.then(result => {
-            if (!isStopped) {
-                onOrderAnswer(service, keeper, order, result);
-            }
-        });
-    };
+        },
+        isStopped: () => isStopped,
+    });
+    const ownershipTopic = ownershipLog.createOwnershipLog({
+        store: options.store,
+        timers,
+        log,
+        record: options.record,
+        end: options.snapshot.end,
+        onProof,
+        onSnapshot: snapshot => {
+            adoptSnapshot(snapshot, -Infinity);
+            setPlanned(uncertainPlans);
+        },
+        onDeposed: newTerm => {
+            isStopped = true;
+            log.write("leadership-lost", { term: options.record.term, newTerm });
+            options.onDeposed();
+        },
+    });
 
     const candidatesOf = (service: string, keeper: assignment.Keeper): assignment.Candidate[] => {
         const now = timers.now();
         const entries = directory.ofService(service).filter(({ upstream, leavingSince }) => {
             const silentSince = keeper.silentSince(toOwner(upstream), now);
             const isSilent = silentSince !== undefined && now - silentSince >= silentOwnerMilliseconds;
-            return leavingSince === undefined && !isSilent && !ended.has(assignment.ownerName(toOwner(upstream)));
+            return leavingSince === undefined && !isSilent && !sender.hasEnded(toOwner(upstream));
         });
         const known = entries.map(({ upstream }) => speeds.get(upstream.identifier)).filter(speed =>
             speed !== undefined
@@ -231,6 +186,16 @@
         }));
     };
 
+    /**
+     * An earlier leader that does not know of this one may renew keys for a while. An upstream that has moved keys away
+     * refuses that, unless it has started anew meanwhile and knows of nothing; so nothing is moved for as long.
+     */
+    const mayMove = (keeper: assignment.Keeper, range: assignment.KeyRange): boolean => {
+        const now = timers.now();
+        const isQuiet = now < options.quietUntil && range.owner !== undefined && !sender.hasEnded(range.owner);
+        return !isQuiet && !keeper.isUndecided(range, now);
+    };
+
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
         const { keeper, load } = services.get(name) ?? createService(name);
         const settled = keeper.settled();
@@ -243,62 +208,32 @@
             candidates: candidatesOf(name, keeper),
             loadSums: load.prefixSums(),
             isMoving: keeper.isMoving,
-            isUndecided: range => keeper.isUndecided(range, timers.now()),
+            mayMove: range => mayMove(keeper, range),
             isFenced: keeper.isFenced,
         });
     };
 
-    const resynchronize = async (): Promise<void> => {
-        const sentAt = timers.now();
-        const snapshot = await ownershipStore.readOwnership(store, log);
-        const isLeading = snapshot.leader?.identifier === record.identifier && snapshot.leader.term === record.term;
-        if (!isLeading) {
-            isStopped = true;
-            log.write("leadership-lost", { term: record.term, newTerm: snapshot.leader?.term });
-            options.onDeposed();
-            return;
-        }
-        onProof(sentAt);
-        record = snapshot.leader ?? record;
-        end = snapshot.end;
-        services.forEach(({ keeper }) => keeper.setPlanned(undefined));
-        adoptSnapshot(snapshot, -Infinity);
-        needsRead = false;
-    };
-
-    const append = async (next: assignment.LeaderRecord, plans: assignment.ServiceAssignment[]): Promise<boolean> => {
-        const sentAt = timers.now();
-        const answer = await store.append(platform.Topic.ownership, end, [
-            { key: assignment.leaderKey, value: assignment.encodeLeader(next) },
-            ...plans.map(plan => ({
-                key: assignment.assignmentKey(plan.service),
-                value: assignment.encodeAssignment(plan),
-            })),
-        ]);
-        if (answer.result !== platform.AppendResult.appended) {
-            log.write("append-failed", { result: answer.result, reason: answer.reason, end });
-            needsRead = true;
-            return false;
-        }
-        onProof(sentAt);
-        record = next;
-        end = answer.end;
-        lastBeatAt = timers.now();
-        return true;
-    };
-
     const commit = async (): Promise<void> => {
-        if (needsRead) {
-            await resynchronize();
+        if (ownershipTopic.needsRead()) {
+            await ownershipTopic.resynchronize();
             return;
         }
-        const plans = options.keyedServices().map(planService).filter(plan => plan !== undefined);
+        const isUncertain = ownershipTopic.isUncertain();
+        const plans = isUncertain
+            ? []
+            : options.keyedServices().map(planService).filter(plan => plan !== undefined);
         services.forEach(({ load }) => load.fade());
-        if (plans.length === 0 && timers.now() - lastBeatAt < beatMilliseconds) {
+        const isBeatDue = isUncertain || timers.now() - ownershipTopic.lastAppendAt() >= beatMilliseconds;
+        if (plans.length === 0 && !isBeatDue) {
             return;
         }
-        plans.forEach(plan => services.get(plan.service)?.keeper.setPlanned(plan));
-        if (await append({ ...record, beat: record.beat + 1 }, plans)) {
+        if (!isUncertain) {
+            uncertainPlans = plans;
+            setPlanned(plans);
+        }
+        if (await ownershipTopic.append(plans, false, 0)) {
+            uncertainPlans = [];
+            setPlanned([]);
             for (const plan of plans) {
                 services.get(plan.service)?.keeper.adopt(plan, -Infinity);
                 log.write("assignment", {
@@ -314,7 +249,8 @@
         isCommitting = true;
         try {
             await commit();
-            nextCommitAt = timers.now() + (needsRead ? 0 : planMilliseconds);
+            const isHurried = ownershipTopic.needsRead() || ownershipTopic.isUncertain();
+            nextCommitAt = timers.now() + (isHurried ? 0 : planMilliseconds);
         }
         catch (error) {
             log.write("ownership-read-failed", { reason: (error as Error).message });
@@ -324,7 +260,7 @@
     };
 
     adoptSnapshot(options.snapshot, options.unknownLeaseUntil);
-    onProof(timers.now());
+    onProof(startedAt);
 
     return {
         tick: () => {
@@ -333,14 +269,16 @@
             if (isStopped) {
                 return;
             }
-            directory.takeEnded().forEach(upstream => markEnded(toOwner(upstream), "another life has its place"));
+            directory.takeEnded().forEach(upstream =>
+                sender.markEnded(toOwner(upstream), "another life has its place")
+            );
             if (!isCommitting && now >= nextCommitAt) {
                 void runCommit();
             }
             for (const [service, { keeper }] of services) {
                 if (authority.mayOrder(now)) {
                     const lease = authority.leaseMilliseconds(now);
-                    keeper.takeDueOrders(now, lease).forEach(order => send(service, keeper, order));
+                    keeper.takeDueOrders(now, lease).forEach(order => sender.send(service, keeper, order));
                 }
                 const changes = keeper.takeChanges();
                 if (changes.length > 0) {
@@ -363,12 +301,18 @@
             if (isStopped) {
                 return;
             }
+            for (
+                let waited = 0;
+                isCommitting && waited < longestResignMilliseconds;
+                waited += resignPauseMilliseconds
+            ) {
+                await foundation.pause(timers, resignPauseMilliseconds);
+            }
             isStopped = true;
-            const longest = authority.longestLeaseMilliseconds(timers.now());
-            await append({ ...record, beat: record.beat + 1, isResigned: true, longestLeaseMilliseconds: longest }, []);
-            log.write("leadership-resigned", { term: record.term });
+            await ownershipTopic.append([], true, authority.longestLeaseMilliseconds(timers.now()));
+            log.write("leadership-resigned", { term: options.record.term });
         },
-        term: record.term,
+        term: options.record.term,
         proofAge: () => timers.now() - provenAt,
     };
 };
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -156,6 +156,11 @@
             log,
             record,
             snapshot: current,
+            quietUntil: assignment.earlierOrdersEnd(
+                known.leader,
+                timers.now(),
+                endedLeader === known.leader?.identifier || known.leader?.host === settings.host,
+            ),
             unknownLeaseUntil: assignment.earlierLeasesEnd(
                 known.leader,
                 timers.now(),
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -26,7 +26,11 @@
     ofService: (service: string) => readonly DirectoryEntry[];
     find: (identifier: string) => DirectoryEntry | undefined;
     all: () => Iterable<DirectoryEntry>;
-    /** Lives that are surely over because another one has their name or address; given once. */
+    /**
+     * Lives that are surely over, so that orders to them reach nobody: another upstream has their address, or they run
+     * again at another one. A life that was followed by another under the same name at the same address is not among
+     * them, because orders to it reach the next one. Given once.
+     */
     takeEnded: () => documents.Upstream[];
 }
 
@@ -99,7 +103,9 @@
             lapsed.delete(upstream.identifier);
             leaving.delete(upstream.identifier);
             const isSameLife = known !== undefined && known.upstream.startedAt === upstream.startedAt;
-            if (known !== undefined && !isSameLife) {
+            const hasMoved = known !== undefined
+                && (known.upstream.host !== upstream.host || known.upstream.port !== upstream.port);
+            if (hasMoved && !isSameLife) {
                 ended.push(known.upstream);
             }
             if (!isSameLife) {
