--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,7 +33,7 @@
         },
     },
     {
-        files: ["scripts/**/*.mjs"],
-        languageOptions: { globals: { process: "readonly", console: "readonly" } },
+        files: ["scripts/**/*.mjs", "scripts/**/*.cjs"],
+        languageOptions: { globals: { process: "readonly", console: "readonly", module: "readonly" } },
     },
 );
--- a/packages/assignment/src/heldRange.ts
+++ b/packages/assignment/src/heldRange.ts
@@ -1,6 +1,14 @@
 /** One range under a keeper, and what is known of the leases on it. */
+import * as keyOrders from "./keyOrders";
 import * as keyRange from "./keyRange";
 
+/** Time after which an order counts as unanswered, in milliseconds; its connection is reset then. */
+export const grantTimeoutMilliseconds = 600;
+/** Time that a grant may still be on its way when its connection is reset, in milliseconds. */
+const deliveryMilliseconds = 100;
+/** A clock that measures a lease may run this much slow. */
+export const clockDrift = 1.02;
+
 /** A range with its leases. */
 export interface HeldRange {
     range: keyRange.KeyRange;
@@ -104,3 +112,66 @@
         handover: undefined,
     };
 };
+
+/**
+ * Takes the release that is due to a range's former owner. Marks the former owner as done when its lease has ended.
+ *
+ * @param held - the range
+ * @param now - the time
+ * @param hasEnded - whether an owner's life is surely over
+ * @returns the order, counted as sent; undefined when none is due
+ */
+export const takeRelease = (
+    held: HeldRange,
+    now: number,
+    hasEnded: (owner: keyRange.Owner) => boolean,
+): keyOrders.Order | undefined => {
+    const { former } = held.range;
+    if (former === undefined || hasEnded(former) || now >= held.formerLeaseUntil) {
+        held.isFormerDone = true;
+        held.isInFlight = false;
+        held.dueAt = -Infinity;
+        return undefined;
+    }
+    if (held.isInFlight || now < held.dueAt) {
+        return undefined;
+    }
+    held.isInFlight = true;
+    return keyOrders.createRelease(held.range, former);
+};
+
+/**
+ * Takes the grant that is due to a range's owner.
+ *
+ * @param held - the range
+ * @param now - the time
+ * @param leaseMilliseconds - the lease to grant
+ * @param hasEnded - whether an owner's life is surely over
+ * @returns the order, counted as sent; undefined when none is due
+ */
+export const takeGrant = (
+    held: HeldRange,
+    now: number,
+    leaseMilliseconds: number,
+    hasEnded: (owner: keyRange.Owner) => boolean,
+): keyOrders.Order | undefined => {
+    const { owner, first, last, token } = held.range;
+    const isFirst = leaseEnd(held) === -Infinity;
+    const isIdle = isDue(held, now, leaseMilliseconds) && !held.isFenced && !(held.isBlocked && isFirst);
+    if (owner === undefined || !isIdle || hasEnded(owner)) {
+        return undefined;
+    }
+    held.isInFlight = true;
+    held.grantedMilliseconds = leaseMilliseconds;
+    held.pendingLeaseUntil = now + grantTimeoutMilliseconds + deliveryMilliseconds
+        + leaseMilliseconds * clockDrift;
+    return {
+        kind: keyOrders.OrderKind.grant,
+        owner,
+        first,
+        last,
+        token,
+        leaseMilliseconds,
+        handover: held.handover,
+    };
+};
--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -9,7 +9,8 @@
 export type { Authority } from "./authority";
 export { balance } from "./balance";
 export type { BalanceInput, Candidate } from "./balance";
-export { createKeeper, grantTimeoutMilliseconds, ordersPerOwner, renewalMilliseconds } from "./keeper";
+export { grantTimeoutMilliseconds } from "./heldRange";
+export { createKeeper, ordersPerOwner, renewalMilliseconds } from "./keeper";
 export type { Keeper, RoutingChange } from "./keeper";
 export { createKeyLoad } from "./keyLoad";
 export type { KeyLoad } from "./keyLoad";
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -60,12 +60,6 @@
 /** Time between two releases of a range that were not answered, in milliseconds. */
 const releaseRetryMilliseconds = 250;
 const grantRetryMilliseconds = 150;
-/** A clock that measures a lease may run this much slow. */
-const clockDrift = 1.02;
-/** Time after which an order counts as unanswered, in milliseconds; its connection is reset then. */
-export const grantTimeoutMilliseconds = 600;
-/** Time that a grant may still be on its way when its connection is reset, in milliseconds. */
-const deliveryMilliseconds = 100;
 /** Grants to an upstream that does not answer, so that its other leases run out meanwhile. */
 const probesWhileSilent = 1;
 /** Orders that are out at one upstream: no more than it has connections for, so that none waits unsent. */
@@ -103,47 +97,6 @@
         return held?.range.token === order.token ? held : undefined;
     };
 
-    const takeRelease = (held: heldRange.HeldRange, now: number): keyOrders.Order | undefined => {
-        const { former } = held.range;
-        if (former === undefined || ended.has(keyRange.ownerName(former)) || now >= held.formerLeaseUntil) {
-            held.isFormerDone = true;
-            held.isInFlight = false;
-            held.dueAt = -Infinity;
-            return undefined;
-        }
-        if (held.isInFlight || now < held.dueAt) {
-            return undefined;
-        }
-        held.isInFlight = true;
-        return keyOrders.createRelease(held.range, former);
-    };
-
-    const takeGrant = (
-        held: heldRange.HeldRange,
-        now: number,
-        leaseMilliseconds: number,
-    ): keyOrders.Order | undefined => {
-        const { owner, first, last, token } = held.range;
-        const isFirst = heldRange.leaseEnd(held) === -Infinity;
-        const isIdle = heldRange.isDue(held, now, leaseMilliseconds) && !held.isFenced && !(held.isBlocked && isFirst);
-        if (owner === undefined || !isIdle || ended.has(keyRange.ownerName(owner))) {
-            return undefined;
-        }
-        held.isInFlight = true;
-        held.grantedMilliseconds = leaseMilliseconds;
-        held.pendingLeaseUntil = now + grantTimeoutMilliseconds + deliveryMilliseconds
-            + leaseMilliseconds * clockDrift;
-        return {
-            kind: keyOrders.OrderKind.grant,
-            owner,
-            first,
-            last,
-            token,
-            leaseMilliseconds,
-            handover: held.handover,
-        };
-    };
-
     const onGrantAnswer = (
         held: heldRange.HeldRange,
         order: keyOrders.Order,
@@ -161,7 +114,7 @@
         held.pendingLeaseUntil = -Infinity;
         const isDone = outcome === keyOrders.OrderOutcome.done;
         if (isDone) {
-            held.leaseUntil = Math.max(held.leaseUntil, now + order.leaseMilliseconds * clockDrift);
+            held.leaseUntil = Math.max(held.leaseUntil, now + order.leaseMilliseconds * heldRange.clockDrift);
         }
         held.isFenced = outcome === keyOrders.OrderOutcome.fenced;
         held.dueAt = now + (isDone ? renewalMilliseconds : grantRetryMilliseconds);
@@ -204,7 +157,7 @@
                 outstanding.set(name, (outstanding.get(name) ?? 0) + 1);
             };
             for (const held of holdings) {
-                const release = held.isFormerDone ? undefined : takeRelease(held, now);
+                const release = held.isFormerDone ? undefined : heldRange.takeRelease(held, now, hasEnded);
                 if (release !== undefined) {
                     orders.push(release);
                 }
@@ -224,7 +177,7 @@
                 if ((outstanding.get(name) ?? 0) >= limit) {
                     continue;
                 }
-                const grant = takeGrant(held, now, leaseMilliseconds);
+                const grant = heldRange.takeGrant(held, now, leaseMilliseconds, hasEnded);
                 if (grant !== undefined) {
                     orders.push(grant);
                     count(name);
--- /dev/null
+++ b/packages/entry/src/leaderLink.ts
@@ -0,0 +1,118 @@
+/** A follower's connection to the leader. */
+import * as assignment from "@mulberryseam/assignment";
+import * as foundation from "@mulberryseam/foundation";
+import * as protocol from "@mulberryseam/protocol";
+import * as net from "node:net";
+
+/** What the link needs. */
+export interface LeaderLinkOptions {
+    /** Names the process of this instance. */
+    identifier: string;
+    timers: foundation.TimerService;
+    onRouting: (message: Extract<protocol.RoutingMessage, { kind: "routing"; }>) => void;
+    /** The instance that is followed does not lead any more, so the store has to be read. */
+    onLeaderGone: (hasResigned: boolean) => void;
+}
+
+/** A follower's link. */
+export interface LeaderLink {
+    /** Follows a leader; connects anew whenever the connection has ended. */
+    follow: (leader: assignment.LeaderRecord) => void;
+    /** Whether the leader's messages arrive and the store answers it. */
+    isHearing: () => boolean;
+    lastBeatAt: () => number;
+    /** Identifier of a leader at whose address no such process is any more. */
+    endedLeader: () => string | undefined;
+    /** Instances of the site, as the leader counts them. */
+    instances: () => number;
+    send: (message: protocol.RoutingMessage) => void;
+    close: () => void;
+}
+
+const reconnectMilliseconds = 150;
+/** Instances that are assumed before the leader has told how many there are. */
+const assumedInstances = 8;
+/** Age of a leader's proof from which others look into the store, in milliseconds: more than a beat takes. */
+const staleProofMilliseconds = 1500;
+
+interface OpenLink {
+    connection: protocol.RoutingConnection;
+    identifier: string;
+}
+
+/**
+ * Creates the link.
+ *
+ * @param options - what it needs
+ * @returns without a connection
+ */
+export const createLeaderLink = (options: LeaderLinkOptions): LeaderLink => {
+    const { timers, identifier } = options;
+    let link: OpenLink | undefined;
+    let lastConnectAt = -Infinity;
+    let endedLeader: string | undefined;
+    let lastBeatAt = -Infinity;
+    let instances = assumedInstances;
+
+    const onMessage = (message: protocol.RoutingMessage, leader: assignment.LeaderRecord): void => {
+        switch (message.kind) {
+            case protocol.RoutingMessageKind.beat:
+                // A leader that the store does not answer must not keep others from taking over.
+                lastBeatAt = message.proofAge < staleProofMilliseconds ? timers.now() : lastBeatAt;
+                instances = Math.max(1, message.instances);
+                return;
+            case protocol.RoutingMessageKind.routing:
+                options.onRouting(message);
+                return;
+            case protocol.RoutingMessageKind.notLeader:
+            case protocol.RoutingMessageKind.resigned: {
+                const hasResigned = message.kind === protocol.RoutingMessageKind.resigned;
+                lastBeatAt = -Infinity;
+                endedLeader = hasResigned ? endedLeader : leader.identifier;
+                options.onLeaderGone(hasResigned);
+                link?.connection.close();
+                return;
+            }
+        }
+    };
+
+    const connect = (leader: assignment.LeaderRecord): void => {
+        lastConnectAt = timers.now();
+        const socket = net.connect({ host: leader.host, port: leader.port });
+        const connection = protocol.createRoutingConnection(socket, {
+            onMessage: message => onMessage(message, leader),
+            onClose: code => {
+                if (link?.connection === connection) {
+                    link = undefined;
+                }
+                if (code === "ECONNREFUSED") {
+                    endedLeader = leader.identifier;
+                }
+            },
+        });
+        link = { connection, identifier: leader.identifier };
+        connection.send({ kind: "join", version: protocol.routingProtocolVersion, identifier });
+    };
+
+    const close = (): void => {
+        link?.connection.close();
+        link = undefined;
+    };
+
+    return {
+        follow: leader => {
+            if (link !== undefined && link.identifier !== leader.identifier) {
+                close();
+            }
+            if (link === undefined && timers.now() - lastConnectAt >= reconnectMilliseconds) {
+                connect(leader);
+            }
+        },
+        isHearing: () => timers.now() - lastBeatAt < protocol.routingSilenceMilliseconds,
+        lastBeatAt: () => lastBeatAt,
+        endedLeader: () => endedLeader,
+        instances: () => instances,
+        send: message => link?.connection.send(message),
+        close,
+    };
+};
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -5,8 +5,9 @@
 import * as protocol from "@mulberryseam/protocol";
 import * as routing from "@mulberryseam/routing";
 import * as crypto from "node:crypto";
-import * as net from "node:net";
+import * as followerSet from "./followers";
 import * as keyDemand from "./keyDemand";
+import * as leaderLink from "./leaderLink";
 import * as leaderSession from "./leaderSession";
 import * as ownershipStore from "./ownershipStore";
 
@@ -40,16 +41,8 @@
 const tickMilliseconds = 40;
 const beatMilliseconds = 250;
 const reportMilliseconds = 400;
-const reconnectMilliseconds = 150;
-/** Instances that are assumed before the leader has told how many there are. */
-const assumedInstances = 8;
-/** Age of a leader's proof from which others look into the store, in milliseconds: more than a beat takes. */
-const staleProofMilliseconds = 1500;
-
-interface LeaderLink {
-    connection: protocol.RoutingConnection;
-    identifier: string;
-}
+/** Pause after a call to the store that failed, in milliseconds. */
+const retryMilliseconds = 150;
 
 /**
  * Starts the task.
@@ -66,7 +59,6 @@
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const views = new Map<string, assignment.RoutingView>();
     const demand = keyDemand.createKeyDemand();
-    const followers = new Set<protocol.RoutingConnection>();
     const grants = platform.createGrantClient();
     owner.onCleanup(() => grants.close());
 
@@ -76,11 +68,11 @@
     let lastReadAt = -Infinity;
     let isBusy = false;
     let isResigning = false;
-    let link: LeaderLink | undefined;
-    let lastConnectAt = -Infinity;
-    let endedLeader: string | undefined;
-    let lastBeatAt = -Infinity;
-    let instances = assumedInstances;
+
+    const followers = await followerSet.startFollowers(
+        { host: settings.host, port: settings.peerPort, session: () => session },
+        owner,
+    );
 
     const viewOf = (service: string): assignment.RoutingView => {
         const view = views.get(service) ?? assignment.createRoutingView();
@@ -93,13 +85,21 @@
             owner: message.owners[change.owner],
         })));
     const broadcast = (message: protocol.RoutingMessage): void => {
-        followers.forEach(follower => follower.send(message));
+        followers.broadcast(message);
         if (message.kind === "routing") {
             applyRouting(message);
         }
     };
 
-    const isHearing = (): boolean => timers.now() - lastBeatAt < protocol.routingSilenceMilliseconds;
+    const link = leaderLink.createLeaderLink({
+        identifier,
+        timers,
+        onRouting: applyRouting,
+        onLeaderGone: hasResigned => {
+            lastReadAt = -Infinity;
+            snapshot = hasResigned ? undefined : snapshot;
+        },
+    });
 
     const applyStored = (stored: ownershipStore.OwnershipSnapshot): void => {
         for (const [service, { ranges }] of stored.assignments) {
@@ -117,7 +117,7 @@
             unchangedSince = sentAt;
         }
         snapshot = next;
-        if (!isHearing()) {
+        if (!link.isHearing()) {
             applyStored(next);
         }
     };
@@ -146,8 +146,7 @@
         const current = { ...(snapshot ?? known), leader: record };
         current.end = answer.result === platform.AppendResult.appended ? answer.end : current.end;
         log.write("leadership-won", { term: record.term, before: known.leader?.identifier, end: current.end });
-        link?.connection.close();
-        link = undefined;
+        link.close();
         session = leaderSession.createLeaderSession({
             store,
             grants,
@@ -159,7 +158,7 @@
             quietUntil: assignment.earlierOrdersEnd(
                 known.leader,
                 timers.now(),
-                endedLeader === known.leader?.identifier || known.leader?.host === settings.host,
+                link.endedLeader() === known.leader?.identifier || known.leader?.host === settings.host,
             ),
             unknownLeaseUntil: assignment.earlierLeasesEnd(
                 known.leader,
@@ -172,74 +171,21 @@
             onDeposed: () => {
                 session = undefined;
                 snapshot = undefined;
-                followers.forEach(follower => follower.close());
+                followers.dismiss();
             },
         });
         applyStored(current);
     };
 
-    const onLeaderMessage = (message: protocol.RoutingMessage): void => {
-        switch (message.kind) {
-            case "beat":
-                // A leader that the store does not answer must not keep others from taking over.
-                lastBeatAt = message.proofAge < staleProofMilliseconds ? timers.now() : lastBeatAt;
-                instances = Math.max(1, message.instances);
-                return;
-            case "routing":
-                applyRouting(message);
-                return;
-            case "notLeader":
-            case "resigned":
-                lastBeatAt = -Infinity;
-                lastReadAt = -Infinity;
-                endedLeader = message.kind === "notLeader" ? link?.identifier : undefined;
-                snapshot = message.kind === "resigned" ? undefined : snapshot;
-                link?.connection.close();
-                return;
-        }
-    };
-
-    const connect = (leader: assignment.LeaderRecord): void => {
-        lastConnectAt = timers.now();
-        const socket = net.connect({ host: leader.host, port: leader.port });
-        const connection = protocol.createRoutingConnection(socket, {
-            onMessage: onLeaderMessage,
-            onClose: code => {
-                if (link?.connection === connection) {
-                    link = undefined;
-                }
-                if (code === "ECONNREFUSED") {
-                    endedLeader = leader.identifier;
-                }
-            },
-        });
-        link = { connection, identifier: leader.identifier };
-        connection.send({ kind: "join", version: protocol.routingProtocolVersion, identifier });
-    };
-
-    const follow = (): void => {
-        const leader = snapshot?.leader;
-        if (leader === undefined || leader.identifier === identifier || leader.isResigned) {
-            return;
-        }
-        if (link !== undefined && link.identifier !== leader.identifier) {
-            link.connection.close();
-            link = undefined;
-        }
-        if (link === undefined && timers.now() - lastConnectAt >= reconnectMilliseconds) {
-            connect(leader);
-        }
-    };
-
     const step = async (): Promise<void> => {
         const next = assignment.nextLeadershipStep({
             now: timers.now(),
             leader: snapshot?.leader,
             hasRead: snapshot !== undefined,
             lastReadAt,
-            unchangedSince: Math.max(unchangedSince, lastBeatAt),
-            isHearing: isHearing(),
-            isLeaderEnded: endedLeader !== undefined && endedLeader === snapshot?.leader?.identifier,
+            unchangedSince: Math.max(unchangedSince, link.lastBeatAt()),
+            isHearing: link.isHearing(),
+            isLeaderEnded: snapshot?.leader !== undefined && link.endedLeader() === snapshot.leader.identifier,
             host: settings.host,
         });
         if (next === assignment.LeadershipStep.read) {
@@ -248,7 +194,10 @@
         else if (next === assignment.LeadershipStep.campaign && snapshot !== undefined && !isResigning) {
             await campaign(snapshot);
         }
-        follow();
+        const leader = snapshot?.leader;
+        if (leader !== undefined && leader.identifier !== identifier && !leader.isResigned && session === undefined) {
+            link.follow(leader);
+        }
     };
 
     const tick = (): void => {
@@ -260,67 +209,28 @@
         void step()
             .catch(error => {
                 log.write("ownership-read-failed", { reason: (error as Error).message });
-                return foundation.pause(timers, reconnectMilliseconds);
+                return foundation.pause(timers, retryMilliseconds);
             })
             .finally(() => {
                 isBusy = false;
             });
     };
 
-    const beatOf = (leading: leaderSession.LeaderSession): protocol.RoutingMessage => ({
-        kind: "beat",
-        term: leading.term,
-        proofAge: leading.proofAge(),
-        instances: followers.size + 1,
-    });
-
-    const acceptFollower = (socket: net.Socket): void => {
-        const connection = protocol.createRoutingConnection(socket, {
-            onMessage: message => {
-                if (session === undefined) {
-                    connection.send({ kind: "notLeader" });
-                    connection.close();
-                }
-                else if (message.kind === "join") {
-                    followers.add(connection);
-                    connection.send(beatOf(session));
-                    session.routing().forEach(connection.send);
-                }
-                else if (message.kind === "report") {
-                    session.onReport(message);
-                }
-            },
-            onClose: () => followers.delete(connection),
-        });
-    };
-
-    const sendBeat = (): void => {
-        if (session !== undefined) {
-            instances = followers.size + 1;
-            broadcast(beatOf(session));
-        }
-    };
     const sendReport = (): void => {
         const report = demand.takeReport(options.speeds());
         if (session !== undefined) {
             session.onReport(report);
         }
         else {
-            link?.connection.send(report);
+            link.send(report);
         }
     };
 
-    const server = net.createServer(acceptFollower);
-    owner.onCleanup(() => {
-        server.close();
-        link?.connection.close();
-        followers.forEach(follower => follower.close());
-    });
-    await foundation.listenOn(server, settings.host, settings.peerPort);
+    owner.onCleanup(() => link.close());
     for (
         const [interval, work] of [
             [tickMilliseconds, tick],
-            [beatMilliseconds, sendBeat],
+            [beatMilliseconds, followers.sendBeat],
             [reportMilliseconds, sendReport],
         ] as const
     ) {
@@ -332,7 +242,7 @@
         find: (service, key) => views.get(service)?.find(key),
         onRequest: demand.onRequest,
         isReady: () => options.keyedServices().every(service => views.get(service)?.isKnown() === true),
-        instances: () => instances,
+        instances: () => session === undefined ? link.instances() : followers.count() + 1,
         isLeading: () => session !== undefined,
         resign: async () => {
             isResigning = true;
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -4,8 +4,9 @@
 import * as earl from "earl";
 import * as test from "node:test";
 import * as ownershipWorld from "./fixtures/ownershipWorld";
+import type * as worldFaults from "./fixtures/worldFaults";
 
-const noFaults: ownershipWorld.WorldFaults = { lateOrders: 0, lostOrders: 0, lostAppends: 0 };
+const noFaults: worldFaults.WorldFaults = { lateOrders: 0, lostOrders: 0, lostAppends: 0 };
 const everyKey = assignment.keyCount;
 /** Longest lease with a slow clock, a leader's authority and orders under way, in milliseconds. */
 const settledMilliseconds = 14_000;
