--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import * as topicTask from "./topicTask";
 
@@ -45,6 +46,7 @@
     let inForce: relay.InForce | undefined;
     let isStopping = false;
     let isRegistryKnown = false;
+    let registryReadAt = timers.now();
     let storeFailure: string | undefined;
 
     const ownership = await ownershipTask.startOwnershipTask({
@@ -83,8 +85,20 @@
             instances: ownership.instances,
         },
         isStopping: () => isStopping,
-        onFinished: () => undefined,
+        onFinished: result => counters.onFinished(result),
     });
+    const counters = await metrics.startMetrics(
+        settings.host,
+        {
+            openRequests: passing.open,
+            documentVersion: () => inForce?.document.version ?? 0,
+            isLeading: ownership.isLeading,
+            upstreams: () => [...directory.all()].length,
+            registryAge: () => timers.now() - registryReadAt,
+        },
+        log,
+        owner,
+    );
     const callers = await relay.startCallerServer({
         host: settings.callers.host,
         port: settings.callers.port,
@@ -127,7 +141,8 @@
         }
     };
     const onContact = (): void => {
-        directory.onContact(timers.now());
+        registryReadAt = timers.now();
+        directory.onContact(registryReadAt);
         if (storeFailure !== undefined) {
             log.write("store-regained", {});
             storeFailure = undefined;
--- /dev/null
+++ b/packages/entry/src/metrics.ts
@@ -0,0 +1,118 @@
+/** Counters and histograms of an instance, served as text. */
+import * as foundation from "@mulberryseam/foundation";
+import * as relay from "@mulberryseam/relay";
+import * as http from "node:http";
+import * as promClient from "prom-client";
+
+/** What is asked when metrics are read. */
+export interface MetricsGauges {
+    openRequests: () => number;
+    documentVersion: () => number;
+    isLeading: () => boolean;
+    upstreams: () => number;
+    /** Time since the registry was last read, in milliseconds. */
+    registryAge: () => number;
+}
+
+/** Metrics of an instance. */
+export interface EntryMetrics {
+    onFinished: (result: relay.FinishedRequest) => void;
+}
+
+/** Port of the metrics; `deploy/system.toml` names it too. */
+export const metricsPort = 9464;
+const metricsPath = "/metrics";
+/** Bounds of the histogram of durations, in seconds: around the targets of the routes. */
+const durationBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 3, 6];
+
+/**
+ * Serves metrics until the owner is disposed of.
+ *
+ * @param host - IP number to listen on
+ * @param gauges - what is asked when they are read
+ * @param log - told when the port cannot be had; the instance serves without metrics then
+ * @param owner - ends the listener
+ * @returns counts what happens
+ */
+export const startMetrics = async (
+    host: string,
+    gauges: MetricsGauges,
+    log: foundation.EventLog,
+    owner: foundation.Owner,
+): Promise<EntryMetrics> => {
+    const registry = new promClient.Registry();
+    const registers = [registry];
+    const requests = new promClient.Counter({
+        name: "mulberryseam_requests_total",
+        help: "Requests that ended, by route, status and reason; the reason is empty when an upstream answered.",
+        labelNames: ["route", "status", "reason"],
+        registers,
+    });
+    const durations = new promClient.Histogram({
+        name: "mulberryseam_request_duration_seconds",
+        help: "Time from a request's head to its end.",
+        labelNames: ["route"],
+        buckets: durationBuckets,
+        registers,
+    });
+    const attempts = new promClient.Counter({
+        name: "mulberryseam_attempts_total",
+        help: "Attempts at upstreams.",
+        labelNames: ["route"],
+        registers,
+    });
+    const addGauge = (name: string, help: string, read: () => number): void => {
+        const gauge: promClient.Gauge = new promClient.Gauge({
+            name,
+            help,
+            registers,
+            collect: () => gauge.set(read()),
+        });
+    };
+    addGauge("mulberryseam_open_requests", "Requests that have not ended.", gauges.openRequests);
+    addGauge(
+        "mulberryseam_document_version",
+        "Version of the document in force; 0 before any.",
+        gauges.documentVersion,
+    );
+    addGauge("mulberryseam_leader", "1 while the instance leads key ownership.", () => gauges.isLeading() ? 1 : 0);
+    addGauge("mulberryseam_upstreams", "Upstreams that are known.", gauges.upstreams);
+    addGauge(
+        "mulberryseam_registry_age_seconds",
+        "Time since the registry was last read.",
+        () => gauges.registryAge() / 1000,
+    );
+    addGauge(
+        "mulberryseam_memory_bytes",
+        "Resident memory of the process.",
+        () => process.memoryUsage.rss(),
+    );
+    const server = http.createServer((request, response) => {
+        if (request.url !== metricsPath) {
+            response.writeHead(404, { "content-length": 0 });
+            response.end();
+            return;
+        }
+        void registry.metrics().then(text => {
+            response.writeHead(200, { "content-type": registry.contentType });
+            response.end(text);
+        });
+    });
+    owner.onCleanup(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    try {
+        await foundation.listenOn(server, host, metricsPort);
+    }
+    catch (error) {
+        log.write("metrics-unavailable", { port: metricsPort, reason: (error as Error).message });
+    }
+    return {
+        onFinished: ({ route, status, reason, milliseconds, attempts: count }) => {
+            requests.inc({ route, status: String(status), reason });
+            durations.observe({ route }, milliseconds / 1000);
+            attempts.inc({ route }, count);
+        },
+    };
+};
--- /dev/null
+++ b/packages/entry/test/wholePath.test.ts
@@ -0,0 +1,171 @@
+/** The whole path as separate processes: two instances on a stand-in of the platform, with a loss of each kind. */
+import * as emulator from "@mulberryseam/emulator";
+import * as foundation from "@mulberryseam/foundation";
+import * as earl from "earl";
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as http from "node:http";
+import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as test from "node:test";
+
+const keyedService = "records";
+/** Longest wait for anything in this test, in milliseconds: it only ends a test that hangs. */
+const patienceMilliseconds = 60_000;
+
+interface Instance {
+    process: childProcess.ChildProcess;
+    callers: number;
+    readiness: number;
+}
+
+const reservePort = async (host: string): Promise<number> => {
+    const server = net.createServer();
+    await foundation.listenOn(server, host, 0);
+    const { port } = server.address() as net.AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+};
+
+const startInstance = async (host: string, peerPort: number, storePort: number): Promise<Instance> => {
+    const [callers, readiness] = [await reservePort(host), await reservePort(host)];
+    const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-entry-")), "settings.json");
+    fs.writeFileSync(
+        file,
+        JSON.stringify({
+            nodeName: `entry-${host}`,
+            ip: host,
+            zone: "north-a",
+            zones: { "north-a": "north" },
+            internalPorts: [peerPort, peerPort + 10],
+            listen: { front: `${host}:${callers}`, ready: `${host}:${readiness}` },
+            bounds: {},
+            platform: { address: `127.0.0.1:${storePort}` },
+        }),
+    );
+    const child = childProcess.spawn(process.execPath, ["--import", "tsx", "packages/entry/src/main.ts"], {
+        env: { ...process.env, MULBERRYSEAM_SETTINGS: file },
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout?.resume();
+    return { process: child, callers, readiness };
+};
+
+const ask = (host: string, port: number, target: string, headers: http.OutgoingHttpHeaders): Promise<number> =>
+    new Promise(resolve => {
+        const request = http.request({ host, port, path: target, headers, agent: false }, response => {
+            response.resume();
+            response.on("close", () => resolve(response.statusCode ?? 0));
+        });
+        request.on("error", () => resolve(0));
+        request.end();
+    });
+
+const lookUp = (host: string, instance: Instance, key: number): Promise<number> =>
+    ask(host, instance.callers, "/records/1", {
+        "host": "records.example",
+        "request-id": `${host}-${key}-${performance.now()}`,
+        "request-deadline-ms": "2000",
+        "shard-key": String(key),
+    });
+
+const until = async (condition: () => Promise<boolean>): Promise<void> => {
+    const giveUpAt = performance.now() + patienceMilliseconds;
+    while (!await condition()) {
+        earl.expect(performance.now() < giveUpAt).toEqual(true);
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+};
+
+const document = {
+    version: "r1",
+    resources: [
+        {
+            resourceType: "routes",
+            metadata: { name: "lookup" },
+            spec: {
+                host: "records.example",
+                pathPrefix: "/records/",
+                routeType: "safe",
+                timeout: "2s",
+                targetLatency: "1s",
+                priority: 0,
+                maxAttempts: 2,
+                service: keyedService,
+            },
+        },
+        { resourceType: "services", metadata: { name: keyedService }, spec: { maxConnections: 50, sharded: true } },
+    ],
+};
+
+const register = (store: emulator.EmulatedStore, upstream: emulator.EmulatedUpstream): void =>
+    store.put(
+        "keyed.servers",
+        upstream.identifier,
+        JSON.stringify({
+            service: keyedService,
+            address: `127.0.0.1:${upstream.port}`,
+            zone: "north-a",
+            slots: 4,
+            state: "ready",
+            warmupLeft: "0ms",
+            sequence: 1,
+            born: upstream.startedAt,
+        }),
+    );
+
+test.describe("two instances on the platform", () => {
+    test.it("own every key once, through the loss of an upstream and of the leader, and stop when told", async () => {
+        const owner = foundation.createOwner();
+        const store = await emulator.startEmulatedStore(owner);
+        const upstreams = [
+            await emulator.startEmulatedUpstream("upstream-1", owner),
+            await emulator.startEmulatedUpstream("upstream-2", owner),
+        ];
+        store.put("keyed.op", "config", JSON.stringify(document));
+        upstreams.forEach(upstream => register(store, upstream));
+        const hosts = ["127.0.0.1", "127.0.0.2"];
+        const peerPort = await reservePort(hosts[0]);
+        const instances = await Promise.all(hosts.map(host => startInstance(host, peerPort, store.port)));
+        try {
+            const isReady = (index: number): Promise<boolean> =>
+                ask(hosts[index], instances[index].readiness, "/mulberryseam/readiness", {}).then(status =>
+                    status === 200
+                );
+            await until(() => isReady(0));
+            await until(() => isReady(1));
+            const keys = [0, 300, 20_000, 45_000, 65_535];
+            const areServed = async (index: number): Promise<boolean> => {
+                const statuses = await Promise.all(keys.map(key => lookUp(hosts[index], instances[index], key)));
+                return statuses.every(status => status === 200);
+            };
+            await until(() => areServed(0));
+            await until(() => areServed(1));
+            for (const key of keys) {
+                earl.expect(upstreams.filter(upstream => upstream.holds(key)).length).toEqual(1);
+            }
+            earl.expect(await ask(hosts[0], instances[0].callers, "/none/", { host: "records.example" })).toEqual(404);
+
+            await upstreams[0].stop();
+            store.put("keyed.servers", upstreams[0].identifier, "");
+            await until(() => areServed(0));
+            await until(() => areServed(1));
+
+            instances[0].process.kill("SIGKILL");
+            await until(() => areServed(1));
+            store.setMode(emulator.StoreMode.busy);
+            earl.expect(await areServed(1)).toEqual(true);
+            store.setMode(emulator.StoreMode.serving);
+
+            const hasExited = new Promise<number | null>(resolve => instances[1].process.once("exit", resolve));
+            instances[1].process.kill("SIGTERM");
+            await until(async () => !await isReady(1));
+            earl.expect(await hasExited).toEqual(0);
+        }
+        finally {
+            instances.forEach(instance => instance.process.kill("SIGKILL"));
+            await owner.dispose();
+        }
+    });
+});
--- a/packages/relay/src/admission.ts
+++ b/packages/relay/src/admission.ts
@@ -4,6 +4,8 @@
 export interface AdmissionInput {
     /** Time until the answer. */
     expectedMilliseconds: number;
+    /** Whether the upstream's speed was measured; one that never answered would never be asked otherwise. */
+    isMeasured: boolean;
     /** Part of it that is spent waiting for a slot. */
     waitMilliseconds: number;
     /** Time that the caller still waits. */
@@ -29,7 +31,7 @@
  * @returns whether to send it on
  */
 export const isServable = (input: AdmissionInput): boolean =>
-    input.expectedMilliseconds <= input.remainingMilliseconds * usablePart
+    (!input.isMeasured || input.expectedMilliseconds <= input.remainingMilliseconds * usablePart)
     && (input.waitMilliseconds === 0 || input.targetMilliseconds <= 0
         || input.expectedMilliseconds <= input.targetMilliseconds * targetFactor);
 
--- a/packages/relay/src/choice.ts
+++ b/packages/relay/src/choice.ts
@@ -8,6 +8,8 @@
     slots: number;
     /** Time that one request takes there, in milliseconds. */
     serviceMilliseconds: number;
+    /** Whether that time was measured; before the first answer it is only assumed. */
+    isMeasured: boolean;
     /** Time to the upstream and back, in milliseconds. */
     roundTripMilliseconds: number;
     /** Share of attempts that fail. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -113,7 +113,14 @@
             state.lastWaitMilliseconds = waitMilliseconds;
             const remainingMilliseconds = state.endsAt - timers.now();
             const targetMilliseconds = state.arrivedAt + state.route.targetMilliseconds - timers.now();
-            const expectation = { expectedMilliseconds, waitMilliseconds, remainingMilliseconds, targetMilliseconds };
+            const { isMeasured } = selected.choice.option;
+            const expectation = {
+                isMeasured,
+                expectedMilliseconds,
+                waitMilliseconds,
+                remainingMilliseconds,
+                targetMilliseconds,
+            };
             if (!admission.isServable(expectation)) {
                 answering.fail(state, requestState.Reason.noRoom, waitMilliseconds);
                 return;
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -137,6 +137,7 @@
                 queueLength: health.queueLength(now()),
                 slots: upstream.slots,
                 serviceMilliseconds: serviceOf(target) * factor,
+                isMeasured: health.serviceMilliseconds() !== undefined,
                 roundTripMilliseconds: roundTripOf(target),
                 failureShare: health.failureShare(now()),
                 detourMilliseconds: perKilobyte(target) * bytes / 1024,
