--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,8 +14,8 @@
     stop: () => Promise<void>;
 }
 
-/** Longest time that a read for news of the document waits, in milliseconds. */
-const documentWaitMilliseconds = 4000;
+/** Longest time that a read for news of the document waits, in milliseconds: a lost connection is seen soon after. */
+const documentWaitMilliseconds = 2500;
 /** Pause between two reads of the registry, in milliseconds: a part of the time in which leaving has to be known. */
 const registryPauseMilliseconds = 600;
 const housekeepingMilliseconds = 200;
@@ -145,6 +145,7 @@
         directory.onContact(registryReadAt);
         if (storeFailure !== undefined) {
             log.write("store-regained", {});
+            documents.refresh();
             storeFailure = undefined;
         }
     };
@@ -155,7 +156,7 @@
         }
         storeFailure = reason;
     };
-    topicTask.startTopicTask({
+    const documents = topicTask.startTopicTask({
         store,
         topic: platform.Topic.documents,
         timers,
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -19,6 +19,12 @@
     onFailure: (reason: string) => void;
 }
 
+/** A topic that is followed. */
+export interface TopicTask {
+    /** Gives up a read that still waits and asks anew: the store may have lost it while it was away. */
+    refresh: () => void;
+}
+
 /** Pause after a failed call, in milliseconds: short beside the time in which a change has to be in force. */
 const retryMilliseconds = 250;
 
@@ -27,10 +33,12 @@
  *
  * @param options - how to follow it
  * @param owner - ends the task
+ * @returns the task
  */
-export const startTopicTask = (options: TopicTaskOptions, owner: foundation.Owner): void => {
+export const startTopicTask = (options: TopicTaskOptions, owner: foundation.Owner): TopicTask => {
     const { store, topic, timers } = options;
     let offset: number | undefined;
+    let giveUp = (): void => undefined;
     const step = async (): Promise<void> => {
         if (offset === undefined) {
             const snapshot = await store.readNewest(topic);
@@ -38,7 +46,15 @@
             offset = snapshot.end;
             return;
         }
-        const following = await store.readFrom(topic, offset, options.waitMilliseconds);
+        const hasGivenUp = new Promise<undefined>(resolve => {
+            giveUp = () => resolve(undefined);
+        });
+        const read = store.readFrom(topic, offset, options.waitMilliseconds);
+        const following = await Promise.race([read, hasGivenUp]);
+        if (following === undefined) {
+            read.catch(() => undefined);
+            return;
+        }
         following.records.forEach(options.onRecord);
         offset = following.isBehind ? undefined : following.end;
     };
@@ -56,4 +72,5 @@
         }
     };
     void run();
+    return { refresh: () => giveUp() };
 };
