--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -81,6 +81,7 @@
         );
         await advance(fixture);
         await advance(fixture);
+        await advance(fixture);
         earl.expect(fixture.reads).toEqual([7, 7]);
         await fixture.owner.dispose();
     });
