--- a/packages/relay/src/answering.ts
+++ b/packages/relay/src/answering.ts
@@ -60,6 +60,8 @@
             tried: [...state.tried].join(","),
             milliseconds: Math.round(milliseconds),
             mayHaveRun: state.mayHaveRun,
+            version: state.version,
+            remaining: Math.round(state.endsAt - timers.now()),
             expectedWait: Math.round(state.lastWaitMilliseconds),
         };
         if (reason === "") {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -191,6 +191,7 @@
             service,
             isKeyed: document.services.get(service)?.isKeyed === true,
             key: parseKey(request),
+            version: document.version,
             requestIdentifier: Array.isArray(identifier) ? identifier[0] : identifier,
             arrivedAt,
             endsAt: arrivedAt + Math.min(patience, route.timeoutMilliseconds),
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -30,6 +30,8 @@
     isKeyed: boolean;
     key: number | undefined;
     requestIdentifier: string | undefined;
+    /** Version of the document that chose the route. */
+    version: number;
     arrivedAt: number;
     /** Time at which the caller, or the route, gives up. */
     endsAt: number;
