--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -94,7 +94,9 @@
         const mayRepeat = end.kind === "notRun" || state.route.kind === routing.RouteKind.idempotent;
         const wasSent = end.kind === "unknown" || (end.kind === "notRun" && end.isShed);
         const ran = end.kind === "unknown" && state.attempts >= state.route.maximumAttempts;
-        return mayRepeat && isIntact && !ran && !state.isOver
+        // An owner with a queue refuses the next attempt too, and no other upstream may serve the key.
+        const isOwnerFull = state.isKeyed && end.kind === "notRun" && (end.report?.waiting ?? 0) > 0;
+        return !isOwnerFull && mayRepeat && isIntact && !ran && !state.isOver
             && (!wasSent || windowOf(state.service).take(timers.now()));
     };
 
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -153,6 +153,16 @@
             earl.expect(fixture.arrivals()).toEqual([0]);
         }));
 
+    test.it("is asked of the owner of its key again only when the owner has no queue", async () => {
+        const free = { behaviours: [relayFixture.refuseOnce("1,0,4")], isKeyed: true };
+        await using(free, async ({ ask }) => earl.expect((await ask({ key: 7 })).status).toEqual(200));
+        const full = { behaviours: [relayFixture.refuseOnce("4,20,4")], isKeyed: true };
+        await using(full, async fixture => {
+            earl.expect((await fixture.ask({ key: 7 })).status).toEqual(503);
+            earl.expect(fixture.arrivals()).toEqual([1]);
+        });
+    });
+
     test.it("is refused at once when no upstream is ready", () =>
         using({ behaviours: [] }, async ({ ask }) => {
             earl.expect((await ask()).status).toEqual(503);
