Take over sooner from a leader that the store refuses, and wait no longer than its last record allows

Beats now tell the age of the proof and the number of the last record; only an acknowledged append is a proof, so a successor counts from when the record was there.

--- a/packages/assignment/src/authority.ts
+++ b/packages/assignment/src/authority.ts
@@ -16,37 +16,45 @@
 /** Time in which an order that was sent has arrived or never will, in milliseconds. */
 const orderMilliseconds = 750;
 
+/** What a leader knows of the one before. */
+export interface EarlierLeader {
+    /** Its last record; undefined at a site's first start. */
+    record: records.LeaderRecord | undefined;
+    /**
+     * Time at which that record was there already. Only an acknowledged append proves leadership, so no later proof
+     * can have been given.
+     */
+    recordSeenAt: number;
+    /** Whether its process is known to have ended. */
+    hasEnded: boolean;
+}
+
 /**
  * Tells until when leaders before may send orders.
  *
- * @param before - the record of the leader before; undefined at a site's first start
- * @param now - time at which this leader was accepted
- * @param hasEnded - whether the process of the leader before is known to have ended
- * @returns a time on the clock of `now`
+ * @param earlier - what is known of them
+ * @returns a time on the clock of `recordSeenAt`
  */
-export const earlierOrdersEnd = (before: records.LeaderRecord | undefined, now: number, hasEnded: boolean): number =>
-    before === undefined || before.isResigned || hasEnded ? now : now + authorityMilliseconds + orderMilliseconds;
+export const earlierOrdersEnd = ({ record, recordSeenAt, hasEnded }: EarlierLeader): number =>
+    record === undefined || record.isResigned || hasEnded
+        ? -Infinity
+        : recordSeenAt + authorityMilliseconds + orderMilliseconds;
 
 /**
  * Tells when every lease has ended that leaders before may have granted.
  *
- * @param before - the record of the leader before; undefined at a site's first start
- * @param now - time at which this leader was accepted
+ * @param earlier - what is known of them
  * @param longestMilliseconds - longest lease that upstreams accept
- * @returns a time on the clock of `now`
+ * @returns a time on the clock of `recordSeenAt`
  */
-export const earlierLeasesEnd = (
-    before: records.LeaderRecord | undefined,
-    now: number,
-    longestMilliseconds: number,
-): number => {
-    if (before === undefined) {
+export const earlierLeasesEnd = ({ record, recordSeenAt }: EarlierLeader, longestMilliseconds: number): number => {
+    if (record === undefined) {
         return -Infinity;
     }
-    if (before.isResigned) {
-        return now + orderMilliseconds + before.longestLeaseMilliseconds * clockDrift;
+    if (record.isResigned) {
+        return recordSeenAt + orderMilliseconds + record.longestLeaseMilliseconds * clockDrift;
     }
-    return now + authorityMilliseconds + orderMilliseconds + longestMilliseconds * clockDrift;
+    return recordSeenAt + authorityMilliseconds + orderMilliseconds + longestMilliseconds * clockDrift;
 };
 
 /** Keeps the authority of a leader. */
--- a/packages/assignment/src/heldRange.ts
+++ b/packages/assignment/src/heldRange.ts
@@ -156,7 +156,7 @@
     hasEnded: (owner: keyRange.Owner) => boolean,
 ): keyOrders.Order | undefined => {
     const { owner, first, last, token } = held.range;
-    const isFirst = leaseEnd(held) === -Infinity;
+    const isFirst = leaseEnd(held) <= now;
     const isIdle = isDue(held, now, leaseMilliseconds) && !held.isFenced && !(held.isBlocked && isFirst);
     if (owner === undefined || !isIdle || hasEnded(owner)) {
         return undefined;
--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -6,7 +6,7 @@
     earlierOrdersEnd,
     ordinaryLeaseMilliseconds,
 } from "./authority";
-export type { Authority } from "./authority";
+export type { Authority, EarlierLeader } from "./authority";
 export { balance } from "./balance";
 export type { BalanceInput, Candidate } from "./balance";
 export { grantTimeoutMilliseconds } from "./heldRange";
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -39,8 +39,8 @@
     /** Whether both a range's former owner and its owner may hold it, so that no third one can be named. */
     isUndecided: (range: keyRange.KeyRange, now: number) => boolean;
     /**
-     * Tells which assignment is being agreed, or that none is. A range whose owner it changes is not granted for the
-     * first time meanwhile: the plan does not know of that grant and would not take it back.
+     * Tells which assignment is being agreed, or that none is. Of the ranges that it changes, those without a live lease
+     * are not granted meanwhile: the plan does not know of such a grant and would not take it back.
      */
     setPlanned: (plan: keyRange.ServiceAssignment | undefined) => void;
     /** Whether a range's owner has seen a higher token. */
--- a/packages/assignment/test/keeper.test.ts
+++ b/packages/assignment/test/keeper.test.ts
@@ -124,6 +124,15 @@
         earl.expect(keeper.takeDueOrders(60, lease).map(order => order.owner)).toEqual([second]);
     });
 
+    test.it("does not renew a lease that has run out while another owner is being agreed", () => {
+        const keeper = assignment.createKeeper();
+        keeper.adopt(createAssignment([0, second, 2, first]), 100);
+        keeper.setPlanned(createAssignment([0, third, 3, first]));
+        earl.expect(keeper.takeDueOrders(200, lease)).toEqual([]);
+        keeper.setPlanned(undefined);
+        earl.expect(keeper.takeDueOrders(210, lease).map(order => order.owner)).toEqual([second]);
+    });
+
     test.it("calls a range undecided while both its owners may hold it", () => {
         const keeper = assignment.createKeeper();
         const stored = createAssignment([0, second, 2, first]);
--- a/packages/entry/src/followers.ts
+++ b/packages/entry/src/followers.ts
@@ -34,6 +34,7 @@
     const beatOf = (session: leaderSession.LeaderSession): protocol.RoutingMessage => ({
         kind: "beat",
         term: session.term,
+        record: session.lastRecord(),
         proofAge: session.proofAge(),
         instances: followers.size + 1,
     });
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -20,7 +20,8 @@
     follow: (leader: assignment.LeaderRecord) => void;
     /** Whether the leader's messages arrive and the store answers it. */
     isHearing: () => boolean;
-    lastBeatAt: () => number;
+    /** Time of the store's last proof for a record that the leader told of; undefined for any other record. */
+    proofOf: (record: assignment.LeaderRecord) => number | undefined;
     /** Identifier of a leader at whose address no such process is any more. */
     endedLeader: () => string | undefined;
     /** Instances of the site, as the leader counts them. */
@@ -33,7 +34,7 @@
 /** Instances that are assumed before the leader has told how many there are. */
 const assumedInstances = 8;
 /** Age of a leader's proof from which others look into the store, in milliseconds: more than a beat takes. */
-const staleProofMilliseconds = 1500;
+const staleProofMilliseconds = 1700;
 
 interface OpenLink {
     connection: protocol.RoutingConnection;
@@ -52,13 +53,16 @@
     let lastConnectAt = -Infinity;
     let endedLeader: string | undefined;
     let lastBeatAt = -Infinity;
+    let provenAt = -Infinity;
+    let provenRecord: { identifier: string; beat: number; } | undefined;
     let instances = assumedInstances;
 
     const onMessage = (message: protocol.RoutingMessage, leader: assignment.LeaderRecord): void => {
         switch (message.kind) {
             case protocol.RoutingMessageKind.beat:
-                // A leader that the store does not answer must not keep others from taking over.
-                lastBeatAt = message.proofAge < staleProofMilliseconds ? timers.now() : lastBeatAt;
+                lastBeatAt = timers.now();
+                provenAt = lastBeatAt - message.proofAge;
+                provenRecord = { identifier: leader.identifier, beat: message.record };
                 instances = Math.max(1, message.instances);
                 return;
             case protocol.RoutingMessageKind.routing:
@@ -108,8 +112,15 @@
                 connect(leader);
             }
         },
-        isHearing: () => timers.now() - lastBeatAt < protocol.routingSilenceMilliseconds,
-        lastBeatAt: () => lastBeatAt,
+        isHearing: () => {
+            const now = timers.now();
+            // A leader that the store does not answer must not keep others from taking over.
+            return now - lastBeatAt < protocol.routingSilenceMilliseconds && now - provenAt < staleProofMilliseconds;
+        },
+        proofOf: record => {
+            const isKnown = provenRecord?.identifier === record.identifier && provenRecord.beat === record.beat;
+            return isKnown ? provenAt : undefined;
+        },
         endedLeader: () => endedLeader,
         instances: () => instances,
         send: message => link?.connection.send(message),
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -41,6 +41,8 @@
     /** Gives the duty up, so that a successor need not wait. */
     resign: () => Promise<void>;
     term: number;
+    /** Number of the last record that the store has acknowledged. */
+    lastRecord: () => number;
     /** Age of the last proof that the store gave of this leadership, in milliseconds. */
     proofAge: () => number;
 }
@@ -48,7 +50,7 @@
 /** Time between two looks at the balance, in milliseconds. */
 const planMilliseconds = 500;
 /** Longest time between two records of the leader, in milliseconds. */
-const beatMilliseconds = 1000;
+const beatMilliseconds = 800;
 /** Pause after a call to the store that failed, in milliseconds. */
 const retryMilliseconds = 200;
 /** Longest wait for an append under way before leadership is given up, in milliseconds. */
@@ -313,6 +315,7 @@
             log.write("leadership-resigned", { term: options.record.term });
         },
         term: options.record.term,
+        lastRecord: ownershipTopic.lastRecord,
         proofAge: () => timers.now() - provenAt,
     };
 };
--- a/packages/entry/src/ownershipLog.ts
+++ b/packages/entry/src/ownershipLog.ts
@@ -36,6 +36,8 @@
     /** Whether an append of plans may still be done, so that no other plan can be made. */
     isUncertain: () => boolean;
     lastAppendAt: () => number;
+    /** Number of the last record that the store has acknowledged. */
+    lastRecord: () => number;
 }
 
 /**
@@ -47,6 +49,7 @@
 export const createOwnershipLog = (options: OwnershipLogOptions): OwnershipLog => {
     const { store, timers, log } = options;
     let { record, end } = options;
+    let acknowledged = record.beat;
     let needsRead = false;
     let isUncertain = false;
     let lastAppendAt = timers.now();
@@ -69,20 +72,19 @@
             }
             options.onProof(sentAt);
             record = next;
+            acknowledged = next.beat;
             end = answer.end;
             lastAppendAt = timers.now();
             isUncertain = false;
             return true;
         },
         resynchronize: async () => {
-            const sentAt = timers.now();
             const snapshot = await ownershipStore.readOwnership(store, log);
             const { leader } = snapshot;
             if (leader?.identifier !== record.identifier || leader.term !== record.term) {
                 options.onDeposed(leader?.term);
                 return;
             }
-            options.onProof(sentAt);
             record = leader;
             end = snapshot.end;
             needsRead = false;
@@ -91,5 +93,6 @@
         needsRead: () => needsRead,
         isUncertain: () => isUncertain,
         lastAppendAt: () => lastAppendAt,
+        lastRecord: () => acknowledged,
     };
 };
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -114,7 +114,8 @@
         const isSame = next.leader?.identifier === snapshot?.leader?.identifier
             && next.leader?.beat === snapshot?.leader?.beat && next.leader?.term === snapshot?.leader?.term;
         if (!isSame) {
-            unchangedSince = sentAt;
+            const provenAt = next.leader === undefined ? undefined : link.proofOf(next.leader);
+            unchangedSince = Math.min(sentAt, provenAt ?? sentAt);
         }
         snapshot = next;
         if (!link.isHearing()) {
@@ -132,6 +133,11 @@
             isResigned: false,
             longestLeaseMilliseconds: 0,
         };
+        const earlier: assignment.EarlierLeader = {
+            record: known.leader,
+            recordSeenAt: unchangedSince,
+            hasEnded: link.endedLeader() === known.leader?.identifier || known.leader?.host === settings.host,
+        };
         const answer = await store.append(platform.Topic.ownership, known.end, [
             { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
         ]);
@@ -155,16 +161,8 @@
             log,
             record,
             snapshot: current,
-            quietUntil: assignment.earlierOrdersEnd(
-                known.leader,
-                timers.now(),
-                link.endedLeader() === known.leader?.identifier || known.leader?.host === settings.host,
-            ),
-            unknownLeaseUntil: assignment.earlierLeasesEnd(
-                known.leader,
-                timers.now(),
-                settings.longestLeaseMilliseconds,
-            ),
+            quietUntil: assignment.earlierOrdersEnd(earlier),
+            unknownLeaseUntil: assignment.earlierLeasesEnd(earlier, settings.longestLeaseMilliseconds),
             longestLeaseMilliseconds: settings.longestLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
@@ -183,7 +181,7 @@
             leader: snapshot?.leader,
             hasRead: snapshot !== undefined,
             lastReadAt,
-            unchangedSince: Math.max(unchangedSince, link.lastBeatAt()),
+            unchangedSince,
             isHearing: link.isHearing(),
             isLeaderEnded: snapshot?.leader !== undefined && link.endedLeader() === snapshot.leader.identifier,
             host: settings.host,
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -39,6 +39,8 @@
     zod.object({
         kind: zod.literal(RoutingMessageKind.beat),
         term: zod.int(),
+        /** Number of the leader's last record that the store has acknowledged. */
+        record: zod.int(),
         /** Age of the last proof that the store gave of the leadership, in milliseconds. */
         proofAge: zod.number(),
         /** Instances that the leader hears, itself included. */
