--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -1,6 +1,7 @@
 /** Facilities that every other package builds on: ownership of resources, time, randomness, hashing, logs, metrics. */
 export { createOwner } from "./cleanup";
 export type { Cleanup, Owner } from "./cleanup";
+export { connectionHeaders } from "./connectionHeaders";
 export { createEventLog } from "./eventLog";
 export type { EventFields, EventLog, EventSink } from "./eventLog";
 export { hashText, rendezvousOrder } from "./hashing";
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -1,9 +1,10 @@
 /** What goes back to a caller: an upstream's answer, or the certain outcome of a request without one. */
+import { connectionHeaders } from "@mulberryseam/foundation";
 import { Outcome, outcomeOf, type QueueRefusal } from "@mulberryseam/traffic";
 import type * as http from "node:http";
 import * as stream from "node:stream/promises";
 import type { Exchange } from "./exchange";
-import { connectionHeaders, HeaderName } from "./headers";
+import { HeaderName } from "./headers";
 import type { Attempt } from "./upstreamClient";
 
 const statusOf = { [Outcome.notRun]: 503, [Outcome.unknown]: 502 } as const;
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -1,9 +1,9 @@
 /** One attempt of a request at an upstream, and what is learned from it. */
-import type { Subscription, TimerService } from "@mulberryseam/foundation";
+import { connectionHeaders, type Subscription, type TimerService } from "@mulberryseam/foundation";
 import { AttemptResult } from "@mulberryseam/traffic";
 import type { AcquiredSlot, KeyClaim, RouteOf } from "./acquisition";
 import type { Exchange } from "./exchange";
-import { connectionHeaders, HeaderName, internalHeaders } from "./headers";
+import { HeaderName, internalHeaders } from "./headers";
 import type { ServiceLanes } from "./serviceLanes";
 import type { Hop } from "./tracing";
 import type { Attempt } from "./upstreamClient";
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -26,17 +26,3 @@
 
 /** Headers that only instances may set; they are taken off what callers send. */
 export const internalHeaders: readonly string[] = [HeaderName.service, HeaderName.slot, HeaderName.token];
-
-/** Headers that belong to one connection and are never passed on. */
-export const connectionHeaders: readonly string[] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-];
--- a/packages/relay/src/headers.ts
+++ b/packages/relay/src/headers.ts
@@ -1,18 +1,8 @@
 /** Which headers are passed on. */
+import * as foundation from "@mulberryseam/foundation";
 
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "content-length",
-    "upgrade",
-    "expect",
-]);
+/** Framing is written anew, so the length is not passed on either. */
+const notPassedOn: ReadonlySet<string> = new Set([...foundation.connectionHeaders, "content-length"]);
 
 /**
  * Leaves out the headers that concern one connection, and others.
@@ -31,7 +21,7 @@
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
         const name = rawHeaders[index].toLowerCase();
-        if (!connectionHeaders.has(name) && !named.has(name) && !leftOut.includes(name)) {
+        if (!notPassedOn.has(name) && !named.has(name) && !leftOut.includes(name)) {
             kept.push(rawHeaders[index], rawHeaders[index + 1]);
         }
     }
