--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,7 +2,7 @@
  * The way of one request: route, body, attempts, answer. The upstream is chosen when an attempt is sent. A caller is
  * told that its request has not run only by the result of attempts that all ended as not run.
  */
-import type * as assignment from "@mulberryseam/assignment";
+import * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
@@ -49,6 +49,10 @@
 const ownerPauseMilliseconds = 25;
 /** Pause before a request goes again to an owner that refused it, in milliseconds. */
 const sameOwnerPauseMilliseconds = 30;
+/** Attempts of one request, those included that found no connection: enough to get past a failed failure domain. */
+const highestAttempts = 5;
+/** Status in logs and metrics of a request whose caller left. */
+const callerLeftStatus = 499;
 /** Longest time that a request waits for its key to get an owner, as a part of its route's target. */
 const ownerWaitPart = 0.6;
 
@@ -96,7 +100,7 @@
         const ran = end.kind === "unknown" && state.attempts >= state.route.maximumAttempts;
         // An owner with a queue refuses the next attempt too, and no other upstream may serve the key.
         const isOwnerFull = state.isKeyed && end.kind === "notRun" && (end.report?.waiting ?? 0) > 0;
-        return !isOwnerFull && mayRepeat && isIntact && !ran && !state.isOver
+        return !isOwnerFull && state.attempts < highestAttempts && mayRepeat && isIntact && !ran && !state.isOver
             && (!wasSent || windowOf(state.service).take(timers.now()));
     };
 
@@ -163,7 +167,7 @@
             openRequests -= 1;
             if (!state.isOver) {
                 state.isOver = true;
-                answering.record(state, 499, requestState.Reason.callerLeft);
+                answering.record(state, callerLeftStatus, requestState.Reason.callerLeft);
                 state.current?.cancel(requestState.Reason.callerLeft);
             }
         });
@@ -171,7 +175,7 @@
 
     const parseKey = (request: http.IncomingMessage): number | undefined => {
         const key = Number(request.headers[platform.HeaderName.key]);
-        return Number.isInteger(key) && key >= 0 && key < 65_536 ? key : undefined;
+        return Number.isInteger(key) && key >= 0 && key < assignment.keyCount ? key : undefined;
     };
 
     const start = async (
