--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -24,7 +24,7 @@
     /** Never sent, or refused by the upstream in so many words. */
     | { kind: "notRun"; reason: string; isShed: boolean; report: upstreamHealth.LoadReport | undefined; }
     /** Sent; it may have run, and may still run. */
-    | { kind: "unknown"; reason: string; };
+    | { kind: "unknown"; reason: string; isNewConnection: boolean; };
 
 /** What to send. */
 export interface AttemptOptions {
@@ -98,6 +98,7 @@
         headers: [...options.headers, ...framing, "Connection", "keep-alive"] as unknown as http.OutgoingHttpHeaders,
     });
     let isConnected = false;
+    let isNewConnection = false;
     let isEnded = false;
     const end = new Promise<AttemptEnd>(resolve => {
         const finish = (result: AttemptEnd): void => {
@@ -111,7 +112,7 @@
             }
             finish(
                 isConnected
-                    ? { kind: "unknown", reason }
+                    ? { kind: "unknown", reason, isNewConnection }
                     : { kind: "notRun", reason, isShed: false, report: undefined },
             );
         };
@@ -126,6 +127,7 @@
                 isConnected = true;
                 return;
             }
+            isNewConnection = true;
             socket.once("connect", () => {
                 isConnected = true;
                 options.onConnected(performance.now() - startedAt);
--- a/packages/relay/src/sending.ts
+++ b/packages/relay/src/sending.ts
@@ -84,6 +84,7 @@
                 upstream: upstream.identifier,
                 result: end.kind,
                 reason: end.reason,
+                isNewConnection: end.kind === "unknown" ? end.isNewConnection : undefined,
                 attempt: state.attempts,
                 queue: report === undefined ? undefined : report.running + report.waiting,
             });
