--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -20,10 +20,11 @@
  * Creates the connections; none is open yet.
  *
  * @param limit - the most connections
+ * @param idleLimit - the most that are kept without a request
  * @returns the connections
  */
-export const createUpstreamConnections = (limit: number): UpstreamConnections => {
-    const agent = new http.Agent({ keepAlive: true, noDelay: true, maxSockets: limit, maxFreeSockets: limit });
+export const createUpstreamConnections = (limit: number, idleLimit: number): UpstreamConnections => {
+    const agent = new http.Agent({ keepAlive: true, noDelay: true, maxSockets: limit, maxFreeSockets: idleLimit });
     let idleMilliseconds = usualIdleMilliseconds;
     const surplusListeners = new WeakMap<net.Socket, () => void>();
     const keepSocketAlive = (socket: net.Socket): boolean => {
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -62,6 +62,11 @@
 /** Part of an upstream's connections that instances use, since their number is known with a delay. */
 const connectionPart = 0.85;
 const fewestConnections = 3;
+/**
+ * Part of an upstream's connections that instances keep without a request. It counts those of instances that lost power
+ * until they time out, so as many must be left for the instances that follow.
+ */
+const idlePart = 0.4;
 
 /**
  * Creates the pool.
@@ -90,7 +95,10 @@
         const created = {
             upstream,
             health: upstreamHealth.createUpstreamHealth(),
-            connections: upstreamConnections.createUpstreamConnections(options.connectionLimit(upstream.service)),
+            connections: upstreamConnections.createUpstreamConnections(
+                options.connectionLimit(upstream.service),
+                Math.max(1, Math.floor(options.connectionLimit(upstream.service) * idlePart / options.instances())),
+            ),
             region: regions[upstream.failureDomain] ?? "",
         };
         pooled.set(upstream.identifier, created);
