--- a/packages/assignment/src/authority.ts
+++ b/packages/assignment/src/authority.ts
@@ -1,5 +1,6 @@
 /** How long a leader may send orders after the store last showed that it leads. */
 
+import * as heldRange from "./heldRange";
 import type * as records from "./records";
 
 /** Time after a proof in which orders may be sent, in milliseconds; a successor waits as long. */
@@ -11,8 +12,6 @@
 /** Difference between clocks from which the process is taken to have been suspended, in milliseconds. */
 const suspensionMilliseconds = 250;
 
-/** A clock that measures a lease may run this much slow. */
-const clockDrift = 1.02;
 /** Time in which an order that was sent has arrived or never will, in milliseconds. */
 const orderMilliseconds = 750;
 
@@ -52,9 +51,9 @@
         return -Infinity;
     }
     if (record.isResigned) {
-        return recordSeenAt + orderMilliseconds + record.longestLeaseMilliseconds * clockDrift;
+        return recordSeenAt + orderMilliseconds + record.longestLeaseMilliseconds * heldRange.clockDrift;
     }
-    return recordSeenAt + authorityMilliseconds + orderMilliseconds + longestMilliseconds * clockDrift;
+    return recordSeenAt + authorityMilliseconds + orderMilliseconds + longestMilliseconds * heldRange.clockDrift;
 };
 
 /** Keeps the authority of a leader. */
--- a/packages/assignment/src/keeper.ts
+++ b/packages/assignment/src/keeper.ts
@@ -23,7 +23,6 @@
 export interface Keeper {
     /** Takes an agreed assignment; leases of owners that it has no trace of are taken to last until a time. */
     adopt: (assignment: keyRange.ServiceAssignment, unknownLeaseUntil: number) => void;
-    assignment: () => keyRange.ServiceAssignment | undefined;
     /** Gives orders that are due and counts them as sent. */
     takeDueOrders: (now: number, leaseMilliseconds: number) => keyOrders.Order[];
     onAnswer: (
@@ -149,7 +148,6 @@
             byFirst = new Map(holdings.map(held => [held.range.first, held]));
             agreed = assignment;
         },
-        assignment: () => agreed,
         takeDueOrders: (now, leaseMilliseconds) => {
             const orders: keyOrders.Order[] = [];
             const outstanding = new Map<string, number>();
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -59,7 +59,7 @@
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const views = new Map<string, assignment.RoutingView>();
     const demand = keyDemand.createKeyDemand();
-    const grants = platform.createGrantClient();
+    const grants = platform.createGrantClient(assignment.grantTimeoutMilliseconds);
     owner.onCleanup(() => grants.close());
 
     let session: leaderSession.LeaderSession | undefined;
