Take the registry and the document from the leader while its reading is recent

The leader now reads the registry each 300 ms and the document by a read that waits 600 ms, passes on the records that change something, and its beats tell how far it has read and how long ago. An instance reads by itself once that is 800 ms (registry) or 1300 ms (document) old. Offsets order what comes both ways, so nothing goes back. Ruled out: pushing the topics to an instance that starts; it reads them once itself. The document and the registry move from entry.ts to siteView.ts.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,7 @@
 import * as http from "node:http";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
-import * as topicTask from "./topicTask";
+import * as siteView from "./siteView";
 
 /** A running instance. */
 export interface Entry {
@@ -14,10 +14,6 @@
     stop: () => Promise<void>;
 }
 
-/** Longest time that a read for news of the document waits, in milliseconds: a lost connection is seen soon after. */
-const documentWaitMilliseconds = 2500;
-/** Pause between two reads of the registry, in milliseconds: a part of the time in which leaving has to be known. */
-const registryPauseMilliseconds = 600;
 const housekeepingMilliseconds = 200;
 /** Time before the platform ends a stopping process at which it closes what is still open, in milliseconds. */
 const stopMarginMilliseconds = 500;
@@ -43,11 +39,16 @@
     const store = platform.createStoreClient(settings.store.host, settings.store.port);
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
-    let inForce: relay.InForce | undefined;
     let isStopping = false;
-    let isRegistryKnown = false;
-    let registryReadAt = timers.now();
-    let storeFailure: string | undefined;
+    const view = siteView.createSiteView({
+        store,
+        directory,
+        timers,
+        log,
+        isLeading: () => ownership.isLeading(),
+        passOn: (topic, records, end) => ownership.passOn(topic, records, end),
+        onDocument: document => callers.setLimits(document.limits),
+    }, owner);
 
     const ownership = await ownershipTask.startOwnershipTask({
         settings,
@@ -55,27 +56,30 @@
         directory,
         timers,
         log,
-        keyedServices: () =>
-            inForce === undefined
-                ? []
-                : [...inForce.document.services.values()].filter(one => one.isKeyed).map(one => one.name),
+        keyedServices: () => {
+            const services = [...view.inForce()?.document.services.values() ?? []];
+            return services.filter(one => one.isKeyed).map(one => one.name);
+        },
         speeds: () => pool.speeds(),
+        topics: view.positions,
+        onRelayed: view.onRelayed,
     }, owner);
     const pool: relay.UpstreamPool = relay.createUpstreamPool({
         directory,
         now: timers.now,
         failureDomain: settings.failureDomain,
         regions: settings.regions,
-        connectionLimit: service => inForce?.document.services.get(service)?.maximumConnections ?? 16,
+        connectionLimit: service => view.inForce()?.document.services.get(service)?.maximumConnections ?? 16,
         instances: ownership.instances,
-        leavingMilliseconds: settings.drainMilliseconds - registryPauseMilliseconds - drainMarginMilliseconds,
+        leavingMilliseconds: settings.drainMilliseconds - siteView.highestRegistryAgeMilliseconds
+            - drainMarginMilliseconds,
     });
     const passing = relay.createRelay({
         timers,
         random: foundation.createRandom(process.pid ^ Date.now()),
         log,
         pool,
-        inForce: () => inForce,
+        inForce: view.inForce,
         findOwner: ownership.find,
         onKeyRequested: ownership.onRequest,
         allowance: {
@@ -91,10 +95,10 @@
         settings.host,
         {
             openRequests: passing.open,
-            documentVersion: () => inForce?.document.version ?? 0,
+            documentVersion: () => view.inForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
-            registryAge: () => timers.now() - registryReadAt,
+            registryAge: view.registryAge,
         },
         log,
         owner,
@@ -106,87 +110,11 @@
         handle: passing.handle,
     }, owner);
 
-    const onDocument = (record: platform.KeyedRecord): void => {
-        if (record.key !== platform.documentKey || record.value === undefined) {
-            return;
-        }
-        const parsed = platform.parseDocument(record.value);
-        if (parsed.err) {
-            log.write("document-unreadable", { reason: parsed.val });
-            return;
-        }
-        const document = parsed.val;
-        if (inForce !== undefined && document.version <= inForce.document.version) {
-            return;
-        }
-        inForce = { document, table: routing.createRouteTable(document.routes) };
-        callers.setLimits(document.limits);
-        log.write("document-in-force", { version: document.version, routes: document.routes.length });
-    };
-    const onUpstream = (record: platform.KeyedRecord): void => {
-        const now = timers.now();
-        if (record.value === undefined) {
-            directory.onRemoval(record.key, now);
-            return;
-        }
-        const parsed = platform.parseUpstream(record.key, record.value);
-        if (parsed.err) {
-            log.write("upstream-unreadable", { upstream: record.key, reason: parsed.val });
-            return;
-        }
-        const before = directory.find(record.key)?.leavingSince;
-        directory.onEntry(parsed.val, now);
-        if (before === undefined && parsed.val.isDraining) {
-            log.write("upstream-draining", { upstream: record.key });
-        }
-    };
-    const onContact = (): void => {
-        registryReadAt = timers.now();
-        directory.onContact(registryReadAt);
-        if (storeFailure !== undefined) {
-            log.write("store-regained", {});
-            documents.refresh();
-            storeFailure = undefined;
-        }
-    };
-    const onFailure = (reason: string): void => {
-        directory.onContactLost(timers.now());
-        if (storeFailure === undefined) {
-            log.write("store-lost", { reason });
-        }
-        storeFailure = reason;
-    };
-    const documents = topicTask.startTopicTask({
-        store,
-        topic: platform.Topic.documents,
-        timers,
-        waitMilliseconds: documentWaitMilliseconds,
-        pauseMilliseconds: 0,
-        onSnapshot: records => records.forEach(onDocument),
-        onRecord: onDocument,
-        onContact: () => undefined,
-        onFailure: reason => log.write("document-read-failed", { reason }),
-    }, owner);
-    topicTask.startTopicTask({
-        store,
-        topic: platform.Topic.upstreams,
-        timers,
-        waitMilliseconds: 0,
-        pauseMilliseconds: registryPauseMilliseconds,
-        onSnapshot: records => {
-            const present = new Set(records.filter(one => one.value !== undefined).map(one => one.key));
-            const absent = [...directory.all()].filter(entry => !present.has(entry.upstream.identifier));
-            absent.forEach(entry => directory.onRemoval(entry.upstream.identifier, timers.now()));
-            records.forEach(onUpstream);
-            isRegistryKnown = true;
-        },
-        onRecord: onUpstream,
-        onContact,
-        onFailure,
-    }, owner);
+    view.start();
 
     const readiness = http.createServer((request, response) => {
-        const isReady = !isStopping && inForce !== undefined && isRegistryKnown && ownership.isReady();
+        const isReady = !isStopping && view.inForce() !== undefined && view.isRegistryKnown()
+            && ownership.isReady();
         const status = request.url === platform.readinessPath && isReady ? 200 : 503;
         response.writeHead(status, { "content-length": 0 });
         response.end();
--- a/packages/entry/src/followers.ts
+++ b/packages/entry/src/followers.ts
@@ -10,6 +10,9 @@
     port: number;
     /** This instance's leadership; undefined while it does not lead. */
     session: () => leaderSession.LeaderSession | undefined;
+    /** How far this instance has read the topics that it passes on. */
+    topics: () => protocol.TopicPosition[];
+    log: foundation.EventLog;
 }
 
 /** The instances that follow. */
@@ -37,6 +40,7 @@
         record: session.lastRecord(),
         proofAge: session.proofAge(),
         instances: followers.size + 1,
+        topics: options.topics(),
     });
     const accept = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
@@ -47,6 +51,12 @@
                     connection.close();
                 }
                 else if (message.kind === protocol.RoutingMessageKind.join) {
+                    if (message.version !== protocol.routingProtocolVersion) {
+                        const { version } = message;
+                        options.log.write("follower-refused", { follower: message.identifier, version });
+                        connection.close();
+                        return;
+                    }
                     followers.add(connection);
                     connection.send(beatOf(session));
                     session.routing().forEach(connection.send);
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -1,8 +1,10 @@
 /** A follower's connection to the leader. */
 import * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
+import type * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
 import * as net from "node:net";
+import type * as topicTask from "./topicTask";
 
 /** What the link needs. */
 export interface LeaderLinkOptions {
@@ -10,6 +12,8 @@
     identifier: string;
     timers: foundation.TimerService;
     onRouting: (message: Extract<protocol.RoutingMessage, { kind: "routing"; }>) => void;
+    /** The leader tells what it has read from a topic of the store. */
+    onRelayed: (topic: string, relayed: topicTask.RelayedRecords) => void;
     /** The instance that is followed does not lead any more, so the store has to be read. */
     onLeaderGone: (hasResigned: boolean) => void;
 }
@@ -57,9 +61,35 @@
     let provenRecord: { identifier: string; beat: number; } | undefined;
     let instances = assumedInstances;
 
-    const onMessage = (message: protocol.RoutingMessage, leader: assignment.LeaderRecord): void => {
+    /** `topicEnds` holds the end of each topic as the leader told it last on the connection. */
+    const onTopicRead = (
+        topicEnds: Map<string, number>,
+        { topic, end, age }: protocol.TopicPosition,
+        records: platform.StoredRecord[],
+    ): void => {
+        // Nothing is known of what came before the first position on a connection.
+        const from = topicEnds.get(topic) ?? end;
+        topicEnds.set(topic, end);
+        options.onRelayed(topic, { from, end, age, records });
+    };
+
+    const onMessage = (
+        message: protocol.RoutingMessage,
+        leader: assignment.LeaderRecord,
+        topicEnds: Map<string, number>,
+    ): void => {
         switch (message.kind) {
+            case protocol.RoutingMessageKind.news: {
+                const records = message.records.map(({ key, value, offset }) => ({
+                    key,
+                    value: value === undefined ? undefined : Buffer.from(value),
+                    offset,
+                }));
+                onTopicRead(topicEnds, { topic: message.topic, end: message.end, age: 0 }, records);
+                return;
+            }
             case protocol.RoutingMessageKind.beat:
+                message.topics.forEach(position => onTopicRead(topicEnds, position, []));
                 lastBeatAt = timers.now();
                 provenAt = lastBeatAt - message.proofAge;
                 provenRecord = { identifier: leader.identifier, beat: message.record };
@@ -83,8 +113,9 @@
     const connect = (leader: assignment.LeaderRecord): void => {
         lastConnectAt = timers.now();
         const socket = net.connect({ host: leader.host, port: leader.port });
+        const topicEnds = new Map<string, number>();
         const connection = protocol.createRoutingConnection(socket, {
-            onMessage: message => onMessage(message, leader),
+            onMessage: message => onMessage(message, leader, topicEnds),
             onClose: code => {
                 if (link?.connection === connection) {
                     link = undefined;
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -10,6 +10,7 @@
 import * as leaderLink from "./leaderLink";
 import * as leaderSession from "./leaderSession";
 import * as ownershipStore from "./ownershipStore";
+import type * as topicTask from "./topicTask";
 
 /** What the task needs. */
 export interface OwnershipTaskOptions {
@@ -21,6 +22,10 @@
     keyedServices: () => string[];
     /** Smoothed time that a request takes at each upstream, in milliseconds. */
     speeds: () => [string, number][];
+    /** How far this instance has read the topics that a leader passes on. */
+    topics: () => protocol.TopicPosition[];
+    /** The leader tells what it has read from a topic of the store. */
+    onRelayed: (topic: string, relayed: topicTask.RelayedRecords) => void;
 }
 
 /** An instance's part in key ownership. */
@@ -33,6 +38,8 @@
     /** Instances that share the site's limits, this one included. */
     instances: () => number;
     isLeading: () => boolean;
+    /** Passes on to followers what this instance has read; does nothing unless it leads. */
+    passOn: (topic: string, records: readonly platform.StoredRecord[], end: number) => void;
     /** Gives leadership up before a planned stop. */
     resign: () => Promise<void>;
 }
@@ -70,7 +77,7 @@
     let isResigning = false;
 
     const followers = await followerSet.startFollowers(
-        { host: settings.host, port: settings.peerPort, session: () => session },
+        { host: settings.host, port: settings.peerPort, session: () => session, topics: options.topics, log },
         owner,
     );
 
@@ -95,6 +102,7 @@
         identifier,
         timers,
         onRouting: applyRouting,
+        onRelayed: options.onRelayed,
         onLeaderGone: hasResigned => {
             lastReadAt = -Infinity;
             snapshot = hasResigned ? undefined : snapshot;
@@ -242,6 +250,11 @@
         isReady: () => options.keyedServices().every(service => views.get(service)?.isKnown() === true),
         instances: () => session === undefined ? link.instances() : followers.count() + 1,
         isLeading: () => session !== undefined,
+        passOn: (topic, records, end) => {
+            if (session !== undefined) {
+                followers.broadcast({ kind: "news", topic, end, records: [...records] });
+            }
+        },
         resign: async () => {
             isResigning = true;
             const leading = session;
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -3,9 +3,16 @@
 import type * as platform from "@mulberryseam/platform";
 import * as earl from "earl";
 import * as test from "node:test";
+import * as keyedState from "../src/keyedState";
 import * as topicTask from "../src/topicTask";
 
-const record: platform.KeyedRecord = { key: "config", value: Buffer.from("next") };
+const createRecord = (key: string, text: string, offset: number): platform.StoredRecord => ({
+    key,
+    value: Buffer.from(text),
+    offset,
+});
+
+const record = createRecord("config", "next", 7);
 
 const flush = async (): Promise<void> => {
     for (let turn = 0; turn < 5; turn += 1) {
@@ -17,17 +24,17 @@
     task: topicTask.TopicTask;
     /** Offsets of the reads so far. */
     reads: number[];
-    seen: platform.KeyedRecord[];
+    seen: platform.StoredRecord[];
     failures: string[];
     timers: foundation.VirtualTimerService;
     owner: foundation.Owner;
 }
 
-const createFixture = (read: (call: number) => Promise<platform.Following>): Fixture => {
+const createFixture = (read: (call: number) => Promise<platform.Following>, readAge = 0): Fixture => {
     const timers = foundation.createVirtualTimerService();
     const owner = foundation.createOwner();
     const reads: number[] = [];
-    const seen: platform.KeyedRecord[] = [];
+    const seen: platform.StoredRecord[] = [];
     const failures: string[] = [];
     const store: platform.StoreClient = {
         readNewest: () => Promise.resolve({ records: [], end: 7 }),
@@ -42,10 +49,10 @@
         store,
         topic: "keyed.op",
         timers,
-        waitMilliseconds: 2500,
-        pauseMilliseconds: 0,
-        onSnapshot: records => seen.push(...records),
-        onRecord: one => seen.push(one),
+        readAge: () => readAge,
+        waitMilliseconds: () => 2500,
+        fingerprintOf: (...[, value]) => value.toString(),
+        onChanges: records => seen.push(...records),
         onContact: () => undefined,
         onFailure: reason => failures.push(reason),
     }, owner);
@@ -101,4 +108,78 @@
         earl.expect(fixture.seen).toEqual([record]);
         await fixture.owner.dispose();
     });
+
+    test.it("reads only when what the leader passes on is not recent", async () => {
+        const fixture = createFixture(() => Promise.resolve({ records: [], end: 8, isBehind: false }), 800);
+        await flush();
+        for (let beat = 0; beat < 10; beat += 1) {
+            fixture.timers.advance(250);
+            await flush();
+            fixture.task.onRelayed({ from: 7, end: 7, age: 300, records: [] });
+        }
+        earl.expect(fixture.reads).toEqual([]);
+        for (let passed = 0; passed < 600; passed += 50) {
+            fixture.timers.advance(50);
+            await flush();
+        }
+        earl.expect(fixture.reads).toEqual([7]);
+        await fixture.owner.dispose();
+    });
+
+    test.it("takes what the leader passes on, and nothing behind a gap", async () => {
+        const fixture = createFixture(never, 800);
+        await flush();
+        const next = createRecord("config", "next", 8);
+        fixture.task.onRelayed({ from: 7, end: 9, age: 0, records: [next] });
+        fixture.task.onRelayed({ from: 12, end: 13, age: 0, records: [createRecord("config", "later", 12)] });
+        earl.expect(fixture.seen).toEqual([next]);
+        earl.expect(fixture.task.position()?.end).toEqual(9);
+        await fixture.owner.dispose();
+    });
+
+    test.it("does not go back to older records that the leader passes on late", async () => {
+        const draining = createRecord("upstream", "draining", 8);
+        const fixture = createFixture(
+            call =>
+                call === 1
+                    ? Promise.resolve({
+                        records: [createRecord("upstream", "ready", 7), draining],
+                        end: 9,
+                        isBehind: false,
+                    })
+                    : never(),
+        );
+        await advance(fixture);
+        fixture.task.onRelayed({ from: 7, end: 9, age: 0, records: [createRecord("upstream", "ready", 7)] });
+        earl.expect(fixture.seen[fixture.seen.length - 1]).toEqual(draining);
+        await fixture.owner.dispose();
+    });
+});
+
+test.describe("the newest record of each key", () => {
+    const createState = (): keyedState.KeyedState =>
+        keyedState.createKeyedState((...[, value]) => value.toString().split(" ")[0]);
+
+    test.it("leaves out records that mean the same", () => {
+        const state = createState();
+        const first = createRecord("upstream", "ready 1", 0);
+        earl.expect(state.apply([first, createRecord("upstream", "ready 2", 1)])).toEqual([first]);
+        const draining = createRecord("upstream", "draining 3", 2);
+        earl.expect(state.apply([draining])).toEqual([draining]);
+    });
+
+    test.it("tells an entry that comes back after it was dropped", () => {
+        const state = createState();
+        const dropped = { key: "upstream", value: undefined, offset: 1 };
+        const again = createRecord("upstream", "ready 2", 2);
+        earl.expect(state.apply([createRecord("upstream", "ready 1", 0), dropped, again]).length).toEqual(3);
+        earl.expect(state.apply([dropped, dropped]).length).toEqual(1);
+    });
+
+    test.it("tells which keys a snapshot does not hold any more", () => {
+        const state = createState();
+        const kept = createRecord("kept", "ready 1", 0);
+        state.apply([kept, createRecord("gone", "ready 1", 1)]);
+        earl.expect(state.replace([kept], 5)).toEqual([{ key: "gone", value: undefined, offset: 4 }]);
+    });
 });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,4 +11,4 @@
 export { createRoutingConnection, routingSilenceMilliseconds } from "./routingConnection";
 export type { RoutingConnection, RoutingConnectionHandlers } from "./routingConnection";
 export { parseRoutingMessage, RoutingMessageKind, routingProtocolVersion } from "./routingMessages";
-export type { RoutingMessage, RoutingReport } from "./routingMessages";
+export type { RoutingMessage, RoutingNews, RoutingReport, TopicPosition } from "./routingMessages";
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -3,7 +3,7 @@
 import * as zod from "zod";
 
 /** Version of these messages; instances refuse any other. */
-export const routingProtocolVersion = 1;
+export const routingProtocolVersion = 2;
 
 /** Kinds of message. */
 export const RoutingMessageKind = {
@@ -11,6 +11,7 @@
     notLeader: "notLeader",
     beat: "beat",
     routing: "routing",
+    news: "news",
     report: "report",
     resigned: "resigned",
 } as const;
@@ -30,6 +31,8 @@
     port: zod.int(),
 });
 
+const topicSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
+
 const messageSchema = zod.discriminatedUnion("kind", [
     /** First message of a follower. */
     zod.object({ kind: zod.literal(RoutingMessageKind.join), version: zod.int(), identifier: zod.string() }),
@@ -45,6 +48,20 @@
         proofAge: zod.number(),
         /** Instances that the leader hears, itself included. */
         instances: zod.int(),
+        /** Topics of the store as far as the leader has read them, and the age of that reading in milliseconds. */
+        topics: zod.array(topicSchema),
+    }),
+    /** Every record that changes something between the end that was told last of a topic and this one. */
+    zod.object({
+        kind: zod.literal(RoutingMessageKind.news),
+        topic: zod.string(),
+        end: zod.int(),
+        records: zod.array(zod.object({
+            key: zod.string(),
+            /** Missing when the key was dropped. */
+            value: zod.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).optional(),
+            offset: zod.int(),
+        })),
     }),
     /** Routing that changed; the first one on a connection covers every key. */
     zod.object({
@@ -67,6 +84,12 @@
 /** A message about the routing of keys. */
 export type RoutingMessage = zod.infer<typeof messageSchema>;
 
+/** How far an instance has read a topic of the store. */
+export type TopicPosition = zod.infer<typeof topicSchema>;
+
+/** What the leader has read from a topic of the store. */
+export type RoutingNews = Extract<RoutingMessage, { kind: "news"; }>;
+
 /** What a follower has seen. */
 export type RoutingReport = Extract<RoutingMessage, { kind: "report"; }>;
 
