Let the agent take its own listener off when a connection is used again

Cause: the hook in place of the agent's own did not remove the error listener that the agent adds each time it keeps a connection; the grown site's instances printed a warning of a leak at eleven.

--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -5,6 +5,8 @@
 /** Connections to one upstream. */
 export interface UpstreamConnections {
     agent: http.Agent;
+    /** Whether a connection is open that no request uses. */
+    hasIdle: () => boolean;
     /** Takes the idle time that the upstream announced, in milliseconds. */
     onIdleHint: (milliseconds: number) => void;
     close: () => void;
@@ -44,13 +46,16 @@
             socket.off("data", onSurplus);
         }
         socket.setTimeout(0);
-        request.reusedSocket = true;
-        socket.ref();
+        // Takes the agent's own listener off, which it adds each time that a connection is kept.
+        reuseAsUsual(socket, request);
     };
+    const { reuseSocket: reuse } = agent as unknown as { reuseSocket: (...parameters: unknown[]) => void; };
+    const reuseAsUsual = reuse.bind(agent);
     // The agent's hooks for kept connections, typed as taking any stream.
     Object.assign(agent, { keepSocketAlive, reuseSocket });
     return {
         agent,
+        hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onIdleHint: milliseconds => {
             idleMilliseconds = Math.max(shortestIdleMilliseconds, milliseconds - idleMarginMilliseconds);
         },
--- a/packages/relay/test/upstreamConnections.test.ts
+++ b/packages/relay/test/upstreamConnections.test.ts
@@ -37,4 +37,34 @@
         server.close();
         earl.expect(connected).toEqual(idleLimit);
     });
+
+    test.it("gain no listener each time that one is used again", async () => {
+        const sockets = new Set<net.Socket>();
+        const server = http.createServer((request, response) => {
+            request.resume();
+            response.end("done");
+        });
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        const { port } = server.address() as net.AddressInfo;
+        const connections = relay.createUpstreamConnections(limit, idleLimit);
+        const ask = (): Promise<number> =>
+            new Promise(resolve => {
+                const request = http.get({ agent: connections.agent, host: "127.0.0.1", port }, response => {
+                    const { socket } = response;
+                    sockets.add(socket);
+                    response.resume();
+                    response.on("close", () => setImmediate(() => resolve(socket.listenerCount("error"))));
+                });
+                request.on("error", () => resolve(Infinity));
+            });
+        const first = await ask();
+        let last = first;
+        for (let turn = 0; turn < 20; turn += 1) {
+            last = await ask();
+        }
+        connections.close();
+        server.close();
+        earl.expect(sockets.size).toEqual(1);
+        earl.expect(last).toEqual(first);
+    });
 });
