--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -30,10 +30,14 @@
 const overloadFactor = 1.2;
 /** Changes in one round, so that few keys are between owners at a time. */
 const highestMoves = 16;
+/** Changes in one round for each owner, where there are so many that it is more. */
+const highestMovesPerOwner = 0.3;
 /** Keys that change owners in one round for the sake of balance. */
 const highestMovedKeys = 1500;
 /** Ranges above which no range is cut any more; each one costs a renewal a second. */
 const highestRanges = 480;
+/** The same for each owner, where there are so many that it is more. */
+const highestRangesPerOwner = 6;
 /** Weighted requests below which the load says too little. */
 const lowestEvidence = 60;
 /** Load that every key is taken to have, so that cold keys are spread too. */
@@ -195,9 +199,11 @@
     let movedKeys = 0;
     const total = [...shares.values()].reduce((sum, share) => sum + share.load, 0);
     const mean = total / candidates.reduce((sum, candidate) => sum + candidate.capacity, 0);
+    const moveLimit = Math.max(highestMoves, candidates.length * highestMovesPerOwner);
+    const rangeLimit = Math.max(highestRanges, candidates.length * highestRangesPerOwner);
     const tired = new Set<Share>();
     while (
-        total >= lowestEvidence && moves < highestMoves && movedKeys < highestMovedKeys && ranges.length < highestRanges
+        total >= lowestEvidence && moves < moveLimit && movedKeys < highestMovedKeys && ranges.length < rangeLimit
         && tired.size < shares.size
     ) {
         const from = mostLoaded([...shares.values()].filter(share => !tired.has(share)));
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -50,17 +50,19 @@
         onDocument: document => callers.setLimits(document.limits),
     }, owner);
 
+    const keyedServices = (): string[] => {
+        const services = [...view.inForce()?.document.services.values() ?? []];
+        return services.filter(one => one.isKeyed).map(one => one.name);
+    };
+
     const ownership = await ownershipTask.startOwnershipTask({
         settings,
         store,
         directory,
         timers,
         log,
-        keyedServices: () => {
-            const services = [...view.inForce()?.document.services.values() ?? []];
-            return services.filter(one => one.isKeyed).map(one => one.name);
-        },
-        speeds: () => pool.speeds(),
+        keyedServices,
+        takeSpeeds: () => pool.takeSpeeds(keyedServices()),
         topics: view.positions,
         onRelayed: view.onRelayed,
     }, owner);
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -20,8 +20,8 @@
     timers: foundation.TimerService;
     log: foundation.EventLog;
     keyedServices: () => string[];
-    /** Smoothed time that a request takes at each upstream, in milliseconds. */
-    speeds: () => [string, number][];
+    /** Takes the time that a request takes at each keyed upstream measured since the last call, in milliseconds. */
+    takeSpeeds: () => [string, number][];
     /** How far this instance has read the topics that a leader passes on. */
     topics: () => protocol.TopicPosition[];
     /** The leader tells what it has read from a topic of the store. */
@@ -223,7 +223,7 @@
     };
 
     const sendReport = (): void => {
-        const report = demand.takeReport(options.speeds());
+        const report = demand.takeReport(options.takeSpeeds());
         if (session !== undefined) {
             session.onReport(report);
         }
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -75,7 +75,7 @@
         kind: zod.literal(RoutingMessageKind.report),
         /** Keys that were asked for, each as often as it was, and how many requests one stands for. */
         samples: zod.array(zod.object({ service: zod.string(), keys: zod.array(zod.int()), weight: zod.number() })),
-        /** Time that one request takes at an upstream, in milliseconds. */
+        /** Time that one request takes at an upstream, in milliseconds; of those measured since the last report. */
         speeds: zod.array(zod.tuple([zod.string(), zod.number()])),
     }),
     zod.object({ kind: zod.literal(RoutingMessageKind.resigned) }),
--- a/packages/relay/src/upstreamHealth.ts
+++ b/packages/relay/src/upstreamHealth.ts
@@ -37,6 +37,8 @@
     queueLength: (now: number) => number;
     /** Smoothed time that one request takes in a slot, in milliseconds; undefined before the first answer. */
     serviceMilliseconds: () => number | undefined;
+    /** Whether the speed was measured since the last call. */
+    takeIsMeasured: () => boolean;
     /** Smoothed share of attempts that were refused or failed. */
     failureShare: (now: number) => number;
     /** Whether it has stopped answering, or cannot be reached. */
@@ -69,6 +71,7 @@
 export const createUpstreamHealth = (): UpstreamHealth => {
     const open = new Set<OpenAttempt>();
     let service: number | undefined;
+    let hasNewMeasurement = false;
     let failure = 0;
     let failureAt = -Infinity;
     let others = 0;
@@ -85,6 +88,7 @@
     };
     const onService = (milliseconds: number, report: LoadReport | undefined): void => {
         if (report === undefined || report.waiting === 0) {
+            hasNewMeasurement = true;
             service = service === undefined ? milliseconds : service + (milliseconds - service) * speedSmoothing;
         }
     };
@@ -125,6 +129,11 @@
         outstanding: () => open.size,
         queueLength: now => open.size + others * Math.exp(-(now - reportedAt) / reportMemoryMilliseconds),
         serviceMilliseconds: () => service,
+        takeIsMeasured: () => {
+            const isMeasured = hasNewMeasurement;
+            hasNewMeasurement = false;
+            return isMeasured;
+        },
         failureShare: now => (failureAt === -Infinity ? 0 : failureNow(now)),
         isAvoided: now => {
             if (now < avoidedUntil) {
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -43,7 +43,8 @@
     isFull: (pooled: PooledUpstream) => boolean;
     /** Drops what belongs to upstreams that are gone. */
     prune: () => void;
-    speeds: () => [string, number][];
+    /** Takes the speeds of the services' upstreams that were measured since the last call, in milliseconds a request. */
+    takeSpeeds: (services: readonly string[]) => [string, number][];
 }
 
 /** Time that a request is taken to need before any was answered, in milliseconds. */
@@ -54,6 +55,8 @@
 /** What a kilobyte to another region, or another failure domain, is taken to cost, in milliseconds: they are paid for. */
 const regionMillisecondsPerKilobyte = 5;
 const domainMillisecondsPerKilobyte = 0.5;
+/** What a new connection is taken to cost beyond the way there and back, in milliseconds: upstreams have few. */
+const newConnectionMilliseconds = 12;
 /** Time after its start in which an upstream is slower, as a factor. */
 const coldFactor = 2;
 /** Time for a new connection beyond the way there and back, in milliseconds. */
@@ -139,6 +142,7 @@
             const { upstream, health } = target;
             const entry = directory.find(upstream.identifier);
             const age = now() - (entry?.firstSeenAt ?? -Infinity);
+            const isConnected = target.connections.hasIdle();
             const factor = age < upstream.warmupMilliseconds ? coldFactor : 1;
             return {
                 identifier: upstream.identifier,
@@ -146,9 +150,10 @@
                 slots: upstream.slots,
                 serviceMilliseconds: serviceOf(target) * factor,
                 isMeasured: health.serviceMilliseconds() !== undefined,
-                roundTripMilliseconds: roundTripOf(target),
+                roundTripMilliseconds: roundTripOf(target) * (isConnected ? 1 : 2),
                 failureShare: health.failureShare(now()),
-                detourMilliseconds: perKilobyte(target) * bytes / 1024,
+                detourMilliseconds: perKilobyte(target) * bytes / 1024
+                    + (isConnected ? 0 : newConnectionMilliseconds),
             };
         },
         onConnected: (target, milliseconds) => {
@@ -168,14 +173,14 @@
                 }
             }
         },
-        speeds: () => {
-            const known: [string, number][] = [];
+        takeSpeeds: services => {
+            const taken: [string, number][] = [];
             for (const [identifier, target] of pooled) {
-                if (target.health.serviceMilliseconds() !== undefined) {
-                    known.push([identifier, serviceOf(target)]);
+                if (services.includes(target.upstream.service) && target.health.takeIsMeasured()) {
+                    taken.push([identifier, Math.round(serviceOf(target))]);
                 }
             }
-            return known;
+            return taken;
         },
     };
 };
