Join ranges again once hot stretches have cooled; remember a queue for as long as it takes to drain

Neighbours of one owner are joined and narrow cold ranges go to a neighbour's owner from 0.7 of the limit on; at the limit whole ranges still move. A joined range goes on being served while its grant is under way. Tests of the balance failed first.

--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -3,6 +3,7 @@
  * to the least busy one. A stretch is cut as narrow as its load allows, because moved keys are paid for by their number
  * and busy keys lie close together.
  */
+import * as joining from "./joining";
 import * as keyRange from "./keyRange";
 
 /** An upstream that may own keys. */
@@ -38,6 +39,12 @@
 const highestRanges = 480;
 /** The same for each owner, where there are so many that it is more. */
 const highestRangesPerOwner = 6;
+/** Part of the highest number of ranges from which ranges are joined again. */
+const joiningPart = 0.7;
+/** Ranges that are joined, and narrow ones that are given to a neighbour's owner, in one round. */
+const highestJoins = 24;
+/** Load of a range, as a part of the mean owner's, up to which it is cold. */
+const coldPart = 0.01;
 /** Weighted requests below which the load says too little. */
 const lowestEvidence = 60;
 /** Load that every key is taken to have, so that cold keys are spread too. */
@@ -119,6 +126,7 @@
     mean: number,
     sums: Float64Array,
     highestKeys: number,
+    mayCut: boolean,
 ): Move | undefined => {
     const density = (range: keyRange.KeyRange): number =>
         loadBetween(sums, range.first, range.last) / (range.last - range.first + 1);
@@ -137,9 +145,9 @@
         const room = Math.max(0, mean * to.candidate.capacity - to.load);
         const target = Math.min(excess, Math.max(room, excess / others.length));
         const whole = { first: range.first, last: range.last };
-        const stretch = load <= target
-            ? (load <= limit ? whole : undefined)
-            : narrowestStretch(range, sums, target, limit) ?? narrowestStretch(range, sums, target / 4, limit);
+        const cutOut = (): { first: number; last: number; } | undefined =>
+            narrowestStretch(range, sums, target, limit) ?? narrowestStretch(range, sums, target / 4, limit);
+        const stretch = load > target && mayCut ? cutOut() : load <= limit ? whole : undefined;
         const isWorthIt = density(range) >= lowestDensity * sums[keyRange.keyCount] / keyRange.keyCount;
         if (stretch !== undefined && isWorthIt && stretch.last - stretch.first < highestKeys) {
             return { range, ...stretch, to };
@@ -203,7 +211,7 @@
     const rangeLimit = Math.max(highestRanges, candidates.length * highestRangesPerOwner);
     const tired = new Set<Share>();
     while (
-        total >= lowestEvidence && moves < moveLimit && movedKeys < highestMovedKeys && ranges.length < rangeLimit
+        total >= lowestEvidence && moves < moveLimit && movedKeys < highestMovedKeys
         && tired.size < shares.size
     ) {
         const from = mostLoaded([...shares.values()].filter(share => !tired.has(share)));
@@ -214,7 +222,8 @@
         const own = ranges.filter(range =>
             shareOf(range) === from && range.token < firstToken && !input.isMoving(range) && input.mayMove(range)
         );
-        const move = findMove(own, from, [...shares.values()], mean, loadSums, highestMovedKeys - movedKeys);
+        const mayCut = ranges.length < rangeLimit;
+        const move = findMove(own, from, [...shares.values()], mean, loadSums, highestMovedKeys - movedKeys, mayCut);
         if (move === undefined) {
             tired.add(from);
             continue;
@@ -224,7 +233,22 @@
         moves += 1;
         movedKeys += move.last - move.first + 1;
     }
-    return heaviestFirst.length + fenced.length + moves === 0
+    const joined = ranges.length > rangeLimit * joiningPart
+        ? joining.joinRanges({
+            ranges,
+            nextToken,
+            highestChanges: highestJoins,
+            isSettled: range =>
+                shareOf(range) !== undefined && range.token < firstToken && !input.isMoving(range)
+                && input.mayMove(range) && !input.isFenced(range),
+            isCold: range => loadBetween(loadSums, range.first, range.last) < total / candidates.length * coldPart,
+            hasRoom: owner => {
+                const share = shares.get(keyRange.ownerName(owner));
+                return share !== undefined && relativeLoad(share) < mean;
+            },
+        })
+        : { ranges, nextToken, changes: 0 };
+    return heaviestFirst.length + fenced.length + moves + joined.changes === 0
         ? undefined
-        : { service: input.assignment.service, nextToken, ranges };
+        : { service: input.assignment.service, nextToken: joined.nextToken, ranges: joined.ranges };
 };
--- a/packages/assignment/src/heldRange.ts
+++ b/packages/assignment/src/heldRange.ts
@@ -97,12 +97,15 @@
         };
     }
     const formerLeaseUntil = leaseOf(range.former, before);
+    // Ranges of one owner that were joined go on being served while the new one is granted.
+    const isJoined = holdings.length > 1 && range.former === undefined
+        && holdings.every(held => held.isHeld && keyRange.isSameOwner(held.range.owner, range.owner));
     return {
         range,
         leaseUntil: leaseOf(range.owner, before),
         formerLeaseUntil,
         isFormerDone: formerLeaseUntil === -Infinity,
-        isHeld: false,
+        isHeld: isJoined,
         isInFlight: false,
         grantedMilliseconds: 0,
         pendingLeaseUntil: -Infinity,
--- a/packages/assignment/test/balance.test.ts
+++ b/packages/assignment/test/balance.test.ts
@@ -138,6 +138,43 @@
         earl.expect(keys < assignment.keyCount * 0.14).toEqual(true);
     });
 
+    test.it("goes on balancing however many stretches have been hot before, with a bounded number of ranges", () => {
+        let current = deal(candidates);
+        for (let stretch = 0; stretch < 60; stretch += 1) {
+            const first = stretch * 1087 % 65_000;
+            const loads = (key: number): number => 0.01 + (key >= first && key < first + 200 ? 2.5 : 0);
+            const { end, movedKeys } = play(current, candidates, loads, 4);
+            current = end;
+            earl.expect(covers(current)).toEqual(true);
+            earl.expect(current.ranges.length <= 520).toEqual(true);
+            earl.expect(busiestOverMean(current, candidates, loads) < 2).toEqual(true);
+            earl.expect(movedKeys < assignment.keyCount * 0.08).toEqual(true);
+        }
+    });
+
+    test.it("gives joined ranges tokens of their own and keeps their owner", () => {
+        const [first, second] = candidates;
+        const ranges = Array.from({ length: 512 }, (...[, index]) => ({
+            first: index * 128,
+            last: index * 128 + 127,
+            owner: index % 4 < 2 ? first.owner : second.owner,
+            token: index + 1,
+            former: undefined,
+        }));
+        const current = { service: "records", nextToken: 513, ranges };
+        const next = assignment.balance(createInput(current, [first, second], () => 0.01));
+        const changed = next?.ranges.filter(range => range.token >= 513) ?? [];
+        earl.expect(changed.length > 0).toEqual(true);
+        earl.expect(new Set(changed.map(range => range.token)).size).toEqual(changed.length);
+        earl.expect(changed.every(range => range.former === undefined && range.last - range.first === 255)).toEqual(
+            true,
+        );
+        for (const range of changed) {
+            const before = ranges.find(one => one.first === range.first);
+            earl.expect(assignment.isSameOwner(before?.owner, range.owner)).toEqual(true);
+        }
+    });
+
     test.it("leaves a balanced assignment as it is", () => {
         const dealt = deal(candidates);
         earl.expect(assignment.balance(createInput(dealt, candidates, () => 0.02))).toEqual(undefined);
--- a/packages/assignment/test/keeper.test.ts
+++ b/packages/assignment/test/keeper.test.ts
@@ -60,6 +60,36 @@
         earl.expect(grant.handover).toEqual("memory");
     });
 
+    test.it("goes on serving ranges of one owner that were joined, and waits for their longest lease", () => {
+        const keeper = assignment.createKeeper();
+        keeper.adopt(createAssignment([0, first, 1], [500, first, 2]), -Infinity);
+        for (const order of keeper.takeDueOrders(0, lease)) {
+            keeper.onAnswer(order, assignment.OrderOutcome.done, undefined, order.first === 0 ? 10 : 400);
+        }
+        keeper.takeChanges();
+        keeper.adopt(createAssignment([0, first, 3]), -Infinity);
+        earl.expect(keeper.takeChanges()).toEqual([]);
+        earl.expect(keeper.routing().map(change => change.owner)).toEqual([first]);
+        const [grant] = keeper.takeDueOrders(420, lease);
+        earl.expect([grant.first, grant.last, grant.token]).toEqual([0, assignment.keyCount - 1, 3]);
+
+        keeper.onAnswer(grant, assignment.OrderOutcome.unanswered, undefined, 1020);
+        keeper.adopt(createAssignment([0, second, 4, first]), -Infinity);
+        const granted: number[] = [];
+        for (let now = 1040; now < 8000; now += 20) {
+            for (const order of keeper.takeDueOrders(now, lease)) {
+                if (order.kind === assignment.OrderKind.grant) {
+                    granted.push(now);
+                }
+                else {
+                    keeper.onAnswer(order, assignment.OrderOutcome.unanswered, undefined, now);
+                }
+            }
+        }
+        // The unanswered grant of the joined range may have been done when it was given up.
+        earl.expect(granted[0] >= 1020 + lease * 1.02).toEqual(true);
+    });
+
     test.it("waits for the lease of a former owner that does not answer", () => {
         const keeper = createHeld(first);
         keeper.adopt(createAssignment([0, second, 2, first]), -Infinity);
--- a/packages/relay/src/upstreamHealth.ts
+++ b/packages/relay/src/upstreamHealth.ts
@@ -49,8 +49,9 @@
 const failureSmoothing = 0.15;
 /** Time in which half of a failure share is forgotten while nothing is sent, in milliseconds. */
 const failureHalfLifeMilliseconds = 2000;
-/** Time in which most of what a report says of others is outdated, in milliseconds: a few services. */
-const reportMemoryMilliseconds = 300;
+/** Time in which most of what a report says of others is outdated, in services; no less than a time in milliseconds. */
+const reportMemoryServices = 3.5;
+const lowestReportMemoryMilliseconds = 300;
 /** Silence that is suspicious whatever the speed, in milliseconds. */
 const lowestSilenceMilliseconds = 450;
 /** Silence that is suspicious, in services. */
@@ -127,7 +128,10 @@
             }
         },
         outstanding: () => open.size,
-        queueLength: now => open.size + others * Math.exp(-(now - reportedAt) / reportMemoryMilliseconds),
+        queueLength: now => {
+            const memory = Math.max(lowestReportMemoryMilliseconds, (service ?? 0) * reportMemoryServices);
+            return open.size + others * Math.exp(-(now - reportedAt) / memory);
+        },
         serviceMilliseconds: () => service,
         takeIsMeasured: () => {
             const isMeasured = hasNewMeasurement;
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -39,7 +39,10 @@
     onConnected: (pooled: PooledUpstream, milliseconds: number) => void;
     /** Time for a new connection, in milliseconds. */
     connectMilliseconds: (pooled: PooledUpstream) => number;
-    /** Whether the instance uses its part of the upstream's connections. */
+    /**
+     * Whether no connection can be had: the instance uses its part of them, or none is idle and the upstream, whose queue
+     * is long, would reset a new one.
+     */
     isFull: (pooled: PooledUpstream) => boolean;
     /** Drops what belongs to upstreams that are gone. */
     prune: () => void;
@@ -57,6 +60,8 @@
 const domainMillisecondsPerKilobyte = 0.5;
 /** What a new connection is taken to cost beyond the way there and back, in milliseconds: upstreams have few. */
 const newConnectionMilliseconds = 12;
+/** Requests at an upstream for each of its slots from which it takes fewer connections. */
+const longQueueServices = 3;
 /** Time after its start in which an upstream is slower, as a factor. */
 const coldFactor = 2;
 /** Time for a new connection beyond the way there and back, in milliseconds. */
@@ -164,7 +169,11 @@
             roundTrips.set(key, known + (sample - known) * roundTripSmoothing);
         },
         connectMilliseconds: target => roundTripOf(target) + connectMarginMilliseconds,
-        isFull: target => target.health.outstanding() >= limitOf(target.upstream.service),
+        isFull: target => {
+            const isQueueLong = target.health.queueLength(now()) >= target.upstream.slots * longQueueServices;
+            return target.health.outstanding() >= limitOf(target.upstream.service)
+                || (isQueueLong && !target.connections.hasIdle());
+        },
         prune: () => {
             for (const [identifier, { connections, health }] of pooled) {
                 if (directory.find(identifier) === undefined && health.outstanding() === 0) {
