--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -9,7 +9,7 @@
 /** An upstream that may own keys. */
 export interface Candidate {
     owner: keyRange.Owner;
-    /** Load that it can carry, relative to the others. */
+    /** Load that it can carry, in the unit of {@link BalanceInput.loadSums}. */
     capacity: number;
 }
 
@@ -29,6 +29,8 @@
 
 /** Load above the mean, as a factor, from which an owner gives keys away. */
 const overloadFactor = 1.2;
+/** Part of its capacity below which an owner gives nothing away: requests hardly wait there. */
+const comfortablePart = 0.45;
 /** Changes in one round, so that few keys are between owners at a time. */
 const highestMoves = 16;
 /** Changes in one round for each owner, where there are so many that it is more. */
@@ -209,13 +211,16 @@
     const mean = total / candidates.reduce((sum, candidate) => sum + candidate.capacity, 0);
     const moveLimit = Math.max(highestMoves, candidates.length * highestMovesPerOwner);
     const rangeLimit = Math.max(highestRanges, candidates.length * highestRangesPerOwner);
+    // An upstream that joined gets keys also where nobody has too many.
+    const isAnyEmpty = [...shares.values()].some(share => share.load === 0);
+    const tolerated = Math.max(mean * overloadFactor, isAnyEmpty ? 0 : comfortablePart);
     const tired = new Set<Share>();
     while (
         total >= lowestEvidence && moves < moveLimit && movedKeys < highestMovedKeys
         && tired.size < shares.size
     ) {
         const from = mostLoaded([...shares.values()].filter(share => !tired.has(share)));
-        if (relativeLoad(from) < mean * overloadFactor) {
+        if (relativeLoad(from) < tolerated) {
             break;
         }
         // What this plan has changed already keeps its former owner on record, so it is not changed again.
--- a/packages/assignment/src/keyLoad.ts
+++ b/packages/assignment/src/keyLoad.ts
@@ -4,14 +4,16 @@
 /** Load of the keys of one service, in weighted requests. */
 export interface KeyLoad {
     add: (key: number, weight: number) => void;
-    /** Lets the past fade; called once an interval. */
-    fade: () => void;
+    /** Lets the past fade; called with the time since the last call, in milliseconds. */
+    fade: (elapsedMilliseconds: number) => void;
+    /** Seconds of requests that the load stands for: a load of that many is one request a second. */
+    seconds: () => number;
     /** Sum of the loads of all keys below each key; one entry more than there are keys. */
     prefixSums: () => Float64Array;
 }
 
-/** Part of the load that is left after an interval. */
-const fadeFactor = 0.82;
+/** Time in which the load fades to a third (1/e), in milliseconds: a few plans, so that chance does not move keys. */
+const memoryMilliseconds = 2500;
 
 /**
  * Creates an empty memory.
@@ -20,15 +22,19 @@
  */
 export const createKeyLoad = (): KeyLoad => {
     const loads = new Float32Array(keyRange.keyCount);
+    let seconds = 0;
     return {
         add: (key, weight) => {
             loads[key] += weight;
         },
-        fade: () => {
+        fade: elapsedMilliseconds => {
+            const factor = Math.exp(-elapsedMilliseconds / memoryMilliseconds);
             for (let key = 0; key < loads.length; key += 1) {
-                loads[key] *= fadeFactor;
+                loads[key] *= factor;
             }
+            seconds = (seconds + elapsedMilliseconds / 1000) * factor;
         },
+        seconds: () => seconds,
         prefixSums: () => {
             const sums = new Float64Array(keyRange.keyCount + 1);
             for (let key = 0; key < loads.length; key += 1) {
--- a/packages/assignment/test/balance.test.ts
+++ b/packages/assignment/test/balance.test.ts
@@ -129,6 +129,21 @@
         earl.expect(busiestOverMean(grown, createCandidates(5), loads) < 1.35).toEqual(true);
     });
 
+    test.it("moves nothing while every owner is comfortable, however uneven the load", () => {
+        const loads = (key: number): number => 0.001 + (key >= 100 && key < 200 ? 1 : 0);
+        const roomy = createCandidates(4, 300);
+        earl.expect(assignment.balance(createInput(deal(roomy), roomy, loads))).toEqual(undefined);
+        const tight = createCandidates(4, 150);
+        earl.expect(assignment.balance(createInput(deal(tight), tight, loads)) === undefined).toEqual(false);
+    });
+
+    test.it("gives an empty upstream keys also while every owner is comfortable", () => {
+        const loads = (): number => 0.02;
+        const roomy = createCandidates(5, 3000);
+        const { end } = play(deal(createCandidates(4, 3000)), roomy, loads, 10);
+        earl.expect(end.ranges.some(range => range.owner?.identifier === "owner-4")).toEqual(true);
+    });
+
     test.it("gives a slow upstream less", () => {
         const uneven = createCandidates(4).map((candidate, index) => ({ ...candidate, capacity: index === 0 ? 2 : 6 }));
         const loads = (): number => 0.02;
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -60,6 +60,10 @@
 const silentOwnerMilliseconds = 900;
 /** Keys in a range before the load is known. */
 const initialRangeKeys = 256;
+/** Seconds of load that capacity is reckoned for at least: a new leader has seen none yet. */
+const lowestLoadSeconds = 0.5;
+/** Time that a request is taken to need before any was answered, in milliseconds. */
+const assumedServiceMilliseconds = 120;
 /** Time in which upstreams register when a site starts, before keys are dealt for the first time, in milliseconds. */
 const firstDealMilliseconds = 2500;
 /** How much of a new measurement enters an upstream's speed. */
@@ -123,6 +127,7 @@
     let isCommitting = false;
     let isStopped = false;
     let nextCommitAt = startedAt;
+    let fadedAt = startedAt;
     let uncertainPlans: assignment.ServiceAssignment[] = [];
 
     const onProof = (sentAt: number): void => {
@@ -171,21 +176,22 @@
         },
     });
 
-    const candidatesOf = (service: string, keeper: assignment.Keeper): assignment.Candidate[] => {
+    const candidatesOf = (service: string, { keeper, load }: KeyedService): assignment.Candidate[] => {
         const now = timers.now();
         const entries = directory.ofService(service).filter(({ upstream, leavingSince }) => {
             const silentSince = keeper.silentSince(toOwner(upstream), now);
             const isSilent = silentSince !== undefined && now - silentSince >= silentOwnerMilliseconds;
             return leavingSince === undefined && !isSilent && !sender.hasEnded(toOwner(upstream));
         });
-        const known = entries.map(({ upstream }) => speeds.get(upstream.identifier)).filter(speed =>
-            speed !== undefined
-        );
-        const usual = known.length === 0 ? 1 : known.reduce((sum, speed) => sum + speed, 0) / known.length;
-        return entries.map(({ upstream }) => ({
-            owner: toOwner(upstream),
-            capacity: upstream.slots * usual / (speeds.get(upstream.identifier) ?? usual),
-        }));
+        const known = entries.flatMap(({ upstream }) => speeds.get(upstream.identifier) ?? []);
+        const usual = known.length === 0
+            ? assumedServiceMilliseconds
+            : known.reduce((sum, speed) => sum + speed, 0) / known.length;
+        const loadSeconds = Math.max(lowestLoadSeconds, load.seconds());
+        return entries.map(({ upstream }) => {
+            const requestsPerSecond = upstream.slots * 1000 / (speeds.get(upstream.identifier) ?? usual);
+            return { owner: toOwner(upstream), capacity: requestsPerSecond * loadSeconds };
+        });
     };
 
     /**
@@ -199,7 +205,8 @@
     };
 
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
-        const { keeper, load } = services.get(name) ?? createService(name);
+        const keyed = services.get(name) ?? createService(name);
+        const { keeper, load } = keyed;
         const settled = keeper.settled();
         if (settled === undefined && timers.now() - startedAt < firstDealMilliseconds) {
             return undefined;
@@ -207,7 +214,7 @@
         const current = settled ?? assignment.createEmptyAssignment(name, initialRangeKeys);
         return assignment.balance({
             assignment: current,
-            candidates: candidatesOf(name, keeper),
+            candidates: candidatesOf(name, keyed),
             loadSums: load.prefixSums(),
             isMoving: keeper.isMoving,
             mayMove: range => mayMove(keeper, range),
@@ -224,7 +231,9 @@
         const plans = isUncertain
             ? []
             : options.keyedServices().map(planService).filter(plan => plan !== undefined);
-        services.forEach(({ load }) => load.fade());
+        const now = timers.now();
+        services.forEach(({ load }) => load.fade(now - fadedAt));
+        fadedAt = now;
         const isBeatDue = isUncertain || timers.now() - ownershipTopic.lastAppendAt() >= beatMilliseconds;
         if (plans.length === 0 && !isBeatDue) {
             return;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -56,6 +56,8 @@
 /** Longest time that a request waits for its key to get an owner, as a part of its route's target. */
 const ownerWaitPart = 0.6;
 
+/** Bytes between regions from which a request is as dear as one can be when a split is decided. */
+const dearBytes = 64 * 1024;
 /** Bytes of an ordinary answer with its headers. */
 const usualAnswerBytes = 1200;
 
@@ -66,7 +68,7 @@
  * @returns the relay
  */
 export const createRelay = (options: RelayOptions): Relay => {
-    const { timers, log } = options;
+    const { timers, log, pool } = options;
     const answering = answers.createAnswering(options);
     const select = selection.createSelector(options);
     const send = sending.createSender(options);
@@ -178,6 +180,13 @@
         return Number.isInteger(key) && key >= 0 && key < assignment.keyCount ? key : undefined;
     };
 
+    /** What it costs to send a request to the owner of its key, from 0 to 1: bytes between regions are paid for. */
+    const remoteCost = (service: string, key: number, bytes: number): number => {
+        const route = options.findOwner(service, key);
+        const target = route === undefined ? undefined : pool.find(route.owner.identifier, route.owner.startedAt);
+        return target !== undefined && pool.isRemote(target) ? Math.min(1, (bytes + usualAnswerBytes) / dearBytes) : 0;
+    };
+
     const start = async (
         request: http.IncomingMessage,
         response: http.ServerResponse,
@@ -185,7 +194,13 @@
         entry: routing.RouteEntry,
     ): Promise<void> => {
         const { route } = entry;
-        const service = entry.nextService();
+        const key = parseKey(request);
+        const declaredBytes = Number(request.headers["content-length"] ?? 0);
+        const service = entry.nextService(name =>
+            document.services.get(name)?.isKeyed === true && key !== undefined
+                ? remoteCost(name, key, declaredBytes)
+                : 0
+        );
         const arrivedAt = timers.now();
         const wanted = Number(request.headers[platform.HeaderName.remainingMilliseconds]);
         const patience = Number.isFinite(wanted) && wanted > 0 ? wanted : route.timeoutMilliseconds;
@@ -196,7 +211,7 @@
             route,
             service,
             isKeyed: document.services.get(service)?.isKeyed === true,
-            key: parseKey(request),
+            key,
             version: document.version,
             requestIdentifier: Array.isArray(identifier) ? identifier[0] : identifier,
             arrivedAt,
@@ -229,7 +244,7 @@
             response.destroy();
             return;
         }
-        state.bytes += body.kind === "whole" ? body.bytes.length : Number(request.headers["content-length"] ?? 0);
+        state.bytes += body.kind === "whole" ? body.bytes.length : declaredBytes;
         await run(state, body);
     };
 
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -33,6 +33,8 @@
     usable: (service: string) => PooledUpstream[];
     /** Finds an upstream that may still be sent requests for its keys. */
     find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
+    /** Whether the way to an upstream leads to another region. */
+    isRemote: (pooled: PooledUpstream) => boolean;
     /** Describes an upstream for the choice. */
     describe: (pooled: PooledUpstream, bytes: number) => choice.Option;
     /** Takes the time that a new connection took, in milliseconds. */
@@ -143,6 +145,7 @@
             const isLeft = entry.leavingSince !== undefined && now() - entry.leavingSince > options.leavingMilliseconds;
             return isLeft ? undefined : pool(entry.upstream);
         },
+        isRemote: target => target.region !== ownRegion,
         describe: (target, bytes) => {
             const { upstream, health } = target;
             const entry = directory.find(upstream.identifier);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,6 @@
 export { RouteKind } from "./document";
 export type { CallerLimits, Destination, Route, RouteKindValue, RoutingDocument, Service, Upstream } from "./document";
 export { createRouteTable, createSplitter } from "./routeTable";
-export type { RouteEntry, RouteTable } from "./routeTable";
+export type { RouteEntry, RouteTable, Splitter } from "./routeTable";
 export { createUpstreamDirectory } from "./upstreamDirectory";
 export type { DirectoryEntry, UpstreamDirectory } from "./upstreamDirectory";
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -4,33 +4,42 @@
 /** A route with what is needed to divide its requests. */
 export interface RouteEntry {
     route: documents.Route;
-    /** Takes the next request's service. */
-    nextService: () => string;
+    nextService: Splitter;
 }
 
+/**
+ * Takes the next request's service. The cost, from 0 to 1, tells what the request would cost at a service beside other
+ * requests of its route: the dear ones go elsewhere as long as the weights are kept.
+ */
+export type Splitter = (costOf: (service: string) => number) => string;
+
 /** Routes of one document, ready to be searched. */
 export interface RouteTable {
     find: (host: string, path: string) => RouteEntry | undefined;
 }
 
+/** Requests by which a service may be ahead or behind its weight for the sake of a cost of 1. */
+const costPart = 0.8;
+
 /**
- * Divides requests among destinations so that every prefix of the sequence is as close to the weights as possible.
+ * Divides requests among destinations so that every prefix of the sequence is as close to the weights as costs allow.
  *
  * @param destinations - services with weights
  * @returns gives the next service
  */
-export const createSplitter = (destinations: readonly documents.Destination[]): () => string => {
+export const createSplitter = (destinations: readonly documents.Destination[]): Splitter => {
     if (destinations.length === 1) {
         return () => destinations[0].service;
     }
     const total = destinations.reduce((sum, destination) => sum + destination.weight, 0);
     const credits = destinations.map(() => 0);
-    return () => {
+    return costOf => {
         destinations.forEach((destination, index) => {
-            credits[index] += destination.weight;
+            credits[index] += destination.weight / total;
         });
-        const chosen = credits.indexOf(Math.max(...credits));
-        credits[chosen] -= total;
+        const merits = credits.map((credit, index) => credit - costPart * costOf(destinations[index].service));
+        const chosen = merits.indexOf(Math.max(...merits));
+        credits[chosen] -= 1;
         return destinations[chosen].service;
     };
 };
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -1,4 +1,5 @@
 /** Routes, splits and the directory of upstreams. */
+import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as test from "node:test";
@@ -45,10 +46,28 @@
     test.it("divides requests by weight in every stretch of them", () => {
         const next = routing.createSplitter([{ service: "x", weight: 90 }, { service: "y", weight: 10 }]);
         for (let stretch = 0; stretch < 5; stretch += 1) {
-            const services = [...new Array(100)].map(() => next());
+            const services = [...new Array(100)].map(() => next(() => 0));
             earl.expect(services.filter(service => service === "y").length).toEqual(10);
         }
     });
+
+    test.it("sends the dear requests of a route elsewhere, and keeps its weights within a request or two", () => {
+        const random = foundation.createRandom(3);
+        const next = routing.createSplitter([{ service: "keyed", weight: 74 }, { service: "open", weight: 26 }]);
+        let keyed = 0;
+        let bytes = 0;
+        let keyedBytes = 0;
+        for (let count = 1; count <= 2000; count += 1) {
+            const size = random.fraction();
+            const cost = random.fraction() < 2 / 3 ? size : 0;
+            const isKeyed = next(service => service === "keyed" ? cost : 0) === "keyed";
+            keyed += isKeyed ? 1 : 0;
+            bytes += cost;
+            keyedBytes += isKeyed ? cost : 0;
+            earl.expect(Math.abs(keyed - count * 0.74) <= 2).toEqual(true);
+        }
+        earl.expect(keyedBytes < bytes * 0.62).toEqual(true);
+    });
 });
 
 test.describe("the directory of upstreams", () => {
