--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -2,4 +2,4 @@
 export { startEmulatedStore, StoreMode } from "./store";
 export type { EmulatedStore, StoreModeValue } from "./store";
 export { startEmulatedUpstream } from "./upstream";
-export type { EmulatedUpstream } from "./upstream";
+export type { EmulatedRun, EmulatedUpstream, EmulatedUpstreamOptions } from "./upstream";
--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -1,4 +1,4 @@
-/** A stand-in for a keyed upstream: it serves the keys that it was granted and refuses the others. */
+/** A stand-in for an upstream: it serves requests without a key, and those for keys that it was granted. */
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
@@ -16,6 +16,21 @@
     stop: () => Promise<void>;
 }
 
+/** A request that an upstream begins to run. */
+export interface EmulatedRun {
+    upstream: EmulatedUpstream;
+    requestIdentifier: string;
+    method: string;
+    key: number | undefined;
+}
+
+/** How an upstream works. */
+export interface EmulatedUpstreamOptions {
+    /** Time that a request takes, in milliseconds; none by default. */
+    workMilliseconds?: () => number;
+    onRun?: (run: EmulatedRun) => void;
+}
+
 interface Hold {
     from: number;
     target: number;
@@ -38,11 +53,13 @@
  *
  * @param identifier - its name
  * @param owner - ends it
+ * @param options - how it works
  * @returns the upstream
  */
 export const startEmulatedUpstream = async (
     identifier: string,
     owner: foundation.Owner,
+    options: EmulatedUpstreamOptions = {},
 ): Promise<EmulatedUpstream> => {
     let holds: Hold[] = [];
     const seen: Hold[] = [];
@@ -98,7 +115,18 @@
                 return;
             }
             runs += 1;
-            end(response, 200, { ...echo, "response-signature": `signed by ${identifier}` }, `answer of ${identifier}`);
+            const requestIdentifier = String(request.headers["request-id"]);
+            options.onRun?.({
+                upstream,
+                requestIdentifier,
+                method: request.method ?? "",
+                key: key === undefined ? undefined : Number(key),
+            });
+            const signed = { ...echo, "response-signature": `signed by ${identifier}` };
+            setTimeout(
+                () => end(response, 200, signed, `answer to ${requestIdentifier}`),
+                options.workMilliseconds?.() ?? 0,
+            );
         });
     });
     await foundation.listenOn(server, "127.0.0.1", 0);
@@ -108,7 +136,7 @@
             server.closeAllConnections();
         });
     owner.onCleanup(stop);
-    return {
+    const upstream: EmulatedUpstream = {
         identifier,
         port: (server.address() as net.AddressInfo).port,
         startedAt: Date.now(),
@@ -116,4 +144,5 @@
         runs: () => runs,
         stop,
     };
+    return upstream;
 };
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -8,6 +8,10 @@
     port: number;
     /** Cuts or mends the link; a cut one swallows what is sent, as a lost route does. */
     setCut: (cut: { forward: boolean; backward: boolean; }) => void;
+    /** Changes the time that bytes travel, in milliseconds. */
+    setDelay: (milliseconds: number) => void;
+    /** Resets every connection. */
+    reset: () => void;
     /** Bytes carried in both directions. */
     carriedBytes: () => number;
 }
@@ -41,6 +45,7 @@
     const cut = { forward: false, backward: false };
     const lines: { forward: Line; backward: Line; } = { forward: { freeAt: 0 }, backward: { freeAt: 0 } };
     let carried = 0;
+    let { delayMilliseconds } = options;
 
     // Time until bytes handed in now have been sent and have travelled; the line carries them one after the other.
     const travelMilliseconds = (line: Line, bytes: number): number => {
@@ -49,7 +54,7 @@
             ? 0
             : bytes * millisecondsPerSecond / options.bytesPerSecond;
         line.freeAt = Math.max(line.freeAt, now) + sending;
-        return line.freeAt - now + options.delayMilliseconds;
+        return line.freeAt - now + delayMilliseconds;
     };
 
     const carry = (from: net.Socket, to: net.Socket, line: Line, isCut: () => boolean): void => {
@@ -95,6 +100,10 @@
     return {
         port: portOf(server),
         setCut: change => Object.assign(cut, change),
+        setDelay: milliseconds => {
+            delayMilliseconds = milliseconds;
+        },
+        reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
         carriedBytes: () => carried,
     };
 };
