Tell the story of a request or a key out of the logs of instances

mulberryseam explain-request and explain-key; the names of events are a closed set that the operators' page has to explain (tested); the end of a request logs what its selection rested on: upstream, token, queue, age of the report, service time.

--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -5,6 +5,7 @@
 import { promote, type PromoteOptions, publish, type PublishOptions } from "./changeCommands";
 import { ExitCode, type ExitCodeValue } from "./exitCode";
 import { readChecked } from "./files";
+import * as logCommands from "./logCommands";
 import { createOutput, type Output } from "./output";
 import { serve } from "./serveCommand";
 
@@ -96,6 +97,17 @@
         .action((key: string, options: CommonOptions & { instance: string; service?: string; }) =>
             select(options, output => explain(String(key), options.instance, options.service, output))
         );
+    program.command("explain-request <identifier> [...files]", "Tell the story of a request out of logs of instances")
+        .option("--json", "Print JSON")
+        .action((identifier: string, files: string[], options: CommonOptions) =>
+            select(options, async output => logCommands.explainRequest(String(identifier), files, output))
+        );
+    program.command("explain-key <key> [...files]", "Tell the story of a key out of logs of instances")
+        .option("--service <name>", "One keyed service")
+        .option("--json", "Print JSON")
+        .action((key: string, files: string[], options: CommonOptions & { service?: string; }) =>
+            select(options, async output => logCommands.explainKey(Number(key), options.service, files, output))
+        );
     program.command("version", "Print the version")
         .option("--json", "Print JSON")
         .action((options: CommonOptions) =>
--- a/packages/cli/test/commandLine.test.ts
+++ b/packages/cli/test/commandLine.test.ts
@@ -45,6 +45,27 @@
         expect([help.code, help.output.includes("publish <file>")]).toEqual([0, true]);
     });
 
+    it("tells the story of a request out of logs, and exits with 1 when none names it", async () => {
+        const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-logs-"));
+        const file = path.join(folder, "entry-1.log");
+        const time = "2026-01-01T00:00:00.000Z";
+        const line = {
+            time,
+            instance: "entry-1",
+            event: "request-failed",
+            request: "a",
+            reason: "no route",
+            version: 3,
+        };
+        fs.writeFileSync(file, `${JSON.stringify({ ...line, host: "x.example", path: "/y/" })}\n`);
+        const told = await run("explain-request", "a", file);
+        expect([told.code, told.output.includes("Version 3 of the document has no route for x.example/y/.")])
+            .toEqual([0, true]);
+        expect((await run("explain-request", "b", file)).code).toEqual(1);
+        expect((await run("explain-key", "7", path.join(folder, "absent"))).code).toEqual(2);
+        fs.rmSync(folder, { recursive: true });
+    });
+
     it("exits with 2 and says why on a wrong command", async () => {
         for (const parameters of [[], ["nonsense"], ["serve"], ["check"], ["publish", "absent.yaml"], ["explain"]]) {
             const ended = await run(...parameters);
--- a/packages/foundation/src/eventLog.ts
+++ b/packages/foundation/src/eventLog.ts
@@ -1,14 +1,16 @@
 /** Structured events on standard output: one JSON line each, never blocking, bounded in volume. */
 
+import type * as eventNames from "./eventNames";
+
 /** Fields of an event. */
 export type EventFields = Record<string, string | number | boolean | undefined>;
 
 /** Writes events. */
 export interface EventLog {
     /** An event that must not be left out while there is room. */
-    write: (event: string, fields?: EventFields) => void;
+    write: (event: eventNames.EventName, fields?: EventFields) => void;
     /** An event of which a fixed number a second is kept; the rest is counted. */
-    sample: (event: string, fields?: EventFields) => void;
+    sample: (event: eventNames.EventName, fields?: EventFields) => void;
 }
 
 /** Where lines go; `pendingBytes` are those that the reader has not taken. */
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -4,6 +4,8 @@
 export { connectionHeaders } from "./connectionHeaders";
 export { createEventLog } from "./eventLog";
 export type { EventFields, EventLog, EventSink } from "./eventLog";
+export { eventNames } from "./eventNames";
+export type { EventName } from "./eventNames";
 export { hashText, rendezvousOrder } from "./hashing";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
--- a/packages/relay/src/answering.ts
+++ b/packages/relay/src/answering.ts
@@ -49,6 +49,9 @@
 
     const record = (state: requestState.RequestState, status: number, reason: string): void => {
         const milliseconds = timers.now() - state.arrivedAt;
+        const { decision } = state;
+        const rounded = (value: number | undefined): number | undefined =>
+            value === undefined ? undefined : Math.round(value);
         const fields = {
             request: state.requestIdentifier,
             route: state.route.name,
@@ -62,7 +65,12 @@
             mayHaveRun: state.mayHaveRun,
             version: state.version,
             remaining: Math.round(state.endsAt - timers.now()),
-            expectedWait: Math.round(state.lastWaitMilliseconds),
+            upstream: decision?.upstream,
+            token: decision?.token,
+            queue: rounded(decision?.queueLength),
+            reportAge: rounded(decision?.reportAgeMilliseconds),
+            serviceTime: rounded(decision?.serviceMilliseconds),
+            expectedWait: rounded(decision?.waitMilliseconds),
         };
         if (reason === "") {
             log.sample("request-answered", fields);
--- a/packages/relay/src/choice.ts
+++ b/packages/relay/src/choice.ts
@@ -5,6 +5,8 @@
     identifier: string;
     /** Requests that run or wait there. */
     queueLength: number;
+    /** Age of the newest report of its load, in milliseconds; undefined before any. */
+    reportAgeMilliseconds: number | undefined;
     slots: number;
     /** Time that one request takes there, in milliseconds. */
     serviceMilliseconds: number;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -118,7 +118,6 @@
                 return;
             }
             const { expectedMilliseconds, waitMilliseconds } = selected.choice;
-            state.lastWaitMilliseconds = waitMilliseconds;
             const remainingMilliseconds = state.endsAt - timers.now();
             const targetMilliseconds = state.arrivedAt + state.route.targetMilliseconds - timers.now();
             const { isMeasured } = selected.choice.option;
@@ -222,7 +221,7 @@
             isOver: false,
             current: undefined,
             bytes: usualAnswerBytes,
-            lastWaitMilliseconds: 0,
+            decision: undefined,
         };
         openRequests += 1;
         windowOf(service).onRequest(arrivedAt);
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -21,6 +21,19 @@
 /** One of {@link Reason}. */
 export type ReasonText = typeof Reason[keyof typeof Reason];
 
+/** What the selection of an upstream rested on, for the log. */
+export interface Decision {
+    upstream: string;
+    /** Token of the owner of the request's key; undefined for a request without a key. */
+    token: number | undefined;
+    /** Requests that were taken to be at the upstream. */
+    queueLength: number;
+    /** Age of the newest report that this rests on, in milliseconds; undefined before any. */
+    reportAgeMilliseconds: number | undefined;
+    serviceMilliseconds: number;
+    waitMilliseconds: number;
+}
+
 /** A request on its way. */
 export interface RequestState {
     request: http.IncomingMessage;
@@ -42,5 +55,6 @@
     current: attempts.Attempt | undefined;
     /** Bytes that the request and its answer are taken to have. */
     bytes: number;
-    lastWaitMilliseconds: number;
+    /** What the newest selection rested on; undefined before one. */
+    decision: Decision | undefined;
 }
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -20,6 +20,15 @@
 /** Time until a caller should ask again when nothing is known of the load, in milliseconds. */
 export const unknownReturnMilliseconds = 250;
 
+const toDecision = ({ option, waitMilliseconds }: choice.Choice, token: number | undefined): requestState.Decision => ({
+    upstream: option.identifier,
+    token,
+    queueLength: option.queueLength,
+    reportAgeMilliseconds: option.reportAgeMilliseconds,
+    serviceMilliseconds: option.serviceMilliseconds,
+    waitMilliseconds,
+});
+
 /**
  * Creates a selector.
  *
@@ -44,6 +53,7 @@
         }
         const option = pool.describe(target, state.bytes);
         const chosen = choice.choose([option], 0) as choice.Choice;
+        state.decision = toDecision(chosen, route?.token);
         if (pool.isFull(target)) {
             return {
                 kind: "none",
@@ -66,6 +76,7 @@
             const reason = usable.length === 0 ? requestState.Reason.noUpstream : requestState.Reason.noConnection;
             return { kind: "none", reason, waitMilliseconds: unknownReturnMilliseconds, mayCome: false };
         }
+        state.decision = toDecision(chosen, undefined);
         return { kind: "chosen", target, choice: chosen };
     };
 
--- a/packages/relay/src/upstreamHealth.ts
+++ b/packages/relay/src/upstreamHealth.ts
@@ -35,6 +35,8 @@
     outstanding: () => number;
     /** Requests at the upstream, those of other instances included as far as they are known. */
     queueLength: (now: number) => number;
+    /** Time since the newest report of its load, in milliseconds; undefined before any. */
+    reportAge: (now: number) => number | undefined;
     /** Smoothed time that one request takes in a slot, in milliseconds; undefined before the first answer. */
     serviceMilliseconds: () => number | undefined;
     /** Whether the speed was measured since the last call. */
@@ -132,6 +134,7 @@
             const memory = Math.max(lowestReportMemoryMilliseconds, (service ?? 0) * reportMemoryServices);
             return open.size + others * Math.exp(-(now - reportedAt) / memory);
         },
+        reportAge: now => reportedAt === -Infinity ? undefined : now - reportedAt,
         serviceMilliseconds: () => service,
         takeIsMeasured: () => {
             const isMeasured = hasNewMeasurement;
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -155,6 +155,7 @@
             return {
                 identifier: upstream.identifier,
                 queueLength: health.queueLength(now()),
+                reportAgeMilliseconds: health.reportAge(now()),
                 slots: upstream.slots,
                 serviceMilliseconds: serviceOf(target) * factor,
                 isMeasured: health.serviceMilliseconds() !== undefined,
--- a/packages/relay/test/policies.test.ts
+++ b/packages/relay/test/policies.test.ts
@@ -7,6 +7,7 @@
 const createOption = (change: Partial<relay.Option>): relay.Option => ({
     identifier: "upstream",
     queueLength: 0,
+    reportAgeMilliseconds: undefined,
     slots: 4,
     serviceMilliseconds: 100,
     isMeasured: true,
