--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,6 +2,7 @@
 import typescriptEslint from "typescript-eslint";
 
 const restrictedSyntax = [
+    { selector: "ImportSpecifier", message: "Import the namespace: import * as module from …" },
     { selector: "TSEnumDeclaration", message: "Use a constant object in place of an enum." },
     { selector: "Literal[raw='null']", message: "Use undefined in place of null." },
     { selector: "ClassDeclaration", message: "Use a factory function in place of a class." },
--- a/packages/cli/src/askCommands.ts
+++ b/packages/cli/src/askCommands.ts
@@ -1,12 +1,12 @@
 /** Commands that ask a running instance: status and explain. */
-import type { ExplainAnswer, OperatorStatus } from "@mulberryseam/instance";
+import type * as running from "@mulberryseam/instance";
 import * as undici from "undici";
-import { ExitCode, type ExitCodeValue } from "./exitCode";
-import type { Output } from "./output";
+import * as exitCode from "./exitCode";
+import type * as printing from "./output";
 
 const timeoutMilliseconds = 3000;
 
-const ask = async <T>(instance: string, path: string, output: Output): Promise<T | undefined> => {
+const ask = async <T>(instance: string, path: string, output: printing.Output): Promise<T | undefined> => {
     try {
         const response = await undici.request(`http://${instance}${path}`, {
             signal: AbortSignal.timeout(timeoutMilliseconds),
@@ -22,7 +22,7 @@
 const describeAge = (milliseconds: number | undefined): string =>
     milliseconds === undefined ? "never" : `${Math.round(milliseconds)} ms ago`;
 
-const describeStatus = (status: OperatorStatus): string =>
+const describeStatus = (status: running.OperatorStatus): string =>
     [
         `instance      ${status.identifier} (${status.region})`,
         `document      ${status.environmentVersion ?? "none in force"}`,
@@ -36,7 +36,7 @@
         `memory        ${Math.round(status.residentBytes / 1_048_576)} MB`,
     ].join("\n");
 
-const describeExplanation = (explained: ExplainAnswer): string =>
+const describeExplanation = (explained: running.ExplainAnswer): string =>
     [
         `service       ${explained.service}`,
         `slot          ${explained.slot}`,
@@ -53,13 +53,13 @@
  * @param output - where to print
  * @returns the exit code
  */
-export const showStatus = async (instance: string, output: Output): Promise<ExitCodeValue> => {
-    const status = await ask<OperatorStatus>(instance, "/status", output);
+export const showStatus = async (instance: string, output: printing.Output): Promise<exitCode.ExitCodeValue> => {
+    const status = await ask<running.OperatorStatus>(instance, "/status", output);
     if (status === undefined) {
-        return ExitCode.failure;
+        return exitCode.ExitCode.failure;
     }
     output.result(status, describeStatus(status));
-    return ExitCode.success;
+    return exitCode.ExitCode.success;
 };
 
 /**
@@ -75,17 +75,17 @@
     key: string,
     instance: string,
     service: string | undefined,
-    output: Output,
-): Promise<ExitCodeValue> => {
+    output: printing.Output,
+): Promise<exitCode.ExitCodeValue> => {
     const query = `key=${encodeURIComponent(key)}${service === undefined ? "" : `&service=${service}`}`;
-    const explained = await ask<ExplainAnswer[]>(instance, `/explain?${query}`, output);
+    const explained = await ask<running.ExplainAnswer[]>(instance, `/explain?${query}`, output);
     if (explained === undefined) {
-        return ExitCode.failure;
+        return exitCode.ExitCode.failure;
     }
     if (explained.length === 0) {
         output.error("no keyed service of that name is in force");
-        return ExitCode.failure;
+        return exitCode.ExitCode.failure;
     }
     output.result(explained, explained.map(describeExplanation).join("\n\n"));
-    return ExitCode.success;
+    return exitCode.ExitCode.success;
 };
--- a/packages/cli/src/changeCommands.ts
+++ b/packages/cli/src/changeCommands.ts
@@ -1,10 +1,10 @@
 /** Commands that change an environment: publish and promote. */
-import { parseEnvironment, parseSettings } from "@mulberryseam/configuration";
-import { type LogState, type RecordBody, RecordKind } from "@mulberryseam/ledger";
-import { ExitCode, type ExitCodeValue } from "./exitCode";
-import { readChecked } from "./files";
-import { createLogSession, type LogSession, versionOf } from "./logSession";
-import type { Output } from "./output";
+import * as configuration from "@mulberryseam/configuration";
+import * as ledger from "@mulberryseam/ledger";
+import * as exitCode from "./exitCode";
+import * as files from "./files";
+import * as logSession from "./logSession";
+import type * as printing from "./output";
 
 /** Options that both commands take. */
 export interface ChangeOptions {
@@ -26,58 +26,61 @@
     basedOn?: number;
 }
 
-const openSession = (options: ChangeOptions, output: Output): LogSession | undefined => {
+const openSession = (options: ChangeOptions, output: printing.Output): logSession.LogSession | undefined => {
     if (options.logService !== undefined) {
-        return createLogSession({ url: options.logService, stream: options.logStream });
+        return logSession.createLogSession({ url: options.logService, stream: options.logStream });
     }
     if (options.settings === undefined) {
         output.error("expected --log-service URL or --settings FILE");
         return undefined;
     }
-    const settings = readChecked(options.settings, parseSettings);
+    const settings = files.readChecked(options.settings, configuration.parseSettings);
     if (settings.err) {
         output.error(settings.val);
         return undefined;
     }
     const { logService, logStream } = settings.val.value.platform;
-    return createLogSession({ url: logService, stream: logStream });
+    return logSession.createLogSession({ url: logService, stream: logStream });
 };
 
 interface OpenedLog {
-    session: LogSession;
-    state: LogState;
+    session: logSession.LogSession;
+    state: ledger.LogState;
 }
 
-const openAtEnd = async (options: ChangeOptions, output: Output): Promise<OpenedLog | ExitCodeValue> => {
+const openAtEnd = async (
+    options: ChangeOptions,
+    output: printing.Output,
+): Promise<OpenedLog | exitCode.ExitCodeValue> => {
     const session = openSession(options, output);
     if (session === undefined) {
-        return ExitCode.usage;
+        return exitCode.ExitCode.usage;
     }
     const state = await session.readToEnd();
     if (state.err) {
         output.error(state.val);
-        return ExitCode.failure;
+        return exitCode.ExitCode.failure;
     }
     return { session, state: state.val };
 };
 
 const writeChange = async (
-    session: LogSession,
-    body: RecordBody,
+    session: logSession.LogSession,
+    body: ledger.RecordBody,
     environment: string,
-    output: Output,
-): Promise<ExitCodeValue> => {
+    output: printing.Output,
+): Promise<exitCode.ExitCodeValue> => {
     const written = await session.write(body);
     if (written.ok) {
         output.result({ environment, version: written.val }, `${environment} is at version ${written.val}`);
-        return ExitCode.success;
+        return exitCode.ExitCode.success;
     }
     if (written.val.kind === "refused") {
         output.error(`not accepted: ${written.val.message}`);
-        return ExitCode.conflict;
+        return exitCode.ExitCode.conflict;
     }
     output.error(`not known whether accepted: ${written.val.message}; run the command again with the same --based-on`);
-    return ExitCode.unknown;
+    return exitCode.ExitCode.unknown;
 };
 
 /**
@@ -88,18 +91,22 @@
  * @param output - where to print
  * @returns the exit code
  */
-export const publish = async (file: string, options: PublishOptions, output: Output): Promise<ExitCodeValue> => {
-    const document = readChecked(file, parseEnvironment);
+export const publish = async (
+    file: string,
+    options: PublishOptions,
+    output: printing.Output,
+): Promise<exitCode.ExitCodeValue> => {
+    const document = files.readChecked(file, configuration.parseEnvironment);
     if (document.err) {
         output.error(document.val);
-        return ExitCode.usage;
+        return exitCode.ExitCode.usage;
     }
     const opened = await openAtEnd(options, output);
     if (typeof opened === "number") {
         return opened;
     }
-    const body: RecordBody = {
-        kind: RecordKind.publish,
+    const body: ledger.RecordBody = {
+        kind: ledger.RecordKind.publish,
         environment: options.environment,
         basedOn: options.basedOn ?? -1,
         document: document.val.text,
@@ -114,17 +121,17 @@
  * @param output - where to print
  * @returns the exit code
  */
-export const promote = async (options: PromoteOptions, output: Output): Promise<ExitCodeValue> => {
+export const promote = async (options: PromoteOptions, output: printing.Output): Promise<exitCode.ExitCodeValue> => {
     const opened = await openAtEnd(options, output);
     if (typeof opened === "number") {
         return opened;
     }
-    const body: RecordBody = {
-        kind: RecordKind.promote,
+    const body: ledger.RecordBody = {
+        kind: ledger.RecordKind.promote,
         from: options.from,
         to: options.to,
-        basedOnFrom: options.basedOn ?? versionOf(opened.state, options.from),
-        basedOnTo: versionOf(opened.state, options.to),
+        basedOnFrom: options.basedOn ?? logSession.versionOf(opened.state, options.from),
+        basedOnTo: logSession.versionOf(opened.state, options.to),
     };
     return writeChange(opened.session, body, options.to, output);
 };
--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -1,13 +1,13 @@
 /** Reads the command line and runs the command. */
-import { parseEnvironment, parseSettings } from "@mulberryseam/configuration";
-import { cac } from "cac";
-import { explain, showStatus } from "./askCommands";
-import { promote, type PromoteOptions, publish, type PublishOptions } from "./changeCommands";
-import { ExitCode, type ExitCodeValue } from "./exitCode";
-import { readChecked } from "./files";
+import * as configuration from "@mulberryseam/configuration";
+import * as cac from "cac";
+import * as askCommands from "./askCommands";
+import * as changeCommands from "./changeCommands";
+import * as exitCode from "./exitCode";
+import * as commandFiles from "./files";
 import * as logCommands from "./logCommands";
-import { createOutput, type Output } from "./output";
-import { serve } from "./serveCommand";
+import * as printing from "./output";
+import * as serveCommand from "./serveCommand";
 
 /** Version of the program. */
 export const programVersion = "0.1.0";
@@ -16,16 +16,18 @@
     json?: boolean;
 }
 
-type Action = () => Promise<ExitCodeValue>;
+type Action = () => Promise<exitCode.ExitCodeValue>;
 
-const check = (file: string, isSettings: boolean, output: Output): ExitCodeValue => {
-    const checked = isSettings ? readChecked(file, parseSettings) : readChecked(file, parseEnvironment);
+const check = (file: string, isSettings: boolean, output: printing.Output): exitCode.ExitCodeValue => {
+    const checked = isSettings
+        ? commandFiles.readChecked(file, configuration.parseSettings)
+        : commandFiles.readChecked(file, configuration.parseEnvironment);
     if (checked.err) {
         output.error(checked.val);
-        return ExitCode.usage;
+        return exitCode.ExitCode.usage;
     }
     output.result({ file, valid: true }, `${file} is valid`);
-    return ExitCode.success;
+    return exitCode.ExitCode.success;
 };
 
 const parseVersion = (value: unknown): number | undefined => {
@@ -39,11 +41,14 @@
  * @param parameters - arguments after the program's name
  * @returns the exit code
  */
-export const runCommandLine = async (parameters: readonly string[]): Promise<ExitCodeValue> => {
-    const program = cac("mulberryseam");
+export const runCommandLine = async (parameters: readonly string[]): Promise<exitCode.ExitCodeValue> => {
+    const program = cac.cac("mulberryseam");
     let action: Action | undefined;
-    const select = (options: CommonOptions, run: (output: Output) => Promise<ExitCodeValue>): void => {
-        action = () => run(createOutput(options.json === true));
+    const select = (
+        options: CommonOptions,
+        run: (output: printing.Output) => Promise<exitCode.ExitCodeValue>,
+    ): void => {
+        action = () => run(printing.createOutput(options.json === true));
     };
 
     program.command("serve", "Run an instance until SIGTERM; requests in flight finish first")
@@ -52,9 +57,9 @@
             select(options, async output => {
                 if (options.settings === undefined) {
                     output.error("expected --settings FILE");
-                    return ExitCode.usage;
+                    return exitCode.ExitCode.usage;
                 }
-                return serve(options.settings, output);
+                return serveCommand.serve(options.settings, output);
             })
         );
     program.command("check <file>", "Check an environment document, or settings with --settings")
@@ -70,8 +75,11 @@
         .option("--log-stream <name>", "Stream in the log service", { default: "mulberryseam" })
         .option("--settings <file>", "Take the log service from these settings")
         .option("--json", "Print JSON")
-        .action((file: string, options: CommonOptions & PublishOptions) =>
-            select(options, output => publish(file, { ...options, basedOn: parseVersion(options.basedOn) }, output))
+        .action((file: string, options: CommonOptions & changeCommands.PublishOptions) =>
+            select(
+                options,
+                output => changeCommands.publish(file, { ...options, basedOn: parseVersion(options.basedOn) }, output),
+            )
         );
     program.command("promote", "Promote the document of one environment to another")
         .option("--from <name>", "Environment to take the document from", { default: "trial" })
@@ -81,21 +89,24 @@
         .option("--log-stream <name>", "Stream in the log service", { default: "mulberryseam" })
         .option("--settings <file>", "Take the log service from these settings")
         .option("--json", "Print JSON")
-        .action((options: CommonOptions & PromoteOptions) =>
-            select(options, output => promote({ ...options, basedOn: parseVersion(options.basedOn) }, output))
+        .action((options: CommonOptions & changeCommands.PromoteOptions) =>
+            select(
+                options,
+                output => changeCommands.promote({ ...options, basedOn: parseVersion(options.basedOn) }, output),
+            )
         );
     program.command("status", "Show the status of an instance")
         .option("--instance <address>", "Address for operators, IP:PORT", { default: "127.0.0.1:8200" })
         .option("--json", "Print JSON")
         .action((options: CommonOptions & { instance: string; }) =>
-            select(options, output => showStatus(options.instance, output))
+            select(options, output => askCommands.showStatus(options.instance, output))
         );
     program.command("explain <key>", "Show who owns a key, and why")
         .option("--instance <address>", "Address for operators, IP:PORT", { default: "127.0.0.1:8200" })
         .option("--service <name>", "One keyed service")
         .option("--json", "Print JSON")
         .action((key: string, options: CommonOptions & { instance: string; service?: string; }) =>
-            select(options, output => explain(String(key), options.instance, options.service, output))
+            select(options, output => askCommands.explain(String(key), options.instance, options.service, output))
         );
     program.command("explain-request <identifier> [...files]", "Tell the story of a request out of logs of instances")
         .option("--json", "Print JSON")
@@ -113,7 +124,7 @@
         .action((options: CommonOptions) =>
             select(options, async output => {
                 output.result({ version: programVersion }, programVersion);
-                return ExitCode.success;
+                return exitCode.ExitCode.success;
             })
         );
     program.help();
@@ -126,12 +137,12 @@
                 `error: ${parameters.length === 0 ? "expected a command" : `unknown command "${parameters[0]}"`}\n`,
             );
             program.outputHelp();
-            return ExitCode.usage;
+            return exitCode.ExitCode.usage;
         }
     }
     catch (error) {
         process.stderr.write(`error: ${(error as Error).message}\n`);
-        return ExitCode.usage;
+        return exitCode.ExitCode.usage;
     }
-    return action === undefined ? ExitCode.success : action();
+    return action === undefined ? exitCode.ExitCode.success : action();
 };
--- a/packages/cli/src/files.ts
+++ b/packages/cli/src/files.ts
@@ -1,7 +1,7 @@
 /** Reads files that operators name. */
-import { type ConfigurationProblem, describeProblem } from "@mulberryseam/configuration";
+import * as configuration from "@mulberryseam/configuration";
 import * as fs from "node:fs";
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 
 /**
  * Reads a file and checks what it holds.
@@ -12,15 +12,17 @@
  */
 export const readChecked = <T>(
     file: string,
-    parse: (file: string, text: string) => Result<T, ConfigurationProblem[]>,
-): Result<{ value: T; text: string; }, string> => {
+    parse: (file: string, text: string) => tsResults.Result<T, configuration.ConfigurationProblem[]>,
+): tsResults.Result<{ value: T; text: string; }, string> => {
     let text: string;
     try {
         text = fs.readFileSync(file, "utf8");
     }
     catch (error) {
-        return Err(`${file}: ${(error as Error).message}`);
+        return tsResults.Err(`${file}: ${(error as Error).message}`);
     }
     const parsed = parse(file, text);
-    return parsed.ok ? Ok({ value: parsed.val, text }) : Err(parsed.val.map(describeProblem).join("\n"));
+    return parsed.ok
+        ? tsResults.Ok({ value: parsed.val, text })
+        : tsResults.Err(parsed.val.map(configuration.describeProblem).join("\n"));
 };
--- a/packages/cli/src/logSession.ts
+++ b/packages/cli/src/logSession.ts
@@ -1,16 +1,8 @@
 /** A short session of an operator with the log: read to the end, write one record, see what became of it. */
-import { createTimerService } from "@mulberryseam/foundation";
-import {
-    createLogClient,
-    createLogFollower,
-    createLogWriter,
-    type EnvironmentVersion,
-    type LogState,
-    type RecordBody,
-    type WriteError,
-} from "@mulberryseam/ledger";
+import * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
 import * as crypto from "node:crypto";
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 
 /** Where the log is. */
 export interface LogSessionOptions {
@@ -21,9 +13,9 @@
 /** A session with the log. */
 export interface LogSession {
     /** Reads to the end of the log. */
-    readToEnd: () => Promise<Result<LogState, string>>;
+    readToEnd: () => Promise<tsResults.Result<ledger.LogState, string>>;
     /** Writes a record and reads on until its outcome is known. */
-    write: (body: RecordBody) => Promise<Result<number, WriteError>>;
+    write: (body: ledger.RecordBody) => Promise<tsResults.Result<number, ledger.WriteError>>;
 }
 
 const pollMilliseconds = 200;
@@ -35,8 +27,8 @@
  * @param environment - name of the environment
  * @returns its version
  */
-export const versionOf = (state: LogState, environment: string): number =>
-    state.environments.find((entry: EnvironmentVersion) => entry.environment === environment)?.version ?? -1;
+export const versionOf = (state: ledger.LogState, environment: string): number =>
+    state.environments.find((entry: ledger.EnvironmentVersion) => entry.environment === environment)?.version ?? -1;
 
 /**
  * Creates a session.
@@ -45,18 +37,18 @@
  * @returns the session
  */
 export const createLogSession = (options: LogSessionOptions): LogSession => {
-    const timers = createTimerService();
-    const client = createLogClient(options);
-    const follower = createLogFollower();
-    const writer = createLogWriter({ client, timers, writer: `operator#${crypto.randomUUID()}` });
+    const timers = foundation.createTimerService();
+    const client = ledger.createLogClient(options);
+    const follower = ledger.createLogFollower();
+    const writer = ledger.createLogWriter({ client, timers, writer: `operator#${crypto.randomUUID()}` });
 
-    const readPage = async (waitMilliseconds: number): Promise<Result<boolean, string>> => {
+    const readPage = async (waitMilliseconds: number): Promise<tsResults.Result<boolean, string>> => {
         const page = await client.read(follower.nextOffset(), waitMilliseconds);
         if (page.err) {
-            return Err(`the log service does not answer: ${page.val.message}`);
+            return tsResults.Err(`the log service does not answer: ${page.val.message}`);
         }
         follower.takePage(page.val).forEach(writer.takeFolded);
-        return Ok(follower.nextOffset() >= page.val.nextOffset);
+        return tsResults.Ok(follower.nextOffset() >= page.val.nextOffset);
     };
 
     return {
@@ -68,12 +60,14 @@
                 }
                 const state = follower.state();
                 if (isEnd.val) {
-                    return state === undefined ? Err("the log holds no whole checkpoint to start from") : Ok(state);
+                    return state === undefined
+                        ? tsResults.Err("the log holds no whole checkpoint to start from")
+                        : tsResults.Ok(state);
                 }
             }
         },
         write: async body => {
-            let result: Result<number, WriteError> | undefined;
+            let result: tsResults.Result<number, ledger.WriteError> | undefined;
             const writing = writer.write(body).then(written => {
                 result = written;
             });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,4 @@
 /** Entry of the binary. */
-import { runCommandLine } from "./commandLine";
+import * as commandLine from "./commandLine";
 
-void runCommandLine(process.argv.slice(2)).then(code => process.exit(code));
+void commandLine.runCommandLine(process.argv.slice(2)).then(code => process.exit(code));
--- a/packages/cli/src/serveCommand.ts
+++ b/packages/cli/src/serveCommand.ts
@@ -1,9 +1,9 @@
 /** The command that runs an instance. */
-import { parseSettings } from "@mulberryseam/configuration";
-import { createInstance, type Instance } from "@mulberryseam/instance";
-import { ExitCode, type ExitCodeValue } from "./exitCode";
-import { readChecked } from "./files";
-import type { Output } from "./output";
+import * as configuration from "@mulberryseam/configuration";
+import * as running from "@mulberryseam/instance";
+import * as exitCode from "./exitCode";
+import * as files from "./files";
+import type * as printing from "./output";
 
 const waitForSignal = (): Promise<void> =>
     new Promise(resolve => {
@@ -11,18 +11,21 @@
         process.once("SIGINT", () => resolve());
     });
 
-const start = async (settingsFile: string, output: Output): Promise<Instance | ExitCodeValue> => {
-    const settings = readChecked(settingsFile, parseSettings);
+const start = async (
+    settingsFile: string,
+    output: printing.Output,
+): Promise<running.Instance | exitCode.ExitCodeValue> => {
+    const settings = files.readChecked(settingsFile, configuration.parseSettings);
     if (settings.err) {
         output.error(settings.val);
-        return ExitCode.usage;
+        return exitCode.ExitCode.usage;
     }
     try {
-        return await createInstance(settings.val.value);
+        return await running.createInstance(settings.val.value);
     }
     catch (error) {
         output.error(`the instance cannot start: ${(error as Error).message}`);
-        return ExitCode.failure;
+        return exitCode.ExitCode.failure;
     }
 };
 
@@ -33,12 +36,12 @@
  * @param output - where to print errors
  * @returns the exit code
  */
-export const serve = async (settingsFile: string, output: Output): Promise<ExitCodeValue> => {
+export const serve = async (settingsFile: string, output: printing.Output): Promise<exitCode.ExitCodeValue> => {
     const instance = await start(settingsFile, output);
     if (typeof instance === "number") {
         return instance;
     }
     await waitForSignal();
     await instance.stop();
-    return ExitCode.success;
+    return exitCode.ExitCode.success;
 };
--- a/packages/cli/test/commandLine.test.ts
+++ b/packages/cli/test/commandLine.test.ts
@@ -1,12 +1,12 @@
 /** The command line as a new user meets it, bad input included, against a stand-in of the log. */
-import { createOwner, type Owner } from "@mulberryseam/foundation";
-import { createLogServiceStandIn } from "@mulberryseam/standins";
-import { expect } from "earl";
+import * as foundation from "@mulberryseam/foundation";
+import * as standins from "@mulberryseam/standins";
+import * as earl from "earl";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 
 const root = path.resolve(__dirname, "../../..");
 const binary = path.join(root, "dist/mulberryseam");
@@ -28,24 +28,24 @@
     runProgram(process.execPath, ["--import", "tsx", "packages/cli/src/main.ts", ...parameters]);
 
 const withLog = async (work: (url: string) => Promise<void>): Promise<void> => {
-    const owner: Owner = createOwner();
+    const owner: foundation.Owner = foundation.createOwner();
     try {
-        await work((await createLogServiceStandIn(0, owner)).url);
+        await work((await standins.createLogServiceStandIn(0, owner)).url);
     }
     finally {
         await owner.dispose();
     }
 };
 
-describe("the command line", () => {
-    it("prints the version and help", async () => {
-        expect((await run("version")).output).toEqual("0.1.0\n");
-        expect((await run("version", "--json")).output).toEqual("{\"version\":\"0.1.0\"}\n");
+test.describe("the command line", () => {
+    test.it("prints the version and help", async () => {
+        earl.expect((await run("version")).output).toEqual("0.1.0\n");
+        earl.expect((await run("version", "--json")).output).toEqual("{\"version\":\"0.1.0\"}\n");
         const help = await run("--help");
-        expect([help.code, help.output.includes("publish <file>")]).toEqual([0, true]);
+        earl.expect([help.code, help.output.includes("publish <file>")]).toEqual([0, true]);
     });
 
-    it("tells the story of a request out of logs, and exits with 1 when none names it", async () => {
+    test.it("tells the story of a request out of logs, and exits with 1 when none names it", async () => {
         const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-logs-"));
         const file = path.join(folder, "entry-1.log");
         const time = "2026-01-01T00:00:00.000Z";
@@ -59,57 +59,61 @@
         };
         fs.writeFileSync(file, `${JSON.stringify({ ...line, host: "x.example", path: "/y/" })}\n`);
         const told = await run("explain-request", "a", file);
-        expect([told.code, told.output.includes("Version 3 of the document has no route for x.example/y/.")])
+        earl.expect([told.code, told.output.includes("Version 3 of the document has no route for x.example/y/.")])
             .toEqual([0, true]);
-        expect((await run("explain-request", "b", file)).code).toEqual(1);
-        expect((await run("explain-key", "7", path.join(folder, "absent"))).code).toEqual(2);
+        earl.expect((await run("explain-request", "b", file)).code).toEqual(1);
+        earl.expect((await run("explain-key", "7", path.join(folder, "absent"))).code).toEqual(2);
         fs.rmSync(folder, { recursive: true });
     });
 
-    it("exits with 2 and says why on a wrong command", async () => {
+    test.it("exits with 2 and says why on a wrong command", async () => {
         for (const parameters of [[], ["nonsense"], ["serve"], ["check"], ["publish", "absent.yaml"], ["explain"]]) {
             const ended = await run(...parameters);
-            expect([ended.code, ended.errors.startsWith("error: ")]).toEqual([2, true]);
+            earl.expect([ended.code, ended.errors.startsWith("error: ")]).toEqual([2, true]);
         }
     });
 
-    it("names file, line and field of what is wrong in a document", async () => {
+    test.it("names file, line and field of what is wrong in a document", async () => {
         const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-cli-"));
         const file = path.join(folder, "bad.yaml");
         fs.writeFileSync(file, "regions: []\nranks: 3\nservices: []\n");
         const ended = await run("check", file);
         fs.rmSync(folder, { recursive: true });
-        expect(ended.code).toEqual(2);
-        expect(ended.errors.includes(`${file}:2: ranks: Invalid input: expected array, received number`)).toEqual(true);
+        earl.expect(ended.code).toEqual(2);
+        earl.expect(ended.errors.includes(`${file}:2: ranks: Invalid input: expected array, received number`)).toEqual(
+            true,
+        );
     });
 
-    it("publishes, refuses a stale basis with 3, and promotes", () =>
+    test.it("publishes, refuses a stale basis with 3, and promotes", () =>
         withLog(async url => {
             const publish = (...more: string[]) =>
                 run("publish", "examples/vatuwaqa.yaml", "--log-service", url, "--json", ...more);
-            expect((await publish()).output).toEqual("{\"environment\":\"trial\",\"version\":0}\n");
+            earl.expect((await publish()).output).toEqual("{\"environment\":\"trial\",\"version\":0}\n");
             const stale = await publish();
-            expect([stale.code, JSON.parse(stale.errors).error.includes("is at version 0")]).toEqual([3, true]);
-            expect((await publish("--based-on", "0")).output).toEqual("{\"environment\":\"trial\",\"version\":2}\n");
+            earl.expect([stale.code, JSON.parse(stale.errors).error.includes("is at version 0")]).toEqual([3, true]);
+            earl.expect((await publish("--based-on", "0")).output).toEqual(
+                "{\"environment\":\"trial\",\"version\":2}\n",
+            );
             const promoted = await run("promote", "--log-service", url, "--json");
-            expect(promoted.output).toEqual("{\"environment\":\"production\",\"version\":3}\n");
+            earl.expect(promoted.output).toEqual("{\"environment\":\"production\",\"version\":3}\n");
         }));
 
-    it("exits with 1 when nobody answers", async () => {
+    test.it("exits with 1 when nobody answers", async () => {
         const status = await run("status", "--instance", "127.0.0.1:9");
-        expect([status.code, status.errors.startsWith("error: 127.0.0.1:9 does not answer")]).toEqual([1, true]);
+        earl.expect([status.code, status.errors.startsWith("error: 127.0.0.1:9 does not answer")]).toEqual([1, true]);
         const publish = await run("publish", "examples/vatuwaqa.yaml", "--log-service", "http://127.0.0.1:9");
-        expect(publish.code).toEqual(1);
+        earl.expect(publish.code).toEqual(1);
     });
 });
 
-describe("the binary", () => {
-    it("runs by itself and checks a document", async () => {
+test.describe("the binary", () => {
+    test.it("runs by itself and checks a document", async () => {
         if (!fs.existsSync(binary)) {
             childProcess.execFileSync(process.execPath, ["scripts/build.mjs"], { cwd: root, stdio: "ignore" });
         }
-        expect(await runProgram(binary, ["version"])).toEqual({ code: 0, output: "0.1.0\n", errors: "" });
+        earl.expect(await runProgram(binary, ["version"])).toEqual({ code: 0, output: "0.1.0\n", errors: "" });
         const checked = await runProgram(binary, ["check", "examples/dar-el-sikka.yaml"]);
-        expect(checked).toEqual({ code: 0, output: "examples/dar-el-sikka.yaml is valid\n", errors: "" });
+        earl.expect(checked).toEqual({ code: 0, output: "examples/dar-el-sikka.yaml is valid\n", errors: "" });
     });
 });
--- a/packages/configuration/src/environment.ts
+++ b/packages/configuration/src/environment.ts
@@ -1,8 +1,8 @@
 /** The environment document: services, regions, links, ranks and placement. */
-import type { Result } from "ts-results";
+import type * as tsResults from "ts-results";
 import * as zod from "zod";
-import { addressSchema } from "./address";
-import { type ConfigurationProblem, readDocument } from "./problems";
+import * as address from "./address";
+import * as problems from "./problems";
 
 const maximumDocumentBytes = 262_144;
 const maximumKeySlots = 16_384;
@@ -16,7 +16,7 @@
 
 const upstreamSchema = zod.strictObject({
     name: nameSchema,
-    address: addressSchema,
+    address: address.addressSchema,
     failureDomain: nameSchema,
 });
 
@@ -164,5 +164,8 @@
  * @param text - YAML
  * @returns the document, or every problem found
  */
-export const parseEnvironment = (file: string, text: string): Result<Environment, ConfigurationProblem[]> =>
-    readDocument({ file, text, maximumBytes: maximumDocumentBytes }, documentSchema);
+export const parseEnvironment = (
+    file: string,
+    text: string,
+): tsResults.Result<Environment, problems.ConfigurationProblem[]> =>
+    problems.readDocument({ file, text, maximumBytes: maximumDocumentBytes }, documentSchema);
--- a/packages/configuration/src/problems.ts
+++ b/packages/configuration/src/problems.ts
@@ -1,5 +1,5 @@
 /** Reads YAML against a schema and names the file, line and field of each problem. */
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 import * as yaml from "yaml";
 import type * as zod from "zod";
 
@@ -57,12 +57,12 @@
 };
 
 // Aliases could make a short text grow without bound.
-const toPlainData = (document: yaml.Document.Parsed): Result<unknown, string> => {
+const toPlainData = (document: yaml.Document.Parsed): tsResults.Result<unknown, string> => {
     try {
-        return Ok(document.toJS({ maxAliasCount: 0 }));
+        return tsResults.Ok(document.toJS({ maxAliasCount: 0 }));
     }
     catch (error) {
-        return Err((error as Error).message);
+        return tsResults.Err((error as Error).message);
     }
 };
 
@@ -79,17 +79,17 @@
 export const readDocument = <T>(
     options: ReadOptions,
     schema: zod.ZodType<T>,
-): Result<T, ConfigurationProblem[]> => {
+): tsResults.Result<T, ConfigurationProblem[]> => {
     const { file, text } = options;
     const bytes = Buffer.byteLength(text);
     if (bytes > options.maximumBytes) {
         const expected = `expected at most ${options.maximumBytes} bytes, got ${bytes}`;
-        return Err([{ file, line: 1, field: "", expected }]);
+        return tsResults.Err([{ file, line: 1, field: "", expected }]);
     }
     const counter = new yaml.LineCounter();
     const document = yaml.parseDocument(text, { lineCounter: counter });
     if (document.errors.length > 0) {
-        return Err(document.errors.map(error => ({
+        return tsResults.Err(document.errors.map(error => ({
             file,
             line: counter.linePos(error.pos[0]).line,
             field: "",
@@ -98,13 +98,13 @@
     }
     const value = toPlainData(document);
     if (value.err) {
-        return Err([{ file, line: 1, field: "", expected: value.val }]);
+        return tsResults.Err([{ file, line: 1, field: "", expected: value.val }]);
     }
     const parsed = schema.safeParse(value.val);
     if (parsed.success) {
-        return Ok(parsed.data);
+        return tsResults.Ok(parsed.data);
     }
-    return Err(parsed.error.issues.map(issue => ({
+    return tsResults.Err(parsed.error.issues.map(issue => ({
         file,
         line: lineOf(document, counter, pathOf(issue)),
         field: issue.path.join("."),
--- a/packages/configuration/src/settings.ts
+++ b/packages/configuration/src/settings.ts
@@ -1,8 +1,8 @@
 /** Settings of one instance: who it is, where it listens and where the platform is. */
-import type { Result } from "ts-results";
+import type * as tsResults from "ts-results";
 import * as zod from "zod";
-import { addressSchema } from "./address";
-import { type ConfigurationProblem, readDocument } from "./problems";
+import * as address from "./address";
+import * as problems from "./problems";
 
 const maximumSettingsBytes = 65_536;
 const nameSchema = zod.string().regex(
@@ -24,16 +24,16 @@
     region: nameSchema,
     failureDomain: nameSchema,
     environment: nameSchema.default("production"),
-    callers: zod.strictObject({ address: addressSchema }),
-    operators: zod.strictObject({ address: addressSchema }),
-    peers: zod.strictObject({ address: addressSchema, tls: tlsSchema.optional() }),
+    callers: zod.strictObject({ address: address.addressSchema }),
+    operators: zod.strictObject({ address: address.addressSchema }),
+    peers: zod.strictObject({ address: address.addressSchema, tls: tlsSchema.optional() }),
     platform: zod.strictObject({
         logService: zod.url(),
         logStream: nameSchema.default("mulberryseam"),
         instanceList: zod.url(),
     }),
     telemetry: zod.strictObject({
-        metrics: addressSchema.optional(),
+        metrics: address.addressSchema.optional(),
         traces: zod.url().optional(),
         traceShare: zod.number().min(0).max(1).default(0.01),
         logLevel: zod.enum(["error", "warning", "information", "debug"]).default("information"),
@@ -53,5 +53,8 @@
  * @param text - YAML
  * @returns the settings, or every problem found
  */
-export const parseSettings = (file: string, text: string): Result<Settings, ConfigurationProblem[]> =>
-    readDocument({ file, text, maximumBytes: maximumSettingsBytes }, settingsSchema);
+export const parseSettings = (
+    file: string,
+    text: string,
+): tsResults.Result<Settings, problems.ConfigurationProblem[]> =>
+    problems.readDocument({ file, text, maximumBytes: maximumSettingsBytes }, settingsSchema);
--- a/packages/demonstration/src/main.ts
+++ b/packages/demonstration/src/main.ts
@@ -1,14 +1,6 @@
 /** Brings up the whole path on stand-ins, sends work of every rank, loses things, and shows what happened. */
-import { createOwner } from "@mulberryseam/foundation";
-import {
-    type CallerAnswer,
-    createSite,
-    judgeOwnership,
-    loadExample,
-    sendRequest,
-    type Site,
-    wait,
-} from "@mulberryseam/site";
+import * as foundation from "@mulberryseam/foundation";
+import * as sites from "@mulberryseam/site";
 import * as crypto from "node:crypto";
 
 interface Tally {
@@ -49,7 +41,7 @@
     milliseconds: [],
 });
 
-const note = (tally: Tally, answer: CallerAnswer): void => {
+const note = (tally: Tally, answer: sites.CallerAnswer): void => {
     tally.sent += 1;
     tally.milliseconds.push(answer.milliseconds);
     if (answer.outcome === "answered") {
@@ -72,10 +64,10 @@
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 };
 
-const sendWork = async (site: Site, work: Work, round: number, tally: Tally): Promise<void> => {
+const sendWork = async (site: sites.Site, work: Work, round: number, tally: Tally): Promise<void> => {
     const running = site.instances.filter(instance => instance.process.isRunning());
     const instance = running[round % running.length];
-    const answer = await sendRequest({
+    const answer = await sites.sendRequest({
         instance: instance.callers,
         service: work.service,
         rank: work.rank,
@@ -107,7 +99,7 @@
     say("");
 };
 
-const run = async (site: Site, tallies: readonly Tally[]): Promise<void> => {
+const run = async (site: sites.Site, tallies: readonly Tally[]): Promise<void> => {
     const [keyed, orders, uploads] = site.document.services;
     const works: Work[] = [
         { service: keyed.name, rank: tallies[0].rank, isKeyed: true, bodyBytes: 0, isIdempotent: true },
@@ -127,26 +119,26 @@
             await site.instances[1].process.kill();
         }
         works.forEach((work, index) => sent.push(sendWork(site, work, round, tallies[index])));
-        await wait(roundPauseMilliseconds);
+        await sites.wait(roundPauseMilliseconds);
     }
     await Promise.all(sent);
 };
 
 const main = async (): Promise<number> => {
     const isOnce = process.argv.includes("--once");
-    const owner = createOwner();
+    const owner = foundation.createOwner();
     const stopped = new Promise<void>(resolve => process.once("SIGINT", () => resolve()));
     void stopped.then(() => owner.dispose()).then(() => process.exit(0));
     try {
         say("Starting a log service, an instance list, 39 upstreams and 8 instances on loopback.");
-        const document = await loadExample("dar-el-sikka");
-        const site = await createSite({ document, instanceCount: 8 }, owner);
+        const document = await sites.loadExample("dar-el-sikka");
+        const site = await sites.createSite({ document, instanceCount: 8 }, owner);
         await site.waitUntilServing(startTimeoutMilliseconds);
         say("Every key has an owner and every instance is a member.");
         const tallies = document.ranks.map(rank => createTally(rank.name));
         await run(site, tallies);
         showTable(tallies);
-        const judgement = judgeOwnership(await site.ownership());
+        const judgement = sites.judgeOwnership(await site.ownership());
         say(`Slots with two owners at any moment: ${judgement.overlappingOwners}.`);
         const isRight = judgement.overlappingOwners === 0 && tallies.every(tally => tally.wrong === 0)
             && tallies.every(tally => tally.answered >= tally.sent * 0.95);
--- a/packages/foundation/src/logging.ts
+++ b/packages/foundation/src/logging.ts
@@ -1,4 +1,5 @@
 /** Logs: short sentences, each with the prefix of the part that wrote it. */
+// eslint-disable-next-line no-restricted-syntax -- the types of its namespace do not have createConsola
 import { type ConsolaReporter, createConsola } from "consola";
 
 /** Levels a log can be cut at. */
--- a/packages/foundation/src/metrics.ts
+++ b/packages/foundation/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics sent as StatsD datagrams. */
-import { StatsD } from "hot-shots";
-import type { Owner } from "./cleanup";
+import * as hotShots from "hot-shots";
+import type * as cleanup from "./cleanup";
 
 /** Where metrics go. */
 export interface MetricsOptions {
@@ -29,8 +29,8 @@
  * @param owner - closes the socket when disposed of
  * @returns the metrics
  */
-export const createMetrics = (options: MetricsOptions, owner: Owner): Metrics => {
-    const client = new StatsD({
+export const createMetrics = (options: MetricsOptions, owner: cleanup.Owner): Metrics => {
+    const client = new hotShots.StatsD({
         host: options.host,
         port: options.port,
         prefix: metricPrefix,
--- a/packages/foundation/src/random.ts
+++ b/packages/foundation/src/random.ts
@@ -1,6 +1,6 @@
 /** Random numbers with a seed, so that a run can be repeated. */
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import * as uniformInt from "pure-rand/distribution/uniformInt";
+import * as xoroshiro128plus from "pure-rand/generator/xoroshiro128plus";
 
 const fractionSteps = 0x40000000;
 
@@ -19,9 +19,9 @@
  * @returns the stream
  */
 export const createRandom = (seed: number): Random => {
-    const generator = xoroshiro128plus(seed);
+    const generator = xoroshiro128plus.xoroshiro128plus(seed);
     return {
-        fraction: () => uniformInt(generator, 0, fractionSteps - 1) / fractionSteps,
-        below: limit => uniformInt(generator, 0, limit - 1),
+        fraction: () => uniformInt.uniformInt(generator, 0, fractionSteps - 1) / fractionSteps,
+        below: limit => uniformInt.uniformInt(generator, 0, limit - 1),
     };
 };
--- a/packages/foundation/src/virtualTimerService.ts
+++ b/packages/foundation/src/virtualTimerService.ts
@@ -1,5 +1,5 @@
 /** A timer service whose time moves only when a test moves it. */
-import type { Subscription, TimerService } from "./timerService";
+import type * as timerService from "./timerService";
 
 interface PendingCallback {
     dueAt: number;
@@ -9,7 +9,7 @@
 }
 
 /** A timer service driven by hand. */
-export interface VirtualTimerService extends TimerService {
+export interface VirtualTimerService extends timerService.TimerService {
     /** Moves time forward by milliseconds, running what falls due in order. */
     advance: (milliseconds: number) => void;
 }
@@ -25,7 +25,7 @@
     let now = startMilliseconds;
     let sequence = 0;
 
-    const add = (delay: number, callback: () => void, intervalMilliseconds?: number): Subscription => {
+    const add = (delay: number, callback: () => void, intervalMilliseconds?: number): timerService.Subscription => {
         const entry = { dueAt: now + delay, sequence: sequence++, callback, intervalMilliseconds };
         pending.add(entry);
         return { cancel: () => pending.delete(entry) };
--- a/packages/gateway/src/acquisition.ts
+++ b/packages/gateway/src/acquisition.ts
@@ -1,12 +1,12 @@
 /** How a request gets a slot: in the lane of its pool, or in the lane of the one owner of its key. */
-import type { Service } from "@mulberryseam/configuration";
-import { pause, type TimerService } from "@mulberryseam/foundation";
-import { type QueueRefusal, RefusalReason } from "@mulberryseam/traffic";
-import type { Exchange } from "./exchange";
-import type { LaneRequest, Slot } from "./lane";
-import type { ServiceLanes } from "./serviceLanes";
-import { slotOf } from "./slots";
-import type { UpstreamState } from "./upstreamState";
+import type * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
+import type * as exchanges from "./exchange";
+import type * as laneQueue from "./lane";
+import type * as serviceLanes from "./serviceLanes";
+import * as slots from "./slots";
+import type * as upstreamState from "./upstreamState";
 
 /** Where the requests of a slot go. */
 export interface OwnerRoute {
@@ -17,7 +17,7 @@
 }
 
 /** Tells the owner of a slot. */
-export type RouteOf = (service: Service, slot: number) => OwnerRoute | undefined;
+export type RouteOf = (service: configuration.Service, slot: number) => OwnerRoute | undefined;
 
 /** What a server of keys wants to see of a request. */
 export interface KeyClaim {
@@ -26,15 +26,18 @@
 }
 
 /** A slot at an upstream, with the claim on a key where the upstream is a server of keys. */
-export type AcquiredSlot = Slot<UpstreamState> & { claim: KeyClaim | undefined; };
+export type AcquiredSlot = laneQueue.Slot<upstreamState.UpstreamState> & { claim: KeyClaim | undefined; };
 
 /** Gets slots for requests. */
-export type Acquire = (exchange: Exchange, lanes: ServiceLanes) => Promise<AcquiredSlot | QueueRefusal>;
+export type Acquire = (
+    exchange: exchanges.Exchange,
+    lanes: serviceLanes.ServiceLanes,
+) => Promise<AcquiredSlot | traffic.QueueRefusal>;
 
 const routePollMilliseconds = 10;
 const noOwnerRetryMilliseconds = 1000;
 
-const laneRequestOf = (exchange: Exchange): LaneRequest => ({
+const laneRequestOf = (exchange: exchanges.Exchange): laneQueue.LaneRequest => ({
     rank: exchange.head.rank.name,
     deadlineAt: exchange.deadlineAt,
     bytes: exchange.body.heldBytes,
@@ -42,7 +45,10 @@
     signal: exchange.caller.signal,
 });
 
-const acquirePool = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
+const acquirePool = async (
+    exchange: exchanges.Exchange,
+    lanes: serviceLanes.ServiceLanes,
+): Promise<AcquiredSlot | traffic.QueueRefusal> => {
     const slot = await lanes.pool.acquire(laneRequestOf(exchange));
     return slot.ok ? { ...slot.val, claim: undefined } : slot.val;
 };
@@ -54,16 +60,19 @@
  * @param route - tells the owner of a slot
  * @returns gets a slot, or the reason why there is none
  */
-export const createAcquire = (timers: TimerService, route: RouteOf): Acquire => {
+export const createAcquire = (timers: foundation.TimerService, route: RouteOf): Acquire => {
     // The owner may change while a request waits; it then goes to the lane of the new owner.
-    const acquireOwner = async (exchange: Exchange, lanes: ServiceLanes): Promise<AcquiredSlot | QueueRefusal> => {
+    const acquireOwner = async (
+        exchange: exchanges.Exchange,
+        lanes: serviceLanes.ServiceLanes,
+    ): Promise<AcquiredSlot | traffic.QueueRefusal> => {
         // By the document that the lanes were made from: a key's slot changes with the number of slots.
-        const slotNumber = slotOf(exchange.head.key ?? "", lanes.service.keySlots);
+        const slotNumber = slots.slotOf(exchange.head.key ?? "", lanes.service.keySlots);
         while (timers.now() < exchange.deadlineAt && !exchange.caller.signal.aborted) {
             const before = route(lanes.service, slotNumber);
             const lane = before?.isReady === true ? lanes.server(before.server) : undefined;
             if (before === undefined || lane === undefined) {
-                await pause(timers, routePollMilliseconds);
+                await foundation.pause(timers, routePollMilliseconds);
                 continue;
             }
             const slot = await lane.acquire(laneRequestOf(exchange));
@@ -76,7 +85,7 @@
             }
             slot.val.release(false);
         }
-        return { reason: RefusalReason.deadline, retryAfterMilliseconds: noOwnerRetryMilliseconds };
+        return { reason: traffic.RefusalReason.deadline, retryAfterMilliseconds: noOwnerRetryMilliseconds };
     };
 
     return (exchange, lanes) =>
--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -1,13 +1,13 @@
 /** What goes back to a caller: an upstream's answer, or the certain outcome of a request without one. */
-import { connectionHeaders } from "@mulberryseam/foundation";
-import { Outcome, outcomeOf, type QueueRefusal } from "@mulberryseam/traffic";
+import * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
 import type * as http from "node:http";
 import * as stream from "node:stream/promises";
-import type { Exchange } from "./exchange";
-import { HeaderName } from "./headers";
-import type { Attempt } from "./upstreamClient";
+import type * as exchanges from "./exchange";
+import * as headerRules from "./headers";
+import type * as upstreamClient from "./upstreamClient";
 
-const statusOf = { [Outcome.notRun]: 503, [Outcome.unknown]: 502 } as const;
+const statusOf = { [traffic.Outcome.notRun]: 503, [traffic.Outcome.unknown]: 502 } as const;
 const millisecondsPerSecond = 1000;
 
 /**
@@ -19,8 +19,8 @@
  * @returns why the answer was cut, or undefined when it went out whole
  */
 export const relayAnswer = async (
-    exchange: Exchange,
-    attempt: Attempt,
+    exchange: exchanges.Exchange,
+    attempt: upstreamClient.Attempt,
     instance: string,
 ): Promise<string | undefined> => {
     const { response, head } = exchange;
@@ -30,13 +30,13 @@
     }
     const headers: http.OutgoingHttpHeaders = {};
     for (const [name, value] of Object.entries(answer.headers)) {
-        if (value !== undefined && !connectionHeaders.includes(name)) {
+        if (value !== undefined && !foundation.connectionHeaders.includes(name)) {
             headers[name] = value;
         }
     }
-    headers[HeaderName.outcome] = Outcome.answered;
-    headers[HeaderName.instance] = instance;
-    headers[HeaderName.requestIdentifier] = head.identifier;
+    headers[headerRules.HeaderName.outcome] = traffic.Outcome.answered;
+    headers[headerRules.HeaderName.instance] = instance;
+    headers[headerRules.HeaderName.requestIdentifier] = head.identifier;
     response.writeHead(answer.statusCode, headers);
     try {
         await stream.pipeline(answer.body, response);
@@ -56,21 +56,25 @@
  * @param refusal - why it got no slot, if it got none
  * @param instance - name of this instance
  */
-export const tellOutcome = (exchange: Exchange, refusal: QueueRefusal | undefined, instance: string): void => {
+export const tellOutcome = (
+    exchange: exchanges.Exchange,
+    refusal: traffic.QueueRefusal | undefined,
+    instance: string,
+): void => {
     const { response, head } = exchange;
-    const outcome = outcomeOf(exchange.attempts);
-    if (response.headersSent || outcome === Outcome.answered) {
+    const outcome = traffic.outcomeOf(exchange.attempts);
+    if (response.headersSent || outcome === traffic.Outcome.answered) {
         return;
     }
     const retryAfter = Math.max(1, Math.ceil((refusal?.retryAfterMilliseconds ?? 0) / millisecondsPerSecond));
     const headers: http.OutgoingHttpHeaders = {
-        [HeaderName.outcome]: outcome,
-        [HeaderName.reason]: refusal?.reason ?? exchange.reason,
-        [HeaderName.instance]: instance,
-        [HeaderName.requestIdentifier]: head.identifier,
+        [headerRules.HeaderName.outcome]: outcome,
+        [headerRules.HeaderName.reason]: refusal?.reason ?? exchange.reason,
+        [headerRules.HeaderName.instance]: instance,
+        [headerRules.HeaderName.requestIdentifier]: head.identifier,
         "content-type": "text/plain",
     };
-    if (outcome === Outcome.notRun) {
+    if (outcome === traffic.Outcome.notRun) {
         headers["retry-after"] = String(retryAfter);
     }
     if (!exchange.request.complete) {
@@ -95,8 +99,8 @@
     instance: string,
 ): void => {
     response.writeHead(status, {
-        [HeaderName.outcome]: Outcome.notRun,
-        [HeaderName.instance]: instance,
+        [headerRules.HeaderName.outcome]: traffic.Outcome.notRun,
+        [headerRules.HeaderName.instance]: instance,
         "content-type": "text/plain",
         "connection": "close",
     });
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -1,19 +1,23 @@
 /** One attempt of a request at an upstream, and what is learned from it. */
-import { connectionHeaders, type Subscription, type TimerService } from "@mulberryseam/foundation";
-import { AttemptResult } from "@mulberryseam/traffic";
-import type { AcquiredSlot, KeyClaim, RouteOf } from "./acquisition";
-import type { Exchange } from "./exchange";
-import { HeaderName, internalHeaders } from "./headers";
-import type { ServiceLanes } from "./serviceLanes";
-import type { Hop } from "./tracing";
-import type { Attempt } from "./upstreamClient";
-import { noteAnswer, noteDraining, type UpstreamState } from "./upstreamState";
+import * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
+import type * as acquisition from "./acquisition";
+import type * as exchanges from "./exchange";
+import * as headerRules from "./headers";
+import type * as serviceLanes from "./serviceLanes";
+import type * as tracing from "./tracing";
+import type * as upstreamClient from "./upstreamClient";
+import * as upstreamState from "./upstreamState";
 
 /** Attempts a request once, in a slot. */
-export type AttemptOnce = (exchange: Exchange, lanes: ServiceLanes, slot: AcquiredSlot) => Promise<Attempt>;
+export type AttemptOnce = (
+    exchange: exchanges.Exchange,
+    lanes: serviceLanes.ServiceLanes,
+    slot: acquisition.AcquiredSlot,
+) => Promise<upstreamClient.Attempt>;
 
 /** Headers of callers that upstreams do not get. */
-const droppedHeaders: readonly string[] = [...connectionHeaders, ...internalHeaders, "host"];
+const droppedHeaders: readonly string[] = [...foundation.connectionHeaders, ...headerRules.internalHeaders, "host"];
 const deadlineCheckMilliseconds = 50;
 /** Time and share of a pool within which refusals count as common. */
 const commonShedMilliseconds = 500;
@@ -31,11 +35,15 @@
  * @param takeRetry - takes a retry from the budget, if there is one
  * @returns attempts a request once
  */
-export const createAttemptOnce = (timers: TimerService, route: RouteOf, takeRetry: () => boolean): AttemptOnce => {
+export const createAttemptOnce = (
+    timers: foundation.TimerService,
+    route: acquisition.RouteOf,
+    takeRetry: () => boolean,
+): AttemptOnce => {
     const headersFor = (
-        exchange: Exchange,
-        claim: KeyClaim | undefined,
-        hop: Hop,
+        exchange: exchanges.Exchange,
+        claim: acquisition.KeyClaim | undefined,
+        hop: tracing.Hop,
     ): Record<string, string | string[]> => {
         const headers: Record<string, string | string[]> = {};
         const listed = (exchange.request.headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
@@ -44,13 +52,13 @@
                 headers[name] = value;
             }
         }
-        headers[HeaderName.service] = exchange.head.service.name;
-        headers[HeaderName.rank] = exchange.head.rank.name;
-        headers[HeaderName.requestIdentifier] = exchange.head.identifier;
-        headers[HeaderName.deadline] = String(Math.max(1, Math.floor(exchange.deadlineAt - timers.now())));
+        headers[headerRules.HeaderName.service] = exchange.head.service.name;
+        headers[headerRules.HeaderName.rank] = exchange.head.rank.name;
+        headers[headerRules.HeaderName.requestIdentifier] = exchange.head.identifier;
+        headers[headerRules.HeaderName.deadline] = String(Math.max(1, Math.floor(exchange.deadlineAt - timers.now())));
         if (claim !== undefined) {
-            headers[HeaderName.slot] = String(claim.slot);
-            headers[HeaderName.token] = String(claim.token);
+            headers[headerRules.HeaderName.slot] = String(claim.slot);
+            headers[headerRules.HeaderName.token] = String(claim.token);
         }
         hop.inject(headers as Record<string, string>);
         return headers;
@@ -58,11 +66,11 @@
 
     // A deadline bounds the wait for an answer, not a body that is still on its way up.
     const watchAttempt = (
-        exchange: Exchange,
-        lanes: ServiceLanes,
-        slot: AcquiredSlot,
+        exchange: exchanges.Exchange,
+        lanes: serviceLanes.ServiceLanes,
+        slot: acquisition.AcquiredSlot,
         abort: AbortController,
-    ): Subscription => {
+    ): foundation.Subscription => {
         const target = slot.target;
         const startedAt = timers.now();
         const { head } = exchange;
@@ -88,19 +96,24 @@
         });
     };
 
-    const noteAttempt = (attempt: Attempt, lanes: ServiceLanes, target: UpstreamState, startedAt: number): void => {
+    const noteAttempt = (
+        attempt: upstreamClient.Attempt,
+        lanes: serviceLanes.ServiceLanes,
+        target: upstreamState.UpstreamState,
+        startedAt: number,
+    ): void => {
         const now = timers.now();
         const name = target.upstream.name;
-        if (attempt.result === AttemptResult.answered) {
+        if (attempt.result === traffic.AttemptResult.answered) {
             lanes.ejection.onSuccess(name);
-            noteAnswer(target, now - startedAt);
+            upstreamState.noteAnswer(target, now - startedAt);
             lanes.onAnswered();
         }
-        else if (attempt.result !== AttemptResult.refused) {
+        else if (attempt.result !== traffic.AttemptResult.refused) {
             lanes.ejection.onFailure(name, now);
         }
         else if (attempt.reason === "draining") {
-            noteDraining(target, now);
+            upstreamState.noteDraining(target, now);
         }
         else if (attempt.reason === "shedding") {
             target.window.onShed(now);
@@ -109,7 +122,7 @@
     };
 
     // Refusals of a few upstreams are their own trouble; refusals of many mean that all instances ask for too much.
-    const noteShed = (lanes: ServiceLanes, target: UpstreamState, now: number): void => {
+    const noteShed = (lanes: serviceLanes.ServiceLanes, target: upstreamState.UpstreamState, now: number): void => {
         target.shedAt = now;
         const shedding = [...lanes.states.values()].filter(state => now - state.shedAt < commonShedMilliseconds);
         if (shedding.length >= lanes.states.size * commonShedShare) {
--- a/packages/gateway/src/door.ts
+++ b/packages/gateway/src/door.ts
@@ -1,5 +1,5 @@
 /** Where callers connect: limits on heads, bodies and connections, and the planned stop. */
-import { listenOn, type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -7,8 +7,8 @@
 export interface DoorOptions {
     host: string;
     port: number;
-    timers: TimerService;
-    logger: Logger;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
     handle: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
     /** Whether the instance can serve; shown to the platform's balancer. */
     isReady: () => boolean;
@@ -46,7 +46,7 @@
  * @param owner - closes it at once, requests or not; a planned stop drains it first
  * @returns the door, listening
  */
-export const createDoor = async (options: DoorOptions, owner: Owner): Promise<Door> => {
+export const createDoor = async (options: DoorOptions, owner: foundation.Owner): Promise<Door> => {
     const { timers, logger } = options;
     /** Connections on which a body is under way. */
     const guarded = new WeakSet<net.Socket>();
@@ -108,7 +108,7 @@
             socket.end(`HTTP/1.1 ${clientErrorStatus(error.code)}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
         }
     });
-    await listenOn(server, options.host, options.port);
+    await foundation.listenOn(server, options.host, options.port);
 
     owner.onCleanup(() => {
         server.close();
@@ -119,11 +119,11 @@
         openRequests: () => openRequests,
         drain: async () => {
             isDraining = true;
-            await pause(timers, drainNoticeMilliseconds);
+            await foundation.pause(timers, drainNoticeMilliseconds);
             server.close();
             while (openRequests > 0) {
                 server.closeIdleConnections();
-                await pause(timers, drainCheckMilliseconds);
+                await foundation.pause(timers, drainCheckMilliseconds);
             }
         },
     };
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,22 +1,22 @@
 /** One request on its way through an instance. */
-import type { AttemptResultKind } from "@mulberryseam/traffic";
+import type * as traffic from "@mulberryseam/traffic";
 import type * as http from "node:http";
-import type { RequestBody } from "./requestBody";
-import type { RequestHead } from "./requestHead";
-import type { Hop } from "./tracing";
+import type * as requestBody from "./requestBody";
+import type * as requestHead from "./requestHead";
+import type * as tracing from "./tracing";
 
 /** One request on its way. */
 export interface Exchange {
-    head: RequestHead;
-    body: RequestBody;
+    head: requestHead.RequestHead;
+    body: requestBody.RequestBody;
     request: http.IncomingMessage;
     response: http.ServerResponse;
     deadlineAt: number;
-    hop: Hop;
+    hop: tracing.Hop;
     /** Aborted when the caller leaves. */
     caller: AbortController;
     /** How each attempt ended, in order. */
-    attempts: AttemptResultKind[];
+    attempts: traffic.AttemptResultKind[];
     /** Upstreams of a pool that are passed over for now. */
     excluded: string[];
     /** Whether the next attempt has been taken from the budget of retries. */
--- a/packages/gateway/src/lane.ts
+++ b/packages/gateway/src/lane.ts
@@ -1,13 +1,7 @@
 /** A queue in front of some upstreams, with the slots that this instance may hold of them. */
-import type { Subscription, TimerService } from "@mulberryseam/foundation";
-import {
-    createRankQueue,
-    type QueueRefusal,
-    type RankPolicy,
-    RefusalReason,
-    type Waiting,
-} from "@mulberryseam/traffic";
-import { Err, Ok, type Result } from "ts-results";
+import type * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
+import * as tsResults from "ts-results";
 
 /** A request that wants a slot. */
 export interface LaneRequest {
@@ -32,7 +26,7 @@
 
 /** Hands out slots. */
 export interface Lane<Target> {
-    acquire: (request: LaneRequest) => Promise<Result<Slot<Target>, QueueRefusal>>;
+    acquire: (request: LaneRequest) => Promise<tsResults.Result<Slot<Target>, traffic.QueueRefusal>>;
     /** Looks for requests that can go now. */
     pump: () => void;
     waiting: () => number;
@@ -41,8 +35,8 @@
 
 /** How a lane decides. */
 export interface LaneOptions<Target> {
-    ranks: readonly RankPolicy[];
-    timers: TimerService;
+    ranks: readonly traffic.RankPolicy[];
+    timers: foundation.TimerService;
     capacity: () => number;
     /** Chooses an upstream for a request, or none for now. */
     choose: (request: LaneRequest) => Target | undefined;
@@ -54,7 +48,7 @@
 interface Ticket<Target> {
     request: LaneRequest;
     target: Target | undefined;
-    resolve: (result: Result<Slot<Target>, QueueRefusal>) => void;
+    resolve: (result: tsResults.Result<Slot<Target>, traffic.QueueRefusal>) => void;
 }
 
 /** Interval at which a lane with waiting requests looks for deadlines and freed upstreams. */
@@ -68,10 +62,10 @@
  */
 export const createLane = <Target>(options: LaneOptions<Target>): Lane<Target> => {
     const { timers } = options;
-    const queue = createRankQueue<Ticket<Target>>(options.ranks);
-    let wakeUp: Subscription | undefined;
+    const queue = traffic.createRankQueue<Ticket<Target>>(options.ranks);
+    let wakeUp: foundation.Subscription | undefined;
 
-    const hold = (waiting: Waiting<Ticket<Target>>): void => {
+    const hold = (waiting: traffic.Waiting<Ticket<Target>>): void => {
         const heldSince = timers.now();
         const ticket = waiting.item;
         const target = ticket.target as Target;
@@ -85,12 +79,12 @@
             }
         };
         options.onHeld(target);
-        ticket.resolve(Ok({ target, release }));
+        ticket.resolve(tsResults.Ok({ target, release }));
     };
 
     const refuseExpired = (): void => {
         for (const waiting of queue.expire(timers.now())) {
-            waiting.item.resolve(Err({ reason: RefusalReason.deadline, retryAfterMilliseconds: 0 }));
+            waiting.item.resolve(tsResults.Err({ reason: traffic.RefusalReason.deadline, retryAfterMilliseconds: 0 }));
         }
     };
 
@@ -110,7 +104,8 @@
 
     const pump = (): void => {
         refuseExpired();
-        const next = (): Waiting<Ticket<Target>> | undefined => queue.next(options.capacity(), timers.now(), mayRun);
+        const next = (): traffic.Waiting<Ticket<Target>> | undefined =>
+            queue.next(options.capacity(), timers.now(), mayRun);
         for (let waiting = next(); waiting !== undefined; waiting = next()) {
             hold(waiting);
         }
@@ -124,12 +119,12 @@
                 const { rank, deadlineAt, bytes } = request;
                 const refusal = queue.enqueue({ item: ticket, rank, deadlineAt, bytes }, timers.now());
                 if (refusal !== undefined) {
-                    resolve(Err(refusal));
+                    resolve(tsResults.Err(refusal));
                     return;
                 }
                 request.signal.addEventListener("abort", () => {
                     if (queue.withdraw(ticket)) {
-                        resolve(Err({ reason: RefusalReason.deadline, retryAfterMilliseconds: 0 }));
+                        resolve(tsResults.Err({ reason: traffic.RefusalReason.deadline, retryAfterMilliseconds: 0 }));
                     }
                 }, { once: true });
                 pump();
--- a/packages/gateway/src/requestHead.ts
+++ b/packages/gateway/src/requestHead.ts
@@ -1,14 +1,14 @@
 /** Reads what a caller asks for from the head of its request. */
-import type { Environment, Rank, Service } from "@mulberryseam/configuration";
+import type * as configuration from "@mulberryseam/configuration";
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
-import { Err, Ok, type Result } from "ts-results";
-import { HeaderName } from "./headers";
+import * as tsResults from "ts-results";
+import * as headers from "./headers";
 
 /** What a caller asks for. */
 export interface RequestHead {
-    service: Service;
-    rank: Rank;
+    service: configuration.Service;
+    rank: configuration.Rank;
     key: string | undefined;
     /** Path and query passed to the upstream. */
     path: string;
@@ -36,7 +36,7 @@
     return Array.isArray(value) ? value.join(",") : value;
 };
 
-const readDeadline = (text: string | undefined, rank: Rank): number | undefined => {
+const readDeadline = (text: string | undefined, rank: configuration.Rank): number | undefined => {
     if (text === undefined) {
         return rank.deadlineMilliseconds;
     }
@@ -45,7 +45,8 @@
     return isValid ? milliseconds : undefined;
 };
 
-const badRequest = (message: string): Result<RequestHead, HeadError> => Err({ status: 400, message });
+const badRequest = (message: string): tsResults.Result<RequestHead, HeadError> =>
+    tsResults.Err({ status: 400, message });
 
 /**
  * Reads the head of a request of the form `/SERVICE/PATH`.
@@ -56,41 +57,43 @@
  */
 export const readHead = (
     request: http.IncomingMessage,
-    environment: Environment,
-): Result<RequestHead, HeadError> => {
+    environment: configuration.Environment,
+): tsResults.Result<RequestHead, HeadError> => {
     const method = request.method ?? "";
     const target = request.url ?? "";
     if (!allowedMethods.includes(method)) {
-        return Err({ status: 405, message: `method ${method} is not allowed` });
+        return tsResults.Err({ status: 405, message: `method ${method} is not allowed` });
     }
     const [, serviceName] = target.split(/[/?]/);
     const service = environment.services.find(entry => entry.name === serviceName);
     if (!target.startsWith("/") || service === undefined) {
-        return Err({ status: 404, message: "no such service" });
+        return tsResults.Err({ status: 404, message: "no such service" });
     }
-    const rankName = headerOf(request, HeaderName.rank) ?? environment.ranks[environment.ranks.length - 1].name;
+    const rankName = headerOf(request, headers.HeaderName.rank) ?? environment.ranks[environment.ranks.length - 1].name;
     const rank = environment.ranks.find(entry => entry.name === rankName);
     if (rank === undefined) {
         return badRequest(`unknown rank; expected one of ${environment.ranks.map(entry => entry.name).join(", ")}`);
     }
-    const deadlineMilliseconds = readDeadline(headerOf(request, HeaderName.deadline), rank);
+    const deadlineMilliseconds = readDeadline(headerOf(request, headers.HeaderName.deadline), rank);
     if (deadlineMilliseconds === undefined) {
-        return badRequest(`${HeaderName.deadline}: expected whole milliseconds up to ${highestDeadlineMilliseconds}`);
+        return badRequest(
+            `${headers.HeaderName.deadline}: expected whole milliseconds up to ${highestDeadlineMilliseconds}`,
+        );
     }
-    const identifier = headerOf(request, HeaderName.requestIdentifier) ?? crypto.randomUUID();
+    const identifier = headerOf(request, headers.HeaderName.requestIdentifier) ?? crypto.randomUUID();
     if (!identifierPattern.test(identifier)) {
-        return badRequest(`${HeaderName.requestIdentifier}: expected 1 to 128 visible characters`);
+        return badRequest(`${headers.HeaderName.requestIdentifier}: expected 1 to 128 visible characters`);
     }
-    const idempotent = headerOf(request, HeaderName.idempotent);
+    const idempotent = headerOf(request, headers.HeaderName.idempotent);
     if (idempotent !== undefined && idempotent !== "true" && idempotent !== "false") {
-        return badRequest(`${HeaderName.idempotent}: expected true or false`);
+        return badRequest(`${headers.HeaderName.idempotent}: expected true or false`);
     }
-    const key = headerOf(request, HeaderName.key);
+    const key = headerOf(request, headers.HeaderName.key);
     const isKeyed = service.kind === "keyed";
     if (isKeyed && (key === undefined || key === "" || key.length > highestKeyLength)) {
-        return badRequest(`${HeaderName.key}: expected a key of 1 to ${highestKeyLength} characters`);
+        return badRequest(`${headers.HeaderName.key}: expected a key of 1 to ${highestKeyLength} characters`);
     }
-    return Ok({
+    return tsResults.Ok({
         service,
         rank,
         key,
--- a/packages/gateway/src/serviceLanes.ts
+++ b/packages/gateway/src/serviceLanes.ts
@@ -1,47 +1,40 @@
 /** The lanes of a service: one for a pool, one for each server of a keyed service. */
-import type { Environment, Service } from "@mulberryseam/configuration";
-import type { Random, TimerService } from "@mulberryseam/foundation";
-import {
-    chooseBulkUpstreams,
-    chooseUpstream,
-    createAdaptiveWindow,
-    createEjection,
-    type Ejection,
-    type LinkBudget,
-} from "@mulberryseam/traffic";
-import { createLane, type Lane } from "./lane";
-import { createUpstreamState, type UpstreamState } from "./upstreamState";
+import type * as configuration from "@mulberryseam/configuration";
+import type * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
+import * as laneQueue from "./lane";
+import * as upstreamState from "./upstreamState";
 
 /** The lanes of a service and what is known of its upstreams. */
 export interface ServiceLanes {
-    service: Service;
+    service: configuration.Service;
     /** The part of the document that the lanes were made from, as text. */
     basis: string;
-    states: ReadonlyMap<string, UpstreamState>;
-    ejection: Ejection;
+    states: ReadonlyMap<string, upstreamState.UpstreamState>;
+    ejection: traffic.Ejection;
     /** The lane of a pool. */
-    pool: Lane<UpstreamState>;
+    pool: laneQueue.Lane<upstreamState.UpstreamState>;
     /** The lane of one server of a keyed service. */
-    server: (name: string) => Lane<UpstreamState> | undefined;
+    server: (name: string) => laneQueue.Lane<upstreamState.UpstreamState> | undefined;
     /** Refusals for want of capacity, for the pool's window. */
     onShed: (now: number) => void;
     onAnswered: () => void;
     setInstances: (instances: number) => void;
-    lanes: () => Lane<UpstreamState>[];
+    lanes: () => laneQueue.Lane<upstreamState.UpstreamState>[];
     close: () => Promise<void>;
 }
 
 /** What the lanes of a service depend on. */
 export interface ServiceLanesOptions {
-    service: Service;
+    service: configuration.Service;
     basis: string;
-    environment: Environment;
+    environment: configuration.Environment;
     region: string;
     instances: number;
-    timers: TimerService;
-    random: Random;
+    timers: foundation.TimerService;
+    random: foundation.Random;
     /** The budget of the link to another region; undefined when there is no link. */
-    linkTo: (region: string) => LinkBudget | undefined;
+    linkTo: (region: string) => traffic.LinkBudget | undefined;
 }
 
 /**
@@ -51,7 +44,7 @@
  * @param failureDomain - name of the failure domain
  * @returns name of the region
  */
-export const regionOf = (environment: Environment, failureDomain: string): string =>
+export const regionOf = (environment: configuration.Environment, failureDomain: string): string =>
     environment.regions.find(region => region.failureDomains.includes(failureDomain))?.name ?? "";
 
 /**
@@ -62,9 +55,12 @@
  */
 export const createServiceLanes = (options: ServiceLanesOptions): ServiceLanes => {
     const { service, environment, timers } = options;
-    const ejection = createEjection();
+    const ejection = traffic.createEjection();
     const totalConcurrency = service.concurrency * service.upstreams.length;
-    const window = createAdaptiveWindow({ share: totalConcurrency / options.instances, maximum: totalConcurrency });
+    const window = traffic.createAdaptiveWindow({
+        share: totalConcurrency / options.instances,
+        maximum: totalConcurrency,
+    });
     const limits = {
         concurrency: service.concurrency,
         connections: service.connections,
@@ -72,11 +68,11 @@
     };
     const states = new Map(service.upstreams.map(upstream => {
         const region = regionOf(environment, upstream.failureDomain);
-        return [upstream.name, createUpstreamState(upstream, region, limits)];
+        return [upstream.name, upstreamState.createUpstreamState(upstream, region, limits)];
     }));
     const bulkRanks = environment.ranks.filter(rank => rank.maximumShare < 1);
     const bulkShare = Math.max(0, ...bulkRanks.map(rank => rank.maximumShare));
-    const bulkUpstreams = chooseBulkUpstreams(
+    const bulkUpstreams = traffic.chooseBulkUpstreams(
         [...states.values()].map(state => ({ name: state.upstream.name, region: state.region })),
         bulkShare,
     );
@@ -96,21 +92,21 @@
         }));
     };
 
-    const onHeld = (state: UpstreamState): void => {
+    const onHeld = (state: upstreamState.UpstreamState): void => {
         state.outstanding += 1;
     };
-    const onReleased = (state: UpstreamState): void => {
+    const onReleased = (state: upstreamState.UpstreamState): void => {
         state.outstanding -= 1;
     };
 
-    const pool = createLane<UpstreamState>({
+    const pool = laneQueue.createLane<upstreamState.UpstreamState>({
         onHeld,
         onReleased,
         ranks: environment.ranks,
         timers,
         capacity: () => window.limit(),
         choose: request => {
-            const chosen = chooseUpstream(candidates(), {
+            const chosen = traffic.chooseUpstream(candidates(), {
                 region: options.region,
                 mayCross: region => options.linkTo(region)?.mayUse(request.rank, timers.now()) ?? false,
                 excluded: request.excluded,
@@ -122,7 +118,7 @@
     });
 
     const servers = new Map([...states].map(([name, state]) => {
-        const lane = createLane<UpstreamState>({
+        const lane = laneQueue.createLane<upstreamState.UpstreamState>({
             onHeld,
             onReleased,
             ranks: environment.ranks,
--- a/packages/gateway/src/slots.ts
+++ b/packages/gateway/src/slots.ts
@@ -1,5 +1,5 @@
 /** From keys to slots. */
-import { hashText } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 
 /**
  * Gives the slot of a key.
@@ -8,4 +8,4 @@
  * @param slotCount - number of slots of the service
  * @returns a number from 0 to `slotCount - 1`
  */
-export const slotOf = (key: string, slotCount: number): number => hashText(key) % slotCount;
+export const slotOf = (key: string, slotCount: number): number => foundation.hashText(key) % slotCount;
--- a/packages/gateway/src/tracing.ts
+++ b/packages/gateway/src/tracing.ts
@@ -1,23 +1,17 @@
 /** Traces: a span for each hop, with W3C context from callers and to upstreams. */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as openTelemetry from "@opentelemetry/api";
-import { W3CTraceContextPropagator } from "@opentelemetry/core";
-import { OTLPTraceExporter } from "@opentelemetry/exporter-trace-otlp-http";
-import { resourceFromAttributes } from "@opentelemetry/resources";
-import {
-    BasicTracerProvider,
-    BatchSpanProcessor,
-    ParentBasedSampler,
-    type SpanExporter,
-    TraceIdRatioBasedSampler,
-} from "@opentelemetry/sdk-trace-base";
+import * as core from "@opentelemetry/core";
+import * as exporterTraceOtlpHttp from "@opentelemetry/exporter-trace-otlp-http";
+import * as resources from "@opentelemetry/resources";
+import * as sdkTraceBase from "@opentelemetry/sdk-trace-base";
 
 /** Where traces go. */
 export interface TracingOptions {
     instance: string;
     /** Share of the requests without a sampled parent that are traced. */
     share: number;
-    exporter: SpanExporter;
+    exporter: sdkTraceBase.SpanExporter;
 }
 
 /** A hop of a request. */
@@ -35,7 +29,7 @@
     begin: (name: string, headers: Readonly<Record<string, unknown>>) => Hop;
 }
 
-const propagator = new W3CTraceContextPropagator();
+const propagator = new core.W3CTraceContextPropagator();
 
 const silentHop: Hop = {
     child: () => silentHop,
@@ -49,7 +43,8 @@
  * @param url - the collector's URL for traces
  * @returns the exporter
  */
-export const createTraceExporter = (url: string): SpanExporter => new OTLPTraceExporter({ url });
+export const createTraceExporter = (url: string): sdkTraceBase.SpanExporter =>
+    new exporterTraceOtlpHttp.OTLPTraceExporter({ url });
 
 /**
  * Creates tracing.
@@ -58,14 +53,19 @@
  * @param owner - flushes what is left when disposed of
  * @returns tracing
  */
-export const createTracing = (options: TracingOptions | undefined, owner: Owner): Tracing => {
+export const createTracing = (options: TracingOptions | undefined, owner: foundation.Owner): Tracing => {
     if (options === undefined) {
         return { begin: () => silentHop };
     }
-    const provider = new BasicTracerProvider({
-        resource: resourceFromAttributes({ "service.name": "mulberryseam", "service.instance.id": options.instance }),
-        sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(options.share) }),
-        spanProcessors: [new BatchSpanProcessor(options.exporter)],
+    const provider = new sdkTraceBase.BasicTracerProvider({
+        resource: resources.resourceFromAttributes({
+            "service.name": "mulberryseam",
+            "service.instance.id": options.instance,
+        }),
+        sampler: new sdkTraceBase.ParentBasedSampler({
+            root: new sdkTraceBase.TraceIdRatioBasedSampler(options.share),
+        }),
+        spanProcessors: [new sdkTraceBase.BatchSpanProcessor(options.exporter)],
     });
     const tracer = provider.getTracer("mulberryseam");
     owner.onCleanup(() => provider.shutdown());
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -1,8 +1,8 @@
 /** Connections to one upstream, and one attempt of a request at it. */
-import { AttemptResult, type AttemptResultKind } from "@mulberryseam/traffic";
+import * as traffic from "@mulberryseam/traffic";
 import type * as stream from "node:stream";
 import * as undici from "undici";
-import { HeaderName } from "./headers";
+import * as headers from "./headers";
 
 /** One attempt. */
 export interface AttemptRequest {
@@ -15,7 +15,7 @@
 
 /** How an attempt ended. */
 export interface Attempt {
-    result: AttemptResultKind;
+    result: traffic.AttemptResultKind;
     /** The upstream's answer, when there is one. */
     answer: undici.Dispatcher.ResponseData | undefined;
     /** Why there is none; for the log. */
@@ -57,7 +57,7 @@
         const { code, message } = error as { code?: string; message: string; };
         const isNotSent = code !== undefined && notSentCodes.includes(code);
         return {
-            result: isNotSent ? AttemptResult.notSent : AttemptResult.lost,
+            result: isNotSent ? traffic.AttemptResult.notSent : traffic.AttemptResult.lost,
             answer: undefined,
             reason: code ?? message,
         };
@@ -73,12 +73,12 @@
                     body: request.body,
                     signal: request.signal,
                 });
-                const refusal = answer.headers[HeaderName.notRun];
+                const refusal = answer.headers[headers.HeaderName.notRun];
                 if (refusal !== undefined) {
                     await answer.body.dump();
-                    return { result: AttemptResult.refused, answer: undefined, reason: String(refusal) };
+                    return { result: traffic.AttemptResult.refused, answer: undefined, reason: String(refusal) };
                 }
-                return { result: AttemptResult.answered, answer, reason: "" };
+                return { result: traffic.AttemptResult.answered, answer, reason: "" };
             }
             catch (error) {
                 return classify(error);
--- a/packages/gateway/src/upstreamState.ts
+++ b/packages/gateway/src/upstreamState.ts
@@ -1,14 +1,14 @@
 /** What this instance knows of one upstream from its own requests. */
-import type { Upstream } from "@mulberryseam/configuration";
-import { type AdaptiveWindow, createAdaptiveWindow } from "@mulberryseam/traffic";
-import { createUpstreamClient, type UpstreamClient } from "./upstreamClient";
+import type * as configuration from "@mulberryseam/configuration";
+import * as traffic from "@mulberryseam/traffic";
+import * as upstreamClient from "./upstreamClient";
 
 /** One upstream as seen from here. */
 export interface UpstreamState {
-    upstream: Upstream;
+    upstream: configuration.Upstream;
     region: string;
-    client: UpstreamClient;
-    window: AdaptiveWindow;
+    client: upstreamClient.UpstreamClient;
+    window: traffic.AdaptiveWindow;
     outstanding: number;
     latencyMilliseconds: number;
     /** Until when the upstream gets nothing new because it said that it drains. */
@@ -39,14 +39,18 @@
  * @param limits - what bounds its use
  * @returns the state
  */
-export const createUpstreamState = (upstream: Upstream, region: string, limits: UpstreamLimits): UpstreamState => ({
+export const createUpstreamState = (
+    upstream: configuration.Upstream,
+    region: string,
+    limits: UpstreamLimits,
+): UpstreamState => ({
     upstream,
     region,
-    client: createUpstreamClient(
+    client: upstreamClient.createUpstreamClient(
         upstream.address,
         Math.max(limits.concurrency, Math.floor(limits.connections / limits.instances)),
     ),
-    window: createAdaptiveWindow({ share: limits.concurrency / limits.instances, maximum: limits.concurrency }),
+    window: traffic.createAdaptiveWindow({ share: limits.concurrency / limits.instances, maximum: limits.concurrency }),
     outstanding: 0,
     latencyMilliseconds: initialLatencyMilliseconds,
     drainingUntil: -Infinity,
--- a/packages/gateway/test/door.test.ts
+++ b/packages/gateway/test/door.test.ts
@@ -1,12 +1,12 @@
 /** Hardening of the door: malformed, oversized and forged requests. */
-import { expect } from "earl";
+import * as earl from "earl";
 import * as http from "node:http";
 import * as net from "node:net";
-import { describe, it } from "node:test";
-import { type GatewayFixture, withGateway } from "./fixtures/gatewayFixture";
+import * as test from "node:test";
+import * as gatewayFixture from "./fixtures/gatewayFixture";
 
 /** Sends raw bytes and gives all that comes back until the connection ends. */
-const exchangeRaw = (fixture: GatewayFixture, text: string): Promise<string> =>
+const exchangeRaw = (fixture: gatewayFixture.GatewayFixture, text: string): Promise<string> =>
     new Promise(resolve => {
         let answer = "";
         const socket = net.connect({ host: "127.0.0.1", port: fixture.port }, () => socket.write(text));
@@ -42,17 +42,17 @@
     ["garbage", "\u0000\u0001\u0002\r\n\r\n", 400],
 ];
 
-describe("the door", () => {
+test.describe("the door", () => {
     for (const [what, request, status] of cases) {
-        it(`refuses ${what} with ${status}`, () =>
-            withGateway({}, async fixture => {
-                expect(statusOf(await exchangeRaw(fixture, request))).toEqual(status);
-                expect(fixture.pool.flatMap(upstream => [...upstream.journal()])).toEqual([]);
+        test.it(`refuses ${what} with ${status}`, () =>
+            gatewayFixture.withGateway({}, async fixture => {
+                earl.expect(statusOf(await exchangeRaw(fixture, request))).toEqual(status);
+                earl.expect(fixture.pool.flatMap(upstream => [...upstream.journal()])).toEqual([]);
             }));
     }
 
-    it("takes forged internal headers off", () =>
-        withGateway({}, async fixture => {
+    test.it("takes forged internal headers off", () =>
+        gatewayFixture.withGateway({}, async fixture => {
             fixture.setRoute({ server: "keyed-1", token: 0, isReady: true });
             const forged = head([
                 "mulberryseam-key: key",
@@ -61,18 +61,18 @@
                 "mulberryseam-deadline-milliseconds: 200",
             ], "/records/work");
             const answer = await exchangeRaw(fixture, forged);
-            expect(answer.includes("mulberryseam-outcome: not-run")).toEqual(true);
+            earl.expect(answer.includes("mulberryseam-outcome: not-run")).toEqual(true);
         }));
 
-    it("passes on no header that the caller ties to its connection", () =>
-        withGateway({}, async fixture => {
+    test.it("passes on no header that the caller ties to its connection", () =>
+        gatewayFixture.withGateway({}, async fixture => {
             const tied = ["GET /desk/work HTTP/1.1", "Host: entry", "Connection: close, stand-in-answer-bytes"];
             const answer = await exchangeRaw(fixture, [...tied, "stand-in-answer-bytes: 9", "", ""].join("\r\n"));
-            expect(answer.includes("\"padding\":\"\"")).toEqual(true);
+            earl.expect(answer.includes("\"padding\":\"\"")).toEqual(true);
         }));
 
-    it("leaves nothing behind on a connection that carries many requests", () =>
-        withGateway({}, async fixture => {
+    test.it("leaves nothing behind on a connection that carries many requests", () =>
+        gatewayFixture.withGateway({}, async fixture => {
             const warnings: string[] = [];
             const takeWarning = (warning: Error): void => {
                 warnings.push(warning.name);
@@ -87,16 +87,16 @@
                     }).on("error", reject);
                 });
             for (let request = 0; request < 30; request++) {
-                expect(await ask()).toEqual(200);
+                earl.expect(await ask()).toEqual(200);
             }
             agent.destroy();
             await new Promise(resolve => setImmediate(resolve));
             process.off("warning", takeWarning);
-            expect(warnings).toEqual([]);
+            earl.expect(warnings).toEqual([]);
         }));
 
-    it("answers the balancer's question for health", () =>
-        withGateway({}, async fixture => {
-            expect(statusOf(await exchangeRaw(fixture, head([], "/-/health")))).toEqual(200);
+    test.it("answers the balancer's question for health", () =>
+        gatewayFixture.withGateway({}, async fixture => {
+            earl.expect(statusOf(await exchangeRaw(fixture, head([], "/-/health")))).toEqual(200);
         }));
 });
--- a/packages/gateway/test/pathMatrix.test.ts
+++ b/packages/gateway/test/pathMatrix.test.ts
@@ -2,12 +2,12 @@
  * The fault matrix of the path: at each step of a request, each fault; what the caller was told is judged against what
  * the upstreams truly ran.
  */
-import { expect } from "earl";
+import * as earl from "earl";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 import * as timers from "node:timers/promises";
-import { type GatewayFixture, withGateway } from "./fixtures/gatewayFixture";
+import * as gatewayFixture from "./fixtures/gatewayFixture";
 
 /** What a caller saw. */
 interface Seen {
@@ -29,7 +29,7 @@
 const answerBytes = 300_000;
 const stepMilliseconds = 60;
 
-const begin = (fixture: GatewayFixture, workMilliseconds: number, sendsWhole: boolean): Underway => {
+const begin = (fixture: gatewayFixture.GatewayFixture, workMilliseconds: number, sendsWhole: boolean): Underway => {
     const identifier = crypto.randomUUID();
     const body = crypto.randomBytes(bodyBytes);
     const digest = crypto.createHash("sha256").update(body).digest("hex");
@@ -73,7 +73,7 @@
 };
 
 /** Steps of a request, each reached with one upstream of one slot. */
-const steps: readonly { name: string; reach: (fixture: GatewayFixture) => Promise<Underway>; }[] = [
+const steps: readonly { name: string; reach: (fixture: gatewayFixture.GatewayFixture) => Promise<Underway>; }[] = [
     {
         name: "queued",
         reach: async fixture => {
@@ -101,7 +101,10 @@
     },
 ];
 
-const faults: readonly { name: string; strike: (fixture: GatewayFixture, underway: Underway) => Promise<void>; }[] = [
+const faults: readonly {
+    name: string;
+    strike: (fixture: gatewayFixture.GatewayFixture, underway: Underway) => Promise<void>;
+}[] = [
     { name: "nothing", strike: async () => undefined },
     { name: "caller leaves", strike: async (...struck) => struck[1].leave() },
     { name: "upstream sheds", strike: async fixture => fixture.pool[0].setFaults({ sheds: true }) },
@@ -124,10 +127,10 @@
 const mustBeAnswered = ["nothing", "instance stops as planned", "a new document"];
 
 for (const step of steps) {
-    describe(`at the step: ${step.name}`, () => {
+    test.describe(`at the step: ${step.name}`, () => {
         for (const fault of faults) {
-            it(fault.name, () =>
-                withGateway({ poolSize: 1, concurrency: 1 }, async fixture => {
+            test.it(fault.name, () =>
+                gatewayFixture.withGateway({ poolSize: 1, concurrency: 1 }, async fixture => {
                     const underway = await step.reach(fixture);
                     await fault.strike(fixture, underway);
                     if (fault.name !== "caller leaves" && step.name === "body half sent") {
@@ -135,12 +138,12 @@
                     }
                     const seen = await underway.seen;
                     const runs = fixture.runsOf(underway.identifier);
-                    expect(seen.isWhole).toEqual(true);
-                    expect(runs <= 1).toEqual(true);
-                    expect(seen.outcome === "not-run" && runs > 0).toEqual(false);
-                    expect(seen.outcome === "answered" && runs === 0).toEqual(false);
+                    earl.expect(seen.isWhole).toEqual(true);
+                    earl.expect(runs <= 1).toEqual(true);
+                    earl.expect(seen.outcome === "not-run" && runs > 0).toEqual(false);
+                    earl.expect(seen.outcome === "answered" && runs === 0).toEqual(false);
                     if (mustBeAnswered.includes(fault.name)) {
-                        expect(seen.outcome).toEqual("answered");
+                        earl.expect(seen.outcome).toEqual("answered");
                     }
                 }));
         }
--- a/packages/gateway/test/tracing.test.ts
+++ b/packages/gateway/test/tracing.test.ts
@@ -1,17 +1,17 @@
 /** Traces: a span for each hop, joined to the caller's and passed to the upstream. */
-import { createOwner } from "@mulberryseam/foundation";
-import { createTracing } from "@mulberryseam/gateway";
-import { InMemorySpanExporter } from "@opentelemetry/sdk-trace-base";
-import { expect } from "earl";
-import { describe, it } from "node:test";
+import * as foundation from "@mulberryseam/foundation";
+import * as gateway from "@mulberryseam/gateway";
+import * as sdkTraceBase from "@opentelemetry/sdk-trace-base";
+import * as earl from "earl";
+import * as test from "node:test";
 
-describe("traces", () => {
-    it("join the caller's trace and reach the next hop", async () => {
-        const owner = createOwner();
-        const exporter = new InMemorySpanExporter();
+test.describe("traces", () => {
+    test.it("join the caller's trace and reach the next hop", async () => {
+        const owner = foundation.createOwner();
+        const exporter = new sdkTraceBase.InMemorySpanExporter();
         const shutdown = exporter.shutdown.bind(exporter);
         exporter.shutdown = async () => undefined;
-        const tracing = createTracing({ instance: "entry-1", share: 0, exporter }, owner);
+        const tracing = gateway.createTracing({ instance: "entry-1", share: 0, exporter }, owner);
         const traceId = "4bf92f3577b34da6a3ce929d0e0e4736";
         const request = tracing.begin("request", { traceparent: `00-${traceId}-00f067aa0ba902b7-01` });
         const queue = request.child("queue");
@@ -23,18 +23,18 @@
         request.end();
         await owner.dispose();
         const spans = exporter.getFinishedSpans();
-        expect(spans.map(span => span.name).sort()).toEqual(["attempt", "queue", "request"]);
-        expect(spans.every(span => span.spanContext().traceId === traceId)).toEqual(true);
+        earl.expect(spans.map(span => span.name).sort()).toEqual(["attempt", "queue", "request"]);
+        earl.expect(spans.every(span => span.spanContext().traceId === traceId)).toEqual(true);
         const attemptSpan = spans.find(span => span.name === "attempt");
-        expect(headers.traceparent).toEqual(`00-${traceId}-${attemptSpan?.spanContext().spanId}-01`);
+        earl.expect(headers.traceparent).toEqual(`00-${traceId}-${attemptSpan?.spanContext().spanId}-01`);
         await shutdown();
     });
 
-    it("cost nothing when they go nowhere", async () => {
-        const owner = createOwner();
+    test.it("cost nothing when they go nowhere", async () => {
+        const owner = foundation.createOwner();
         const headers: Record<string, string> = {};
-        createTracing(undefined, owner).begin("request", {}).child("attempt").inject(headers);
-        expect(headers).toEqual({});
+        gateway.createTracing(undefined, owner).begin("request", {}).child("attempt").inject(headers);
+        earl.expect(headers).toEqual({});
         await owner.dispose();
     });
 });
--- a/packages/instance/src/checkpointTask.ts
+++ b/packages/instance/src/checkpointTask.ts
@@ -1,15 +1,15 @@
 /** Writes checkpoints while the instance leads, well before records expire. */
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
-import { createCheckpoint, type LogState, type LogWriter } from "@mulberryseam/ledger";
+import type * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
 import * as crypto from "node:crypto";
 
 /** How checkpoints are written. */
 export interface CheckpointTaskOptions {
-    timers: TimerService;
-    logger: Logger;
-    writer: LogWriter;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
+    writer: ledger.LogWriter;
     isLeader: () => boolean;
-    state: () => LogState | undefined;
+    state: () => ledger.LogState | undefined;
 }
 
 const checkIntervalMilliseconds = 1000;
@@ -23,14 +23,14 @@
  * @param options - how checkpoints are written
  * @param owner - ends the task
  */
-export const createCheckpointTask = (options: CheckpointTaskOptions, owner: Owner): void => {
+export const createCheckpointTask = (options: CheckpointTaskOptions, owner: foundation.Owner): void => {
     const { timers } = options;
     let writtenAt = timers.now();
     let writtenOffset = -1;
     let isWriting = false;
 
-    const write = async (state: LogState): Promise<void> => {
-        for (const chunk of createCheckpoint(state, crypto.randomUUID())) {
+    const write = async (state: ledger.LogState): Promise<void> => {
+        for (const chunk of ledger.createCheckpoint(state, crypto.randomUUID())) {
             const written = await options.writer.write(chunk);
             if (written.err) {
                 options.logger.warning("A checkpoint was not written.", { reason: written.val.message });
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,36 +1,18 @@
 /** Puts an instance together: tasks that own their sockets, joined by messages to the coordinator and the gateway. */
-import { type Address, parseAddress, type Settings } from "@mulberryseam/configuration";
-import {
-    createLogger,
-    createMetrics,
-    createOwner,
-    createRandom,
-    createSilentMetrics,
-    createTimerService,
-    type Logger,
-    LogLevel,
-    type Metrics,
-    type Owner,
-} from "@mulberryseam/foundation";
-import { createDoor, createGateway, createTraceExporter, createTracing, slotOf } from "@mulberryseam/gateway";
-import {
-    createLogClient,
-    createLogFollower,
-    createLogWriter,
-    type Member,
-    memberIdentifier,
-    parseState,
-} from "@mulberryseam/ledger";
-import { createCoordinator } from "@mulberryseam/ownership";
-import { type Hello, type Message, MessageKind, type PeerCredentials, protocolVersion } from "@mulberryseam/protocol";
+import * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
+import * as gateways from "@mulberryseam/gateway";
+import * as ledger from "@mulberryseam/ledger";
+import * as ownership from "@mulberryseam/ownership";
+import * as protocol from "@mulberryseam/protocol";
 import * as crypto from "node:crypto";
 import * as fs from "node:fs";
-import { createCheckpointTask } from "./checkpointTask";
-import { createListingTask } from "./listingTask";
-import { createLogTask } from "./logTask";
-import { createOperatorApi, type ExplainAnswer } from "./operatorApi";
-import { createPeerTask } from "./peerTask";
-import { createServerTask } from "./serverTask";
+import * as checkpointTask from "./checkpointTask";
+import * as listingTask from "./listingTask";
+import * as logTasks from "./logTask";
+import * as operatorApi from "./operatorApi";
+import * as peerTask from "./peerTask";
+import * as serverTasks from "./serverTask";
 
 /** A running instance. */
 export interface Instance {
@@ -40,9 +22,9 @@
 
 const stateFetchPauseMilliseconds = 200;
 
-const addressOf = (text: string): Address => parseAddress(text) as Address;
+const addressOf = (text: string): configuration.Address => configuration.parseAddress(text) as configuration.Address;
 
-const loadCredentials = (settings: Settings): PeerCredentials | undefined => {
+const loadCredentials = (settings: configuration.Settings): protocol.PeerCredentials | undefined => {
     const files = settings.peers.tls;
     return files === undefined ? undefined : {
         key: fs.readFileSync(files.key, "utf8"),
@@ -51,10 +33,12 @@
     };
 };
 
-const createInstanceMetrics = (settings: Settings, owner: Owner): Metrics => {
+const createInstanceMetrics = (settings: configuration.Settings, owner: foundation.Owner): foundation.Metrics => {
     const text = settings.telemetry.metrics;
     const tags = { instance: settings.name, region: settings.region };
-    return text === undefined ? createSilentMetrics() : createMetrics({ ...addressOf(text), tags }, owner);
+    return text === undefined
+        ? foundation.createSilentMetrics()
+        : foundation.createMetrics({ ...addressOf(text), tags }, owner);
 };
 
 /**
@@ -64,50 +48,57 @@
  * @param log - the logger of the process; by default one at the level of the settings
  * @returns the instance, listening
  */
-export const createInstance = async (settings: Settings, log?: Logger): Promise<Instance> => {
-    const logger = log ?? createLogger(LogLevel[settings.telemetry.logLevel]);
-    const owner = createOwner();
-    const timers = createTimerService();
+export const createInstance = async (settings: configuration.Settings, log?: foundation.Logger): Promise<Instance> => {
+    const logger = log ?? foundation.createLogger(foundation.LogLevel[settings.telemetry.logLevel]);
+    const owner = foundation.createOwner();
+    const timers = foundation.createTimerService();
     const metrics = createInstanceMetrics(settings, owner);
     const incarnation = crypto.randomBytes(8).toString("hex");
-    const self: Member = {
+    const self: ledger.Member = {
         name: settings.name,
         incarnation,
         address: settings.peers.address,
         region: settings.region,
         failureDomain: settings.failureDomain,
     };
-    const hello: Hello = {
-        kind: MessageKind.hello,
-        version: protocolVersion,
+    const hello: protocol.Hello = {
+        kind: protocol.MessageKind.hello,
+        version: protocol.protocolVersion,
         environment: settings.environment,
         name: self.name,
         incarnation,
     };
-    const client = createLogClient({ url: settings.platform.logService, stream: settings.platform.logStream });
-    const follower = createLogFollower();
-    const writer = createLogWriter({ client, timers, writer: memberIdentifier(self) });
+    const client = ledger.createLogClient({ url: settings.platform.logService, stream: settings.platform.logStream });
+    const follower = ledger.createLogFollower();
+    const writer = ledger.createLogWriter({ client, timers, writer: ledger.memberIdentifier(self) });
     const traceUrl = settings.telemetry.traces;
-    const tracing = createTracing(
+    const tracing = gateways.createTracing(
         traceUrl === undefined ? undefined : {
             instance: settings.name,
             share: settings.telemetry.traceShare,
-            exporter: createTraceExporter(traceUrl),
+            exporter: gateways.createTraceExporter(traceUrl),
         },
         owner,
     );
 
-    const serverTask = createServerTask((server, reply) => coordinator.takeServerReply(server, reply), owner);
+    const serverTask = serverTasks.createServerTask(
+        (server, reply) => coordinator.takeServerReply(server, reply),
+        owner,
+    );
     let fetchedStateAt = -Infinity;
-    const onMessage = (sender: Hello, message: Message, reply: (answer: Message) => void): void => {
-        if (message.kind === MessageKind.fetchState) {
+    const onMessage = (
+        sender: protocol.Hello,
+        message: protocol.Message,
+        reply: (answer: protocol.Message) => void,
+    ): void => {
+        if (message.kind === protocol.MessageKind.fetchState) {
             const state = follower.state();
             if (state !== undefined) {
-                reply({ kind: MessageKind.state, state: JSON.stringify(state) });
+                reply({ kind: protocol.MessageKind.state, state: JSON.stringify(state) });
             }
         }
-        else if (message.kind === MessageKind.state) {
-            const state = parseState(message.state);
+        else if (message.kind === protocol.MessageKind.state) {
+            const state = ledger.parseState(message.state);
             if (state.ok) {
                 logTask.takeState(state.val);
             }
@@ -122,7 +113,7 @@
             coordinator.takeMessage(sender, message, reply);
         }
     };
-    const peers = await createPeerTask({
+    const peers = await peerTask.createPeerTask({
         ...addressOf(settings.peers.address),
         hello,
         credentials: loadCredentials(settings),
@@ -131,19 +122,19 @@
         onMessage,
     }, owner);
 
-    const gateway = createGateway({
+    const gateway = gateways.createGateway({
         instance: settings.name,
         region: settings.region,
         timers,
         logger: logger.part("gateway"),
         metrics,
-        random: createRandom(crypto.randomInt(2 ** 31)),
+        random: foundation.createRandom(crypto.randomInt(2 ** 31)),
         tracing,
         route: (service, slot) => coordinator.route(service, slot),
         instanceCount: () => coordinator.liveInstanceCount(),
     }, owner);
 
-    const coordinator = createCoordinator({
+    const coordinator = ownership.createCoordinator({
         self,
         environmentName: settings.environment,
         timers,
@@ -165,7 +156,7 @@
         onStateWanted: peer => {
             if (timers.now() - fetchedStateAt > stateFetchPauseMilliseconds) {
                 fetchedStateAt = timers.now();
-                peers.send(peer, { kind: MessageKind.fetchState });
+                peers.send(peer, { kind: protocol.MessageKind.fetchState });
             }
         },
         onEnvironment: inForce => {
@@ -174,7 +165,7 @@
         },
     }, owner);
 
-    const logTask = createLogTask({
+    const logTask = logTasks.createLogTask({
         client,
         follower,
         timers,
@@ -184,23 +175,23 @@
         onEnd: coordinator.takeLogReached,
     }, owner);
 
-    createListingTask({
+    listingTask.createListingTask({
         url: settings.platform.instanceList,
         timers,
         logger: logger.part("platform"),
         onListing: coordinator.takeListing,
     }, owner);
 
-    createCheckpointTask({
+    checkpointTask.createCheckpointTask({
         timers,
         logger: logger.part("log"),
         writer,
-        isLeader: () => follower.state()?.leader === memberIdentifier(self),
+        isLeader: () => follower.state()?.leader === ledger.memberIdentifier(self),
         state: follower.state,
     }, owner);
 
-    const explainIn = (service: string, slotCount: number, key: string): ExplainAnswer => {
-        const slot = slotOf(key, slotCount);
+    const explainIn = (service: string, slotCount: number, key: string): operatorApi.ExplainAnswer => {
+        const slot = gateways.slotOf(key, slotCount);
         const document = coordinator.environment()?.environment;
         const definition = document?.services.find(entry => entry.name === service);
         const route = definition === undefined ? undefined : coordinator.route(definition, slot);
@@ -217,7 +208,7 @@
         };
     };
 
-    await createOperatorApi({
+    await operatorApi.createOperatorApi({
         ...addressOf(settings.operators.address),
         logger: logger.part("operators"),
         status: () => ({
@@ -235,7 +226,7 @@
                 .map(entry => explainIn(entry.name, entry.keySlots, key)),
     }, owner);
 
-    const door = await createDoor({
+    const door = await gateways.createDoor({
         ...addressOf(settings.callers.address),
         timers,
         logger: logger.part("callers"),
--- a/packages/instance/src/listingTask.ts
+++ b/packages/instance/src/listingTask.ts
@@ -1,6 +1,6 @@
 /** Polls the platform's list of instances. */
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
-import type { ListedInstance } from "@mulberryseam/ownership";
+import type * as foundation from "@mulberryseam/foundation";
+import type * as ownership from "@mulberryseam/ownership";
 import * as undici from "undici";
 import * as zod from "zod";
 
@@ -14,9 +14,9 @@
 /** How the list is polled. */
 export interface ListingTaskOptions {
     url: string;
-    timers: TimerService;
-    logger: Logger;
-    onListing: (instances: readonly ListedInstance[]) => void;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
+    onListing: (instances: readonly ownership.ListedInstance[]) => void;
 }
 
 /**
@@ -25,7 +25,7 @@
  * @param options - how the list is polled
  * @param owner - ends the task
  */
-export const createListingTask = (options: ListingTaskOptions, owner: Owner): void => {
+export const createListingTask = (options: ListingTaskOptions, owner: foundation.Owner): void => {
     const { timers, logger } = options;
     let isReachable = true;
 
--- a/packages/instance/src/logTask.ts
+++ b/packages/instance/src/logTask.ts
@@ -1,15 +1,15 @@
 /** Follows the log and tells what it has folded. */
-import { type Logger, type Owner, pause, type TimerService } from "@mulberryseam/foundation";
-import { type FoldedRecord, type LogClient, type LogFollower, type LogState } from "@mulberryseam/ledger";
+import * as foundation from "@mulberryseam/foundation";
+import type * as ledger from "@mulberryseam/ledger";
 
 /** How the log is followed. */
 export interface LogTaskOptions {
-    client: LogClient;
-    follower: LogFollower;
-    timers: TimerService;
-    logger: Logger;
-    onState: (state: LogState) => void;
-    onFolded: (folded: FoldedRecord) => void;
+    client: ledger.LogClient;
+    follower: ledger.LogFollower;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
+    onState: (state: ledger.LogState) => void;
+    onFolded: (folded: ledger.FoldedRecord) => void;
     /** The end of the log has been reached. */
     onEnd: () => void;
 }
@@ -19,7 +19,7 @@
     /** Age of the last page read, in milliseconds; undefined before the first. */
     ageMilliseconds: () => number | undefined;
     /** Takes a state folded by a peer. */
-    takeState: (state: LogState) => void;
+    takeState: (state: ledger.LogState) => void;
 }
 
 const pollWaitMilliseconds = 1000;
@@ -32,7 +32,7 @@
  * @param owner - ends the task
  * @returns the task
  */
-export const createLogTask = (options: LogTaskOptions, owner: Owner): LogTask => {
+export const createLogTask = (options: LogTaskOptions, owner: foundation.Owner): LogTask => {
     const { client, follower, timers, logger } = options;
     let readAt: number | undefined;
     let isReachable = true;
@@ -53,7 +53,7 @@
         const page = await client.read(follower.nextOffset(), pollWaitMilliseconds);
         noteReachable(page.ok, page.err ? page.val.message : "");
         if (page.err) {
-            await pause(timers, errorPauseMilliseconds);
+            await foundation.pause(timers, errorPauseMilliseconds);
             return;
         }
         readAt = timers.now();
--- a/packages/instance/src/operatorApi.ts
+++ b/packages/instance/src/operatorApi.ts
@@ -1,10 +1,10 @@
 /** What operators may ask of one instance: its status, and who owns a key and why. */
-import { listenOn, type Logger, type Owner } from "@mulberryseam/foundation";
-import type { CoordinatorStatus } from "@mulberryseam/ownership";
+import * as foundation from "@mulberryseam/foundation";
+import type * as ownership from "@mulberryseam/ownership";
 import * as http from "node:http";
 
 /** Status of an instance. */
-export interface OperatorStatus extends CoordinatorStatus {
+export interface OperatorStatus extends ownership.CoordinatorStatus {
     instance: string;
     region: string;
     /** Age of the last page read from the log, in milliseconds. */
@@ -31,7 +31,7 @@
 export interface OperatorApiOptions {
     host: string;
     port: number;
-    logger: Logger;
+    logger: foundation.Logger;
     status: () => OperatorStatus;
     /** Explains a key of every keyed service, or of one. */
     explain: (key: string, service: string | undefined) => ExplainAnswer[];
@@ -49,7 +49,7 @@
  * @param owner - closes it
  * @returns once listening
  */
-export const createOperatorApi = async (options: OperatorApiOptions, owner: Owner): Promise<void> => {
+export const createOperatorApi = async (options: OperatorApiOptions, owner: foundation.Owner): Promise<void> => {
     const server = http.createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://operators");
         if (request.method !== "GET") {
@@ -66,7 +66,7 @@
             answer(response, 404, { error: "expected /status or /explain?key=KEY" });
         }
     });
-    await listenOn(server, options.host, options.port);
+    await foundation.listenOn(server, options.host, options.port);
     owner.onCleanup(() => {
         server.close();
         server.closeAllConnections();
--- a/packages/instance/src/peerTask.ts
+++ b/packages/instance/src/peerTask.ts
@@ -1,32 +1,31 @@
 /** Keeps connections with all peers and carries messages. */
-import { parseAddress } from "@mulberryseam/configuration";
-import { createOwner, type Logger, type Owner, type TimerService } from "@mulberryseam/foundation";
-import { type Hello, type Message, type PeerCredentials } from "@mulberryseam/protocol";
-import { createPeerClient, createPeerServer, type PeerClient } from "@mulberryseam/protocol";
+import * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
+import * as protocol from "@mulberryseam/protocol";
 
 /** How peers are reached. */
 export interface PeerTaskOptions {
     host: string;
     port: number;
-    hello: Hello;
-    credentials: PeerCredentials | undefined;
-    timers: TimerService;
-    logger: Logger;
+    hello: protocol.Hello;
+    credentials: protocol.PeerCredentials | undefined;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
     /** Takes a message; `reply` answers on the connection it came by. */
-    onMessage: (sender: Hello, message: Message, reply: (answer: Message) => void) => void;
+    onMessage: (sender: protocol.Hello, message: protocol.Message, reply: (answer: protocol.Message) => void) => void;
 }
 
 /** Carries messages to peers. */
 export interface PeerTask {
-    send: (peer: string, message: Message) => void;
+    send: (peer: string, message: protocol.Message) => void;
     /** Sets who the peers are, name to address. */
     setPeers: (addresses: ReadonlyMap<string, string>) => void;
 }
 
 interface Connected {
     address: string;
-    client: PeerClient;
-    owner: Owner;
+    client: protocol.PeerClient;
+    owner: foundation.Owner;
 }
 
 /**
@@ -36,16 +35,16 @@
  * @param owner - ends every connection
  * @returns the task, listening
  */
-export const createPeerTask = async (options: PeerTaskOptions, owner: Owner): Promise<PeerTask> => {
+export const createPeerTask = async (options: PeerTaskOptions, owner: foundation.Owner): Promise<PeerTask> => {
     const peers = new Map<string, Connected>();
 
     const connect = (address: string): Connected | undefined => {
-        const parsed = parseAddress(address);
+        const parsed = configuration.parseAddress(address);
         if (parsed === undefined) {
             return undefined;
         }
-        const peerOwner = createOwner();
-        const client = createPeerClient({
+        const peerOwner = foundation.createOwner();
+        const client = protocol.createPeerClient({
             ...parsed,
             hello: options.hello,
             credentials: options.credentials,
@@ -62,7 +61,7 @@
         void connected?.owner.dispose();
     };
 
-    await createPeerServer({
+    await protocol.createPeerServer({
         host: options.host,
         port: options.port,
         hello: options.hello,
--- a/packages/instance/src/serverTask.ts
+++ b/packages/instance/src/serverTask.ts
@@ -1,6 +1,6 @@
 /** Carries grants to servers and their answers back. */
-import type { Owner } from "@mulberryseam/foundation";
-import type { Renewal, ServerReply } from "@mulberryseam/ownership";
+import type * as foundation from "@mulberryseam/foundation";
+import type * as ownership from "@mulberryseam/ownership";
 import * as undici from "undici";
 import * as zod from "zod";
 
@@ -17,7 +17,7 @@
 
 /** Carries grants to servers. */
 export interface ServerTask {
-    send: (server: string, address: string, renewal: Renewal) => void;
+    send: (server: string, address: string, renewal: ownership.Renewal) => void;
 }
 
 /**
@@ -27,7 +27,10 @@
  * @param owner - closes the connections
  * @returns the task
  */
-export const createServerTask = (onReply: (server: string, reply: ServerReply) => void, owner: Owner): ServerTask => {
+export const createServerTask = (
+    onReply: (server: string, reply: ownership.ServerReply) => void,
+    owner: foundation.Owner,
+): ServerTask => {
     const agent = new undici.Agent({
         connections: connectionsPerServer,
         pipelining: 1,
@@ -38,7 +41,7 @@
     const outstanding = new Map<string, number>();
     owner.onCleanup(() => agent.destroy());
 
-    const exchange = async (server: string, address: string, renewal: Renewal): Promise<void> => {
+    const exchange = async (server: string, address: string, renewal: ownership.Renewal): Promise<void> => {
         try {
             const response = await undici.request(`http://${address}/grants`, {
                 method: "POST",
--- a/packages/ledger/src/checkpoint.ts
+++ b/packages/ledger/src/checkpoint.ts
@@ -1,9 +1,9 @@
 /** Checkpoints: the folded state written back to the log in chunks, so that readers need not read what has expired. */
 import * as crypto from "node:crypto";
-import { type LogRecord, type RecordBody, RecordKind } from "./records";
-import type { LogState } from "./state";
+import * as records from "./records";
+import type * as states from "./state";
 
-type CheckpointChunk = Extract<RecordBody, { kind: "checkpoint"; }>;
+type CheckpointChunk = Extract<records.RecordBody, { kind: "checkpoint"; }>;
 
 /** Gathers chunks until a checkpoint is whole. */
 export interface CheckpointAssembler {
@@ -13,7 +13,7 @@
      * @param record - a record read from the log
      * @returns the state of a checkpoint that this record completes, else undefined
      */
-    take: (record: LogRecord) => LogState | undefined;
+    take: (record: records.LogRecord) => states.LogState | undefined;
 }
 
 const chunkCharacters = 49_152;
@@ -28,12 +28,12 @@
  * @param checkpoint - an identifier no other checkpoint has
  * @returns the bodies to append, in order
  */
-export const createCheckpoint = (state: LogState, checkpoint: string): CheckpointChunk[] => {
+export const createCheckpoint = (state: states.LogState, checkpoint: string): CheckpointChunk[] => {
     const text = JSON.stringify(state);
     const digest = digestOf(text);
     const count = Math.ceil(text.length / chunkCharacters);
     return [...Array(count).keys()].map(index => ({
-        kind: RecordKind.checkpoint,
+        kind: records.RecordKind.checkpoint,
         checkpoint,
         upTo: state.offset,
         index,
@@ -53,7 +53,7 @@
     return {
         take: record => {
             const chunk = record.body;
-            if (chunk.kind !== RecordKind.checkpoint) {
+            if (chunk.kind !== records.RecordKind.checkpoint) {
                 return undefined;
             }
             const chunks = pending.get(chunk.checkpoint) ?? [];
@@ -68,7 +68,7 @@
             }
             pending.delete(chunk.checkpoint);
             const text = chunks.map(entry => entry.data).join("");
-            return digestOf(text) === chunk.digest ? JSON.parse(text) as LogState : undefined;
+            return digestOf(text) === chunk.digest ? JSON.parse(text) as states.LogState : undefined;
         },
     };
 };
--- a/packages/ledger/src/fold.ts
+++ b/packages/ledger/src/fold.ts
@@ -2,19 +2,8 @@
  * Folds a record into the state. Pure: no clock, no randomness, so equal records give equal states everywhere.
  * A record whose basis is not current changes nothing, which makes every append a compare-and-set.
  */
-import { type Assignment, type LogRecord, type RecordBody, RecordKind, ServerStatus } from "./records";
-import {
-    createSessionTest,
-    type EnvironmentVersion,
-    holdingOf,
-    type LogState,
-    memberIdentifier,
-    type ServerRegistration,
-    type ServiceTable,
-    type SessionTest,
-    type SlotEntry,
-    type WriterProgress,
-} from "./state";
+import * as records from "./records";
+import * as states from "./state";
 
 /** What a record came to. */
 export const OutcomeKind = { accepted: "accepted", repeated: "repeated", refused: "refused" } as const;
@@ -28,28 +17,28 @@
 
 /** The next state and what the record came to. */
 export interface FoldResult {
-    state: LogState;
+    state: states.LogState;
     outcome: FoldOutcome;
 }
 
-type StateChange = Partial<LogState> | string;
-type BodyOf<K extends RecordBody["kind"]> = Extract<RecordBody, { kind: K; }>;
+type StateChange = Partial<states.LogState> | string;
+type BodyOf<K extends records.RecordBody["kind"]> = Extract<records.RecordBody, { kind: K; }>;
 
 const rememberedWriters = 64;
 
-const environmentOf = (state: LogState, name: string): EnvironmentVersion | undefined =>
+const environmentOf = (state: states.LogState, name: string): states.EnvironmentVersion | undefined =>
     state.environments.find(entry => entry.environment === name);
 
-const lostTo = (current: EnvironmentVersion | undefined, name: string): string =>
+const lostTo = (current: states.EnvironmentVersion | undefined, name: string): string =>
     current === undefined
         ? `environment "${name}" has no version yet`
         : `environment "${name}" is at version ${current.version}, written by ${current.writer}`;
 
-const withEnvironment = (state: LogState, entry: EnvironmentVersion): StateChange => ({
+const withEnvironment = (state: states.LogState, entry: states.EnvironmentVersion): StateChange => ({
     environments: [...state.environments.filter(other => other.environment !== entry.environment), entry],
 });
 
-const foldPublish = (state: LogState, body: BodyOf<"publish">, offset: number, writer: string): StateChange => {
+const foldPublish = (state: states.LogState, body: BodyOf<"publish">, offset: number, writer: string): StateChange => {
     const current = environmentOf(state, body.environment);
     if ((current?.version ?? -1) !== body.basedOn) {
         return lostTo(current, body.environment);
@@ -57,7 +46,7 @@
     return withEnvironment(state, { environment: body.environment, version: offset, document: body.document, writer });
 };
 
-const foldPromote = (state: LogState, body: BodyOf<"promote">, offset: number, writer: string): StateChange => {
+const foldPromote = (state: states.LogState, body: BodyOf<"promote">, offset: number, writer: string): StateChange => {
     const source = environmentOf(state, body.from);
     const target = environmentOf(state, body.to);
     if (source === undefined || source.version !== body.basedOnFrom) {
@@ -69,21 +58,21 @@
     return withEnvironment(state, { environment: body.to, version: offset, document: source.document, writer });
 };
 
-const foldClaim = (state: LogState, body: BodyOf<"claim">, offset: number): StateChange => {
+const foldClaim = (state: states.LogState, body: BodyOf<"claim">, offset: number): StateChange => {
     if (body.term !== state.term + 1) {
         return `term ${state.term} is led by ${state.leader ?? "nobody"}`;
     }
-    const leader = memberIdentifier(body.member);
+    const leader = states.memberIdentifier(body.member);
     if (body.founds === true || state.members.length === 0) {
         return { term: body.term, leader, members: [body.member], membersVersion: offset };
     }
-    if (!state.members.some(member => memberIdentifier(member) === leader)) {
+    if (!state.members.some(member => states.memberIdentifier(member) === leader)) {
         return `${leader} is no member`;
     }
     return { term: body.term, leader };
 };
 
-const foldMembers = (state: LogState, body: BodyOf<"members">, offset: number): StateChange => {
+const foldMembers = (state: states.LogState, body: BodyOf<"members">, offset: number): StateChange => {
     if (body.term !== state.term || body.basedOn !== state.membersVersion) {
         return `members are at version ${state.membersVersion} in term ${state.term}`;
     }
@@ -96,24 +85,25 @@
             ? `${added.name} is a member already`
             : { members: [...state.members, added], membersVersion: offset };
     }
-    const members = state.members.filter(member => memberIdentifier(member) !== body.remove);
+    const members = state.members.filter(member => states.memberIdentifier(member) !== body.remove);
     return members.length === state.members.length || members.length === 0
         ? `${body.remove} cannot be removed`
         : { members, membersVersion: offset };
 };
 
-const foldServers = (state: LogState, body: BodyOf<"servers">, offset: number): StateChange => {
+const foldServers = (state: states.LogState, body: BodyOf<"servers">, offset: number): StateChange => {
     if (body.term !== state.term || body.basedOn !== state.serversVersion) {
         return `servers are at version ${state.serversVersion} in term ${state.term}`;
     }
     let servers = [...state.servers];
     for (const change of body.changes) {
         const current = servers.find(server => server.name === change.name);
-        const isNewSession = change.status === ServerStatus.serving && current?.status !== ServerStatus.leaving;
+        const isNewSession = change.status === records.ServerStatus.serving
+            && current?.status !== records.ServerStatus.leaving;
         if (current === undefined && !isNewSession) {
             continue;
         }
-        const next: ServerRegistration = {
+        const next: states.ServerRegistration = {
             name: change.name,
             incarnation: change.incarnation,
             session: isNewSession || current === undefined ? offset : current.session,
@@ -126,12 +116,12 @@
 };
 
 const createEntry = (
-    assignment: Assignment,
-    before: SlotEntry | undefined,
-    isEnded: SessionTest,
+    assignment: records.Assignment,
+    before: states.SlotEntry | undefined,
+    isEnded: states.SessionTest,
     offset: number,
-): SlotEntry => {
-    const replaced = before === undefined ? undefined : holdingOf(before, isEnded);
+): states.SlotEntry => {
+    const replaced = before === undefined ? undefined : states.holdingOf(before, isEnded);
     const isSameHolder = replaced !== undefined && replaced.holder === assignment.owner;
     const isSameOwner = isSameHolder && before?.owner === assignment.owner;
     const keepsHeir = isSameOwner && before.heir === assignment.heir;
@@ -146,14 +136,14 @@
     };
 };
 
-const foldAssign = (state: LogState, body: BodyOf<"assign">, offset: number): StateChange => {
+const foldAssign = (state: states.LogState, body: BodyOf<"assign">, offset: number): StateChange => {
     const table = state.tables.find(entry => entry.service === body.service);
     if (body.term !== state.term || body.basedOn !== (table?.version ?? -1)) {
         return `the table of ${body.service} is at version ${table?.version ?? -1} in term ${state.term}`;
     }
     const isSameSize = table !== undefined && table.slots.length === body.slotCount;
-    const slots: SlotEntry[] = isSameSize ? [...table.slots] : [];
-    const isEnded = createSessionTest(state.servers);
+    const slots: states.SlotEntry[] = isSameSize ? [...table.slots] : [];
+    const isEnded = states.createSessionTest(state.servers);
     for (const assignment of body.assignments) {
         slots[assignment.slot] = createEntry(assignment, slots[assignment.slot], isEnded, offset);
     }
@@ -162,31 +152,35 @@
             return `slot ${slot} of ${body.service} has no owner`;
         }
     }
-    const next: ServiceTable = { service: body.service, version: offset, slots };
+    const next: states.ServiceTable = { service: body.service, version: offset, slots };
     return { tables: [...state.tables.filter(entry => entry.service !== body.service), next] };
 };
 
-const foldBody = (state: LogState, record: LogRecord, offset: number): StateChange => {
+const foldBody = (state: states.LogState, record: records.LogRecord, offset: number): StateChange => {
     const body = record.body;
     switch (body.kind) {
-        case RecordKind.publish:
+        case records.RecordKind.publish:
             return foldPublish(state, body, offset, record.identifier.writer);
-        case RecordKind.promote:
+        case records.RecordKind.promote:
             return foldPromote(state, body, offset, record.identifier.writer);
-        case RecordKind.claim:
+        case records.RecordKind.claim:
             return foldClaim(state, body, offset);
-        case RecordKind.members:
+        case records.RecordKind.members:
             return foldMembers(state, body, offset);
-        case RecordKind.servers:
+        case records.RecordKind.servers:
             return foldServers(state, body, offset);
-        case RecordKind.assign:
+        case records.RecordKind.assign:
             return foldAssign(state, body, offset);
-        case RecordKind.checkpoint:
+        case records.RecordKind.checkpoint:
             return {};
     }
 };
 
-const rememberWriter = (state: LogState, record: LogRecord, offset: number): readonly WriterProgress[] => {
+const rememberWriter = (
+    state: states.LogState,
+    record: records.LogRecord,
+    offset: number,
+): readonly states.WriterProgress[] => {
     const { writer, sequence } = record.identifier;
     const others = state.writers.filter(entry => entry.writer !== writer);
     return [...others, { writer, sequence, offset }].slice(-rememberedWriters);
@@ -200,13 +194,13 @@
  * @param offset - the record's offset in the log
  * @returns the state after the record and what the record came to
  */
-export const fold = (state: LogState, record: LogRecord, offset: number): FoldResult => {
+export const fold = (state: states.LogState, record: records.LogRecord, offset: number): FoldResult => {
     const progress = state.writers.find(entry => entry.writer === record.identifier.writer);
     if (progress !== undefined && record.identifier.sequence <= progress.sequence) {
         return { state: { ...state, offset }, outcome: { kind: OutcomeKind.repeated, reason: "" } };
     }
     const change = foldBody(state, record, offset);
-    const changesState = record.body.kind !== RecordKind.checkpoint;
+    const changesState = record.body.kind !== records.RecordKind.checkpoint;
     const writers = rememberWriter(state, record, offset);
     if (typeof change === "string") {
         return { state: { ...state, offset, writers }, outcome: { kind: OutcomeKind.refused, reason: change } };
--- a/packages/ledger/src/logClient.ts
+++ b/packages/ledger/src/logClient.ts
@@ -1,5 +1,5 @@
 /** Client of the platform's log service, over HTTP. */
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 import * as undici from "undici";
 
 /** Kinds of failure of the log service. */
@@ -33,9 +33,9 @@
 
 /** Reads and appends records of one stream. */
 export interface LogClient {
-    append: (value: object) => Promise<Result<number, LogError>>;
+    append: (value: object) => Promise<tsResults.Result<number, LogError>>;
     /** Reads from an offset; with nothing to read, waits up to a time in milliseconds. */
-    read: (from: number, waitMilliseconds: number) => Promise<Result<LogPage, LogError>>;
+    read: (from: number, waitMilliseconds: number) => Promise<tsResults.Result<LogPage, LogError>>;
 }
 
 /** Where the log service is. */
@@ -62,7 +62,11 @@
     const timeout = options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
     const base = `${options.url.replace(/\/$/, "")}/streams/${options.stream}/records`;
 
-    const call = async <T>(url: string, waitMilliseconds: number, body?: object): Promise<Result<T, LogError>> => {
+    const call = async <T>(
+        url: string,
+        waitMilliseconds: number,
+        body?: object,
+    ): Promise<tsResults.Result<T, LogError>> => {
         try {
             const response = await undici.request(url, {
                 method: body === undefined ? "GET" : "POST",
@@ -73,15 +77,15 @@
             });
             const text = await response.body.text();
             if (response.statusCode >= 500) {
-                return Err({ kind: LogErrorKind.unavailable, message: `status ${response.statusCode}` });
+                return tsResults.Err({ kind: LogErrorKind.unavailable, message: `status ${response.statusCode}` });
             }
             if (response.statusCode >= 400) {
-                return Err({ kind: LogErrorKind.refused, message: `status ${response.statusCode}: ${text}` });
+                return tsResults.Err({ kind: LogErrorKind.refused, message: `status ${response.statusCode}: ${text}` });
             }
-            return Ok(JSON.parse(text) as T);
+            return tsResults.Ok(JSON.parse(text) as T);
         }
         catch (error) {
-            return Err({ kind: LogErrorKind.unavailable, message: (error as Error).message });
+            return tsResults.Err({ kind: LogErrorKind.unavailable, message: (error as Error).message });
         }
     };
 
--- a/packages/ledger/src/logFollower.ts
+++ b/packages/ledger/src/logFollower.ts
@@ -2,34 +2,34 @@
  * Folds pages of the log as they come. Starts from the first record, or from the newest whole checkpoint where the
  * first records have expired, or from a state that a peer has folded.
  */
-import { createCheckpointAssembler } from "./checkpoint";
-import { fold, type FoldOutcome } from "./fold";
-import type { LogPage } from "./logClient";
-import { type LogRecord, parseRecord } from "./records";
-import { emptyState, type LogState } from "./state";
+import * as checkpoints from "./checkpoint";
+import * as fold from "./fold";
+import type * as logClient from "./logClient";
+import * as recordSchemas from "./records";
+import * as states from "./state";
 
 /** A record that has been folded. */
 export interface FoldedRecord {
     offset: number;
-    record: LogRecord;
-    outcome: FoldOutcome;
+    record: recordSchemas.LogRecord;
+    outcome: fold.FoldOutcome;
 }
 
 interface PendingRecord {
     offset: number;
-    record: LogRecord | undefined;
+    record: recordSchemas.LogRecord | undefined;
 }
 
 /** Folds the log. */
 export interface LogFollower {
     /** The folded state; undefined until a start has been found. */
-    state: () => LogState | undefined;
+    state: () => states.LogState | undefined;
     /** Offset to read from next. */
     nextOffset: () => number;
     /** Takes a page read at {@link nextOffset}; returns the records it folded. */
-    takePage: (page: LogPage) => FoldedRecord[];
+    takePage: (page: logClient.LogPage) => FoldedRecord[];
     /** Takes a state folded elsewhere; older states than the own one are ignored. */
-    takeState: (state: LogState) => boolean;
+    takeState: (state: states.LogState) => boolean;
 }
 
 /**
@@ -38,10 +38,10 @@
  * @returns a follower before the first record
  */
 export const createLogFollower = (): LogFollower => {
-    let state: LogState | undefined;
+    let state: states.LogState | undefined;
     let next = 0;
     let seeking: PendingRecord[] = [];
-    let assembler = createCheckpointAssembler();
+    let assembler = checkpoints.createCheckpointAssembler();
 
     const foldPending = (pending: readonly PendingRecord[]): FoldedRecord[] => {
         const folded: FoldedRecord[] = [];
@@ -53,23 +53,23 @@
                 state = { ...state, offset };
                 continue;
             }
-            const result = fold(state, record, offset);
+            const result = fold.fold(state, record, offset);
             state = result.state;
             folded.push({ offset, record, outcome: result.outcome });
         }
         return folded;
     };
 
-    const parsePage = (page: LogPage): PendingRecord[] =>
+    const parsePage = (page: logClient.LogPage): PendingRecord[] =>
         page.records.map(({ offset, value }) => {
-            const parsed = parseRecord(value);
+            const parsed = recordSchemas.parseRecord(value);
             return { offset, record: parsed.ok ? parsed.val : undefined };
         });
 
     const restart = (oldestOffset: number): void => {
-        state = oldestOffset === 0 ? emptyState() : undefined;
+        state = oldestOffset === 0 ? states.emptyState() : undefined;
         seeking = [];
-        assembler = createCheckpointAssembler();
+        assembler = checkpoints.createCheckpointAssembler();
         next = oldestOffset;
     };
 
--- a/packages/ledger/src/logWriter.ts
+++ b/packages/ledger/src/logWriter.ts
@@ -2,12 +2,12 @@
  * Appends records one at a time. An append whose answer is lost is repeated under the same identifier until the
  * record is read back; a record counts as accepted only then.
  */
-import type { TimerService } from "@mulberryseam/foundation";
-import { Err, Ok, type Result } from "ts-results";
-import { type FoldOutcome, OutcomeKind } from "./fold";
-import { type LogClient, LogErrorKind } from "./logClient";
-import type { FoldedRecord } from "./logFollower";
-import type { RecordBody, RecordIdentifier } from "./records";
+import type * as foundation from "@mulberryseam/foundation";
+import * as tsResults from "ts-results";
+import * as fold from "./fold";
+import * as logClient from "./logClient";
+import type * as logFollower from "./logFollower";
+import type * as records from "./records";
 
 /** Why a write did not take effect, or is not known to have. */
 export interface WriteError {
@@ -23,15 +23,15 @@
      * @returns the offset of the accepted record; `refused` when the fold or the service refused it; `unknown` when
      * it was not read back before the time was up
      */
-    write: (body: RecordBody) => Promise<Result<number, WriteError>>;
+    write: (body: records.RecordBody) => Promise<tsResults.Result<number, WriteError>>;
     /** Tells the writer of a folded record. */
-    takeFolded: (folded: FoldedRecord) => void;
+    takeFolded: (folded: logFollower.FoldedRecord) => void;
 }
 
 /** How a writer behaves. */
 export interface LogWriterOptions {
-    client: LogClient;
-    timers: TimerService;
+    client: logClient.LogClient;
+    timers: foundation.TimerService;
     /** Identifies the writer across all processes and restarts. */
     writer: string;
     /** Time after which an append is repeated. */
@@ -41,9 +41,9 @@
 }
 
 interface PendingWrite {
-    identifier: RecordIdentifier;
-    body: RecordBody;
-    settle: (result: Result<number, WriteError>) => void;
+    identifier: records.RecordIdentifier;
+    body: records.RecordBody;
+    settle: (result: tsResults.Result<number, WriteError>) => void;
 }
 
 const defaultRepeatMilliseconds = 1000;
@@ -63,18 +63,20 @@
     let pending: PendingWrite | undefined;
     let queue: Promise<unknown> = Promise.resolve();
 
-    const resultOf = (outcome: FoldOutcome, offset: number): Result<number, WriteError> =>
-        outcome.kind === OutcomeKind.refused ? Err({ kind: "refused", message: outcome.reason }) : Ok(offset);
+    const resultOf = (outcome: fold.FoldOutcome, offset: number): tsResults.Result<number, WriteError> =>
+        outcome.kind === fold.OutcomeKind.refused
+            ? tsResults.Err({ kind: "refused", message: outcome.reason })
+            : tsResults.Ok(offset);
 
     const send = async (write: PendingWrite): Promise<void> => {
         const answer = await client.append({ identifier: write.identifier, body: write.body });
-        const isRefused = answer.err && answer.val.kind === LogErrorKind.refused;
+        const isRefused = answer.err && answer.val.kind === logClient.LogErrorKind.refused;
         if (isRefused && pending === write) {
-            write.settle(Err({ kind: "refused", message: answer.val.message }));
+            write.settle(tsResults.Err({ kind: "refused", message: answer.val.message }));
         }
     };
 
-    const start = (body: RecordBody): Promise<Result<number, WriteError>> =>
+    const start = (body: records.RecordBody): Promise<tsResults.Result<number, WriteError>> =>
         new Promise(resolve => {
             const write: PendingWrite = {
                 identifier: { writer, sequence: sequence++ },
@@ -88,7 +90,7 @@
             };
             const repeat = timers.onInterval(repeatMilliseconds, () => void send(write));
             const giveUp = timers.onDelay(giveUpMilliseconds, () => {
-                write.settle(Err({ kind: "unknown", message: "the record was not read back in time" }));
+                write.settle(tsResults.Err({ kind: "unknown", message: "the record was not read back in time" }));
             });
             pending = write;
             void send(write);
--- a/packages/ledger/src/records.ts
+++ b/packages/ledger/src/records.ts
@@ -1,5 +1,5 @@
 /** Records of the log and the check that a record is well formed. */
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 import * as zod from "zod";
 
 /** Kinds of record. */
@@ -119,7 +119,9 @@
  * @param value - parsed JSON
  * @returns the record, or what is wrong with it
  */
-export const parseRecord = (value: unknown): Result<LogRecord, string> => {
+export const parseRecord = (value: unknown): tsResults.Result<LogRecord, string> => {
     const parsed = recordSchema.safeParse(value);
-    return parsed.success ? Ok(parsed.data) : Err(parsed.error.issues[0]?.message ?? "malformed record");
+    return parsed.success
+        ? tsResults.Ok(parsed.data)
+        : tsResults.Err(parsed.error.issues[0]?.message ?? "malformed record");
 };
--- a/packages/ledger/src/state.ts
+++ b/packages/ledger/src/state.ts
@@ -1,5 +1,5 @@
 /** The state that the log folds into: plain data, equal on every instance that has folded the same records. */
-import { ServerStatus } from "./records";
+import * as records from "./records";
 
 /** One instance of the system, in one run of its process. */
 export interface Member {
@@ -23,7 +23,7 @@
     session: number;
     /** Identifier of the run of the server's process. */
     incarnation: string;
-    status: typeof ServerStatus[keyof typeof ServerStatus];
+    status: typeof records.ServerStatus[keyof typeof records.ServerStatus];
     /** Offset of the record that gave the status. */
     statusAt: number;
 }
@@ -135,7 +135,9 @@
  * @returns the test, fast for many questions
  */
 export const createSessionTest = (servers: readonly ServerRegistration[]): SessionTest => {
-    const current = new Set(servers.filter(server => server.status !== ServerStatus.lost).map(serverIdentifier));
+    const current = new Set(
+        servers.filter(server => server.status !== records.ServerStatus.lost).map(serverIdentifier),
+    );
     return identifier => !current.has(identifier);
 };
 
--- a/packages/ledger/src/stateText.ts
+++ b/packages/ledger/src/stateText.ts
@@ -1,7 +1,7 @@
 /** The folded state as text, for a peer that cannot read the log. */
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 import * as zod from "zod";
-import type { LogState } from "./state";
+import type * as state from "./state";
 
 const stateSchema = zod.looseObject({
     offset: zod.int(),
@@ -26,14 +26,14 @@
  * @param text - JSON
  * @returns the state, or what is wrong with the text
  */
-export const parseState = (text: string): Result<LogState, string> => {
+export const parseState = (text: string): tsResults.Result<state.LogState, string> => {
     try {
         const parsed = stateSchema.safeParse(JSON.parse(text));
         return parsed.success
-            ? Ok(parsed.data as unknown as LogState)
-            : Err(parsed.error.issues[0]?.message ?? "malformed state");
+            ? tsResults.Ok(parsed.data as unknown as state.LogState)
+            : tsResults.Err(parsed.error.issues[0]?.message ?? "malformed state");
     }
     catch (error) {
-        return Err((error as Error).message);
+        return tsResults.Err((error as Error).message);
     }
 };
--- a/packages/ledger/test/fixtures.ts
+++ b/packages/ledger/test/fixtures.ts
@@ -1,10 +1,10 @@
 /** Records and logs for tests. */
-import { createLogFollower, type LogPage, type LogRecord, type Member, type RecordBody } from "@mulberryseam/ledger";
+import * as ledger from "@mulberryseam/ledger";
 
 /** A log in memory, whose first records may have expired. */
 export interface TestLog {
-    append: (body: RecordBody, writer?: string, sequence?: number) => number;
-    page: (from: number, limit?: number) => LogPage;
+    append: (body: ledger.RecordBody, writer?: string, sequence?: number) => number;
+    page: (from: number, limit?: number) => ledger.LogPage;
     /** Drops records below an offset. */
     expireBelow: (offset: number) => void;
 }
@@ -20,7 +20,7 @@
     let sequence = 0;
     return {
         append: (body, writer = "writer", own) => {
-            const record: LogRecord = { identifier: { writer, sequence: own ?? sequence++ }, body };
+            const record: ledger.LogRecord = { identifier: { writer, sequence: own ?? sequence++ }, body };
             records.push({ offset: records.length, value: JSON.parse(JSON.stringify(record)) });
             return records.length - 1;
         },
@@ -40,7 +40,7 @@
  * @param name - its name
  * @returns the member in its first run
  */
-export const createMember = (name: string): Member => ({
+export const createMember = (name: string): ledger.Member => ({
     name,
     incarnation: "run-1",
     address: "127.0.0.1:9000",
@@ -55,7 +55,7 @@
  * @param basedOn - version it is based on
  * @returns the body
  */
-export const createPublish = (document: string, basedOn: number): RecordBody => ({
+export const createPublish = (document: string, basedOn: number): ledger.RecordBody => ({
     kind: "publish",
     environment: "production",
     basedOn,
@@ -69,7 +69,7 @@
  * @returns a follower at its end
  */
 export const followToEnd = (log: TestLog) => {
-    const follower = createLogFollower();
+    const follower = ledger.createLogFollower();
     for (let page = log.page(0); follower.nextOffset() < page.nextOffset; page = log.page(follower.nextOffset())) {
         follower.takePage(page);
     }
--- a/packages/measure/src/baseline.ts
+++ b/packages/measure/src/baseline.ts
@@ -1,6 +1,6 @@
 /** Starts the plainest router beside a site, in front of the same upstreams. */
-import type { Owner } from "@mulberryseam/foundation";
-import { bundleProgram, reservePorts, type Site, startProcess } from "@mulberryseam/site";
+import type * as foundation from "@mulberryseam/foundation";
+import * as sites from "@mulberryseam/site";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -12,14 +12,16 @@
  * @param owner - ends them
  * @returns addresses for callers
  */
-export const startBaseline = async (site: Site, owner: Owner): Promise<string[]> => {
+export const startBaseline = async (site: sites.Site, owner: foundation.Owner): Promise<string[]> => {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-baseline-"));
     owner.onCleanup(() => fs.rmSync(folder, { recursive: true, force: true }));
-    const script = await bundleProgram("packages/measure/src/baselineRouter.ts", folder);
-    const ports = await reservePorts(site.instances.length);
+    const script = await sites.bundleProgram("packages/measure/src/baselineRouter.ts", folder);
+    const ports = await sites.reservePorts(site.instances.length);
     const document = JSON.stringify(site.document);
     await Promise.all(
-        ports.map(port => startProcess({ script, parameters: [String(port), document], waitsForReady: true }, owner)),
+        ports.map(port =>
+            sites.startProcess({ script, parameters: [String(port), document], waitsForReady: true }, owner)
+        ),
     );
     return ports.map(port => `127.0.0.1:${port}`);
 };
--- a/packages/measure/src/baselineRouter.ts
+++ b/packages/measure/src/baselineRouter.ts
@@ -2,7 +2,7 @@
  * The plainest router, to compare with: first come first served, an upstream at random, retry always. One process an
  * instance: `baselineRouter PORT DOCUMENT`.
  */
-import type { Environment } from "@mulberryseam/configuration";
+import type * as configuration from "@mulberryseam/configuration";
 import * as http from "node:http";
 import * as consumers from "node:stream/consumers";
 import * as undici from "undici";
@@ -11,7 +11,7 @@
 const routers = 8;
 const unavailable = 503;
 
-const start = (port: number, document: Environment): void => {
+const start = (port: number, document: configuration.Environment): void => {
     const pools = new Map<string, undici.Pool>();
     const poolOf = (address: string, connections: number): undici.Pool => {
         const pool = pools.get(address)
@@ -63,4 +63,4 @@
     }).listen(port, "127.0.0.1", () => process.stdout.write("ready\n"));
 };
 
-start(Number(process.argv[2]), JSON.parse(process.argv[3]) as Environment);
+start(Number(process.argv[2]), JSON.parse(process.argv[3]) as configuration.Environment);
--- a/packages/measure/src/churnScenario.ts
+++ b/packages/measure/src/churnScenario.ts
@@ -1,15 +1,9 @@
 /** Placement against plain rendezvous hashing: moves and imbalance when servers and load change. */
-import { createRandom, rendezvousOrder } from "@mulberryseam/foundation";
-import type { ServiceTable } from "@mulberryseam/ledger";
-import {
-    measureImbalance,
-    type PlacementServer,
-    planBalance,
-    planRepair,
-    type SlotLoad,
-} from "@mulberryseam/ownership";
-import type { Figures, Scenario } from "./scenario";
-import { round } from "./tally";
+import * as foundation from "@mulberryseam/foundation";
+import type * as ledger from "@mulberryseam/ledger";
+import * as ownership from "@mulberryseam/ownership";
+import type * as scenario from "./scenario";
+import * as tally from "./tally";
 
 const slotCount = 256;
 const serverCount = 15;
@@ -20,34 +14,38 @@
 
 type Owners = string[];
 
-const createServer = (number: number): PlacementServer => ({
+const createServer = (number: number): ownership.PlacementServer => ({
     identifier: `server-${number}@1`,
     failureDomain: `domain-${number % 6}`,
     isLeaving: false,
 });
 
-const createZipfLoads = (seed: number): SlotLoad[] => {
-    const random = createRandom(seed);
+const createZipfLoads = (seed: number): ownership.SlotLoad[] => {
+    const random = foundation.createRandom(seed);
     const slots = [...Array(slotCount).keys()].sort(() => random.fraction() - 0.5);
     const sum = slots.map((...entry) => 1 / (entry[1] + 1)).reduce((total, part) => total + part, 0);
     return slots.map((slot, index) => ({ slot, requestsPerSecond: totalRate / (index + 1) / sum }));
 };
 
-const createTable = (owners: Owners): ServiceTable => ({
+const createTable = (owners: Owners): ledger.ServiceTable => ({
     service: "records",
     version: 1,
     slots: owners.map(owner => ({ owner, heir: undefined, token: 1, heirToken: 2, previous: undefined })),
 });
 
-const placeByPlan = (before: Owners | undefined, servers: PlacementServer[], loads: SlotLoad[]): Owners => {
+const placeByPlan = (
+    before: Owners | undefined,
+    servers: ownership.PlacementServer[],
+    loads: ownership.SlotLoad[],
+): Owners => {
     const isEnded = (identifier: string): boolean => !servers.some(server => server.identifier === identifier);
     const table = before === undefined ? undefined : createTable(before);
     const owners = before === undefined ? [] : [...before];
-    planRepair("records", slotCount, table, servers, loads, isEnded, slotCount).forEach(assignment => {
+    ownership.planRepair("records", slotCount, table, servers, loads, isEnded, slotCount).forEach(assignment => {
         owners[assignment.slot] = assignment.owner;
     });
     for (let count = 0; count < highestRounds; count++) {
-        const plan = planBalance(createTable(owners), servers, loads, imbalanceLimit, movesAtATime);
+        const plan = ownership.planBalance(createTable(owners), servers, loads, imbalanceLimit, movesAtATime);
         if (plan.length === 0) {
             break;
         }
@@ -58,9 +56,9 @@
     return owners;
 };
 
-const placeByRendezvous = (servers: PlacementServer[]): Owners =>
+const placeByRendezvous = (servers: ownership.PlacementServer[]): Owners =>
     [...Array(slotCount).keys()].map(slot =>
-        rendezvousOrder(`records/${slot}`, servers.map(server => server.identifier))[0]
+        foundation.rendezvousOrder(`records/${slot}`, servers.map(server => server.identifier))[0]
     );
 
 const countMoves = (before: Owners, after: Owners): number =>
@@ -68,8 +66,8 @@
 
 const compare = (
     seed: number,
-    place: (before: Owners | undefined, servers: PlacementServer[], loads: SlotLoad[]) => Owners,
-): Figures => {
+    place: (before: Owners | undefined, servers: ownership.PlacementServer[], loads: ownership.SlotLoad[]) => Owners,
+): scenario.Figures => {
     const servers = [...Array(serverCount).keys()].map(createServer);
     const loads = createZipfLoads(seed);
     const start = place(undefined, servers, loads);
@@ -81,24 +79,29 @@
     const hot = place(start, servers, moved);
     const leastForJoin = Math.floor(slotCount / (serverCount + 1));
     const leastForLeave = start.filter(owner => owner === servers[0].identifier).length;
-    const describe = (owners: Owners, on: PlacementServer[], at: SlotLoad[], least: number): Figures => ({
+    const describe = (
+        owners: Owners,
+        on: ownership.PlacementServer[],
+        at: ownership.SlotLoad[],
+        least: number,
+    ): scenario.Figures => ({
         moved: countMoves(start, owners),
-        movedOverMinimum: least === 0 ? 0 : round(countMoves(start, owners) / least, 2),
-        imbalance: round(measureImbalance(owners, on, at), 2),
+        movedOverMinimum: least === 0 ? 0 : tally.round(countMoves(start, owners) / least, 2),
+        imbalance: tally.round(ownership.measureImbalance(owners, on, at), 2),
     });
     return {
-        start: { imbalance: round(measureImbalance(start, servers, loads), 2) },
+        start: { imbalance: tally.round(ownership.measureImbalance(start, servers, loads), 2) },
         join: describe(joined, joinedServers, loads, leastForJoin),
         leave: describe(left, leftServers, loads, leastForLeave),
         hotSpotChange: {
             ...describe(hot, servers, moved, 0),
-            imbalanceWithoutMoves: round(measureImbalance(start, servers, moved), 2),
+            imbalanceWithoutMoves: tally.round(ownership.measureImbalance(start, servers, moved), 2),
         },
     };
 };
 
 /** The scenario. */
-export const churnScenario: Scenario = {
+export const churnScenario: scenario.Scenario = {
     name: "churn",
     description:
         "moves and imbalance when a server joins or leaves and when hot keys change, against rendezvous hashing",
--- a/packages/measure/src/clock.ts
+++ b/packages/measure/src/clock.ts
@@ -1,6 +1,6 @@
 /** Arrivals in real time. */
-import { createRandom } from "@mulberryseam/foundation";
-import { wait } from "@mulberryseam/site";
+import * as foundation from "@mulberryseam/foundation";
+import * as site from "@mulberryseam/site";
 
 /** Arrivals that do not wait for answers. */
 export interface ArrivalOptions {
@@ -17,14 +17,14 @@
  * @param options - the arrivals
  */
 export const runArrivals = async (options: ArrivalOptions): Promise<void> => {
-    const random = createRandom(options.seed);
+    const random = foundation.createRandom(options.seed);
     const startedAt = performance.now();
     const sent: Promise<void>[] = [];
     let dueAt = 0;
     for (let index = 0; dueAt < options.durationMilliseconds; index++) {
         const ahead = dueAt - (performance.now() - startedAt);
         if (ahead > 1) {
-            await wait(ahead);
+            await site.wait(ahead);
         }
         sent.push(options.send(index));
         dueAt += -Math.log(1 - random.fraction()) * 1000 / options.perSecond;
--- a/packages/measure/src/configurationScenario.ts
+++ b/packages/measure/src/configurationScenario.ts
@@ -1,7 +1,7 @@
 /** Two operators publish at once, again and again: time until the winner's document is in force everywhere. */
-import { createSite, loadExample, type Site, wait } from "@mulberryseam/site";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
-import { summarize } from "./tally";
+import * as sites from "@mulberryseam/site";
+import type * as scenario from "./scenario";
+import * as tally from "./tally";
 
 const races = 12;
 const pollMilliseconds = 10;
@@ -13,7 +13,7 @@
     versions: Map<string, number>;
 }
 
-const readVersions = async (site: Site, watch: Watch): Promise<number[]> => {
+const readVersions = async (site: sites.Site, watch: Watch): Promise<number[]> => {
     const statuses = await Promise.all(site.instances.map(instance => instance.status()));
     return statuses.map((status, index) => {
         const name = site.instances[index].name;
@@ -25,7 +25,7 @@
     });
 };
 
-const race = async (site: Site, number: number): Promise<{ winners: number[]; losers: number; }> => {
+const race = async (site: sites.Site, number: number): Promise<{ winners: number[]; losers: number; }> => {
     const attempts = ["amina", "talei"].map(async operator => {
         const document = { ...site.document, description: `${operator} ${number}` };
         return site.publish(document);
@@ -35,8 +35,8 @@
     return { winners, losers: settled.length - winners.length };
 };
 
-const run = async ({ owner }: ScenarioRun): Promise<Figures> => {
-    const site = await createSite({ document: await loadExample("vatuwaqa"), instanceCount: 8 }, owner);
+const run = async ({ owner }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+    const site = await sites.createSite({ document: await sites.loadExample("vatuwaqa"), instanceCount: 8 }, owner);
     await site.waitUntilServing(startTimeoutMilliseconds);
     const watch: Watch = { reverts: 0, versions: new Map() };
     const times: number[] = [];
@@ -52,7 +52,7 @@
             if (performance.now() - startedAt > inForceTimeoutMilliseconds) {
                 break;
             }
-            await wait(pollMilliseconds);
+            await sites.wait(pollMilliseconds);
         }
         times.push(performance.now() - startedAt);
     }
@@ -61,13 +61,13 @@
         races,
         accepted,
         refused,
-        inForceMilliseconds: summarize(times),
+        inForceMilliseconds: tally.summarize(times),
         reverts: watch.reverts,
     };
 };
 
 /** The scenario. */
-export const configurationScenario: Scenario = {
+export const configurationScenario: scenario.Scenario = {
     name: "configuration",
     description: "operators race with competing documents: time until the winner's is in force on all instances",
     run,
--- a/packages/measure/src/controlScenario.ts
+++ b/packages/measure/src/controlScenario.ts
@@ -1,10 +1,10 @@
 /** What control alone costs an instance, by the number of instances: nothing is asked of the site. */
-import type { Environment } from "@mulberryseam/configuration";
-import { createOwner } from "@mulberryseam/foundation";
-import { createSite, loadExample, wait } from "@mulberryseam/site";
-import { fitLine, type Point } from "./fit";
-import { readUsage } from "./processUsage";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
+import type * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
+import * as sites from "@mulberryseam/site";
+import * as fit from "./fit";
+import * as processUsage from "./processUsage";
+import type * as scenario from "./scenario";
 
 const instanceCounts = [2, 4, 8, 12];
 const settleMilliseconds = 1500;
@@ -16,16 +16,16 @@
     residentMegabytes: number;
 }
 
-const measureSite = async (document: Environment, instanceCount: number): Promise<ControlCost> => {
-    const owner = createOwner();
+const measureSite = async (document: configuration.Environment, instanceCount: number): Promise<ControlCost> => {
+    const owner = foundation.createOwner();
     try {
-        const site = await createSite({ document, instanceCount }, owner);
+        const site = await sites.createSite({ document, instanceCount }, owner);
         await site.waitUntilServing(startTimeoutMilliseconds);
-        await wait(settleMilliseconds);
+        await sites.wait(settleMilliseconds);
         const identifiers = site.instances.map(instance => instance.process.processIdentifier());
-        const before = identifiers.map(readUsage);
-        await wait(observedMilliseconds);
-        const after = identifiers.map(readUsage);
+        const before = identifiers.map(processUsage.readUsage);
+        await sites.wait(observedMilliseconds);
+        const after = identifiers.map(processUsage.readUsage);
         const seconds = after.reduce(
             (sum, usage, index) => sum + usage.processorSeconds - before[index].processorSeconds,
             0,
@@ -41,10 +41,10 @@
     }
 };
 
-const run = async ({ say }: ScenarioRun): Promise<Figures> => {
-    const document = await loadExample("dar-el-sikka");
-    const shares: Point[] = [];
-    const memory: Point[] = [];
+const run = async ({ say }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+    const document = await sites.loadExample("dar-el-sikka");
+    const shares: fit.Point[] = [];
+    const memory: fit.Point[] = [];
     for (const instanceCount of instanceCounts) {
         say(`${instanceCount} instances`);
         const cost = await measureSite(document, instanceCount);
@@ -52,13 +52,13 @@
         memory.push({ size: instanceCount, value: cost.residentMegabytes });
     }
     return {
-        coreShareByInstances: fitLine(shares, "share of a core an instance"),
-        residentByInstances: fitLine(memory, "MB an instance"),
+        coreShareByInstances: fit.fitLine(shares, "share of a core an instance"),
+        residentByInstances: fit.fitLine(memory, "MB an instance"),
     };
 };
 
 /** The scenario. */
-export const controlScenario: Scenario = {
+export const controlScenario: scenario.Scenario = {
     name: "control",
     description: "processor time and memory of idle instances, by their number",
     run,
--- a/packages/measure/src/fit.ts
+++ b/packages/measure/src/fit.ts
@@ -1,6 +1,6 @@
 /** Straight lines through measured points. */
-import type { Figures } from "./scenario";
-import { round } from "./tally";
+import type * as scenario from "./scenario";
+import * as tally from "./tally";
 
 /** A measured point. */
 export interface Point {
@@ -15,7 +15,7 @@
  * @param unit - unit of the values, for the report
  * @returns slope, intercept, the share of variance that the line explains, and the range of sizes
  */
-export const fitLine = (points: readonly Point[], unit: string): Figures => {
+export const fitLine = (points: readonly Point[], unit: string): scenario.Figures => {
     const count = points.length;
     const meanSize = points.reduce((sum, point) => sum + point.size, 0) / count;
     const meanValue = points.reduce((sum, point) => sum + point.value, 0) / count;
@@ -27,7 +27,7 @@
         unit,
         slope: Number(slope.toPrecision(4)),
         intercept: Number((meanValue - slope * meanSize).toPrecision(4)),
-        explained: spread === 0 ? 1 : round(covariance ** 2 / (variance * spread), 4),
+        explained: spread === 0 ? 1 : tally.round(covariance ** 2 / (variance * spread), 4),
         from: Math.min(...points.map(point => point.size)),
         to: Math.max(...points.map(point => point.size)),
         values: points.map(point => Number(point.value.toPrecision(4))).join(" "),
--- a/packages/measure/src/hopScenario.ts
+++ b/packages/measure/src/hopScenario.ts
@@ -1,9 +1,9 @@
 /** What an instance adds to a request: latency against calling the upstream directly, processor time, memory. */
-import { createSite, loadExample, sendRequest, wait } from "@mulberryseam/site";
+import * as sites from "@mulberryseam/site";
 import * as undici from "undici";
-import { readUsage } from "./processUsage";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
-import { round, summarize } from "./tally";
+import * as processUsage from "./processUsage";
+import type * as scenario from "./scenario";
+import * as tally from "./tally";
 
 const warmUpRequests = 500;
 const pairs = 2000;
@@ -12,8 +12,8 @@
 const idleMilliseconds = 5000;
 const startTimeoutMilliseconds = 30_000;
 
-const run = async ({ owner, say }: ScenarioRun): Promise<Figures> => {
-    const site = await createSite({ document: await loadExample("dar-el-sikka"), instanceCount: 8 }, owner);
+const run = async ({ owner, say }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+    const site = await sites.createSite({ document: await sites.loadExample("dar-el-sikka"), instanceCount: 8 }, owner);
     await site.waitUntilServing(startTimeoutMilliseconds);
     const [, pool] = site.document.services;
     const rank = site.document.ranks[1].name;
@@ -21,7 +21,7 @@
     const dispatcher = new undici.Agent({ connections: 64 });
     owner.onCleanup(() => dispatcher.close());
     const viaInstance = async (): Promise<number> => {
-        const answer = await sendRequest({
+        const answer = await sites.sendRequest({
             instance: instance.callers,
             service: pool.name,
             rank,
@@ -52,7 +52,7 @@
         through.push(await viaInstance());
     }
     say("keeping one instance busy");
-    const before = readUsage(instance.process.processIdentifier());
+    const before = processUsage.readUsage(instance.process.processIdentifier());
     const busyUntil = performance.now() + busyMilliseconds;
     let answered = 0;
     const worker = async (): Promise<void> => {
@@ -62,36 +62,36 @@
         }
     };
     await Promise.all([...Array(busyConcurrency).keys()].map(worker));
-    const after = readUsage(instance.process.processIdentifier());
+    const after = processUsage.readUsage(instance.process.processIdentifier());
     say("leaving all instances idle");
     const idleInstance = site.instances[1].process.processIdentifier();
-    const idleBefore = readUsage(idleInstance);
-    await wait(idleMilliseconds);
-    const idleAfter = readUsage(idleInstance);
+    const idleBefore = processUsage.readUsage(idleInstance);
+    await sites.wait(idleMilliseconds);
+    const idleAfter = processUsage.readUsage(idleInstance);
     const processorSeconds = after.processorSeconds - before.processorSeconds;
-    const [throughSummary, directSummary] = [summarize(through), summarize(straight)];
+    const [throughSummary, directSummary] = [tally.summarize(through), tally.summarize(straight)];
     return {
         addedMilliseconds: {
-            p50: round((throughSummary.p50 as number) - (directSummary.p50 as number), 2),
-            p99: round((throughSummary.p99 as number) - (directSummary.p99 as number), 2),
+            p50: tally.round((throughSummary.p50 as number) - (directSummary.p50 as number), 2),
+            p99: tally.round((throughSummary.p99 as number) - (directSummary.p99 as number), 2),
         },
         throughInstance: throughSummary,
         direct: directSummary,
-        requestsPerSecond: round(answered / (busyMilliseconds / 1000), 0),
-        requestsPerSecondPerCore: round(answered / processorSeconds, 0),
-        residentMegabytes: round(after.residentBytes / 1_048_576, 1),
+        requestsPerSecond: tally.round(answered / (busyMilliseconds / 1000), 0),
+        requestsPerSecondPerCore: tally.round(answered / processorSeconds, 0),
+        residentMegabytes: tally.round(after.residentBytes / 1_048_576, 1),
         idle: {
-            controlCoreShare: round(
+            controlCoreShare: tally.round(
                 (idleAfter.processorSeconds - idleBefore.processorSeconds) / (idleMilliseconds / 1000),
                 4,
             ),
-            residentMegabytes: round(idleAfter.residentBytes / 1_048_576, 1),
+            residentMegabytes: tally.round(idleAfter.residentBytes / 1_048_576, 1),
         },
     };
 };
 
 /** The scenario. */
-export const hopScenario: Scenario = {
+export const hopScenario: scenario.Scenario = {
     name: "hop",
     description: "added latency against calling the upstream directly, requests a second a core, memory an instance",
     run,
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,7 +1,7 @@
 /** `npm run measure -- --list`, `npm run measure -- NAME --seed N --json`; the last line is one JSON object. */
-import { createOwner } from "@mulberryseam/foundation";
-import { cac } from "cac";
-import { scenarios } from "./scenarios";
+import * as foundation from "@mulberryseam/foundation";
+import * as cac from "cac";
+import * as scenarios from "./scenarios";
 
 interface MeasureOptions {
     list?: boolean;
@@ -24,10 +24,12 @@
 
 const measure = async (name: string | undefined, options: MeasureOptions): Promise<number> => {
     if (options.list === true || name === undefined) {
-        scenarios.forEach(scenario => process.stdout.write(`${scenario.name.padEnd(16)} ${scenario.description}\n`));
+        scenarios.scenarios.forEach(scenario =>
+            process.stdout.write(`${scenario.name.padEnd(16)} ${scenario.description}\n`)
+        );
         return options.list === true ? 0 : 2;
     }
-    const scenario = scenarios.find(entry => entry.name === name);
+    const scenario = scenarios.scenarios.find(entry => entry.name === name);
     if (scenario === undefined) {
         process.stderr.write(`error: no scenario "${name}"; --list shows them\n`);
         return 2;
@@ -37,7 +39,7 @@
             process.stdout.write(`${text}\n`);
         }
     };
-    const owner = createOwner();
+    const owner = foundation.createOwner();
     const spinBefore = spin();
     const startedAt = performance.now();
     try {
@@ -57,7 +59,7 @@
     }
 };
 
-const program = cac("measure");
+const program = cac.cac("measure");
 program.command("[name]", "Run a scenario")
     .option("--list", "List the scenarios")
     .option("--seed <number>", "Seed of the arrivals", { default: defaultSeed })
--- a/packages/measure/src/ownershipGaps.ts
+++ b/packages/measure/src/ownershipGaps.ts
@@ -1,5 +1,5 @@
 /** Times in which slots had no server that could serve them, from the servers' own histories. */
-import { judgeOwnership, type OwnedInterval } from "@mulberryseam/site";
+import * as site from "@mulberryseam/site";
 
 /**
  * Finds how long each slot of a lost server was without one.
@@ -9,7 +9,7 @@
  * @param lostAt - when, on the clock of the histories
  * @returns milliseconds for each slot that the server owned when it was lost
  */
-export const findGaps = (intervals: readonly OwnedInterval[], server: string, lostAt: number): number[] => {
+export const findGaps = (intervals: readonly site.OwnedInterval[], server: string, lostAt: number): number[] => {
     const slots = intervals
         .filter(entry => entry.server === server && entry.from <= lostAt && entry.until > lostAt)
         .map(entry => entry.slot);
@@ -37,11 +37,15 @@
  * @param killedAt - when, on the clock of the histories
  * @returns the judgement
  */
-export const judgeKill = (intervals: readonly OwnedInterval[], server: string, killedAt: number): KillJudgement => {
-    const endAt = (until: (entry: OwnedInterval) => number): OwnedInterval[] =>
+export const judgeKill = (
+    intervals: readonly site.OwnedInterval[],
+    server: string,
+    killedAt: number,
+): KillJudgement => {
+    const endAt = (until: (entry: site.OwnedInterval) => number): site.OwnedInterval[] =>
         intervals.map(entry => entry.server === server ? { ...entry, until: until(entry) } : entry);
     return {
         gaps: findGaps(endAt(() => Infinity), server, killedAt),
-        overlappingOwners: judgeOwnership(endAt(entry => Math.min(entry.until, killedAt))).overlappingOwners,
+        overlappingOwners: site.judgeOwnership(endAt(entry => Math.min(entry.until, killedAt))).overlappingOwners,
     };
 };
--- a/packages/measure/src/rankedLoad.ts
+++ b/packages/measure/src/rankedLoad.ts
@@ -1,10 +1,10 @@
 /** Load of several ranks at once, and the judgement of what callers were told against what upstreams ran. */
-import { type CallerAnswer, sendRequest, type Site } from "@mulberryseam/site";
+import * as sites from "@mulberryseam/site";
 import * as crypto from "node:crypto";
 import * as undici from "undici";
-import { runArrivals } from "./clock";
-import type { Figures } from "./scenario";
-import { createTally, round } from "./tally";
+import * as clock from "./clock";
+import type * as scenario from "./scenario";
+import * as tallying from "./tally";
 
 /** Load of one rank. */
 export interface RankLoad {
@@ -21,8 +21,8 @@
 export interface RankResult {
     rank: string;
     answeredPerSecond: number;
-    figures: Figures;
-    answers: CallerAnswer[];
+    figures: scenario.Figures;
+    answers: sites.CallerAnswer[];
 }
 
 /** A load to run. */
@@ -46,16 +46,16 @@
     const runRank = async (load: RankLoad, rankNumber: number): Promise<RankResult> => {
         // Each rank has connections of its own, without limit, so that ranks meet only at the instances.
         const dispatcher = new undici.Agent();
-        const tally = createTally(options.targetOf(load.rank));
-        const answers: CallerAnswer[] = [];
+        const tally = tallying.createTally(options.targetOf(load.rank));
+        const answers: sites.CallerAnswer[] = [];
         const body = load.bodyBytes > 0 ? crypto.randomBytes(load.bodyBytes) : undefined;
-        await runArrivals({
+        await clock.runArrivals({
             seed: options.seed * 10 + rankNumber,
             perSecond: load.perSecond,
             durationMilliseconds: options.durationMilliseconds,
             send: async index => {
                 const entries = options.entries();
-                const answer = await sendRequest({
+                const answer = await sites.sendRequest({
                     instance: entries[index % entries.length],
                     service: options.service,
                     rank: load.rank,
@@ -84,11 +84,11 @@
  * @param flood - results of the flood
  * @returns figures by rank, with the share of the calm's goodput that each rank kept
  */
-export const compareWithCalm = (calm: readonly RankResult[], flood: readonly RankResult[]): Figures => {
-    const figures: { [rank: string]: Figures; } = {};
+export const compareWithCalm = (calm: readonly RankResult[], flood: readonly RankResult[]): scenario.Figures => {
+    const figures: { [rank: string]: scenario.Figures; } = {};
     for (const result of flood) {
         const before = calm.find(entry => entry.rank === result.rank)?.answeredPerSecond ?? 0;
-        const keptShare = before === 0 ? 0 : round(result.answeredPerSecond / before, 3);
+        const keptShare = before === 0 ? 0 : tallying.round(result.answeredPerSecond / before, 3);
         figures[result.rank] = { ...result.figures, keptShare };
     }
     return figures;
@@ -104,7 +104,7 @@
  * @returns how often a request that is not idempotent ran twice, and how often one ran that was told as not run
  */
 export const judgeRuns = async (
-    site: Site,
+    site: sites.Site,
     service: string,
     results: readonly RankResult[],
     loads: readonly RankLoad[],
--- a/packages/measure/src/rollingStopScenario.ts
+++ b/packages/measure/src/rollingStopScenario.ts
@@ -1,9 +1,9 @@
 /** Every instance replaced in turn under load, with slow uploads in flight. */
-import { createSite, judgeOwnership, loadExample, type Site, wait } from "@mulberryseam/site";
+import * as sites from "@mulberryseam/site";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
-import { judgeRuns, type RankLoad, runRankedLoad } from "./rankedLoad";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
+import * as rankedLoad from "./rankedLoad";
+import type * as scenario from "./scenario";
 
 const startTimeoutMilliseconds = 30_000;
 const uploadBytes = 300_000;
@@ -12,7 +12,7 @@
 const leadMilliseconds = 300;
 const settleMilliseconds = 700;
 
-const loads: readonly RankLoad[] = [
+const loads: readonly rankedLoad.RankLoad[] = [
     { rank: "lookup", perSecond: 100, workMilliseconds: 10, bodyBytes: 0, isIdempotent: true },
     { rank: "order", perSecond: 60, workMilliseconds: 30, bodyBytes: 300, isIdempotent: false },
 ];
@@ -40,42 +40,45 @@
         const send = async (): Promise<void> => {
             for (let start = 0; start < body.length && !request.destroyed; start += uploadChunkBytes) {
                 request.write(body.subarray(start, start + uploadChunkBytes));
-                await wait(uploadPauseMilliseconds);
+                await sites.wait(uploadPauseMilliseconds);
             }
             request.end();
         };
         void send();
     });
 
-const replaceAll = async (site: Site, entries: string[], say: (text: string) => void): Promise<boolean[]> => {
+const replaceAll = async (site: sites.Site, entries: string[], say: (text: string) => void): Promise<boolean[]> => {
     const uploads: Promise<boolean>[] = [];
     for (const [index, instance] of [...site.instances].entries()) {
         say(`replacing ${instance.name}`);
         uploads.push(uploadSlowly(instance.callers));
-        await wait(leadMilliseconds);
+        await sites.wait(leadMilliseconds);
         // The platform's balancer sees that the instance leaves and sends it nothing new.
         entries.splice(entries.indexOf(instance.callers), 1);
         await site.listInstances([instance.name]);
         await instance.process.stop();
         await site.replaceInstance(index);
         await site.listInstances();
-        await wait(settleMilliseconds);
+        await sites.wait(settleMilliseconds);
         entries.push(instance.callers);
     }
     return Promise.all(uploads);
 };
 
 /** The scenario. */
-export const rollingStopScenario: Scenario = {
+export const rollingStopScenario: scenario.Scenario = {
     name: "rolling-stop",
     description: "all instances are replaced in turn under load, each with a slow upload in flight",
-    run: async ({ seed, owner, say }: ScenarioRun): Promise<Figures> => {
-        const site = await createSite({ document: await loadExample("dar-el-sikka"), instanceCount: 8 }, owner);
+    run: async ({ seed, owner, say }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+        const site = await sites.createSite(
+            { document: await sites.loadExample("dar-el-sikka"), instanceCount: 8 },
+            owner,
+        );
         await site.waitUntilServing(startTimeoutMilliseconds);
         const entries = site.instances.map(instance => instance.callers);
         const targetOf = (rank: string): number =>
             site.document.ranks.find(entry => entry.name === rank)?.targetMilliseconds ?? 0;
-        const running = runRankedLoad({
+        const running = rankedLoad.runRankedLoad({
             seed,
             entries: () => entries,
             service: "order-book",
@@ -89,8 +92,8 @@
             uploads: uploads.length,
             uploadsCut: uploads.filter(isWhole => !isWhole).length,
             ranks: Object.fromEntries(results.map(result => [result.rank, result.figures])),
-            ...await judgeRuns(site, "order-book", results, loads),
-            overlappingOwners: judgeOwnership(await site.ownership()).overlappingOwners,
+            ...await rankedLoad.judgeRuns(site, "order-book", results, loads),
+            overlappingOwners: sites.judgeOwnership(await site.ownership()).overlappingOwners,
         };
     },
 };
--- a/packages/measure/src/scenario.ts
+++ b/packages/measure/src/scenario.ts
@@ -1,5 +1,5 @@
 /** What a scenario of measurement is. */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 
 /** Figures of a scenario: numbers, or groups of them. */
 export type Figures = { [name: string]: number | string | Figures | readonly Figures[]; };
@@ -7,7 +7,7 @@
 /** What a scenario is run with. */
 export interface ScenarioRun {
     seed: number;
-    owner: Owner;
+    owner: foundation.Owner;
     /** Tells people how far the run is. */
     say: (text: string) => void;
 }
--- a/packages/measure/src/scenarios.ts
+++ b/packages/measure/src/scenarios.ts
@@ -1,26 +1,26 @@
 /** Every scenario. */
-import { churnScenario } from "./churnScenario";
-import { configurationScenario } from "./configurationScenario";
-import { controlScenario } from "./controlScenario";
-import { floodScenarios } from "./floodScenarios";
-import { hopScenario } from "./hopScenario";
-import { outageScenario } from "./outageScenario";
-import { rollingStopScenario } from "./rollingStopScenario";
-import type { Scenario } from "./scenario";
-import { slopesScenario } from "./slopesScenario";
-import { takeoverScenario } from "./takeoverScenario";
-import { upstreamFaultsScenario } from "./upstreamFaultsScenario";
+import * as churnScenario from "./churnScenario";
+import * as configurationScenario from "./configurationScenario";
+import * as controlScenario from "./controlScenario";
+import * as floodScenarios from "./floodScenarios";
+import * as hopScenario from "./hopScenario";
+import * as outageScenario from "./outageScenario";
+import * as rollingStopScenario from "./rollingStopScenario";
+import type * as scenario from "./scenario";
+import * as slopesScenario from "./slopesScenario";
+import * as takeoverScenario from "./takeoverScenario";
+import * as upstreamFaultsScenario from "./upstreamFaultsScenario";
 
 /** Every scenario, in the order in which they are listed. */
-export const scenarios: readonly Scenario[] = [
-    hopScenario,
-    takeoverScenario,
-    outageScenario,
-    churnScenario,
-    configurationScenario,
-    ...floodScenarios,
-    upstreamFaultsScenario,
-    rollingStopScenario,
-    controlScenario,
-    slopesScenario,
+export const scenarios: readonly scenario.Scenario[] = [
+    hopScenario.hopScenario,
+    takeoverScenario.takeoverScenario,
+    outageScenario.outageScenario,
+    churnScenario.churnScenario,
+    configurationScenario.configurationScenario,
+    ...floodScenarios.floodScenarios,
+    upstreamFaultsScenario.upstreamFaultsScenario,
+    rollingStopScenario.rollingStopScenario,
+    controlScenario.controlScenario,
+    slopesScenario.slopesScenario,
 ];
--- a/packages/measure/src/slopesScenario.ts
+++ b/packages/measure/src/slopesScenario.ts
@@ -1,22 +1,13 @@
 /** What each size costs: one size is varied at a time, a line is fitted, and the page on capacity is worked from it. */
-import { parseEnvironment } from "@mulberryseam/configuration";
-import { slotOf } from "@mulberryseam/gateway";
-import {
-    createCheckpoint,
-    emptyState,
-    fold,
-    type LogRecord,
-    type LogState,
-    type Member,
-    type ServerRegistration,
-    type SlotEntry,
-} from "@mulberryseam/ledger";
-import { createGrantLedger, planBalance } from "@mulberryseam/ownership";
-import { createFrameDecoder, encodeFrame, type Message, parseMessage } from "@mulberryseam/protocol";
-import { createLoadCounter, createRankQueue } from "@mulberryseam/traffic";
+import * as configuration from "@mulberryseam/configuration";
+import * as gateway from "@mulberryseam/gateway";
+import * as ledgers from "@mulberryseam/ledger";
+import * as ownership from "@mulberryseam/ownership";
+import * as protocol from "@mulberryseam/protocol";
+import * as traffic from "@mulberryseam/traffic";
 import * as yaml from "yaml";
-import { fitLine, type Point, timeMicroseconds } from "./fit";
-import type { Figures, Scenario } from "./scenario";
+import * as fit from "./fit";
+import type * as scenario from "./scenario";
 
 const slotSizes = [256, 1024, 4096, 16_384];
 const serverSizes = [15, 60, 240, 960];
@@ -26,7 +17,7 @@
 
 const numbers = (count: number): number[] => [...Array(count).keys()];
 
-const createMembers = (count: number): Member[] =>
+const createMembers = (count: number): ledgers.Member[] =>
     numbers(count).map(number => ({
         name: `entry-${number}`,
         incarnation: "0123456789abcdef",
@@ -35,7 +26,7 @@
         failureDomain: "tunis-a",
     }));
 
-const createServers = (count: number): ServerRegistration[] =>
+const createServers = (count: number): ledgers.ServerRegistration[] =>
     numbers(count).map(number => ({
         name: `archive-${number}`,
         session: 2,
@@ -44,7 +35,7 @@
         statusAt: 2,
     }));
 
-const createSlots = (slots: number, servers: number): SlotEntry[] =>
+const createSlots = (slots: number, servers: number): ledgers.SlotEntry[] =>
     numbers(slots).map(slot => ({
         owner: `archive-${slot % servers}@2`,
         token: 8,
@@ -53,8 +44,8 @@
         previous: undefined,
     }));
 
-const createState = (slots: number, servers: number, members: number): LogState => ({
-    ...emptyState(),
+const createState = (slots: number, servers: number, members: number): ledgers.LogState => ({
+    ...ledgers.emptyState(),
     offset: 10,
     changedAt: 10,
     term: 1,
@@ -63,7 +54,7 @@
     tables: [{ service: "archive", version: 4, slots: createSlots(slots, servers) }],
 });
 
-const createConfirm = (servers: number): Message => ({
+const createConfirm = (servers: number): protocol.Message => ({
     kind: "confirm",
     round: 1234,
     knowledge: { offset: 10, lapses: [] },
@@ -79,20 +70,20 @@
     },
 });
 
-const measure = (sizes: readonly number[], valueOf: (size: number) => number): Point[] =>
+const measure = (sizes: readonly number[], valueOf: (size: number) => number): fit.Point[] =>
     sizes.map(size => ({ size, value: valueOf(size) }));
 
 const confirmMicroseconds = (servers: number): number => {
     const message = createConfirm(servers);
-    return timeMicroseconds(() => {
-        const frames = createFrameDecoder().push(encodeFrame(message)).unwrap();
-        parseMessage(frames[0]);
+    return fit.timeMicroseconds(() => {
+        const frames = protocol.createFrameDecoder().push(protocol.encodeFrame(message)).unwrap();
+        protocol.parseMessage(frames[0]);
     });
 };
 
 const foldMicroseconds = (slots: number, moves: number): number => {
     const state = createState(slots, 15, 8);
-    const record: LogRecord = {
+    const record: ledgers.LogRecord = {
         identifier: { writer: "entry-1#run", sequence: 1 },
         body: {
             kind: "assign",
@@ -103,15 +94,15 @@
             assignments: numbers(moves).map(slot => ({ slot, owner: "archive-3@2", heir: "archive-4@2" })),
         },
     };
-    return timeMicroseconds(() => {
-        fold(state, record, 11);
+    return fit.timeMicroseconds(() => {
+        ledgers.fold(state, record, 11);
     });
 };
 
 const takeRoundMicroseconds = (slots: number): number => {
-    const ledger = createGrantLedger();
+    const ledger = ownership.createGrantLedger();
     let time = 0;
-    return timeMicroseconds(() => {
+    return fit.timeMicroseconds(() => {
         time += 1;
         const state = createState(0, 15, 8);
         const changed = { ...state, tables: [{ service: "archive", version: time, slots: cachedSlots(slots) }] };
@@ -123,18 +114,18 @@
     });
 };
 
-const slotCache = new Map<number, SlotEntry[]>();
-const cachedSlots = (slots: number): SlotEntry[] => {
+const slotCache = new Map<number, ledgers.SlotEntry[]>();
+const cachedSlots = (slots: number): ledgers.SlotEntry[] => {
     const cached = slotCache.get(slots) ?? createSlots(slots, 15);
     slotCache.set(slots, cached);
     return cached;
 };
 
 const dueMicroseconds = (slots: number): number => {
-    const ledger = createGrantLedger();
+    const ledger = ownership.createGrantLedger();
     const state = createState(slots, 15, 8);
     ledger.takeRound({ beganAt: 1, completedAt: 1, knowledge: { offset: 10, lapses: [] } }, state, 700);
-    return timeMicroseconds(() => {
+    return fit.timeMicroseconds(() => {
         ledger.dueFor("archive-3@2", 10_000);
     });
 };
@@ -146,8 +137,8 @@
         failureDomain: `domain-${number % 6}`,
         isLeaving: false,
     }));
-    return timeMicroseconds(() => {
-        planBalance(tables[0], placementServers, [{ slot: 3, requestsPerSecond: 900 }], 1.3, 1);
+    return fit.timeMicroseconds(() => {
+        ownership.planBalance(tables[0], placementServers, [{ slot: 3, requestsPerSecond: 900 }], 1.3, 1);
     });
 };
 
@@ -167,15 +158,15 @@
             })),
         }],
     });
-    return timeMicroseconds(() => {
-        parseEnvironment("slopes", text).unwrap();
+    return fit.timeMicroseconds(() => {
+        configuration.parseEnvironment("slopes", text).unwrap();
     });
 };
 
 const loadSampleMicroseconds = (slots: number): number => {
-    const counter = createLoadCounter(0);
+    const counter = traffic.createLoadCounter(0);
     let time = 0;
-    return timeMicroseconds(() => {
+    return fit.timeMicroseconds(() => {
         numbers(slots).forEach(slot => counter.onRequest("archive", slot));
         counter.sample(time += 1);
     });
@@ -188,62 +179,65 @@
         maximumShare: 1,
         targetMilliseconds: 1e9,
     }));
-    const queue = createRankQueue<number>(ranks);
+    const queue = traffic.createRankQueue<number>(ranks);
     numbers(waiting).forEach(item =>
         queue.enqueue({ item, rank: "order", deadlineAt: 1e12, bytes: heldBytesPerUnit }, 0)
     );
-    return timeMicroseconds(() => {
+    return fit.timeMicroseconds(() => {
         queue.enqueue({ item: 1, rank: "order", deadlineAt: 1e12, bytes: heldBytesPerUnit }, 0);
         queue.next(1e6, 0, () => true);
         queue.onDone("order", 5);
     });
 };
 
-const run = async (): Promise<Figures> => ({
+const run = async (): Promise<scenario.Figures> => ({
     confirmByServers: {
-        bytes: fitLine(measure(serverSizes, servers => encodeFrame(createConfirm(servers)).length), "bytes a message"),
-        time: fitLine(measure(serverSizes, confirmMicroseconds), "us to encode, decode and check a message"),
+        bytes: fit.fitLine(
+            measure(serverSizes, servers => protocol.encodeFrame(createConfirm(servers)).length),
+            "bytes a message",
+        ),
+        time: fit.fitLine(measure(serverSizes, confirmMicroseconds), "us to encode, decode and check a message"),
     },
     stateBytes: {
-        bySlots: fitLine(measure(slotSizes, slots => JSON.stringify(createState(slots, 15, 8)).length), "bytes"),
-        byServers: fitLine(
+        bySlots: fit.fitLine(measure(slotSizes, slots => JSON.stringify(createState(slots, 15, 8)).length), "bytes"),
+        byServers: fit.fitLine(
             measure(serverSizes, servers => JSON.stringify(createState(256, servers, 8)).length),
             "bytes",
         ),
-        byMembers: fitLine(
+        byMembers: fit.fitLine(
             measure(memberSizes, members => JSON.stringify(createState(256, 15, members)).length),
             "bytes",
         ),
     },
     foldAssign: {
-        bySlots: fitLine(measure(slotSizes, slots => foldMicroseconds(slots, 4)), "us a record"),
-        byMoves: fitLine(measure(moveSizes, moves => foldMicroseconds(256, moves)), "us a record"),
+        bySlots: fit.fitLine(measure(slotSizes, slots => foldMicroseconds(slots, 4)), "us a record"),
+        byMoves: fit.fitLine(measure(moveSizes, moves => foldMicroseconds(256, moves)), "us a record"),
     },
-    takeRoundBySlots: fitLine(measure(slotSizes, takeRoundMicroseconds), "us a change"),
-    dueBySlots: fitLine(measure(slotSizes, dueMicroseconds), "us a renewal"),
-    planBySlots: fitLine(measure(slotSizes, slots => planMicroseconds(slots, 15)), "us a plan"),
-    planByServers: fitLine(measure(serverSizes, servers => planMicroseconds(4096, servers)), "us a plan"),
-    checkpointBySlots: fitLine(
+    takeRoundBySlots: fit.fitLine(measure(slotSizes, takeRoundMicroseconds), "us a change"),
+    dueBySlots: fit.fitLine(measure(slotSizes, dueMicroseconds), "us a renewal"),
+    planBySlots: fit.fitLine(measure(slotSizes, slots => planMicroseconds(slots, 15)), "us a plan"),
+    planByServers: fit.fitLine(measure(serverSizes, servers => planMicroseconds(4096, servers)), "us a plan"),
+    checkpointBySlots: fit.fitLine(
         measure(slotSizes, slots => {
             const state = createState(slots, 15, 8);
-            return timeMicroseconds(() => {
-                createCheckpoint(state, "slopes");
+            return fit.timeMicroseconds(() => {
+                ledgers.createCheckpoint(state, "slopes");
             });
         }),
         "us a checkpoint",
     ),
-    parseByUpstreams: fitLine(measure([15, 60, 240], parseMicroseconds), "us a document"),
-    loadSampleBySlots: fitLine(measure([16, 64, 256], loadSampleMicroseconds), "us a second"),
-    queueByWaiting: fitLine(measure([10, 100, 1000], queueMicroseconds), "us a request"),
+    parseByUpstreams: fit.fitLine(measure([15, 60, 240], parseMicroseconds), "us a document"),
+    loadSampleBySlots: fit.fitLine(measure([16, 64, 256], loadSampleMicroseconds), "us a second"),
+    queueByWaiting: fit.fitLine(measure([10, 100, 1000], queueMicroseconds), "us a request"),
     slotOfKeyMicroseconds: Number(
-        timeMicroseconds(() => {
-            slotOf("a-key-of-twenty-char", 256);
+        fit.timeMicroseconds(() => {
+            gateway.slotOf("a-key-of-twenty-char", 256);
         }).toPrecision(3),
     ),
 });
 
 /** The scenario. */
-export const slopesScenario: Scenario = {
+export const slopesScenario: scenario.Scenario = {
     name: "slopes",
     description: "cost of each part by one size at a time, with fitted lines; what docs/CAPACITY.md is worked from",
     run,
