--- a/packages/measure/src/takeoverScenario.ts
+++ b/packages/measure/src/takeoverScenario.ts
@@ -1,10 +1,10 @@
 /** A server killed, and another frozen: time until each of its keys is served again. */
-import { createSite, historyClock, loadExample, sendRequest, type Site, wait } from "@mulberryseam/site";
+import * as sites from "@mulberryseam/site";
 import * as undici from "undici";
-import { runArrivals } from "./clock";
-import { findGaps, judgeKill } from "./ownershipGaps";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
-import { createTally, summarize } from "./tally";
+import * as clock from "./clock";
+import * as ownershipGaps from "./ownershipGaps";
+import type * as scenario from "./scenario";
+import * as tallying from "./tally";
 
 const lookupsPerSecond = 300;
 const quietMilliseconds = 2000;
@@ -19,19 +19,23 @@
  * @param durationMilliseconds - how long
  * @returns figures of the answers
  */
-export const runLookups = async (site: Site, seed: number, durationMilliseconds: number): Promise<Figures> => {
+export const runLookups = async (
+    site: sites.Site,
+    seed: number,
+    durationMilliseconds: number,
+): Promise<scenario.Figures> => {
     const [service] = site.document.services;
     const [rank] = site.document.ranks;
-    const tally = createTally(rank.targetMilliseconds);
+    const tally = tallying.createTally(rank.targetMilliseconds);
     const dispatcher = new undici.Agent({ connections: 64 });
-    await runArrivals({
+    await clock.runArrivals({
         seed,
         perSecond: lookupsPerSecond,
         durationMilliseconds,
         send: async index => {
             const running = site.instances.filter(instance => instance.process.isRunning());
             tally.take(
-                await sendRequest({
+                await sites.sendRequest({
                     instance: running[index % running.length].callers,
                     service: service.name,
                     rank: rank.name,
@@ -45,36 +49,36 @@
     return tally.figures();
 };
 
-const run = async ({ seed, owner, say }: ScenarioRun): Promise<Figures> => {
-    const site = await createSite({ document: await loadExample("dar-el-sikka"), instanceCount: 8 }, owner);
+const run = async ({ seed, owner, say }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+    const site = await sites.createSite({ document: await sites.loadExample("dar-el-sikka"), instanceCount: 8 }, owner);
     await site.waitUntilServing(startTimeoutMilliseconds);
     const [killed, frozen] = [...site.servers.keys()].sort();
     const lookups = runLookups(site, seed, quietMilliseconds + observedMilliseconds * 2);
-    await wait(quietMilliseconds);
+    await sites.wait(quietMilliseconds);
     say(`killing ${killed}`);
     await site.keepHistory(killed);
-    const killedAt = historyClock();
+    const killedAt = sites.historyClock();
     await site.servers.get(killed)?.process.kill();
-    await wait(observedMilliseconds);
+    await sites.wait(observedMilliseconds);
     say(`freezing ${frozen}`);
-    const frozenAt = historyClock();
+    const frozenAt = sites.historyClock();
     site.servers.get(frozen)?.process.freeze();
-    await wait(observedMilliseconds - quietMilliseconds);
+    await sites.wait(observedMilliseconds - quietMilliseconds);
     site.servers.get(frozen)?.process.resume();
     const answers = await lookups;
     const ownership = await site.ownership();
-    const kill = judgeKill(ownership, killed, killedAt);
+    const kill = ownershipGaps.judgeKill(ownership, killed, killedAt);
     return {
         targetMilliseconds: 2000,
-        killed: { unavailableMilliseconds: summarize(kill.gaps) },
-        frozen: { unavailableMilliseconds: summarize(findGaps(ownership, frozen, frozenAt)) },
+        killed: { unavailableMilliseconds: tallying.summarize(kill.gaps) },
+        frozen: { unavailableMilliseconds: tallying.summarize(ownershipGaps.findGaps(ownership, frozen, frozenAt)) },
         overlappingOwners: kill.overlappingOwners,
         lookups: answers,
     };
 };
 
 /** The scenario. */
-export const takeoverScenario: Scenario = {
+export const takeoverScenario: scenario.Scenario = {
     name: "takeover",
     description: "a server is killed, another frozen and woken: time until each of its keys is served again",
     run,
--- a/packages/measure/src/tally.ts
+++ b/packages/measure/src/tally.ts
@@ -1,13 +1,13 @@
 /** Counts answers by rank. */
-import type { CallerAnswer } from "@mulberryseam/site";
+import type * as site from "@mulberryseam/site";
 import * as hdr from "hdr-histogram-js";
-import type { Figures } from "./scenario";
+import type * as scenario from "./scenario";
 
 /** Counts the answers of one rank. */
 export interface Tally {
-    take: (answer: CallerAnswer) => void;
+    take: (answer: site.CallerAnswer) => void;
     answered: () => number;
-    figures: () => Figures;
+    figures: () => scenario.Figures;
 }
 
 const highestMicroseconds = 120_000_000;
@@ -74,7 +74,7 @@
  * @param values - any number of values
  * @returns the median, the 99th percentile and the highest
  */
-export const summarize = (values: readonly number[]): Figures => {
+export const summarize = (values: readonly number[]): scenario.Figures => {
     const sorted = [...values].sort((left, right) => left - right);
     const at = (share: number): number =>
         round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0, 1);
--- a/packages/measure/src/upstreamFaultsScenario.ts
+++ b/packages/measure/src/upstreamFaultsScenario.ts
@@ -1,9 +1,9 @@
 /** Upstreams that shed while they report no load, and one that swallows answers, against the plainest router. */
-import { createOwner } from "@mulberryseam/foundation";
-import { createSite, loadExample, type Site, wait } from "@mulberryseam/site";
-import { startBaseline } from "./baseline";
-import { judgeRuns, type RankLoad, runRankedLoad } from "./rankedLoad";
-import type { Figures, Scenario, ScenarioRun } from "./scenario";
+import * as foundation from "@mulberryseam/foundation";
+import * as sites from "@mulberryseam/site";
+import * as baselines from "./baseline";
+import * as rankedLoad from "./rankedLoad";
+import type * as scenario from "./scenario";
 
 const durationMilliseconds = 10_000;
 const startTimeoutMilliseconds = 30_000;
@@ -17,7 +17,7 @@
     workMilliseconds: number,
     bodyBytes: number,
     deadlineMilliseconds: number,
-): RankLoad => ({
+): rankedLoad.RankLoad => ({
     rank,
     perSecond,
     workMilliseconds,
@@ -26,47 +26,54 @@
     isIdempotent: bodyBytes === 0,
 });
 
-const loads: readonly RankLoad[] = [
+const loads: readonly rankedLoad.RankLoad[] = [
     createLoad("lookup", 120, 20, 0, 2000),
     createLoad("booking", 60, 60, 300, 3000),
     createLoad("media", 20, 150, 20_000, 5000),
 ];
 
-const setFaults = async (site: Site, isFaulty: boolean): Promise<void> => {
+const setFaults = async (site: sites.Site, isFaulty: boolean): Promise<void> => {
     await site.setUpstreamFaults("booking-1", { swallowsAnswers: isFaulty });
     await site.setUpstreamFaults("booking-2", { sheds: isFaulty, misreportsLoad: isFaulty });
     await site.setUpstreamFaults("booking-3", { sheds: isFaulty, misreportsLoad: isFaulty });
 };
 
-const runAgainst = async (site: Site, seed: number, entries: readonly string[]): Promise<Figures> => {
+const runAgainst = async (site: sites.Site, seed: number, entries: readonly string[]): Promise<scenario.Figures> => {
     const targetOf = (rank: string): number =>
         site.document.ranks.find(entry => entry.name === rank)?.targetMilliseconds ?? 0;
-    const running = runRankedLoad({ seed, entries: () => entries, service, loads, durationMilliseconds, targetOf });
-    await wait(faultyAfterMilliseconds);
+    const running = rankedLoad.runRankedLoad({
+        seed,
+        entries: () => entries,
+        service,
+        loads,
+        durationMilliseconds,
+        targetOf,
+    });
+    await sites.wait(faultyAfterMilliseconds);
     await setFaults(site, true);
     const results = await running;
     await setFaults(site, false);
     return {
         ranks: Object.fromEntries(results.map(result => [result.rank, result.figures])),
-        ...await judgeRuns(site, service, results, loads),
+        ...await rankedLoad.judgeRuns(site, service, results, loads),
     };
 };
 
 /** The scenario. */
-export const upstreamFaultsScenario: Scenario = {
+export const upstreamFaultsScenario: scenario.Scenario = {
     name: "upstream-faults",
     description:
         "one of 12 upstreams never answers and two shed while they report no load, against the plainest router",
-    run: async ({ seed, owner }: ScenarioRun): Promise<Figures> => {
-        const site = await createSite({ document: await loadExample("vatuwaqa"), instanceCount: 8 }, owner);
-        const baselineOwner = createOwner();
+    run: async ({ seed, owner }: scenario.ScenarioRun): Promise<scenario.Figures> => {
+        const site = await sites.createSite({ document: await sites.loadExample("vatuwaqa"), instanceCount: 8 }, owner);
+        const baselineOwner = foundation.createOwner();
         owner.onCleanup(baselineOwner.dispose);
-        const baselineEntries = await startBaseline(site, baselineOwner);
+        const baselineEntries = await baselines.startBaseline(site, baselineOwner);
         await site.waitUntilServing(startTimeoutMilliseconds);
         const baseline = await runAgainst(site, seed, baselineEntries);
         // The plain routers would go on holding connections that upstreams count.
         await baselineOwner.dispose();
-        await wait(pauseMilliseconds);
+        await sites.wait(pauseMilliseconds);
         const ours = await runAgainst(site, seed, site.instances.map(instance => instance.callers));
         return { ...ours, baseline };
     },
--- a/packages/ownership/src/confirmation.ts
+++ b/packages/ownership/src/confirmation.ts
@@ -5,8 +5,8 @@
  * knowledge completes, no instance can confirm older knowledge, and leases granted on older knowledge end within one
  * lease of that moment. This holds whether the log can be reached or not.
  */
-import type { ServerIdentifier } from "@mulberryseam/ledger";
-import { isSameKnowledge, type Knowledge } from "./knowledge";
+import type * as ledger from "@mulberryseam/ledger";
+import * as knowledge from "./knowledge";
 
 /** A round that a majority has answered. */
 export interface ConfirmedRound {
@@ -14,26 +14,26 @@
     beganAt: number;
     /** When the majority was complete. */
     completedAt: number;
-    knowledge: Knowledge;
+    knowledge: knowledge.Knowledge;
 }
 
 interface OpenRound {
     beganAt: number;
-    knowledge: Knowledge;
+    knowledge: knowledge.Knowledge;
     /** Members whose majority is asked, by identifier. */
     members: readonly string[];
     /** Tells which sessions the log had ended when the round began. */
-    isEnded: (identifier: ServerIdentifier) => boolean;
+    isEnded: (identifier: ledger.ServerIdentifier) => boolean;
     agreed: Set<string>;
 }
 
 /** What a round asks. */
 export interface RoundQuestion {
-    knowledge: Knowledge;
+    knowledge: knowledge.Knowledge;
     /** Identifiers of the members whose majority is asked. */
     members: readonly string[];
     /** Tells which sessions the folded log has ended. */
-    isEnded: (identifier: ServerIdentifier) => boolean;
+    isEnded: (identifier: ledger.ServerIdentifier) => boolean;
 }
 
 /** Keeps rounds of confirmation. */
@@ -50,7 +50,7 @@
      *
      * @returns the round, when this answer completes the majority
      */
-    takeAnswer: (round: number, member: string, theirs: Knowledge, now: number) => ConfirmedRound | undefined;
+    takeAnswer: (round: number, member: string, theirs: knowledge.Knowledge, now: number) => ConfirmedRound | undefined;
     /** The confirmed round that began last. */
     latest: () => ConfirmedRound | undefined;
     /** Members that agreed to the given round so far. */
@@ -95,7 +95,7 @@
             if (round === undefined || !round.members.includes(member) || round.agreed.has(member)) {
                 return undefined;
             }
-            if (!isSameKnowledge(theirs, round.knowledge, round.isEnded)) {
+            if (!knowledge.isSameKnowledge(theirs, round.knowledge, round.isEnded)) {
                 return undefined;
             }
             round.agreed.add(member);
--- a/packages/ownership/src/coordinator.ts
+++ b/packages/ownership/src/coordinator.ts
@@ -2,61 +2,61 @@
  * The part of an instance that decides on ownership with its peers. It takes messages and readings as they come and
  * acts through the functions it is given; it has no sockets and tells time by the timer service.
  */
-import type { Service } from "@mulberryseam/configuration";
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
-import { type LogState, type Member, memberIdentifier, type RecordBody, serverIdentifier } from "@mulberryseam/ledger";
-import { type Confirm, type Confirmed, type Message, MessageKind, type PeerReport } from "@mulberryseam/protocol";
-import type { ConfirmedRound } from "./confirmation";
-import { createCoordinatorContext } from "./coordinatorContext";
-import { type CoordinatorStatus, createCoordinatorViews, type Route } from "./coordinatorViews";
-import type { InForce } from "./environmentInForce";
-import type { GrantedSlot } from "./grantLedger";
-import type { Knowledge } from "./knowledge";
-import { createLeaderDuty } from "./leaderDuty";
-import { createLossDeclaration } from "./lossDeclaration";
-import type { ListedInstance } from "./peerDirectory";
-import { createServerRenewal, type Renewal, type ServerReply } from "./renewal";
-import { createReports } from "./reports";
+import type * as configuration from "@mulberryseam/configuration";
+import type * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
+import * as protocol from "@mulberryseam/protocol";
+import type * as confirmations from "./confirmation";
+import * as coordinatorContext from "./coordinatorContext";
+import * as coordinatorViews from "./coordinatorViews";
+import type * as environmentInForce from "./environmentInForce";
+import type * as grantLedger from "./grantLedger";
+import type * as knowing from "./knowledge";
+import * as leaderDuty from "./leaderDuty";
+import * as lossDeclaration from "./lossDeclaration";
+import type * as peerDirectory from "./peerDirectory";
+import * as renewals from "./renewal";
+import * as reporting from "./reports";
 
 /** Means by which the coordinator acts. */
 export interface CoordinatorOptions {
-    self: Member;
+    self: ledger.Member;
     environmentName: string;
-    timers: TimerService;
-    logger: Logger;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
     /** Sends to a peer by name; may drop the message. */
-    sendToPeer: (peer: string, message: Message) => void;
+    sendToPeer: (peer: string, message: protocol.Message) => void;
     /** Tells the current addresses of peers by name. */
     onPeers: (addresses: Map<string, string>) => void;
     /** Sends to a server; its reply comes back by `takeServerReply`. */
-    sendToServer: (server: string, address: string, renewal: Renewal) => void;
+    sendToServer: (server: string, address: string, renewal: renewals.Renewal) => void;
     /** Appends a record; what became of it is seen in the folded state. */
-    append: (body: RecordBody) => Promise<unknown>;
+    append: (body: ledger.RecordBody) => Promise<unknown>;
     /** Busiest slots by the instance's own traffic. */
-    ownLoads: () => PeerReport["loads"];
+    ownLoads: () => protocol.PeerReport["loads"];
     /** Asks a peer for the state it has folded. */
     onStateWanted: (peer: string) => void;
-    onEnvironment: (inForce: InForce) => void;
+    onEnvironment: (inForce: environmentInForce.InForce) => void;
 }
 
 /** Who sent a message, as its connection was greeted. */
-export type Sender = Pick<Member, "name" | "incarnation">;
+export type Sender = Pick<ledger.Member, "name" | "incarnation">;
 
 /** Decides on ownership with peers. */
 export interface Coordinator {
-    takeState: (state: LogState) => void;
+    takeState: (state: ledger.LogState) => void;
     /** Tells whether the folded state came from the log itself, up to its end; claims need that. */
     takeLogReached: () => void;
-    takeListing: (instances: readonly ListedInstance[]) => void;
-    takeMessage: (sender: Sender, message: Message, reply: (message: Message) => void) => void;
-    takeServerReply: (server: string, reply: ServerReply) => void;
+    takeListing: (instances: readonly peerDirectory.ListedInstance[]) => void;
+    takeMessage: (sender: Sender, message: protocol.Message, reply: (message: protocol.Message) => void) => void;
+    takeServerReply: (server: string, reply: renewals.ServerReply) => void;
     /** Announces that this instance is leaving. */
     leave: () => void;
-    route: (service: Service, slot: number) => Route | undefined;
-    environment: () => InForce | undefined;
+    route: (service: configuration.Service, slot: number) => coordinatorViews.Route | undefined;
+    environment: () => environmentInForce.InForce | undefined;
     /** Number of instances that answer, the own one included. */
     liveInstanceCount: () => number;
-    status: () => CoordinatorStatus;
+    status: () => coordinatorViews.CoordinatorStatus;
 }
 
 const planIntervalMilliseconds = 50;
@@ -69,33 +69,33 @@
  * @param owner - ends its timers
  * @returns the coordinator
  */
-export const createCoordinator = (options: CoordinatorOptions, owner: Owner): Coordinator => {
+export const createCoordinator = (options: CoordinatorOptions, owner: foundation.Owner): Coordinator => {
     const { timers } = options;
-    const context = createCoordinatorContext(options);
+    const context = coordinatorContext.createCoordinatorContext(options);
     const { identifier, confirmation, grants, detector, directory, inForce } = context;
-    const renewal = createServerRenewal(context, options.sendToServer);
-    const views = createCoordinatorViews(context);
-    const losses = createLossDeclaration(context, renewal.renews);
+    const renewal = renewals.createServerRenewal(context, options.sendToServer);
+    const views = coordinatorViews.createCoordinatorViews(context);
+    const losses = lossDeclaration.createLossDeclaration(context, renewal.renews);
     let lastRound = 0;
     let lastFullRound = 0;
     let wantedOffset = -1;
-    const duty = createLeaderDuty(context, {
+    const duty = leaderDuty.createLeaderDuty(context, {
         append: options.append,
         ownLoads: options.ownLoads,
         lastFullRound: () => lastFullRound,
     });
 
-    const reports = createReports(context, renewal, duty, options.ownLoads);
+    const reports = reporting.createReports(context, renewal, duty, options.ownLoads);
 
     const addresses = (): Map<string, string> => directory.addresses(context.state()?.members ?? []);
 
-    const sendToPeers = (message: Message, peers = addresses()): void => {
+    const sendToPeers = (message: protocol.Message, peers = addresses()): void => {
         for (const peer of peers.keys()) {
             options.sendToPeer(peer, message);
         }
     };
 
-    const onRoundConfirmed = (round: ConfirmedRound): void => {
+    const onRoundConfirmed = (round: confirmations.ConfirmedRound): void => {
         const state = context.state();
         if (state !== undefined) {
             grants.takeRound(round, state, context.lease().durationMilliseconds);
@@ -110,10 +110,15 @@
         options.onPeers(peers);
         lastRound = confirmation.begin(timers.now(), {
             knowledge,
-            members: (state?.members ?? []).map(memberIdentifier),
+            members: (state?.members ?? []).map(ledger.memberIdentifier),
             isEnded: context.currentSessionTest(),
         });
-        const message: Confirm = { kind: MessageKind.confirm, round: lastRound, knowledge, report: reports.create() };
+        const message: protocol.Confirm = {
+            kind: protocol.MessageKind.confirm,
+            round: lastRound,
+            knowledge,
+            report: reports.create(),
+        };
         sendToPeers(message, peers);
         const confirmed = confirmation.takeAnswer(lastRound, identifier, knowledge, timers.now());
         if (confirmed !== undefined) {
@@ -153,7 +158,7 @@
         });
     };
 
-    const takeKnowledge = (peer: string, theirs: Knowledge): void => {
+    const takeKnowledge = (peer: string, theirs: knowing.Knowledge): void => {
         if (theirs.offset > context.knowledge().offset) {
             wantState(peer, theirs.offset);
         }
@@ -162,14 +167,14 @@
         }
     };
 
-    const takeConfirm = (peer: string, message: Confirm, reply: (answer: Message) => void): void => {
+    const takeConfirm = (peer: string, message: protocol.Confirm, reply: (answer: protocol.Message) => void): void => {
         reports.take(message.report);
         takeKnowledge(peer, message.knowledge);
-        reply({ kind: MessageKind.confirmed, round: message.round, knowledge: context.knowledge() });
+        reply({ kind: protocol.MessageKind.confirmed, round: message.round, knowledge: context.knowledge() });
     };
 
-    const takeConfirmed = (sender: Sender, message: Confirmed): void => {
-        const member = memberIdentifier(sender);
+    const takeConfirmed = (sender: Sender, message: protocol.Confirmed): void => {
+        const member = ledger.memberIdentifier(sender);
         const round = confirmation.takeAnswer(message.round, member, message.knowledge, timers.now());
         if (round !== undefined) {
             onRoundConfirmed(round);
@@ -177,16 +182,16 @@
         takeKnowledge(sender.name, message.knowledge);
     };
 
-    const takeReleased = (slots: readonly GrantedSlot[]): void => {
+    const takeReleased = (slots: readonly grantLedger.GrantedSlot[]): void => {
         slots.forEach(grants.takeRelease);
         const holders = new Set(slots.map(slot => grants.holder(slot.service, slot.slot, timers.now())?.holder));
         renewal.renew(true, server => {
             const registration = context.registrationOf(server);
-            return registration !== undefined && holders.has(serverIdentifier(registration));
+            return registration !== undefined && holders.has(ledger.serverIdentifier(registration));
         });
     };
 
-    const takeState = (next: LogState): void => {
+    const takeState = (next: ledger.LogState): void => {
         const before = context.state();
         if (before !== undefined && next.offset < before.offset) {
             return;
@@ -217,13 +222,13 @@
             duty.setFounderRank(Math.max(names.indexOf(options.self.name), 0));
         },
         takeMessage: (sender, message, reply) => {
-            if (message.kind === MessageKind.confirm) {
+            if (message.kind === protocol.MessageKind.confirm) {
                 takeConfirm(sender.name, message, reply);
             }
-            else if (message.kind === MessageKind.confirmed) {
+            else if (message.kind === protocol.MessageKind.confirmed) {
                 takeConfirmed(sender, message);
             }
-            else if (message.kind === MessageKind.released) {
+            else if (message.kind === protocol.MessageKind.released) {
                 takeReleased(message.slots);
             }
         },
@@ -233,7 +238,7 @@
             renewal.takeSample(server, { serverClock: reply.clock, receivedAt: answeredAt });
             detector.takeAnswer({ server, incarnation, isDraining, answeredAt });
             if (released.length > 0) {
-                sendToPeers({ kind: MessageKind.released, slots: [...released] });
+                sendToPeers({ kind: protocol.MessageKind.released, slots: [...released] });
                 takeReleased(released);
             }
         },
--- a/packages/ownership/src/coordinatorContext.ts
+++ b/packages/ownership/src/coordinatorContext.ts
@@ -1,62 +1,54 @@
 /** What the parts of a coordinator share: the folded state, knowledge, and who is there. */
-import type { Environment, Service } from "@mulberryseam/configuration";
-import type { Logger, TimerService } from "@mulberryseam/foundation";
-import {
-    createSessionTest,
-    type LogState,
-    type Member,
-    memberIdentifier,
-    type ServerIdentifier,
-    type ServerRegistration,
-    type SessionTest,
-} from "@mulberryseam/ledger";
-import { type Confirmation, createConfirmation } from "./confirmation";
-import { createEnvironmentInForce, type EnvironmentInForce } from "./environmentInForce";
-import { createFailureDetector, type FailureDetector } from "./failureDetector";
-import { createGrantLedger, type GrantLedger } from "./grantLedger";
-import { emptyKnowledge, type Knowledge, mergeLapses } from "./knowledge";
-import { createPeerDirectory, type PeerDirectory } from "./peerDirectory";
+import type * as configuration from "@mulberryseam/configuration";
+import type * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
+import * as confirmation from "./confirmation";
+import * as environmentInForce from "./environmentInForce";
+import * as failureDetector from "./failureDetector";
+import * as grantLedger from "./grantLedger";
+import * as knowing from "./knowledge";
+import * as peerDirectory from "./peerDirectory";
 
 /** What the context is made from. */
 export interface ContextOptions {
-    self: Member;
+    self: ledger.Member;
     environmentName: string;
-    timers: TimerService;
-    logger: Logger;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
 }
 
 /** State shared by the parts of one coordinator. */
 export interface CoordinatorContext {
-    self: Member;
+    self: ledger.Member;
     /** Identifier of the instance as a member. */
     identifier: string;
-    timers: TimerService;
-    logger: Logger;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
     startedAt: number;
-    confirmation: Confirmation;
-    grants: GrantLedger;
-    detector: FailureDetector;
-    directory: PeerDirectory;
-    inForce: EnvironmentInForce;
-    state: () => LogState | undefined;
-    setState: (state: LogState) => void;
-    knowledge: () => Knowledge;
+    confirmation: confirmation.Confirmation;
+    grants: grantLedger.GrantLedger;
+    detector: failureDetector.FailureDetector;
+    directory: peerDirectory.PeerDirectory;
+    inForce: environmentInForce.EnvironmentInForce;
+    state: () => ledger.LogState | undefined;
+    setState: (state: ledger.LogState) => void;
+    knowledge: () => knowing.Knowledge;
     /** Takes sessions declared ended that are new; gives whether there were any. */
-    learnLapses: (lapses: readonly ServerIdentifier[]) => boolean;
+    learnLapses: (lapses: readonly ledger.ServerIdentifier[]) => boolean;
     isLeaving: () => boolean;
     setLeaving: () => void;
-    lease: () => Environment["lease"];
+    lease: () => configuration.Environment["lease"];
     /** Silence after which a server counts as lost, in milliseconds. */
     suspicionMilliseconds: () => number;
     isMember: () => boolean;
     /** Tells whether the log, as folded now, has ended a session. */
-    isEnded: SessionTest;
+    isEnded: ledger.SessionTest;
     /** The same test, bound to what is folded now whatever is folded later. */
-    currentSessionTest: () => SessionTest;
-    registrationOf: (server: string) => ServerRegistration | undefined;
-    keyedUpstreams: () => Service["upstreams"];
+    currentSessionTest: () => ledger.SessionTest;
+    registrationOf: (server: string) => ledger.ServerRegistration | undefined;
+    keyedUpstreams: () => configuration.Service["upstreams"];
     /** Instances that answer and are not leaving, the own one included. */
-    liveInstances: () => Member[];
+    liveInstances: () => ledger.Member[];
 }
 
 /** Time without a report after which an instance no longer counts as live. */
@@ -73,17 +65,17 @@
  */
 export const createCoordinatorContext = (options: ContextOptions): CoordinatorContext => {
     const { self, timers, logger } = options;
-    const identifier = memberIdentifier(self);
-    const directory = createPeerDirectory(self.name);
-    const inForce = createEnvironmentInForce(options.environmentName, logger);
-    let state: LogState | undefined;
-    let knowledge = emptyKnowledge();
+    const identifier = ledger.memberIdentifier(self);
+    const directory = peerDirectory.createPeerDirectory(self.name);
+    const inForce = environmentInForce.createEnvironmentInForce(options.environmentName, logger);
+    let state: ledger.LogState | undefined;
+    let knowledge = knowing.emptyKnowledge();
     let isLeaving = false;
 
-    const lease = (): Environment["lease"] => inForce.current()?.environment.lease ?? fallbackLease;
-    let testSession: SessionTest = () => false;
-    const isEnded: SessionTest = session => testSession(session);
-    const livePeers = (): Member[] =>
+    const lease = (): configuration.Environment["lease"] => inForce.current()?.environment.lease ?? fallbackLease;
+    let testSession: ledger.SessionTest = () => false;
+    const isEnded: ledger.SessionTest = session => testSession(session);
+    const livePeers = (): ledger.Member[] =>
         directory.heardWithin(timers.now(), heartbeatSilenceMilliseconds)
             .filter(heard => !heard.report.isLeaving)
             .map(({ report }) => ({
@@ -100,20 +92,20 @@
         timers,
         logger,
         startedAt: timers.now(),
-        confirmation: createConfirmation(),
-        grants: createGrantLedger(),
-        detector: createFailureDetector(),
+        confirmation: confirmation.createConfirmation(),
+        grants: grantLedger.createGrantLedger(),
+        detector: failureDetector.createFailureDetector(),
         directory,
         inForce,
         state: () => state,
         setState: next => {
             state = next;
-            testSession = createSessionTest(next.servers);
+            testSession = ledger.createSessionTest(next.servers);
             knowledge = { offset: next.changedAt, lapses: knowledge.lapses.filter(session => !isEnded(session)) };
         },
         knowledge: () => knowledge,
         learnLapses: lapses => {
-            const merged = mergeLapses(knowledge.lapses, lapses.filter(session => !isEnded(session)));
+            const merged = knowing.mergeLapses(knowledge.lapses, lapses.filter(session => !isEnded(session)));
             const hasGrown = merged.length > knowledge.lapses.length;
             knowledge = { ...knowledge, lapses: merged };
             return hasGrown;
@@ -124,7 +116,7 @@
         },
         lease,
         suspicionMilliseconds: () => lease().durationMilliseconds * suspicionShare,
-        isMember: () => state?.members.some(member => memberIdentifier(member) === identifier) ?? false,
+        isMember: () => state?.members.some(member => ledger.memberIdentifier(member) === identifier) ?? false,
         isEnded,
         currentSessionTest: () => testSession,
         registrationOf: server => state?.servers.find(entry => entry.name === server),
--- a/packages/ownership/src/coordinatorViews.ts
+++ b/packages/ownership/src/coordinatorViews.ts
@@ -1,7 +1,7 @@
 /** What others see of a coordinator: where requests go, and status for operators. */
-import type { Service } from "@mulberryseam/configuration";
-import { memberIdentifier } from "@mulberryseam/ledger";
-import type { CoordinatorContext } from "./coordinatorContext";
+import type * as configuration from "@mulberryseam/configuration";
+import * as ledger from "@mulberryseam/ledger";
+import type * as coordinatorContext from "./coordinatorContext";
 
 /** Where a key's requests go. */
 export interface Route {
@@ -29,7 +29,7 @@
 
 /** Looks into a coordinator. */
 export interface CoordinatorViews {
-    route: (service: Service, slot: number) => Route | undefined;
+    route: (service: configuration.Service, slot: number) => Route | undefined;
     status: () => CoordinatorStatus;
 }
 
@@ -39,7 +39,7 @@
  * @param context - state of the instance
  * @returns the views
  */
-export const createCoordinatorViews = (context: CoordinatorContext): CoordinatorViews => {
+export const createCoordinatorViews = (context: coordinatorContext.CoordinatorContext): CoordinatorViews => {
     const { timers, grants } = context;
 
     const confirmedAge = (): number | undefined => {
@@ -75,11 +75,11 @@
                 environmentVersion: context.inForce.current()?.version,
                 term: state?.term ?? 0,
                 leader: state?.leader,
-                members: (state?.members ?? []).map(memberIdentifier),
+                members: (state?.members ?? []).map(ledger.memberIdentifier),
                 isMember: context.isMember(),
                 confirmedAgeMilliseconds: confirmedAge(),
                 lapses: [...context.knowledge().lapses],
-                livePeers: context.liveInstances().map(memberIdentifier),
+                livePeers: context.liveInstances().map(ledger.memberIdentifier),
             };
         },
     };
--- a/packages/ownership/src/environmentInForce.ts
+++ b/packages/ownership/src/environmentInForce.ts
@@ -1,18 +1,18 @@
 /** Keeps the environment document in force: the newest accepted version, parsed once. */
-import { type Environment, parseEnvironment } from "@mulberryseam/configuration";
-import type { Logger } from "@mulberryseam/foundation";
-import type { LogState } from "@mulberryseam/ledger";
+import * as configuration from "@mulberryseam/configuration";
+import type * as foundation from "@mulberryseam/foundation";
+import type * as ledger from "@mulberryseam/ledger";
 
 /** A document in force. */
 export interface InForce {
     version: number;
-    environment: Environment;
+    environment: configuration.Environment;
 }
 
 /** Follows the versions of one environment. */
 export interface EnvironmentInForce {
     /** Takes a folded state; returns the new document when there is one. */
-    takeState: (state: LogState) => InForce | undefined;
+    takeState: (state: ledger.LogState) => InForce | undefined;
     current: () => InForce | undefined;
 }
 
@@ -23,7 +23,7 @@
  * @param logger - where unreadable versions are reported
  * @returns the follower, nothing in force yet
  */
-export const createEnvironmentInForce = (name: string, logger: Logger): EnvironmentInForce => {
+export const createEnvironmentInForce = (name: string, logger: foundation.Logger): EnvironmentInForce => {
     let current: InForce | undefined;
     let seenVersion = -1;
     return {
@@ -33,7 +33,7 @@
                 return undefined;
             }
             seenVersion = entry.version;
-            const parsed = parseEnvironment(`${name}@${entry.version}`, entry.document);
+            const parsed = configuration.parseEnvironment(`${name}@${entry.version}`, entry.document);
             if (parsed.err) {
                 logger.error("The published document cannot be read.", {
                     version: entry.version,
--- a/packages/ownership/src/grantLedger.ts
+++ b/packages/ownership/src/grantLedger.ts
@@ -2,17 +2,9 @@
  * Keeps, for each slot, since when confirmed knowledge has named its holder, and so from when the holder may be
  * granted the slot: one lease after the naming was confirmed, or at once when the holder before gave the slot up.
  */
-import {
-    createSessionTest,
-    type Holding,
-    holdingOf,
-    type LogState,
-    type ServerIdentifier,
-    type ServiceTable,
-    type SlotEntry,
-} from "@mulberryseam/ledger";
-import type { ConfirmedRound } from "./confirmation";
-import { waitOutMilliseconds } from "./lease";
+import * as ledger from "@mulberryseam/ledger";
+import type * as confirmation from "./confirmation";
+import * as lease from "./lease";
 
 /** A slot that a server may be granted. */
 export interface GrantedSlot {
@@ -21,11 +13,11 @@
     token: number;
 }
 
-interface TrackedHolding extends Holding {
+interface TrackedHolding extends ledger.Holding {
     /** When a round that names the holding was first complete. */
     namedAt: number;
     /** The holding whose early end makes this one due at once. */
-    previous: Holding | undefined;
+    previous: ledger.Holding | undefined;
     /** Whether a grant of the holding has once been due; it stays due while the holding lasts. */
     isDue: boolean;
 }
@@ -42,19 +34,19 @@
      * Takes a confirmed round. Rounds older than the last one taken, and rounds whose knowledge is not exactly what
      * the state has folded, are passed over.
      */
-    takeRound: (round: ConfirmedRound, state: LogState, durationMilliseconds: number) => void;
+    takeRound: (round: confirmation.ConfirmedRound, state: ledger.LogState, durationMilliseconds: number) => void;
     /** When the last round taken began; leases on these holdings are counted from here. */
     confirmedAt: () => number | undefined;
     /** Takes the word of a server that held a slot under a token and has given it up. */
     takeRelease: (released: GrantedSlot) => void;
     /** Slots that a server may be granted now. */
-    dueFor: (server: ServerIdentifier, now: number) => GrantedSlot[];
+    dueFor: (server: ledger.ServerIdentifier, now: number) => GrantedSlot[];
     /** Slots that a server holds or may still hold but that are named for another one. */
-    toRelease: (server: ServerIdentifier) => GrantedSlot[];
+    toRelease: (server: ledger.ServerIdentifier) => GrantedSlot[];
     /** Number of slots of a service, by confirmed knowledge; 0 while nothing is known of it. */
     slotCount: (service: string) => number;
     /** The holder of a slot, with whether its grant is due. */
-    holder: (service: string, slot: number, now: number) => (Holding & { isDue: boolean; }) | undefined;
+    holder: (service: string, slot: number, now: number) => (ledger.Holding & { isDue: boolean; }) | undefined;
 }
 
 const releaseMemory = 65_536;
@@ -68,22 +60,22 @@
  */
 export const createGrantLedger = (): GrantLedger => {
     const services = new Map<string, (TrackedHolding | undefined)[]>();
-    const byHolder = new Map<ServerIdentifier, IndexedHolding[]>();
-    const byPrevious = new Map<ServerIdentifier, IndexedHolding[]>();
+    const byHolder = new Map<ledger.ServerIdentifier, IndexedHolding[]>();
+    const byPrevious = new Map<ledger.ServerIdentifier, IndexedHolding[]>();
     const releases = new Set<string>();
-    let lastTables: readonly ServiceTable[] | undefined;
-    let lastServers: LogState["servers"] | undefined;
+    let lastTables: readonly ledger.ServiceTable[] | undefined;
+    let lastServers: ledger.LogState["servers"] | undefined;
     let lastLapses = "";
     let confirmedAt: number | undefined;
-    let waitMilliseconds = waitOutMilliseconds(0);
+    let waitMilliseconds = lease.waitOutMilliseconds(0);
 
-    const isReleased = (service: string, slot: number, holding: Holding): boolean =>
+    const isReleased = (service: string, slot: number, holding: ledger.Holding): boolean =>
         releases.has(releaseName({ service, slot, token: holding.token }));
 
     const track = (
         before: TrackedHolding | undefined,
-        entry: SlotEntry,
-        holding: Holding | undefined,
+        entry: ledger.SlotEntry,
+        holding: ledger.Holding | undefined,
         now: number,
         isPreviousAlive: boolean,
     ): TrackedHolding | undefined => {
@@ -108,18 +100,22 @@
         return tracked.isDue;
     };
 
-    const takeTable = (table: ServiceTable, now: number, isEnded: (identifier: string) => boolean): void => {
+    const takeTable = (table: ledger.ServiceTable, now: number, isEnded: (identifier: string) => boolean): void => {
         const before = services.get(table.service) ?? [];
         services.set(
             table.service,
             table.slots.map((entry, slot) => {
                 const isPreviousAlive = entry.previous !== undefined && !isEnded(entry.previous.holder);
-                return track(before[slot], entry, holdingOf(entry, isEnded), now, isPreviousAlive);
+                return track(before[slot], entry, ledger.holdingOf(entry, isEnded), now, isPreviousAlive);
             }),
         );
     };
 
-    const addTo = (index: Map<ServerIdentifier, IndexedHolding[]>, server: string, entry: IndexedHolding): void => {
+    const addTo = (
+        index: Map<ledger.ServerIdentifier, IndexedHolding[]>,
+        server: string,
+        entry: IndexedHolding,
+    ): void => {
         const entries = index.get(server);
         if (entries === undefined) {
             index.set(server, [entry]);
@@ -153,7 +149,7 @@
                 return;
             }
             confirmedAt = round.beganAt;
-            waitMilliseconds = waitOutMilliseconds(durationMilliseconds);
+            waitMilliseconds = lease.waitOutMilliseconds(durationMilliseconds);
             const lapses = round.knowledge.lapses.join();
             if (state.tables === lastTables && state.servers === lastServers && lapses === lastLapses) {
                 return;
@@ -161,7 +157,7 @@
             lastTables = state.tables;
             lastServers = state.servers;
             lastLapses = lapses;
-            const isRecordedEnded = createSessionTest(state.servers);
+            const isRecordedEnded = ledger.createSessionTest(state.servers);
             const isEnded = (identifier: string): boolean =>
                 round.knowledge.lapses.includes(identifier) || isRecordedEnded(identifier);
             state.tables.forEach(table => takeTable(table, round.completedAt, isEnded));
--- a/packages/ownership/src/knowledge.ts
+++ b/packages/ownership/src/knowledge.ts
@@ -3,14 +3,14 @@
  * exchange it freely: an offset of the log up to which changes exist, and the server sessions that were declared
  * ended before the log could say so.
  */
-import type { ServerIdentifier } from "@mulberryseam/ledger";
+import type * as ledger from "@mulberryseam/ledger";
 
 /** What an instance knows. */
 export interface Knowledge {
     /** Offset of the last change that the instance has folded; what it has merely heard of does not count. */
     offset: number;
     /** Sessions declared ended by instances, ahead of the log. */
-    lapses: ServerIdentifier[];
+    lapses: ledger.ServerIdentifier[];
 }
 
 /**
@@ -28,9 +28,9 @@
  * @returns every session, once
  */
 export const mergeLapses = (
-    left: readonly ServerIdentifier[],
-    right: readonly ServerIdentifier[],
-): ServerIdentifier[] => [...new Set([...left, ...right])];
+    left: readonly ledger.ServerIdentifier[],
+    right: readonly ledger.ServerIdentifier[],
+): ledger.ServerIdentifier[] => [...new Set([...left, ...right])];
 
 /**
  * Tells whether two instances know the same.
@@ -43,7 +43,7 @@
 export const isSameKnowledge = (
     left: Knowledge,
     right: Knowledge,
-    isEnded: (identifier: ServerIdentifier) => boolean,
+    isEnded: (identifier: ledger.ServerIdentifier) => boolean,
 ): boolean => {
     const covers = (some: Knowledge, other: Knowledge): boolean =>
         other.lapses.every(identifier => some.lapses.includes(identifier) || isEnded(identifier));
--- a/packages/ownership/src/leaderDuty.ts
+++ b/packages/ownership/src/leaderDuty.ts
@@ -1,18 +1,18 @@
 /** What an instance does to lead: claim when nobody leads, and append one planned record at a time. */
-import type { Environment } from "@mulberryseam/configuration";
-import { type LogState, memberIdentifier, type RecordBody } from "@mulberryseam/ledger";
-import type { PeerReport } from "@mulberryseam/protocol";
-import { type CoordinatorContext, heartbeatSilenceMilliseconds } from "./coordinatorContext";
-import { planClaim } from "./leadership";
-import { waitOutMilliseconds } from "./lease";
-import type { SlotLoad } from "./placement";
-import { planNext, type ServerSighting } from "./planner";
+import type * as configuration from "@mulberryseam/configuration";
+import * as ledger from "@mulberryseam/ledger";
+import type * as protocol from "@mulberryseam/protocol";
+import * as coordinatorContext from "./coordinatorContext";
+import * as leadership from "./leadership";
+import * as lease from "./lease";
+import type * as placement from "./placement";
+import * as planner from "./planner";
 
 /** Means by which the duty is done. */
 export interface LeaderDutyOptions {
     /** Appends a record; settles when its outcome is known, whatever it is. */
-    append: (body: RecordBody) => Promise<unknown>;
-    ownLoads: () => PeerReport["loads"];
+    append: (body: ledger.RecordBody) => Promise<unknown>;
+    ownLoads: () => protocol.PeerReport["loads"];
     /** Number of the round before the last one begun. */
     lastFullRound: () => number;
 }
@@ -39,7 +39,10 @@
  * @param options - means by which the duty is done
  * @returns the duty
  */
-export const createLeaderDuty = (context: CoordinatorContext, options: LeaderDutyOptions): LeaderDuty => {
+export const createLeaderDuty = (
+    context: coordinatorContext.CoordinatorContext,
+    options: LeaderDutyOptions,
+): LeaderDuty => {
     const { timers, directory, detector, confirmation, identifier } = context;
     let isLogReached = false;
     let isAppending = false;
@@ -47,9 +50,9 @@
     let balancedAt = context.startedAt;
     let founderRank = 0;
 
-    const loadsOf = (service: string): SlotLoad[] => {
+    const loadsOf = (service: string): placement.SlotLoad[] => {
         const sums = new Map<number, number>();
-        const heard = directory.heardWithin(timers.now(), heartbeatSilenceMilliseconds);
+        const heard = directory.heardWithin(timers.now(), coordinatorContext.heartbeatSilenceMilliseconds);
         const all = [...options.ownLoads(), ...heard.flatMap(entry => entry.report.loads)];
         for (const load of all.filter(entry => entry.service === service)) {
             sums.set(load.slot, (sums.get(load.slot) ?? 0) + load.requestsPerSecond);
@@ -57,42 +60,42 @@
         return [...sums].map(([slot, requestsPerSecond]) => ({ slot, requestsPerSecond }));
     };
 
-    const goneMembers = (state: LogState): string[] => {
+    const goneMembers = (state: ledger.LogState): string[] => {
         const now = timers.now();
-        const leaving = directory.heardWithin(now, heartbeatSilenceMilliseconds)
+        const leaving = directory.heardWithin(now, coordinatorContext.heartbeatSilenceMilliseconds)
             .filter(heard => heard.report.isLeaving)
-            .map(heard => memberIdentifier(heard.report));
-        const isGone = (member: LogState["members"][number]): boolean => {
-            const heardAt = directory.lastHeard(memberIdentifier(member)) ?? context.startedAt;
+            .map(heard => ledger.memberIdentifier(heard.report));
+        const isGone = (member: ledger.LogState["members"][number]): boolean => {
+            const heardAt = directory.lastHeard(ledger.memberIdentifier(member)) ?? context.startedAt;
             const isSilent = now - heardAt > memberSilenceMilliseconds;
             return isSilent || directory.endedSince(member, now) !== undefined
-                || leaving.includes(memberIdentifier(member));
+                || leaving.includes(ledger.memberIdentifier(member));
         };
-        return state.members.filter(isGone).map(memberIdentifier).filter(member => member !== identifier);
+        return state.members.filter(isGone).map(ledger.memberIdentifier).filter(member => member !== identifier);
     };
 
-    const hasEnded = (member: LogState["members"][number]): boolean => {
+    const hasEnded = (member: ledger.LogState["members"][number]): boolean => {
         const endedSince = directory.endedSince(member, timers.now());
-        const wait = waitOutMilliseconds(context.lease().durationMilliseconds);
+        const wait = lease.waitOutMilliseconds(context.lease().durationMilliseconds);
         return endedSince !== undefined && timers.now() - endedSince > wait;
     };
 
     // A member that has ended for certain can agree to nothing any more, old or new, once its last leases are out.
-    const isConfirmedBySurvivors = (state: LogState): boolean => {
+    const isConfirmedBySurvivors = (state: ledger.LogState): boolean => {
         const agreed = confirmation.agreedTo(options.lastFullRound());
         return state.members.every(member => {
-            return hasEnded(member) || agreed.includes(memberIdentifier(member));
+            return hasEnded(member) || agreed.includes(ledger.memberIdentifier(member));
         });
     };
 
-    const areMembersConfirmed = (state: LogState): boolean => {
+    const areMembersConfirmed = (state: ledger.LogState): boolean => {
         const latest = confirmation.latest();
         const isByMajority = latest !== undefined && latest.knowledge.offset >= state.membersVersion
             && timers.now() - latest.beganAt < context.lease().durationMilliseconds;
         return isByMajority || isConfirmedBySurvivors(state);
     };
 
-    const sightings = (): ServerSighting[] => {
+    const sightings = (): planner.ServerSighting[] => {
         const now = timers.now();
         return context.keyedUpstreams()
             .map(upstream => detector.latest(upstream.name))
@@ -101,13 +104,16 @@
             .map(seen => ({ name: seen.server, incarnation: seen.incarnation, isDraining: seen.isDraining }));
     };
 
-    const planAsLeader = (state: LogState, environment: Environment): RecordBody | undefined => {
+    const planAsLeader = (
+        state: ledger.LogState,
+        environment: configuration.Environment,
+    ): ledger.RecordBody | undefined => {
         const now = timers.now();
         const mayBalance = now - balancedAt >= balanceIntervalMilliseconds;
         if (mayBalance) {
             balancedAt = now;
         }
-        return planNext({
+        return planner.planNext({
             state,
             environment,
             liveInstances: context.liveInstances(),
@@ -120,24 +126,24 @@
         });
     };
 
-    const planAsFollower = (state: LogState): RecordBody | undefined => {
+    const planAsFollower = (state: ledger.LogState): ledger.RecordBody | undefined => {
         const mayClaim = isLogReached && !context.isLeaving();
         if (!mayClaim) {
             return undefined;
         }
-        const live = context.liveInstances().map(memberIdentifier);
-        return planClaim({
+        const live = context.liveInstances().map(ledger.memberIdentifier);
+        return leadership.planClaim({
             state,
             self: context.self,
             now: timers.now(),
-            liveMembers: state.members.map(memberIdentifier).filter(member => live.includes(member)),
+            liveMembers: state.members.map(ledger.memberIdentifier).filter(member => live.includes(member)),
             haveAllMembersEnded: state.members.every(hasEnded),
             leaderHeardAt,
             founderRank,
         });
     };
 
-    const plan = (state: LogState): RecordBody | undefined => {
+    const plan = (state: ledger.LogState): ledger.RecordBody | undefined => {
         if (state.leader !== identifier) {
             return planAsFollower(state);
         }
--- a/packages/ownership/src/leadership.ts
+++ b/packages/ownership/src/leadership.ts
@@ -1,11 +1,11 @@
 /** Decides when an instance claims to lead. The log settles competing claims; this only keeps them rare. */
-import { rendezvousOrder } from "@mulberryseam/foundation";
-import { type LogState, type Member, memberIdentifier, type RecordBody, RecordKind } from "@mulberryseam/ledger";
+import * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
 
 /** What the decision rests on. */
 export interface LeadershipView {
-    state: LogState;
-    self: Member;
+    state: ledger.LogState;
+    self: ledger.Member;
     now: number;
     /** Identifiers of the members that answer, the own one included where it is a member. */
     liveMembers: readonly string[];
@@ -26,9 +26,9 @@
  * @param view - what the decision rests on
  * @returns the claim to append, or undefined when another leads or should claim first
  */
-export const planClaim = (view: LeadershipView): RecordBody | undefined => {
+export const planClaim = (view: LeadershipView): ledger.RecordBody | undefined => {
     const { state, self } = view;
-    const identifier = memberIdentifier(self);
+    const identifier = ledger.memberIdentifier(self);
     if (state.leader === identifier) {
         return undefined;
     }
@@ -36,9 +36,11 @@
     if (!isFounding && !view.liveMembers.includes(identifier)) {
         return undefined;
     }
-    const order = rendezvousOrder(`term ${state.term + 1}`, view.liveMembers);
+    const order = foundation.rendezvousOrder(`term ${state.term + 1}`, view.liveMembers);
     const rank = isFounding ? view.founderRank : order.indexOf(identifier);
     const silence = view.now - view.leaderHeardAt;
     const isDue = silence >= leaderSilenceMilliseconds + rank * rankDelayMilliseconds;
-    return isDue ? { kind: RecordKind.claim, term: state.term + 1, member: self, founds: isFounding } : undefined;
+    return isDue
+        ? { kind: ledger.RecordKind.claim, term: state.term + 1, member: self, founds: isFounding }
+        : undefined;
 };
--- a/packages/ownership/src/lossDeclaration.ts
+++ b/packages/ownership/src/lossDeclaration.ts
@@ -1,6 +1,6 @@
 /** Declares the sessions of silent servers ended, ahead of the log. */
-import { type ServerIdentifier, serverIdentifier, ServerStatus } from "@mulberryseam/ledger";
-import type { CoordinatorContext } from "./coordinatorContext";
+import * as ledger from "@mulberryseam/ledger";
+import type * as coordinatorContext from "./coordinatorContext";
 
 /** Looks for lost servers. */
 export interface LossDeclaration {
@@ -9,7 +9,7 @@
      *
      * @returns sessions that must count as ended from now on
      */
-    look: () => ServerIdentifier[];
+    look: () => ledger.ServerIdentifier[];
 }
 
 /**
@@ -20,7 +20,7 @@
  * @returns the declaration
  */
 export const createLossDeclaration = (
-    context: CoordinatorContext,
+    context: coordinatorContext.CoordinatorContext,
     renews: (server: string) => boolean,
 ): LossDeclaration => {
     const { timers, grants, detector, logger } = context;
@@ -46,9 +46,9 @@
                 return [];
             }
             const lapses = (context.state()?.servers ?? [])
-                .filter(server => server.status !== ServerStatus.lost && renews(server.name))
+                .filter(server => server.status !== ledger.ServerStatus.lost && renews(server.name))
                 .filter(server => detector.isLost(server.name, timers.now(), context.suspicionMilliseconds()))
-                .map(serverIdentifier)
+                .map(ledger.serverIdentifier)
                 .filter(session => !context.knowledge().lapses.includes(session));
             if (lapses.length > 0) {
                 logger.warning("Servers are silent; their sessions end.", { sessions: lapses });
--- a/packages/ownership/src/peerDirectory.ts
+++ b/packages/ownership/src/peerDirectory.ts
@@ -1,6 +1,6 @@
 /** Knows which instances there are: those that report, and those that the platform lists. */
-import { type Member, memberIdentifier } from "@mulberryseam/ledger";
-import type { PeerReport } from "@mulberryseam/protocol";
+import * as ledger from "@mulberryseam/ledger";
+import type * as protocol from "@mulberryseam/protocol";
 
 /** An instance as the platform lists it. */
 export interface ListedInstance {
@@ -12,16 +12,16 @@
 
 /** A report and when it came. */
 export interface HeardReport {
-    report: PeerReport;
+    report: protocol.PeerReport;
     heardAt: number;
 }
 
 /** Who is there. */
 export interface PeerDirectory {
-    takeReport: (report: PeerReport, now: number) => void;
+    takeReport: (report: protocol.PeerReport, now: number) => void;
     takeListing: (instances: readonly ListedInstance[], now: number) => void;
     /** Addresses of peers by name, from reports, the listing and the members given. */
-    addresses: (members: readonly Member[]) => Map<string, string>;
+    addresses: (members: readonly ledger.Member[]) => Map<string, string>;
     /** Reports heard within a time. */
     heardWithin: (now: number, milliseconds: number) => HeardReport[];
     /** When a member was last heard from, by identifier. */
@@ -30,7 +30,7 @@
      * Since when a member is known to have ended: another process runs under its name, or the platform listed it and
      * does so no longer, or the platform has not listed it for long while nothing was heard of it.
      */
-    endedSince: (member: Member, now: number) => number | undefined;
+    endedSince: (member: ledger.Member, now: number) => number | undefined;
 }
 
 /** An instance that the platform has not listed, and nobody has heard, for this long has ended. */
@@ -53,19 +53,19 @@
     let lastListingAt = -Infinity;
     let everListed = new Map<string, ListedInstance>();
 
-    const absentSince = (member: Member, now: number): number | undefined => {
+    const absentSince = (member: ledger.Member, now: number): number | undefined => {
         const isListed = listing.some(instance => instance.name === member.name);
         if (isListed || firstListingAt === undefined || now - lastListingAt > listingAgeMilliseconds) {
             return undefined;
         }
-        const heardAt = reports.get(memberIdentifier(member))?.heardAt ?? firstListingAt;
+        const heardAt = reports.get(ledger.memberIdentifier(member))?.heardAt ?? firstListingAt;
         const endedAt = Math.max(heardAt, firstListingAt) + absenceMilliseconds;
         return now >= endedAt ? endedAt : undefined;
     };
 
     return {
         takeReport: (report, now) => {
-            const identifier = memberIdentifier(report);
+            const identifier = ledger.memberIdentifier(report);
             for (const [other, heard] of reports) {
                 if (heard.report.name === report.name && other !== identifier) {
                     ended.set(other, now);
@@ -99,7 +99,7 @@
         heardWithin: (now, milliseconds) => [...reports.values()].filter(heard => now - heard.heardAt <= milliseconds),
         lastHeard: member => reports.get(member)?.heardAt,
         endedSince: (member, now) => {
-            const identifier = memberIdentifier(member);
+            const identifier = ledger.memberIdentifier(member);
             const replaced = [...reports.values()].find(({ report }) =>
                 report.name === member.name && report.incarnation !== member.incarnation
             );
--- a/packages/ownership/src/placement.ts
+++ b/packages/ownership/src/placement.ts
@@ -1,16 +1,10 @@
 /** Placement of slots as a pure plan: repairs first, then as few moves as balance asks for. */
-import { rendezvousOrder } from "@mulberryseam/foundation";
-import {
-    type Assignment,
-    holdingOf,
-    type ServerIdentifier,
-    type ServiceTable,
-    type SlotEntry,
-} from "@mulberryseam/ledger";
+import * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
 
 /** A server that can own slots. */
 export interface PlacementServer {
-    identifier: ServerIdentifier;
+    identifier: ledger.ServerIdentifier;
     failureDomain: string;
     /** A leaving server keeps nothing and gets nothing. */
     isLeaving: boolean;
@@ -25,8 +19,8 @@
 interface Balance {
     weights: number[];
     /** Weight by server, for servers that may own. */
-    totals: Map<ServerIdentifier, number>;
-    counts: Map<ServerIdentifier, number>;
+    totals: Map<ledger.ServerIdentifier, number>;
+    counts: Map<ledger.ServerIdentifier, number>;
 }
 
 /** Share of a server's weight that every slot has, however idle. */
@@ -45,7 +39,7 @@
 };
 
 const createBalance = (
-    owners: readonly (ServerIdentifier | undefined)[],
+    owners: readonly (ledger.ServerIdentifier | undefined)[],
     servers: readonly PlacementServer[],
     loads: readonly SlotLoad[],
 ): Balance => {
@@ -62,8 +56,8 @@
     return { weights, totals, counts };
 };
 
-const extreme = (totals: Map<ServerIdentifier, number>, sign: 1 | -1): ServerIdentifier | undefined => {
-    let best: [ServerIdentifier, number] | undefined;
+const extreme = (totals: Map<ledger.ServerIdentifier, number>, sign: 1 | -1): ledger.ServerIdentifier | undefined => {
+    let best: [ledger.ServerIdentifier, number] | undefined;
     for (const entry of totals) {
         const isBetter = best === undefined || sign * entry[1] > sign * best[1]
             || (entry[1] === best[1] && entry[0] < best[0]);
@@ -76,17 +70,22 @@
 
 const chooseHeir = (
     slotName: string,
-    owner: ServerIdentifier,
+    owner: ledger.ServerIdentifier,
     servers: readonly PlacementServer[],
-): ServerIdentifier | undefined => {
+): ledger.ServerIdentifier | undefined => {
     const ownerDomain = servers.find(server => server.identifier === owner)?.failureDomain;
     const others = servers.filter(server => !server.isLeaving && server.identifier !== owner);
     const apart = others.filter(server => server.failureDomain !== ownerDomain);
     const candidates = apart.length > 0 ? apart : others;
-    return rendezvousOrder(slotName, candidates.map(server => server.identifier))[0];
+    return foundation.rendezvousOrder(slotName, candidates.map(server => server.identifier))[0];
 };
 
-const move = (balance: Balance, slot: number, from: ServerIdentifier | undefined, to: ServerIdentifier): void => {
+const move = (
+    balance: Balance,
+    slot: number,
+    from: ledger.ServerIdentifier | undefined,
+    to: ledger.ServerIdentifier,
+): void => {
     const weight = balance.weights[slot];
     if (from !== undefined && balance.totals.has(from)) {
         balance.totals.set(from, (balance.totals.get(from) ?? 0) - weight);
@@ -111,25 +110,25 @@
 export const planRepair = (
     service: string,
     slotCount: number,
-    table: ServiceTable | undefined,
+    table: ledger.ServiceTable | undefined,
     servers: readonly PlacementServer[],
     loads: readonly SlotLoad[],
-    isEnded: (identifier: ServerIdentifier) => boolean,
+    isEnded: (identifier: ledger.ServerIdentifier) => boolean,
     leavingMovesAtATime: number,
-): Assignment[] => {
+): ledger.Assignment[] => {
     const usable = servers.filter(server => !server.isLeaving);
     if (usable.length === 0) {
         return [];
     }
-    const isUsable = (identifier: ServerIdentifier | undefined): boolean =>
+    const isUsable = (identifier: ledger.ServerIdentifier | undefined): boolean =>
         usable.some(server => server.identifier === identifier);
-    const entryAt = (slot: number): SlotEntry | undefined => table?.slots[slot];
+    const entryAt = (slot: number): ledger.SlotEntry | undefined => table?.slots[slot];
     const holders = [...Array(slotCount).keys()].map(slot => {
         const entry = entryAt(slot);
-        return entry === undefined ? undefined : holdingOf(entry, isEnded)?.holder;
+        return entry === undefined ? undefined : ledger.holdingOf(entry, isEnded)?.holder;
     });
     const balance = createBalance(holders, servers, loads);
-    const assignments: Assignment[] = [];
+    const assignments: ledger.Assignment[] = [];
     let movesLeft = leavingMovesAtATime;
     holders.forEach((holder, slot) => {
         const entry = entryAt(slot);
@@ -139,7 +138,7 @@
         }
         let owner = holder;
         if (owner === undefined || isLeaving || isEnded(owner)) {
-            owner = extreme(balance.totals, -1) as ServerIdentifier;
+            owner = extreme(balance.totals, -1) as ledger.ServerIdentifier;
             move(balance, slot, holder, owner);
         }
         const keepsHeir = entry?.heir !== undefined && entry.heir !== owner && isUsable(entry.heir);
@@ -163,16 +162,16 @@
  * @returns the assignments to record, none when balance is good enough
  */
 export const planBalance = (
-    table: ServiceTable,
+    table: ledger.ServiceTable,
     servers: readonly PlacementServer[],
     loads: readonly SlotLoad[],
     imbalanceLimit: number,
     movesAtATime: number,
-): Assignment[] => {
+): ledger.Assignment[] => {
     const owners = table.slots.map(entry => entry.owner);
     const balance = createBalance(owners, servers, loads);
     const mean = 1 / Math.max(balance.totals.size, 1);
-    const assignments: Assignment[] = [];
+    const assignments: ledger.Assignment[] = [];
     while (assignments.length < movesAtATime) {
         const busiest = extreme(balance.totals, 1);
         const idlest = extreme(balance.totals, -1);
@@ -194,9 +193,9 @@
 };
 
 const bestSlot = (
-    owners: readonly ServerIdentifier[],
+    owners: readonly ledger.ServerIdentifier[],
     weights: readonly number[],
-    busiest: ServerIdentifier,
+    busiest: ledger.ServerIdentifier,
     gap: number,
 ): number | undefined => {
     let best: number | undefined;
@@ -220,7 +219,7 @@
  * @returns weight of the busiest server over the mean
  */
 export const measureImbalance = (
-    owners: readonly ServerIdentifier[],
+    owners: readonly ledger.ServerIdentifier[],
     servers: readonly PlacementServer[],
     loads: readonly SlotLoad[],
 ): number => {
--- a/packages/ownership/src/planner.ts
+++ b/packages/ownership/src/planner.ts
@@ -1,18 +1,7 @@
 /** Chooses the next record that a leader appends. Pure: what it sees goes in, at most one record comes out. */
-import type { Environment, Service } from "@mulberryseam/configuration";
-import {
-    createSessionTest,
-    type LogState,
-    type Member,
-    memberIdentifier,
-    type RecordBody,
-    RecordKind,
-    type ServerChange,
-    type ServerIdentifier,
-    serverIdentifier,
-    ServerStatus,
-} from "@mulberryseam/ledger";
-import { type PlacementServer, planBalance, planRepair, type SlotLoad } from "./placement";
+import type * as configuration from "@mulberryseam/configuration";
+import * as ledger from "@mulberryseam/ledger";
+import * as placement from "./placement";
 
 /** What is seen of one server now. */
 export interface ServerSighting {
@@ -23,17 +12,17 @@
 
 /** All that a leader decides on. */
 export interface PlannerView {
-    state: LogState;
-    environment: Environment;
+    state: ledger.LogState;
+    environment: configuration.Environment;
     /** Instances that answer and are not leaving, the own one included. */
-    liveInstances: readonly Member[];
+    liveInstances: readonly ledger.Member[];
     /** Members that are certainly or very probably gone, the own one excluded. */
     goneMembers: readonly string[];
     /** Servers that answer. */
     sightings: readonly ServerSighting[];
     /** Sessions declared ended ahead of the log. */
-    lapses: readonly ServerIdentifier[];
-    loadsOf: (service: string) => readonly SlotLoad[];
+    lapses: readonly ledger.ServerIdentifier[];
+    loadsOf: (service: string) => readonly placement.SlotLoad[];
     /** Whether moves for balance are wanted now. */
     mayBalance: boolean;
     /** Whether the last change of members is confirmed by a majority. */
@@ -42,13 +31,13 @@
 
 const leavingMovesAtATime = 32;
 
-const planMembers = (view: PlannerView): RecordBody | undefined => {
+const planMembers = (view: PlannerView): ledger.RecordBody | undefined => {
     const { state } = view;
     if (!view.areMembersConfirmed) {
         return undefined;
     }
-    const body = { kind: RecordKind.members, term: state.term, basedOn: state.membersVersion };
-    const gone = state.members.map(memberIdentifier).find(member => view.goneMembers.includes(member));
+    const body = { kind: ledger.RecordKind.members, term: state.term, basedOn: state.membersVersion };
+    const gone = state.members.map(ledger.memberIdentifier).find(member => view.goneMembers.includes(member));
     if (gone !== undefined) {
         return { ...body, remove: gone };
     }
@@ -57,33 +46,33 @@
     return joining === undefined ? undefined : { ...body, add: joining };
 };
 
-const keyedServers = (environment: Environment): Service["upstreams"] =>
+const keyedServers = (environment: configuration.Environment): configuration.Service["upstreams"] =>
     environment.services.filter(service => service.kind === "keyed").flatMap(service => service.upstreams);
 
-const changeOf = (view: PlannerView, name: string): ServerChange | undefined => {
+const changeOf = (view: PlannerView, name: string): ledger.ServerChange | undefined => {
     const registration = view.state.servers.find(server => server.name === name);
     const sighting = view.sightings.find(entry => entry.name === name);
     const isListed = keyedServers(view.environment).some(upstream => upstream.name === name);
-    if (registration === undefined || registration.status === ServerStatus.lost) {
+    if (registration === undefined || registration.status === ledger.ServerStatus.lost) {
         const mayJoin = isListed && sighting !== undefined && !sighting.isDraining;
-        return mayJoin ? { name, incarnation: sighting.incarnation, status: ServerStatus.serving } : undefined;
+        return mayJoin ? { name, incarnation: sighting.incarnation, status: ledger.ServerStatus.serving } : undefined;
     }
-    const hasLapsed = view.lapses.includes(serverIdentifier(registration));
+    const hasLapsed = view.lapses.includes(ledger.serverIdentifier(registration));
     const isReplaced = sighting !== undefined && sighting.incarnation !== registration.incarnation;
     if (hasLapsed || isReplaced) {
-        return { name, incarnation: registration.incarnation, status: ServerStatus.lost };
+        return { name, incarnation: registration.incarnation, status: ledger.ServerStatus.lost };
     }
     const mustLeave = !isListed || sighting?.isDraining === true;
-    if (mustLeave && registration.status === ServerStatus.serving) {
-        return { name, incarnation: registration.incarnation, status: ServerStatus.leaving };
+    if (mustLeave && registration.status === ledger.ServerStatus.serving) {
+        return { name, incarnation: registration.incarnation, status: ledger.ServerStatus.leaving };
     }
-    if (!mustLeave && sighting !== undefined && registration.status === ServerStatus.leaving) {
-        return { name, incarnation: registration.incarnation, status: ServerStatus.serving };
+    if (!mustLeave && sighting !== undefined && registration.status === ledger.ServerStatus.leaving) {
+        return { name, incarnation: registration.incarnation, status: ledger.ServerStatus.serving };
     }
     return undefined;
 };
 
-const planServers = (view: PlannerView): RecordBody | undefined => {
+const planServers = (view: PlannerView): ledger.RecordBody | undefined => {
     const names = new Set([
         ...view.state.servers.map(server => server.name),
         ...keyedServers(view.environment).map(upstream => upstream.name),
@@ -92,34 +81,34 @@
     if (changes.length === 0) {
         return undefined;
     }
-    return { kind: RecordKind.servers, term: view.state.term, basedOn: view.state.serversVersion, changes };
+    return { kind: ledger.RecordKind.servers, term: view.state.term, basedOn: view.state.serversVersion, changes };
 };
 
-const placementServers = (view: PlannerView, service: Service): PlacementServer[] => {
-    const servers: PlacementServer[] = [];
+const placementServers = (view: PlannerView, service: configuration.Service): placement.PlacementServer[] => {
+    const servers: placement.PlacementServer[] = [];
     for (const registration of view.state.servers) {
         const upstream = service.upstreams.find(entry => entry.name === registration.name);
-        const identifier = serverIdentifier(registration);
-        const isUsable = registration.status !== ServerStatus.lost && !view.lapses.includes(identifier);
+        const identifier = ledger.serverIdentifier(registration);
+        const isUsable = registration.status !== ledger.ServerStatus.lost && !view.lapses.includes(identifier);
         if (!isUsable) {
             continue;
         }
-        const isLeaving = upstream === undefined || registration.status === ServerStatus.leaving;
+        const isLeaving = upstream === undefined || registration.status === ledger.ServerStatus.leaving;
         servers.push({ identifier, failureDomain: upstream?.failureDomain ?? "", isLeaving });
     }
     return servers;
 };
 
-const planTable = (view: PlannerView, service: Service): RecordBody | undefined => {
+const planTable = (view: PlannerView, service: configuration.Service): ledger.RecordBody | undefined => {
     const { state } = view;
     const recorded = state.tables.find(entry => entry.service === service.name);
     const table = recorded?.slots.length === service.keySlots ? recorded : undefined;
     const servers = placementServers(view, service);
-    const isRecordedEnded = createSessionTest(state.servers);
-    const isEnded = (identifier: ServerIdentifier): boolean =>
+    const isRecordedEnded = ledger.createSessionTest(state.servers);
+    const isEnded = (identifier: ledger.ServerIdentifier): boolean =>
         view.lapses.includes(identifier) || isRecordedEnded(identifier);
     const loads = view.loadsOf(service.name);
-    let assignments = planRepair(
+    let assignments = placement.planRepair(
         service.name,
         service.keySlots,
         table,
@@ -130,13 +119,13 @@
     );
     if (assignments.length === 0 && table !== undefined && view.mayBalance) {
         const { imbalanceLimit, movesAtATime } = view.environment.placement;
-        assignments = planBalance(table, servers, loads, imbalanceLimit, movesAtATime);
+        assignments = placement.planBalance(table, servers, loads, imbalanceLimit, movesAtATime);
     }
     if (assignments.length === 0) {
         return undefined;
     }
     return {
-        kind: RecordKind.assign,
+        kind: ledger.RecordKind.assign,
         term: state.term,
         service: service.name,
         basedOn: recorded?.version ?? -1,
@@ -145,7 +134,7 @@
     };
 };
 
-const planTables = (view: PlannerView): RecordBody | undefined => {
+const planTables = (view: PlannerView): ledger.RecordBody | undefined => {
     for (const service of view.environment.services) {
         const body = service.kind === "keyed" ? planTable(view, service) : undefined;
         if (body !== undefined) {
@@ -161,5 +150,5 @@
  * @param view - all that is seen
  * @returns the record to append, or undefined when all is in order
  */
-export const planNext = (view: PlannerView): RecordBody | undefined =>
+export const planNext = (view: PlannerView): ledger.RecordBody | undefined =>
     planServers(view) ?? planTables(view) ?? planMembers(view);
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -1,21 +1,21 @@
 /** Messages of grants to servers: who sends them, when, and what they say. */
-import { type Member, type ServerIdentifier, serverIdentifier, ServerStatus } from "@mulberryseam/ledger";
-import type { CoordinatorContext } from "./coordinatorContext";
-import type { GrantedSlot } from "./grantLedger";
-import { type ClockSample, leaseExpiry } from "./lease";
-import { chooseRenewers } from "./renewers";
+import * as ledger from "@mulberryseam/ledger";
+import type * as coordinatorContext from "./coordinatorContext";
+import type * as grantLedger from "./grantLedger";
+import * as lease from "./lease";
+import * as renewers from "./renewers";
 
 /** What a server is told by one message. */
 export interface Renewal {
     /** Session that the grants are for; undefined in a mere probe. */
-    session: ServerIdentifier | undefined;
+    session: ledger.ServerIdentifier | undefined;
     /** Run of the server's process that the grants are for. */
     incarnation: string | undefined;
     /** Instant on the server's clock at which these grants end. */
     expiresAt: number | undefined;
-    slots: readonly GrantedSlot[];
+    slots: readonly grantLedger.GrantedSlot[];
     /** Slots to give up, with the tokens they were held under. */
-    release: readonly GrantedSlot[];
+    release: readonly grantLedger.GrantedSlot[];
 }
 
 /** What a server answers. */
@@ -25,7 +25,7 @@
     clock: number;
     isDraining: boolean;
     /** Slots that it held under the given tokens and gave up. */
-    released: readonly GrantedSlot[];
+    released: readonly grantLedger.GrantedSlot[];
 }
 
 /** Renews the leases of servers. */
@@ -35,7 +35,7 @@
     /** Sends to every server that this instance renews, or to those chosen; without grants when unconfirmed. */
     renew: (mayGrant: boolean, isChosen?: (server: string) => boolean) => void;
     /** Takes a reading of a server's clock. */
-    takeSample: (server: string, sample: ClockSample) => void;
+    takeSample: (server: string, sample: lease.ClockSample) => void;
     /** When a server last answered this instance. */
     answeredAt: (server: string) => number | undefined;
 }
@@ -57,14 +57,14 @@
  * @returns the renewal
  */
 export const createServerRenewal = (
-    context: CoordinatorContext,
+    context: coordinatorContext.CoordinatorContext,
     send: (server: string, address: string, renewal: Renewal) => void,
 ): ServerRenewal => {
     const { timers, grants, detector } = context;
-    const samples = new Map<string, ClockSample>();
+    const samples = new Map<string, lease.ClockSample>();
 
-    const isRenewer = (server: string, live: readonly Member[]): boolean =>
-        chooseRenewers(server, live, renewerCount).includes(context.identifier);
+    const isRenewer = (server: string, live: readonly ledger.Member[]): boolean =>
+        renewers.chooseRenewers(server, live, renewerCount).includes(context.identifier);
 
     const renewalOf = (server: string, mayGrant: boolean): Renewal => {
         const registration = context.registrationOf(server);
@@ -73,15 +73,16 @@
         if (registration === undefined || !mayGrant || sample === undefined || confirmedAt === undefined) {
             return probe;
         }
-        const session = serverIdentifier(registration);
-        const isEnded = registration.status === ServerStatus.lost || context.knowledge().lapses.includes(session);
+        const session = ledger.serverIdentifier(registration);
+        const isEnded = registration.status === ledger.ServerStatus.lost
+            || context.knowledge().lapses.includes(session);
         if (isEnded) {
             return probe;
         }
         return {
             session,
             incarnation: registration.incarnation,
-            expiresAt: leaseExpiry(sample, confirmedAt, context.lease().durationMilliseconds),
+            expiresAt: lease.leaseExpiry(sample, confirmedAt, context.lease().durationMilliseconds),
             slots: grants.dueFor(session, timers.now()),
             release: grants.toRelease(session),
         };
--- a/packages/ownership/src/renewers.ts
+++ b/packages/ownership/src/renewers.ts
@@ -1,6 +1,6 @@
 /** Chooses which instances renew the lease of a server. */
-import { rendezvousOrder } from "@mulberryseam/foundation";
-import { type Member, memberIdentifier } from "@mulberryseam/ledger";
+import * as foundation from "@mulberryseam/foundation";
+import * as ledger from "@mulberryseam/ledger";
 
 /**
  * Chooses renewers in different failure domains where there are enough. Instances that see different candidates
@@ -11,9 +11,9 @@
  * @param count - how many to choose
  * @returns identifiers of the chosen instances
  */
-export const chooseRenewers = (server: string, candidates: readonly Member[], count: number): string[] => {
-    const byIdentifier = new Map(candidates.map(member => [memberIdentifier(member), member]));
-    const ordered = rendezvousOrder(server, [...byIdentifier.keys()]);
+export const chooseRenewers = (server: string, candidates: readonly ledger.Member[], count: number): string[] => {
+    const byIdentifier = new Map(candidates.map(member => [ledger.memberIdentifier(member), member]));
+    const ordered = foundation.rendezvousOrder(server, [...byIdentifier.keys()]);
     const chosen: string[] = [];
     const usedDomains = new Set<string>();
     for (const identifier of ordered) {
--- a/packages/ownership/src/reports.ts
+++ b/packages/ownership/src/reports.ts
@@ -1,14 +1,14 @@
 /** Reports between instances: the heartbeat, the servers heard, and the busiest slots. */
-import { memberIdentifier } from "@mulberryseam/ledger";
-import type { PeerReport, ServerAnswer } from "@mulberryseam/protocol";
-import type { CoordinatorContext } from "./coordinatorContext";
-import type { LeaderDuty } from "./leaderDuty";
-import type { ServerRenewal } from "./renewal";
+import * as ledger from "@mulberryseam/ledger";
+import type * as protocol from "@mulberryseam/protocol";
+import type * as coordinatorContext from "./coordinatorContext";
+import type * as leaderDuty from "./leaderDuty";
+import type * as renewals from "./renewal";
 
 /** Writes own reports and takes those of peers. */
 export interface Reports {
-    create: () => PeerReport;
-    take: (report: PeerReport) => void;
+    create: () => protocol.PeerReport;
+    take: (report: protocol.PeerReport) => void;
 }
 
 /**
@@ -21,15 +21,15 @@
  * @returns the reports
  */
 export const createReports = (
-    context: CoordinatorContext,
-    renewal: ServerRenewal,
-    duty: LeaderDuty,
-    ownLoads: () => PeerReport["loads"],
+    context: coordinatorContext.CoordinatorContext,
+    renewal: renewals.ServerRenewal,
+    duty: leaderDuty.LeaderDuty,
+    ownLoads: () => protocol.PeerReport["loads"],
 ): Reports => {
     const { timers, detector, directory } = context;
 
     // Short, since it is sent to every peer at every interval.
-    const describeAnswer = (server: string, ageMilliseconds: number): ServerAnswer => {
+    const describeAnswer = (server: string, ageMilliseconds: number): protocol.ServerAnswer => {
         const seen = detector.latest(server);
         const registration = context.registrationOf(server);
         const isRegistered = registration !== undefined && seen?.incarnation === registration.incarnation;
@@ -41,7 +41,7 @@
         };
     };
 
-    const create = (): PeerReport => {
+    const create = (): protocol.PeerReport => {
         const now = timers.now();
         const heard = context.keyedUpstreams().map(upstream => upstream.name)
             .filter(server => now - (renewal.answeredAt(server) ?? -Infinity) < context.lease().durationMilliseconds);
@@ -53,10 +53,10 @@
         };
     };
 
-    const take = (report: PeerReport): void => {
+    const take = (report: protocol.PeerReport): void => {
         const now = timers.now();
         directory.takeReport(report, now);
-        if (memberIdentifier(report) === context.state()?.leader && !report.isLeaving) {
+        if (ledger.memberIdentifier(report) === context.state()?.leader && !report.isLeaving) {
             duty.takeLeaderSign();
         }
         for (const answer of report.answers) {
--- a/packages/ownership/test/faultMatrix.test.ts
+++ b/packages/ownership/test/faultMatrix.test.ts
@@ -1,28 +1,28 @@
 /** The fault matrix, each cell a test, and the page that shows it. */
-import { expect } from "earl";
+import * as earl from "earl";
 import * as fs from "node:fs";
 import * as path from "node:path";
-import { describe, it } from "node:test";
-import { type MatrixCell, matrixFaults, matrixSteps, runCell } from "./fixtures/faultMatrix";
-import { faultsOf, writeMatrix } from "./fixtures/matrixTable";
+import * as test from "node:test";
+import * as faultMatrix from "./fixtures/faultMatrix";
+import * as matrixTable from "./fixtures/matrixTable";
 
 const page = path.resolve(__dirname, "../../../docs/FAULT-MATRIX.md");
-const cells: MatrixCell[] = [];
+const cells: faultMatrix.MatrixCell[] = [];
 
-for (const step of matrixSteps) {
-    describe(`at the step: ${step.name}`, () => {
-        for (const fault of matrixFaults) {
-            it(fault.name, async () => {
-                const cell = await runCell(step, fault);
+for (const step of faultMatrix.matrixSteps) {
+    test.describe(`at the step: ${step.name}`, () => {
+        for (const fault of faultMatrix.matrixFaults) {
+            test.it(fault.name, async () => {
+                const cell = await faultMatrix.runCell(step, fault);
                 cells.push(cell);
-                expect(faultsOf(cell)).toEqual([]);
+                earl.expect(matrixTable.faultsOf(cell)).toEqual([]);
             });
         }
     });
 }
 
-describe("the page of the fault matrix", () => {
-    it("shows what was run", () => {
-        expect(fs.readFileSync(page, "utf8")).toEqual(writeMatrix(cells));
+test.describe("the page of the fault matrix", () => {
+    test.it("shows what was run", () => {
+        earl.expect(fs.readFileSync(page, "utf8")).toEqual(matrixTable.writeMatrix(cells));
     });
 });
--- a/packages/ownership/test/interleavings.test.ts
+++ b/packages/ownership/test/interleavings.test.ts
@@ -1,22 +1,22 @@
 /** Random interleavings of faults, with a fixed seed here and any seed by `npm run interleavings`. */
-import { expect } from "earl";
+import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import { describe, it } from "node:test";
-import { createServingWorld } from "./fixtures/world";
-import { type Action, ActionKind, mendAll, perform } from "./fixtures/worldActions";
-import { findLastingViolations, findViolations } from "./fixtures/worldProperties";
+import * as test from "node:test";
+import * as worlds from "./fixtures/world";
+import * as worldActions from "./fixtures/worldActions";
+import * as worldProperties from "./fixtures/worldProperties";
 
 const seed = Number(process.env.INTERLEAVINGS_SEED ?? 20261204);
 const runs = Number(process.env.INTERLEAVINGS_RUNS ?? 40);
 
-const actionArbitrary: fastCheck.Arbitrary<Action> = fastCheck.record({
-    kind: fastCheck.constantFrom(...Object.values(ActionKind)),
+const actionArbitrary: fastCheck.Arbitrary<worldActions.Action> = fastCheck.record({
+    kind: fastCheck.constantFrom(...Object.values(worldActions.ActionKind)),
     target: fastCheck.nat(7),
     waitMilliseconds: fastCheck.constantFrom(0, 20, 100, 300, 700, 1500),
 });
 
-const judge = async (worldSeed: number, actions: readonly Action[]): Promise<string[]> => {
-    const world = await createServingWorld({
+const judge = async (worldSeed: number, actions: readonly worldActions.Action[]): Promise<string[]> => {
+    const world = await worlds.createServingWorld({
         seed: worldSeed,
         lateShare: 0.2,
         lateServerMilliseconds: 1500,
@@ -24,15 +24,15 @@
     });
     const outcomes: string[] = [];
     for (const action of actions) {
-        await perform(world, action, outcomes);
+        await worldActions.perform(world, action, outcomes);
     }
-    const violations = findViolations(world);
-    mendAll(world);
-    return [...violations, ...await findLastingViolations(world, outcomes)];
+    const violations = worldProperties.findViolations(world);
+    worldActions.mendAll(world);
+    return [...violations, ...await worldProperties.findLastingViolations(world, outcomes)];
 };
 
 /** Interleavings that once broke a property. */
-const regressions: readonly { name: string; worldSeed: number; actions: readonly Action[]; }[] = [
+const regressions: readonly { name: string; worldSeed: number; actions: readonly worldActions.Action[]; }[] = [
     {
         name: "the heir of an owner that had just taken over is not granted on a release to that owner",
         worldSeed: 1,
@@ -43,20 +43,20 @@
     },
 ];
 
-describe("random interleavings", () => {
+test.describe("random interleavings", () => {
     for (const { name, worldSeed, actions } of regressions) {
-        it(name, async () => {
-            expect(await judge(worldSeed, actions)).toEqual([]);
+        test.it(name, async () => {
+            earl.expect(await judge(worldSeed, actions)).toEqual([]);
         });
     }
 
-    it("keep one owner, never revert, and recover", async () => {
+    test.it("keep one owner, never revert, and recover", async () => {
         await fastCheck.assert(
             fastCheck.asyncProperty(
                 fastCheck.integer({ min: 1, max: 1_000_000 }),
                 fastCheck.array(actionArbitrary, { minLength: 3, maxLength: 14 }),
                 async (worldSeed, actions) => {
-                    expect(await judge(worldSeed, actions)).toEqual([]);
+                    earl.expect(await judge(worldSeed, actions)).toEqual([]);
                 },
             ),
             { seed, numRuns: runs, endOnFailure: process.env.INTERLEAVINGS_QUICK === "1" },
--- a/packages/ownership/test/lease.test.ts
+++ b/packages/ownership/test/lease.test.ts
@@ -1,13 +1,13 @@
 /** Leases on the server's clock: never longer than a lease after the confirmation, whatever is late. */
-import { leaseExpiry, waitOutMilliseconds } from "@mulberryseam/ownership";
-import { expect } from "earl";
+import * as ownership from "@mulberryseam/ownership";
+import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 
 const duration = 700;
 
-describe("a lease", () => {
-    it("ends within one lease of its confirmation, in true time", () => {
+test.describe("a lease", () => {
+    test.it("ends within one lease of its confirmation, in true time", () => {
         const property = fastCheck.property(
             fastCheck.record({
                 clockOffset: fastCheck.integer({ min: -100_000, max: 100_000 }),
@@ -17,14 +17,14 @@
             }),
             ({ clockOffset, sampledAt, answerTook, confirmedAt }) => {
                 const sample = { serverClock: sampledAt + clockOffset, receivedAt: sampledAt + answerTook };
-                const expiresInTrueTime = leaseExpiry(sample, confirmedAt, duration) - clockOffset;
-                expect(expiresInTrueTime <= confirmedAt + duration).toEqual(true);
+                const expiresInTrueTime = ownership.leaseExpiry(sample, confirmedAt, duration) - clockOffset;
+                earl.expect(expiresInTrueTime <= confirmedAt + duration).toEqual(true);
             },
         );
         fastCheck.assert(property, { seed: 17, numRuns: 500 });
     });
 
-    it("is waited out with room for clocks that run apart by one part in twenty", () => {
-        expect(waitOutMilliseconds(duration) >= duration * 1.05).toEqual(true);
+    test.it("is waited out with room for clocks that run apart by one part in twenty", () => {
+        earl.expect(ownership.waitOutMilliseconds(duration) >= duration * 1.05).toEqual(true);
     });
 });
--- a/packages/ownership/test/sessions.test.ts
+++ b/packages/ownership/test/sessions.test.ts
@@ -1,20 +1,20 @@
 /** Whole sessions, compared with golden files; `npm run golden` writes them anew. */
-import { expect } from "earl";
+import * as earl from "earl";
 import * as fs from "node:fs";
 import * as path from "node:path";
-import { describe, it } from "node:test";
-import { createTranscript, type Transcript } from "./fixtures/transcript";
-import { createWorld, type World } from "./fixtures/world";
+import * as test from "node:test";
+import * as transcripts from "./fixtures/transcript";
+import * as worlds from "./fixtures/world";
 
 interface Session {
     name: string;
-    play: (world: World, transcript: Transcript) => Promise<void>;
+    play: (world: worlds.World, transcript: transcripts.Transcript) => Promise<void>;
 }
 
 const goldenFolder = path.resolve(__dirname, "golden");
 const settleMilliseconds = 4000;
 
-const start = async (world: World, transcript: Transcript): Promise<void> => {
+const start = async (world: worlds.World, transcript: transcripts.Transcript): Promise<void> => {
     transcript.heading("Publish and serve");
     void world.publish("first");
     await world.advanceUntil("serving", world.isServing, 15_000);
@@ -23,8 +23,8 @@
 };
 
 const step = async (
-    world: World,
-    transcript: Transcript,
+    world: worlds.World,
+    transcript: transcripts.Transcript,
     heading: string,
     change: () => void,
 ): Promise<void> => {
@@ -88,17 +88,17 @@
     },
 ];
 
-describe("whole sessions", () => {
+test.describe("whole sessions", () => {
     for (const { name, play } of sessions) {
-        it(name, async () => {
-            const transcript = createTranscript();
-            const world = createWorld({ onAppend: transcript.onAppend });
+        test.it(name, async () => {
+            const transcript = transcripts.createTranscript();
+            const world = worlds.createWorld({ onAppend: transcript.onAppend });
             await play(world, transcript);
             const file = path.join(goldenFolder, `${name}.txt`);
             if (process.env.GOLDEN_WRITE === "1") {
                 fs.writeFileSync(file, transcript.text());
             }
-            expect(transcript.text()).toEqual(fs.readFileSync(file, "utf8"));
+            earl.expect(transcript.text()).toEqual(fs.readFileSync(file, "utf8"));
         });
     }
 });
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -1,30 +1,30 @@
 /** One connection between instances, from either side: frames in, messages out. */
 import type * as net from "node:net";
-import { createFrameDecoder, encodeFrame } from "./frames";
-import { type Hello, type Message, MessageKind, parseMessage, protocolVersion } from "./messages";
+import * as framing from "./frames";
+import * as messages from "./messages";
 
 /** What happens on a connection. */
 export interface ConnectionHandlers {
     /** The peer has said who it is and speaks our version. */
-    onHello: (hello: Hello) => void;
-    onMessage: (message: Message) => void;
+    onHello: (hello: messages.Hello) => void;
+    onMessage: (message: messages.Message) => void;
     /** The peer broke the protocol; the connection is closed after this call. */
     onRefusal: (reason: string) => void;
 }
 
 /** Sends messages on a connection. */
 export interface MessageConnection {
-    send: (message: Message) => void;
+    send: (message: messages.Message) => void;
 }
 
 const highestUnsentBytes = 32 * 1024 * 1024;
 
-const refusalOf = (hello: Message, environment: string): string | undefined => {
-    if (hello.kind !== MessageKind.hello) {
+const refusalOf = (hello: messages.Message, environment: string): string | undefined => {
+    if (hello.kind !== messages.MessageKind.hello) {
         return "expected a hello first";
     }
-    if (hello.version !== protocolVersion) {
-        return `protocol version ${hello.version}, expected ${protocolVersion}`;
+    if (hello.version !== messages.protocolVersion) {
+        return `protocol version ${hello.version}, expected ${messages.protocolVersion}`;
     }
     if (hello.environment !== environment) {
         return `environment ${hello.environment}, expected ${environment}`;
@@ -42,27 +42,27 @@
  */
 export const createMessageConnection = (
     socket: net.Socket,
-    hello: Hello,
+    hello: messages.Hello,
     handlers: ConnectionHandlers,
 ): MessageConnection => {
-    const decoder = createFrameDecoder();
+    const decoder = framing.createFrameDecoder();
     let isGreeted = false;
 
-    const send = (message: Message): void => {
+    const send = (message: messages.Message): void => {
         if (socket.writable && socket.writableLength < highestUnsentBytes) {
-            socket.write(encodeFrame(message));
+            socket.write(framing.encodeFrame(message));
         }
     };
 
     const refuse = (reason: string): void => {
         handlers.onRefusal(reason);
-        send({ kind: MessageKind.refused, reason });
+        send({ kind: messages.MessageKind.refused, reason });
         socket.destroySoon();
         socket.removeAllListeners("data");
     };
 
     const take = (value: unknown): boolean => {
-        const parsed = parseMessage(value);
+        const parsed = messages.parseMessage(value);
         if (parsed.err) {
             refuse(parsed.val);
             return false;
@@ -72,7 +72,7 @@
             handlers.onMessage(message);
             return true;
         }
-        if (message.kind === MessageKind.refused) {
+        if (message.kind === messages.MessageKind.refused) {
             handlers.onRefusal(message.reason);
             return false;
         }
@@ -82,7 +82,7 @@
             return false;
         }
         isGreeted = true;
-        handlers.onHello(message as Hello);
+        handlers.onHello(message as messages.Hello);
         return true;
     };
 
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -1,6 +1,6 @@
 /** Frames: a length of four bytes, most significant first, then one CBOR item. */
 import * as cbor from "cbor-x";
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 
 /** The longest frame accepted, without its length, in bytes. */
 export const maximumFrameBytes = 8 * 1024 * 1024;
@@ -60,7 +60,7 @@
 /** Cuts a stream of bytes into frames. */
 export interface FrameDecoder {
     /** Takes bytes; gives every whole frame, or an error after which the stream is of no use. */
-    push: (bytes: Buffer) => Result<unknown[], FrameError>;
+    push: (bytes: Buffer) => tsResults.Result<unknown[], FrameError>;
 }
 
 /**
@@ -113,7 +113,7 @@
             const frames: unknown[] = [];
             for (let length = peekLength(); length !== undefined; length = peekLength()) {
                 if (length > limitBytes) {
-                    return Err({ kind: FrameErrorKind.tooLong, message: `a frame of ${length} bytes` });
+                    return tsResults.Err({ kind: FrameErrorKind.tooLong, message: `a frame of ${length} bytes` });
                 }
                 if (buffered < lengthBytes + length) {
                     break;
@@ -122,10 +122,10 @@
                     frames.push(codec.decode(takeFrame(length)));
                 }
                 catch (error) {
-                    return Err({ kind: FrameErrorKind.notCbor, message: (error as Error).message });
+                    return tsResults.Err({ kind: FrameErrorKind.notCbor, message: (error as Error).message });
                 }
             }
-            return Ok(frames);
+            return tsResults.Ok(frames);
         },
     };
 };
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between instances and the check that a decoded frame is one. */
-import { Err, Ok, type Result } from "ts-results";
+import * as tsResults from "ts-results";
 import * as zod from "zod";
 
 /** Version of the protocol; instances refuse any other. */
@@ -100,7 +100,9 @@
  * @param value - a decoded frame
  * @returns the message, or what is wrong with it
  */
-export const parseMessage = (value: unknown): Result<Message, string> => {
+export const parseMessage = (value: unknown): tsResults.Result<Message, string> => {
     const parsed = messageSchema.safeParse(value);
-    return parsed.success ? Ok(parsed.data) : Err(parsed.error.issues[0]?.message ?? "malformed message");
+    return parsed.success
+        ? tsResults.Ok(parsed.data)
+        : tsResults.Err(parsed.error.issues[0]?.message ?? "malformed message");
 };
--- a/packages/protocol/src/peerClient.ts
+++ b/packages/protocol/src/peerClient.ts
@@ -1,25 +1,25 @@
 /** Keeps a connection to one other instance. */
-import type { Logger, Owner, TimerService } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as net from "node:net";
 import * as tls from "node:tls";
-import { createMessageConnection, type MessageConnection } from "./connection";
-import type { PeerCredentials } from "./credentials";
-import { type Hello, type Message, MessageKind } from "./messages";
+import * as connections from "./connection";
+import type * as peerCredentials from "./credentials";
+import * as messages from "./messages";
 
 /** Whom to connect to and what to do with messages. */
 export interface PeerClientOptions {
     host: string;
     port: number;
-    hello: Hello;
-    credentials: PeerCredentials | undefined;
-    timers: TimerService;
-    logger: Logger;
-    onMessage: (message: Message, sender: Hello) => void;
+    hello: messages.Hello;
+    credentials: peerCredentials.PeerCredentials | undefined;
+    timers: foundation.TimerService;
+    logger: foundation.Logger;
+    onMessage: (message: messages.Message, sender: messages.Hello) => void;
 }
 
 /** Sends messages to one instance; they are dropped while there is no connection. */
 export interface PeerClient {
-    send: (message: Message) => void;
+    send: (message: messages.Message) => void;
 }
 
 const reconnectMilliseconds = 250;
@@ -33,9 +33,9 @@
  * @param owner - ends the connection
  * @returns the client
  */
-export const createPeerClient = (options: PeerClientOptions, owner: Owner): PeerClient => {
+export const createPeerClient = (options: PeerClientOptions, owner: foundation.Owner): PeerClient => {
     const { credentials, timers, logger } = options;
-    let connection: MessageConnection | undefined;
+    let connection: connections.MessageConnection | undefined;
     let socket: net.Socket | undefined;
     let refusal: string | undefined;
 
@@ -58,7 +58,7 @@
             return;
         }
         const opened = open();
-        let peer: Hello | undefined;
+        let peer: messages.Hello | undefined;
         socket = opened;
         const timeout = timers.onDelay(connectTimeoutMilliseconds, () => {
             if (peer === undefined) {
@@ -72,14 +72,14 @@
             connection = undefined;
             timers.onDelay(reconnectMilliseconds, connect);
         });
-        const created = createMessageConnection(opened, options.hello, {
+        const created = connections.createMessageConnection(opened, options.hello, {
             onHello: hello => {
                 peer = hello;
                 refusal = undefined;
                 connection = created;
             },
             onMessage: message => {
-                if (peer !== undefined && message.kind !== MessageKind.refused) {
+                if (peer !== undefined && message.kind !== messages.MessageKind.refused) {
                     options.onMessage(message, peer);
                 }
             },
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -1,20 +1,20 @@
 /** Accepts connections from other instances. */
-import { listenOn, type Logger, type Owner } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as net from "node:net";
 import * as tls from "node:tls";
-import { createMessageConnection, type MessageConnection } from "./connection";
-import type { PeerCredentials } from "./credentials";
-import { type Hello, type Message, MessageKind } from "./messages";
+import * as connections from "./connection";
+import type * as peerCredentials from "./credentials";
+import * as messages from "./messages";
 
 /** How the server listens and what it does with messages. */
 export interface PeerServerOptions {
     host: string;
     port: number;
-    hello: Hello;
-    credentials: PeerCredentials | undefined;
-    logger: Logger;
+    hello: messages.Hello;
+    credentials: peerCredentials.PeerCredentials | undefined;
+    logger: foundation.Logger;
     /** Takes a message and the means to answer its sender. */
-    onMessage: (message: Message, reply: (answer: Message) => void, sender: Hello) => void;
+    onMessage: (message: messages.Message, reply: (answer: messages.Message) => void, sender: messages.Hello) => void;
 }
 
 const highestConnections = 1024;
@@ -26,21 +26,21 @@
  * @param owner - closes the listener and its connections
  * @returns once listening
  */
-export const createPeerServer = async (options: PeerServerOptions, owner: Owner): Promise<void> => {
+export const createPeerServer = async (options: PeerServerOptions, owner: foundation.Owner): Promise<void> => {
     const { credentials, logger } = options;
     const sockets = new Set<net.Socket>();
 
     const accept = (socket: net.Socket): void => {
-        let sender: Hello | undefined;
+        let sender: messages.Hello | undefined;
         sockets.add(socket);
         socket.on("close", () => sockets.delete(socket));
         socket.on("error", () => socket.destroy());
-        const connection: MessageConnection = createMessageConnection(socket, options.hello, {
+        const connection: connections.MessageConnection = connections.createMessageConnection(socket, options.hello, {
             onHello: hello => {
                 sender = hello;
             },
             onMessage: message => {
-                if (sender !== undefined && message.kind !== MessageKind.hello) {
+                if (sender !== undefined && message.kind !== messages.MessageKind.hello) {
                     options.onMessage(message, connection.send, sender);
                 }
             },
@@ -66,5 +66,5 @@
             server.close(() => resolve());
         })
     );
-    await listenOn(server, options.host, options.port);
+    await foundation.listenOn(server, options.host, options.port);
 };
--- a/packages/protocol/test/tls.test.ts
+++ b/packages/protocol/test/tls.test.ts
@@ -1,19 +1,13 @@
 /** Mutual TLS between instances: whoever cannot prove itself gives no order. */
-import { createOwner, createSilentLogger, createTimerService, type Owner } from "@mulberryseam/foundation";
-import {
-    createPeerClient,
-    createPeerServer,
-    type Hello,
-    type Message,
-    type PeerCredentials,
-} from "@mulberryseam/protocol";
-import { reservePorts } from "@mulberryseam/site";
-import { expect } from "earl";
-import { describe, it } from "node:test";
+import * as foundation from "@mulberryseam/foundation";
+import * as protocol from "@mulberryseam/protocol";
+import * as site from "@mulberryseam/site";
+import * as earl from "earl";
+import * as test from "node:test";
 import * as timers from "node:timers/promises";
 import * as selfsigned from "selfsigned";
 
-const createHello = (name: string): Hello => ({
+const createHello = (name: string): protocol.Hello => ({
     kind: "hello",
     version: 1,
     environment: "production",
@@ -21,32 +15,35 @@
     incarnation: "run-1",
 });
 
-const createCredentials = async (): Promise<PeerCredentials> => {
+const createCredentials = async (): Promise<protocol.PeerCredentials> => {
     const made = await selfsigned.generate([{ name: "commonName", value: "mulberryseam" }], { keySize: 2048 });
     return { key: made.private, certificate: made.cert, authority: made.cert };
 };
 
 /** Sends to a server that asks for credentials; gives what arrived there. */
-const sendWith = async (server: PeerCredentials, client: PeerCredentials | undefined): Promise<Message[]> => {
-    const owner: Owner = createOwner();
-    const received: Message[] = [];
+const sendWith = async (
+    server: protocol.PeerCredentials,
+    client: protocol.PeerCredentials | undefined,
+): Promise<protocol.Message[]> => {
+    const owner: foundation.Owner = foundation.createOwner();
+    const received: protocol.Message[] = [];
     try {
-        const [port] = await reservePorts(1);
-        await createPeerServer({
+        const [port] = await site.reservePorts(1);
+        await protocol.createPeerServer({
             host: "127.0.0.1",
             port,
             hello: createHello("server"),
             credentials: server,
-            logger: createSilentLogger(),
+            logger: foundation.createSilentLogger(),
             onMessage: message => received.push(message),
         }, owner);
-        const sender = createPeerClient({
+        const sender = protocol.createPeerClient({
             host: "127.0.0.1",
             port,
             hello: createHello("client"),
             credentials: client,
-            timers: createTimerService(),
-            logger: createSilentLogger(),
+            timers: foundation.createTimerService(),
+            logger: foundation.createSilentLogger(),
             onMessage: () => undefined,
         }, owner);
         for (let attempt = 0; attempt < 40 && received.length === 0; attempt++) {
@@ -60,15 +57,15 @@
     }
 };
 
-describe("mutual TLS", () => {
-    it("lets peers of one authority talk", async () => {
+test.describe("mutual TLS", () => {
+    test.it("lets peers of one authority talk", async () => {
         const credentials = await createCredentials();
-        expect((await sendWith(credentials, credentials))[0]).toEqual({ kind: "fetchState" });
+        earl.expect((await sendWith(credentials, credentials))[0]).toEqual({ kind: "fetchState" });
     });
 
-    it("lets no stranger in, nor anyone without credentials", async () => {
+    test.it("lets no stranger in, nor anyone without credentials", async () => {
         const credentials = await createCredentials();
-        expect(await sendWith(credentials, await createCredentials())).toEqual([]);
-        expect(await sendWith(credentials, undefined)).toEqual([]);
+        earl.expect(await sendWith(credentials, await createCredentials())).toEqual([]);
+        earl.expect(await sendWith(credentials, undefined)).toEqual([]);
     });
 });
--- a/packages/site/src/childProcess.ts
+++ b/packages/site/src/childProcess.ts
@@ -1,5 +1,5 @@
 /** Processes that a site starts, each ended by its own identifier. */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as childProcess from "node:child_process";
 
 /** A process of the site. */
@@ -35,7 +35,7 @@
  * @param owner - kills it when disposed of
  * @returns the process
  */
-export const startProcess = async (options: SiteProcessOptions, owner: Owner): Promise<SiteProcess> => {
+export const startProcess = async (options: SiteProcessOptions, owner: foundation.Owner): Promise<SiteProcess> => {
     const child = childProcess.spawn(process.execPath, [options.script, ...options.parameters], {
         stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, NODE_OPTIONS: "" },
--- a/packages/site/src/exampleDocument.ts
+++ b/packages/site/src/exampleDocument.ts
@@ -1,9 +1,9 @@
 /** The example documents, with their addresses moved to loopback. */
-import type { Environment } from "@mulberryseam/configuration";
+import type * as configuration from "@mulberryseam/configuration";
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as yaml from "yaml";
-import { reservePorts } from "./ports";
+import * as portReservation from "./ports";
 
 const examplesFolder = path.resolve(__dirname, "../../../examples");
 
@@ -13,10 +13,12 @@
  * @param name - name of the example, without its ending
  * @returns the document as plain data
  */
-export const loadExample = async (name: string): Promise<Environment> => {
-    const document = yaml.parse(fs.readFileSync(path.join(examplesFolder, `${name}.yaml`), "utf8")) as Environment;
+export const loadExample = async (name: string): Promise<configuration.Environment> => {
+    const document = yaml.parse(
+        fs.readFileSync(path.join(examplesFolder, `${name}.yaml`), "utf8"),
+    ) as configuration.Environment;
     const upstreams = document.services.flatMap(service => service.upstreams);
-    const ports = await reservePorts(upstreams.length);
+    const ports = await portReservation.reservePorts(upstreams.length);
     upstreams.forEach((upstream, index) => {
         upstream.address = `127.0.0.1:${ports[index]}`;
     });
--- a/packages/site/src/site.ts
+++ b/packages/site/src/site.ts
@@ -1,23 +1,23 @@
 /** A site: stand-ins of the platform and of upstreams, and instances, each a process of its own. */
-import type { Environment, Service } from "@mulberryseam/configuration";
-import { createTimerService, type Owner } from "@mulberryseam/foundation";
-import type { OperatorStatus } from "@mulberryseam/instance";
-import { createLogClient, createLogFollower, createLogWriter, RecordKind } from "@mulberryseam/ledger";
+import type * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
+import type * as runningInstance from "@mulberryseam/instance";
+import * as ledger from "@mulberryseam/ledger";
 import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as undici from "undici";
 import * as yaml from "yaml";
-import { bundleProgram } from "./bundles";
-import { type SiteProcess, startProcess } from "./childProcess";
-import { type OwnedInterval } from "./ownershipJudge";
-import { reservePorts } from "./ports";
-import { wait } from "./wait";
+import * as bundling from "./bundles";
+import * as childProcess from "./childProcess";
+import type * as ownershipJudge from "./ownershipJudge";
+import * as portReservation from "./ports";
+import * as wait from "./wait";
 
 /** What a site is made of. */
 export interface SiteOptions {
-    document: Environment;
+    document: configuration.Environment;
     instanceCount: number;
     /** Lag of the instance list. */
     listLagMilliseconds?: number;
@@ -33,8 +33,8 @@
     operators: string;
     peers: string;
     settingsFile: string;
-    process: SiteProcess;
-    status: () => Promise<OperatorStatus | undefined>;
+    process: childProcess.SiteProcess;
+    status: () => Promise<runningInstance.OperatorStatus | undefined>;
 }
 
 /** A server of keys. */
@@ -42,16 +42,16 @@
     name: string;
     service: string;
     address: string;
-    process: SiteProcess;
+    process: childProcess.SiteProcess;
 }
 
 /** A running site. */
 export interface Site {
-    document: Environment;
+    document: configuration.Environment;
     logService: string;
     instances: InstanceProcess[];
     servers: Map<string, ServerProcess>;
-    publish: (document: Environment, environment?: string) => Promise<number>;
+    publish: (document: configuration.Environment, environment?: string) => Promise<number>;
     setLogFaults: (faults: object) => Promise<void>;
     setUpstreamFaults: (upstream: string, faults: object) => Promise<void>;
     /** Starts an instance anew in the place of one that has ended. */
@@ -61,7 +61,7 @@
     /** Waits until every slot of the keyed services is owned, as instances see it. */
     waitUntilServing: (timeoutMilliseconds: number) => Promise<void>;
     /** Histories of ownership of the servers that run, and of those read before they were ended. */
-    ownership: () => Promise<OwnedInterval[]>;
+    ownership: () => Promise<ownershipJudge.OwnedInterval[]>;
     /** Reads a server's history into the site's memory, before the server is killed. */
     keepHistory: (name: string) => Promise<void>;
     /** What an upstream ran. */
@@ -90,6 +90,22 @@
     await response.body.dump();
 };
 
+/** Settings of an upstream's stand-in, as it reads them. */
+const upstreamOptions = (
+    service: configuration.Service,
+    upstream: configuration.Service["upstreams"][number],
+    coldMilliseconds = 0,
+): string =>
+    JSON.stringify({
+        name: upstream.name,
+        port: Number(upstream.address.split(":")[1]),
+        concurrency: service.concurrency,
+        connections: service.connections,
+        checksTokens: service.checksTokens ?? true,
+        isKeyed: service.kind === "keyed",
+        coldMilliseconds,
+    });
+
 /**
  * Brings up a site and publishes its document.
  *
@@ -97,38 +113,30 @@
  * @param owner - ends every process and removes every file
  * @returns the site, its processes running
  */
-export const createSite = async (options: SiteOptions, owner: Owner): Promise<Site> => {
+export const createSite = async (options: SiteOptions, owner: foundation.Owner): Promise<Site> => {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-"));
     owner.onCleanup(() => fs.rmSync(folder, { recursive: true, force: true }));
     const bundles = {
-        instance: await bundleProgram("packages/cli/src/main.ts", folder),
-        standIns: await bundleProgram("packages/standins/src/main.ts", folder),
+        instance: await bundling.bundleProgram("packages/cli/src/main.ts", folder),
+        standIns: await bundling.bundleProgram("packages/standins/src/main.ts", folder),
     };
-    const ports = await reservePorts(2 + options.instanceCount * 3);
+    const ports = await portReservation.reservePorts(2 + options.instanceCount * 3);
     const logService = `http://127.0.0.1:${ports[0]}`;
     const listUrl = `http://127.0.0.1:${ports[1]}/instances`;
     const domains = options.document.regions.flatMap(region =>
         region.failureDomains.map(failureDomain => ({ region: region.name, failureDomain }))
     );
     const servers = new Map<string, ServerProcess>();
-    const keptHistory: OwnedInterval[] = [];
+    const keptHistory: ownershipJudge.OwnedInterval[] = [];
 
-    const startStandIn = (...parameters: string[]): Promise<SiteProcess> =>
-        startProcess({ script: bundles.standIns, parameters, waitsForReady: true }, owner);
-
-    const upstreamOptions = (service: Service, upstream: Service["upstreams"][number]): string =>
-        JSON.stringify({
-            name: upstream.name,
-            port: Number(upstream.address.split(":")[1]),
-            concurrency: service.concurrency,
-            connections: service.connections,
-            checksTokens: service.checksTokens ?? true,
-            isKeyed: service.kind === "keyed",
-            coldMilliseconds: options.coldMilliseconds ?? 0,
-        });
+    const startStandIn = (...parameters: string[]): Promise<childProcess.SiteProcess> =>
+        childProcess.startProcess({ script: bundles.standIns, parameters, waitsForReady: true }, owner);
 
-    const startServer = async (service: Service, upstream: Service["upstreams"][number]): Promise<void> => {
-        const started = await startStandIn("upstream", upstreamOptions(service, upstream));
+    const startServer = async (
+        service: configuration.Service,
+        upstream: configuration.Service["upstreams"][number],
+    ): Promise<void> => {
+        const started = await startStandIn("upstream", upstreamOptions(service, upstream, options.coldMilliseconds));
         servers.set(upstream.name, {
             name: upstream.name,
             service: service.name,
@@ -137,12 +145,15 @@
         });
     };
 
-    const startUpstreams = async (service: Service): Promise<void> => {
+    const startUpstreams = async (service: configuration.Service): Promise<void> => {
         if (service.kind === "keyed") {
             await Promise.all(service.upstreams.map(upstream => startServer(service, upstream)));
             return;
         }
-        await startStandIn("upstream", ...service.upstreams.map(upstream => upstreamOptions(service, upstream)));
+        await startStandIn(
+            "upstream",
+            ...service.upstreams.map(upstream => upstreamOptions(service, upstream, options.coldMilliseconds)),
+        );
     };
 
     const startInstance = async (index: number): Promise<InstanceProcess> => {
@@ -163,7 +174,7 @@
                 telemetry: { logLevel: "information" },
             }),
         );
-        const started = await startProcess({
+        const started = await childProcess.startProcess({
             script: bundles.instance,
             parameters: ["serve", "--settings", settingsFile],
             waitsForReady: false,
@@ -176,7 +187,7 @@
             peers,
             settingsFile,
             process: started,
-            status: () => getJson<OperatorStatus>(`http://${operators}/status`),
+            status: () => getJson<runningInstance.OperatorStatus>(`http://${operators}/status`),
         };
     };
 
@@ -198,14 +209,18 @@
             })),
         );
 
-    const publish = async (document: Environment, environment = "production"): Promise<number> => {
-        const client = createLogClient({ url: logService, stream: "mulberryseam" });
-        const follower = createLogFollower();
-        const writer = createLogWriter({ client, timers: createTimerService(), writer: `site#${crypto.randomUUID()}` });
+    const publish = async (document: configuration.Environment, environment = "production"): Promise<number> => {
+        const client = ledger.createLogClient({ url: logService, stream: "mulberryseam" });
+        const follower = ledger.createLogFollower();
+        const writer = ledger.createLogWriter({
+            client,
+            timers: foundation.createTimerService(),
+            writer: `site#${crypto.randomUUID()}`,
+        });
         const readPage = async (): Promise<boolean> => {
             const page = await client.read(follower.nextOffset(), 0);
             if (page.err) {
-                await wait(pollMilliseconds);
+                await wait.wait(pollMilliseconds);
                 return false;
             }
             follower.takePage(page.val).forEach(writer.takeFolded);
@@ -217,7 +232,7 @@
         const current = follower.state()?.environments.find(entry => entry.environment === environment);
         let isDone = false;
         const writing = writer.write({
-            kind: RecordKind.publish,
+            kind: ledger.RecordKind.publish,
             environment,
             basedOn: current?.version ?? -1,
             document: yaml.stringify(document),
@@ -226,7 +241,7 @@
         });
         while (!isDone) {
             await readPage();
-            await wait(pollMilliseconds / 10);
+            await wait.wait(pollMilliseconds / 10);
         }
         const written = await writing;
         if (written.err) {
@@ -235,8 +250,10 @@
         return written.val;
     };
 
-    const historyOf = async (server: ServerProcess): Promise<OwnedInterval[]> => {
-        const answer = await getJson<{ history: OwnedInterval[]; }>(`http://${server.address}/stand-in/state`);
+    const historyOf = async (server: ServerProcess): Promise<ownershipJudge.OwnedInterval[]> => {
+        const answer = await getJson<{ history: ownershipJudge.OwnedInterval[]; }>(
+            `http://${server.address}/stand-in/state`,
+        );
         return (answer?.history ?? []).map(interval => ({ ...interval, server: server.name }));
     };
 
@@ -286,7 +303,7 @@
                 if (performance.now() - startedAt > timeoutMilliseconds) {
                     throw new Error(`the site does not serve: ${instances[0].process.errorOutput()}`);
                 }
-                await wait(pollMilliseconds);
+                await wait.wait(pollMilliseconds);
             }
         },
         ownership: async () => {
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -1,5 +1,5 @@
 /** Small help for the HTTP side of stand-ins. */
-import { listenOn, type Owner } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -23,9 +23,13 @@
  * @param owner - closes the listener and its connections
  * @returns the server, listening
  */
-export const listen = async (port: number, handler: http.RequestListener, owner: Owner): Promise<http.Server> => {
+export const listen = async (
+    port: number,
+    handler: http.RequestListener,
+    owner: foundation.Owner,
+): Promise<http.Server> => {
     const server = http.createServer({ keepAliveTimeout: 60_000 }, handler);
-    await listenOn(server, "127.0.0.1", port);
+    await foundation.listenOn(server, "127.0.0.1", port);
     owner.onCleanup(() =>
         new Promise<void>(resolve => {
             server.close(() => resolve());
--- a/packages/standins/src/instanceListStandIn.ts
+++ b/packages/standins/src/instanceListStandIn.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the platform's list of live and leaving instances, which lags behind what it is told. */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as consumers from "node:stream/consumers";
-import { answerJson, listen, portOf } from "./httpServer";
+import * as httpServer from "./httpServer";
 
 /** An instance of the list. */
 export interface StandInInstance {
@@ -28,7 +28,7 @@
 export const createInstanceListStandIn = async (
     port: number,
     lagMilliseconds: number,
-    owner: Owner,
+    owner: foundation.Owner,
 ): Promise<InstanceListStandIn> => {
     let instances: readonly StandInInstance[] = [];
     const set = (next: readonly StandInInstance[]): void => {
@@ -37,11 +37,11 @@
         }, lagMilliseconds);
         handle.unref();
     };
-    const server = await listen(port, async (request, response) => {
+    const server = await httpServer.listen(port, async (request, response) => {
         if (request.method === "PUT") {
             set(JSON.parse(await consumers.text(request)) as StandInInstance[]);
         }
-        answerJson(response, 200, { instances });
+        httpServer.answerJson(response, 200, { instances });
     }, owner);
-    return { url: `http://127.0.0.1:${portOf(server)}/instances`, set };
+    return { url: `http://127.0.0.1:${httpServer.portOf(server)}/instances`, set };
 };
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -1,7 +1,7 @@
 /** Stand-in for a link between regions: any TCP connection can be led through it, delayed, narrowed or cut. */
-import { listenOn, type Owner } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as net from "node:net";
-import { portOf } from "./httpServer";
+import * as httpServer from "./httpServer";
 
 /** A running link. */
 export interface LinkStandIn {
@@ -40,7 +40,7 @@
  * @param owner - stops the link
  * @returns the running link
  */
-export const createLinkStandIn = async (options: LinkOptions, owner: Owner): Promise<LinkStandIn> => {
+export const createLinkStandIn = async (options: LinkOptions, owner: foundation.Owner): Promise<LinkStandIn> => {
     const sockets = new Set<net.Socket>();
     const cut = { forward: false, backward: false };
     const lines: { forward: Line; backward: Line; } = { forward: { freeAt: 0 }, backward: { freeAt: 0 } };
@@ -90,7 +90,7 @@
         carry(incoming, outgoing, lines.forward, () => cut.forward);
         carry(outgoing, incoming, lines.backward, () => cut.backward);
     });
-    await listenOn(server, "127.0.0.1", options.port);
+    await foundation.listenOn(server, "127.0.0.1", options.port);
     owner.onCleanup(() =>
         new Promise<void>(resolve => {
             sockets.forEach(socket => socket.destroy());
@@ -98,7 +98,7 @@
         })
     );
     return {
-        port: portOf(server),
+        port: httpServer.portOf(server),
         setCut: change => Object.assign(cut, change),
         setDelay: milliseconds => {
             delayMilliseconds = milliseconds;
--- a/packages/standins/src/logServiceStandIn.ts
+++ b/packages/standins/src/logServiceStandIn.ts
@@ -2,10 +2,10 @@
  * Stand-in for the platform's log service: append-only streams with offsets, limited retention, and faults that can be
  * switched on while it runs.
  */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as consumers from "node:stream/consumers";
 import * as timers from "node:timers/promises";
-import { answerJson, listen, portOf } from "./httpServer";
+import * as httpServer from "./httpServer";
 
 /** Faults of the service. */
 export interface LogFaults {
@@ -106,7 +106,7 @@
  * @param owner - stops the service
  * @returns the running service
  */
-export const createLogServiceStandIn = async (port: number, owner: Owner): Promise<LogServiceStandIn> => {
+export const createLogServiceStandIn = async (port: number, owner: foundation.Owner): Promise<LogServiceStandIn> => {
     const streams = new Map<string, LogStore>();
     const faults: LogFaults = { isDown: false, delayMilliseconds: 0, losesAnswers: false };
     let appendCount = 0;
@@ -117,30 +117,30 @@
         return stream;
     };
 
-    const server = await listen(port, async (request, response) => {
+    const server = await httpServer.listen(port, async (request, response) => {
         const url = new URL(request.url ?? "/", "http://stand-in");
         const body = request.method === "POST" ? await consumers.text(request) : "";
         if (url.pathname === "/stand-in/faults") {
             Object.assign(faults, JSON.parse(body));
-            answerJson(response, 200, faults);
+            httpServer.answerJson(response, 200, faults);
             return;
         }
         if (url.pathname === "/stand-in/retention") {
             const { keepLatest } = JSON.parse(body) as { keepLatest: number; };
             streams.forEach(stream => stream.keepLatest(keepLatest));
-            answerJson(response, 200, {});
+            httpServer.answerJson(response, 200, {});
             return;
         }
         await timers.setTimeout(faults.delayMilliseconds);
         const stream = streamOf(url.pathname.split("/")[2] ?? "");
         if (faults.isDown) {
-            answerJson(response, 503, { error: "down" });
+            httpServer.answerJson(response, 503, { error: "down" });
             return;
         }
         if (request.method === "POST") {
             const offset = stream.append(JSON.parse(body), Date.now());
             appendCount += 1;
-            answerJson(response, faults.losesAnswers ? 503 : 200, { offset });
+            httpServer.answerJson(response, faults.losesAnswers ? 503 : 200, { offset });
             return;
         }
         const from = Number(url.searchParams.get("from"));
@@ -149,11 +149,11 @@
         if (wait > 0 && stream.read(from, 1).records.length === 0) {
             await waitForAppend(stream, wait);
         }
-        answerJson(response, faults.isDown ? 503 : 200, stream.read(from, limit));
+        httpServer.answerJson(response, faults.isDown ? 503 : 200, stream.read(from, limit));
     }, owner);
 
     return {
-        url: `http://127.0.0.1:${portOf(server)}`,
+        url: `http://127.0.0.1:${httpServer.portOf(server)}`,
         setFaults: change => Object.assign(faults, change),
         appendCount: () => appendCount,
     };
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,21 +1,24 @@
 /** Runs one stand-in as a process: `log PORT`, `list PORT LAG`, or `upstream JSON...` with one or more options. */
-import { createOwner } from "@mulberryseam/foundation";
-import { createInstanceListStandIn } from "./instanceListStandIn";
-import { createLogServiceStandIn } from "./logServiceStandIn";
-import { createUpstreamStandIn, type UpstreamStandInOptions } from "./upstreamStandIn";
+import * as foundation from "@mulberryseam/foundation";
+import * as instanceListStandIn from "./instanceListStandIn";
+import * as logServiceStandIn from "./logServiceStandIn";
+import * as upstreamStandIn from "./upstreamStandIn";
 
 const run = async (role: string, parameters: readonly string[]): Promise<void> => {
-    const owner = createOwner();
+    const owner = foundation.createOwner();
     process.on("SIGTERM", () => void owner.dispose().then(() => process.exit(0)));
     if (role === "log") {
-        await createLogServiceStandIn(Number(parameters[0]), owner);
+        await logServiceStandIn.createLogServiceStandIn(Number(parameters[0]), owner);
     }
     else if (role === "list") {
-        await createInstanceListStandIn(Number(parameters[0]), Number(parameters[1]), owner);
+        await instanceListStandIn.createInstanceListStandIn(Number(parameters[0]), Number(parameters[1]), owner);
     }
     else if (role === "upstream") {
         for (const parameter of parameters) {
-            await createUpstreamStandIn(JSON.parse(parameter) as UpstreamStandInOptions, owner);
+            await upstreamStandIn.createUpstreamStandIn(
+                JSON.parse(parameter) as upstreamStandIn.UpstreamStandInOptions,
+                owner,
+            );
         }
     }
     else {
--- a/packages/standins/src/upstreamStandIn.ts
+++ b/packages/standins/src/upstreamStandIn.ts
@@ -5,12 +5,12 @@
  * It answers with a digest of the body it got, so that a caller can tell a whole exchange from a cut one, and keeps a
  * journal of what truly ran, so that a test can judge what callers were told.
  */
-import type { Owner } from "@mulberryseam/foundation";
+import type * as foundation from "@mulberryseam/foundation";
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
 import * as consumers from "node:stream/consumers";
-import { createGrantTable, type GrantMessage } from "./grantTable";
-import { answerJson, listen, portOf } from "./httpServer";
+import * as grantTable from "./grantTable";
+import * as httpServer from "./httpServer";
 
 /** How an upstream behaves. */
 export interface UpstreamStandInOptions {
@@ -74,7 +74,7 @@
  */
 export const createUpstreamStandIn = async (
     options: UpstreamStandInOptions,
-    owner: Owner,
+    owner: foundation.Owner,
 ): Promise<UpstreamStandIn> => {
     const incarnation = crypto.randomUUID();
     const startedAt = performance.now();
@@ -87,7 +87,7 @@
         cutsAnswers: false,
         swallowsAnswers: false,
     };
-    const grants = createGrantTable(incarnation, () => faults.isDraining);
+    const grants = grantTable.createGrantTable(incarnation, () => faults.isDraining);
     let running = 0;
 
     const takeSlot = async (): Promise<void> => {
@@ -204,17 +204,17 @@
 
     const control = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
         if (request.url === "/grants") {
-            const message = JSON.parse(await consumers.text(request)) as GrantMessage;
-            answerJson(response, 200, grants.take(message, performance.now()));
+            const message = JSON.parse(await consumers.text(request)) as grantTable.GrantMessage;
+            httpServer.answerJson(response, 200, grants.take(message, performance.now()));
             return;
         }
         if (request.url === "/stand-in/faults") {
             Object.assign(faults, JSON.parse(await consumers.text(request)));
-            answerJson(response, 200, faults);
+            httpServer.answerJson(response, 200, faults);
             return;
         }
         if (request.url === "/stand-in/journal") {
-            answerJson(response, 200, journal);
+            httpServer.answerJson(response, 200, journal);
             return;
         }
         const clock = performance.now();
@@ -225,10 +225,10 @@
             from: event.from + shift,
             until: event.until + shift,
         }));
-        answerJson(response, 200, { name: options.name, owned: grants.ownedCount(clock), history });
+        httpServer.answerJson(response, 200, { name: options.name, owned: grants.ownedCount(clock), history });
     };
 
-    const server = await listen(options.port, (request, response) => {
+    const server = await httpServer.listen(options.port, (request, response) => {
         const isControl = request.url === "/grants" || request.url?.startsWith("/stand-in/");
         if (isControl) {
             void control(request, response);
@@ -244,7 +244,7 @@
     server.maxConnections = options.connections;
 
     return {
-        port: portOf(server),
+        port: httpServer.portOf(server),
         setFaults: change => Object.assign(faults, change),
         journal: () => journal,
     };
--- a/packages/standins/test/grantTable.test.ts
+++ b/packages/standins/test/grantTable.test.ts
@@ -1,12 +1,12 @@
 /** The grants of a server: what late, foreign and stale messages can and cannot do. */
-import { createGrantTable, type GrantMessage } from "@mulberryseam/standins";
-import { expect } from "earl";
+import * as standins from "@mulberryseam/standins";
+import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 
 const slot = (token: number) => ({ service: "records", slot: 3, token });
 
-const message = (change: Partial<GrantMessage>): GrantMessage => ({
+const message = (change: Partial<standins.GrantMessage>): standins.GrantMessage => ({
     incarnation: "run-1",
     expiresAt: 1000,
     slots: [],
@@ -14,58 +14,58 @@
     ...change,
 });
 
-describe("the grants of a server", () => {
-    it("end at the instant they carry, whenever the message arrives", () => {
-        const table = createGrantTable("run-1", () => false);
+test.describe("the grants of a server", () => {
+    test.it("end at the instant they carry, whenever the message arrives", () => {
+        const table = standins.createGrantTable("run-1", () => false);
         table.take(message({ slots: [slot(10)] }), 900);
-        expect(table.owns(slot(10), 999)).toEqual(true);
-        expect(table.owns(slot(10), 1000)).toEqual(false);
+        earl.expect(table.owns(slot(10), 999)).toEqual(true);
+        earl.expect(table.owns(slot(10), 1000)).toEqual(false);
         table.take(message({ slots: [slot(10)] }), 1100);
-        expect(table.owns(slot(10), 1100)).toEqual(false);
+        earl.expect(table.owns(slot(10), 1100)).toEqual(false);
     });
 
-    it("are not shortened by a message that is older", () => {
-        const table = createGrantTable("run-1", () => false);
+    test.it("are not shortened by a message that is older", () => {
+        const table = standins.createGrantTable("run-1", () => false);
         table.take(message({ slots: [slot(10)], expiresAt: 1500 }), 900);
         table.take(message({ slots: [slot(10)], expiresAt: 1000 }), 950);
-        expect(table.owns(slot(10), 1400)).toEqual(true);
+        earl.expect(table.owns(slot(10), 1400)).toEqual(true);
     });
 
-    it("for another run of the server are refused", () => {
-        const table = createGrantTable("run-2", () => false);
+    test.it("for another run of the server are refused", () => {
+        const table = standins.createGrantTable("run-2", () => false);
         table.take(message({ slots: [slot(10)] }), 900);
-        expect(table.owns(slot(10), 950)).toEqual(false);
+        earl.expect(table.owns(slot(10), 950)).toEqual(false);
         table.take(message({ incarnation: "run-2", slots: [slot(10)] }), 900);
-        expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([]);
-        expect(table.owns(slot(10), 950)).toEqual(true);
+        earl.expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([]);
+        earl.expect(table.owns(slot(10), 950)).toEqual(true);
     });
 
-    it("once released cannot be revived by a late message under the same token", () => {
-        const table = createGrantTable("run-1", () => false);
+    test.it("once released cannot be revived by a late message under the same token", () => {
+        const table = standins.createGrantTable("run-1", () => false);
         table.take(message({ slots: [slot(10)] }), 900);
-        expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([slot(10)]);
+        earl.expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([slot(10)]);
         table.take(message({ slots: [slot(10)] }), 920);
-        expect(table.owns(slot(10), 930)).toEqual(false);
+        earl.expect(table.owns(slot(10), 930)).toEqual(false);
         table.take(message({ slots: [slot(12)] }), 940);
-        expect(table.owns(slot(12), 950)).toEqual(true);
+        earl.expect(table.owns(slot(12), 950)).toEqual(true);
     });
 
-    it("are said to be released only when they were held", () => {
-        const table = createGrantTable("run-1", () => false);
-        expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([]);
+    test.it("are said to be released only when they were held", () => {
+        const table = standins.createGrantTable("run-1", () => false);
+        earl.expect(table.take(message({ release: [slot(10)] }), 910).released).toEqual([]);
         table.take(message({ slots: [slot(10)] }), 920);
-        expect(table.owns(slot(10), 930)).toEqual(false);
+        earl.expect(table.owns(slot(10), 930)).toEqual(false);
     });
 
-    it("under a lower token never replace those under a higher one", () => {
-        const table = createGrantTable("run-1", () => false);
+    test.it("under a lower token never replace those under a higher one", () => {
+        const table = standins.createGrantTable("run-1", () => false);
         table.take(message({ slots: [slot(12)] }), 900);
         table.take(message({ slots: [slot(10)] }), 910);
-        expect(table.owns(slot(12), 920)).toEqual(true);
-        expect(table.owns(slot(10), 920)).toEqual(false);
+        earl.expect(table.owns(slot(12), 920)).toEqual(true);
+        earl.expect(table.owns(slot(10), 920)).toEqual(false);
     });
 
-    it("never last beyond the latest instant that any message carried", () => {
+    test.it("never last beyond the latest instant that any message carried", () => {
         const property = fastCheck.property(
             fastCheck.array(
                 fastCheck.record({
@@ -77,7 +77,7 @@
                 { maxLength: 20 },
             ),
             events => {
-                const table = createGrantTable("run-1", () => false);
+                const table = standins.createGrantTable("run-1", () => false);
                 let latest = 0;
                 for (const event of [...events].sort((left, right) => left.now - right.now)) {
                     const slots = [slot(event.token)];
@@ -88,7 +88,7 @@
                     );
                 }
                 const isOwned = [1, 2, 3, 4].some(token => table.owns(slot(token), latest));
-                expect(isOwned).toEqual(false);
+                earl.expect(isOwned).toEqual(false);
             },
         );
         fastCheck.assert(property, { seed: 11, numRuns: 300 });
--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -1,13 +1,13 @@
 /** The stand-in of a link: it carries whole streams, delays and narrows them, and swallows what is sent while cut. */
-import { createOwner, type Owner } from "@mulberryseam/foundation";
-import { createLinkStandIn, type LinkOptions, type LinkStandIn } from "@mulberryseam/standins";
-import { expect } from "earl";
+import * as foundation from "@mulberryseam/foundation";
+import * as standins from "@mulberryseam/standins";
+import * as earl from "earl";
 import * as crypto from "node:crypto";
 import * as net from "node:net";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 import * as timers from "node:timers/promises";
 
-const startEcho = (owner: Owner): Promise<number> =>
+const startEcho = (owner: foundation.Owner): Promise<number> =>
     new Promise(resolve => {
         const server = net.createServer(socket => {
             socket.on("error", () => undefined);
@@ -29,38 +29,38 @@
     });
 
 const withLink = async (
-    options: Partial<LinkOptions>,
-    work: (link: LinkStandIn) => Promise<void>,
+    options: Partial<standins.LinkOptions>,
+    work: (link: standins.LinkStandIn) => Promise<void>,
 ): Promise<void> => {
-    const owner = createOwner();
+    const owner = foundation.createOwner();
     try {
         const targetPort = await startEcho(owner);
         const defaults = { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 };
-        await work(await createLinkStandIn({ ...defaults, ...options }, owner));
+        await work(await standins.createLinkStandIn({ ...defaults, ...options }, owner));
     }
     finally {
         await owner.dispose();
     }
 };
 
-describe("the stand-in of a link", () => {
-    it("carries a stream whole, delayed", () =>
+test.describe("the stand-in of a link", () => {
+    test.it("carries a stream whole, delayed", () =>
         withLink({ delayMilliseconds: 20 }, async link => {
             const bytes = crypto.randomBytes(200_000);
             const startedAt = performance.now();
-            expect((await exchange(link.port, bytes)).equals(bytes)).toEqual(true);
-            expect(performance.now() - startedAt >= 40).toEqual(true);
-            expect(link.carriedBytes()).toEqual(400_000);
+            earl.expect((await exchange(link.port, bytes)).equals(bytes)).toEqual(true);
+            earl.expect(performance.now() - startedAt >= 40).toEqual(true);
+            earl.expect(link.carriedBytes()).toEqual(400_000);
         }));
 
-    it("narrows a stream to its rate", () =>
+    test.it("narrows a stream to its rate", () =>
         withLink({ bytesPerSecond: 1_000_000 }, async link => {
             const startedAt = performance.now();
             await exchange(link.port, crypto.randomBytes(200_000));
-            expect(performance.now() - startedAt >= 200).toEqual(true);
+            earl.expect(performance.now() - startedAt >= 200).toEqual(true);
         }));
 
-    it("swallows what is sent while it is cut, in one direction alone if asked", () =>
+    test.it("swallows what is sent while it is cut, in one direction alone if asked", () =>
         withLink({}, async link => {
             link.setCut({ forward: false, backward: true });
             let received = 0;
@@ -69,13 +69,13 @@
                 received += (chunk as Buffer).length;
             });
             await timers.setTimeout(50);
-            expect(received).toEqual(0);
+            earl.expect(received).toEqual(0);
             link.setCut({ forward: false, backward: false });
             socket.write("found");
             while (received < 5) {
                 await timers.setTimeout(5);
             }
-            expect(received).toEqual(5);
+            earl.expect(received).toEqual(5);
             socket.destroy();
         }));
 });
--- a/packages/traffic/src/choice.ts
+++ b/packages/traffic/src/choice.ts
@@ -2,7 +2,7 @@
  * Choice of an upstream: two at random, the one with less outstanding work, own region first. Bulk keeps to some of the
  * upstreams, and other work prefers the rest.
  */
-import { type Random, rendezvousOrder } from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 
 /** An upstream that could take a request. */
 export interface Candidate {
@@ -30,13 +30,13 @@
     excluded: readonly string[];
     /** Whether the request is of a rank that may use only some upstreams. */
     isBulk: boolean;
-    random: Random;
+    random: foundation.Random;
 }
 
 const expectedWork = (candidate: Candidate): number =>
     (candidate.outstanding + 1) * Math.max(candidate.latencyMilliseconds, 1);
 
-const chooseOfTwo = (candidates: readonly Candidate[], random: Random): Candidate | undefined => {
+const chooseOfTwo = (candidates: readonly Candidate[], random: foundation.Random): Candidate | undefined => {
     if (candidates.length < 2) {
         return candidates[0];
     }
@@ -80,7 +80,7 @@
     for (const region of new Set(upstreams.map(upstream => upstream.region))) {
         const names = upstreams.filter(upstream => upstream.region === region).map(upstream => upstream.name);
         const count = Math.max(1, Math.floor(names.length * share));
-        rendezvousOrder("bulk", names).slice(0, count).forEach(name => chosen.add(name));
+        foundation.rendezvousOrder("bulk", names).slice(0, count).forEach(name => chosen.add(name));
     }
     return chosen;
 };
--- a/packages/traffic/test/policies.test.ts
+++ b/packages/traffic/test/policies.test.ts
@@ -1,23 +1,11 @@
 /** Windows, choice, ejection, retries, links and outcomes. */
-import { createRandom } from "@mulberryseam/foundation";
-import {
-    type AttemptResultKind,
-    type Candidate,
-    chooseBulkUpstreams,
-    chooseUpstream,
-    createAdaptiveWindow,
-    createEjection,
-    createLinkBudget,
-    createLoadCounter,
-    createRetryBudget,
-    mayAttemptAgain,
-    outcomeOf,
-} from "@mulberryseam/traffic";
-import { expect } from "earl";
+import * as foundation from "@mulberryseam/foundation";
+import * as traffic from "@mulberryseam/traffic";
+import * as earl from "earl";
 import * as fastCheck from "fast-check";
-import { describe, it } from "node:test";
+import * as test from "node:test";
 
-const createCandidate = (name: string, change: Partial<Candidate> = {}): Candidate => ({
+const createCandidate = (name: string, change: Partial<traffic.Candidate> = {}): traffic.Candidate => ({
     name,
     region: "north",
     outstanding: 0,
@@ -29,36 +17,36 @@
     ...change,
 });
 
-const attemptKinds: AttemptResultKind[] = ["answered", "notSent", "refused", "lost"];
+const attemptKinds: traffic.AttemptResultKind[] = ["answered", "notSent", "refused", "lost"];
 
-describe("the adaptive window", () => {
-    it("starts at its share and never falls below one request", () => {
-        const window = createAdaptiveWindow({ share: 0.75, maximum: 6 });
-        expect(window.limit()).toEqual(1);
+test.describe("the adaptive window", () => {
+    test.it("starts at its share and never falls below one request", () => {
+        const window = traffic.createAdaptiveWindow({ share: 0.75, maximum: 6 });
+        earl.expect(window.limit()).toEqual(1);
         for (let time = 0; time < 10; time++) {
             window.onShed(time * 1000);
         }
-        expect(window.limit()).toEqual(1);
+        earl.expect(window.limit()).toEqual(1);
     });
 
-    it("grows while answers come and it is full, up to the whole capacity", () => {
-        const window = createAdaptiveWindow({ share: 1, maximum: 6 });
+    test.it("grows while answers come and it is full, up to the whole capacity", () => {
+        const window = traffic.createAdaptiveWindow({ share: 1, maximum: 6 });
         for (let answer = 0; answer < 200; answer++) {
             window.onAnswered(window.limit());
         }
-        expect(window.limit()).toEqual(6);
+        earl.expect(window.limit()).toEqual(6);
     });
 
-    it("does not grow while it is not used", () => {
-        const window = createAdaptiveWindow({ share: 2, maximum: 6 });
+    test.it("does not grow while it is not used", () => {
+        const window = traffic.createAdaptiveWindow({ share: 2, maximum: 6 });
         for (let answer = 0; answer < 200; answer++) {
             window.onAnswered(0);
         }
-        expect(window.limit()).toEqual(2);
+        earl.expect(window.limit()).toEqual(2);
     });
 
-    it("counts a burst of refusals once", () => {
-        const window = createAdaptiveWindow({ share: 2, maximum: 100 });
+    test.it("counts a burst of refusals once", () => {
+        const window = traffic.createAdaptiveWindow({ share: 2, maximum: 100 });
         for (let answer = 0; answer < 3000; answer++) {
             window.onAnswered(window.limit());
         }
@@ -66,93 +54,101 @@
         window.onShed(1000);
         window.onShed(1001);
         window.onShed(1002);
-        expect(window.limit() >= Math.floor(before * 0.69)).toEqual(true);
+        earl.expect(window.limit() >= Math.floor(before * 0.69)).toEqual(true);
     });
 });
 
-describe("the choice of an upstream", () => {
-    const options = { region: "north", mayCross: () => true, excluded: [], isBulk: false, random: createRandom(1) };
+test.describe("the choice of an upstream", () => {
+    const options = {
+        region: "north",
+        mayCross: () => true,
+        excluded: [],
+        isBulk: false,
+        random: foundation.createRandom(1),
+    };
 
-    it("takes the one with less outstanding work", () => {
+    test.it("takes the one with less outstanding work", () => {
         const candidates = [createCandidate("busy", { outstanding: 3 }), createCandidate("idle")];
-        expect(chooseUpstream(candidates, options)?.name).toEqual("idle");
+        earl.expect(traffic.chooseUpstream(candidates, options)?.name).toEqual("idle");
     });
 
-    it("passes over what drains, is ejected, is full or was tried", () => {
+    test.it("passes over what drains, is ejected, is full or was tried", () => {
         const candidates = [
             createCandidate("draining", { isDraining: true }),
             createCandidate("ejected", { isEjected: true }),
             createCandidate("full", { outstanding: 4 }),
             createCandidate("tried"),
         ];
-        expect(chooseUpstream(candidates, { ...options, excluded: ["tried"] })).toEqual(undefined);
+        earl.expect(traffic.chooseUpstream(candidates, { ...options, excluded: ["tried"] })).toEqual(undefined);
     });
 
-    it("stays in the region while it can, and crosses only where it may", () => {
+    test.it("stays in the region while it can, and crosses only where it may", () => {
         const far = createCandidate("far", { region: "south" });
-        expect(chooseUpstream([far, createCandidate("near", { outstanding: 3 })], options)?.name).toEqual("near");
-        expect(chooseUpstream([far], { ...options, mayCross: () => false })).toEqual(undefined);
-        expect(chooseUpstream([far], options)?.name).toEqual("far");
+        earl.expect(traffic.chooseUpstream([far, createCandidate("near", { outstanding: 3 })], options)?.name).toEqual(
+            "near",
+        );
+        earl.expect(traffic.chooseUpstream([far], { ...options, mayCross: () => false })).toEqual(undefined);
+        earl.expect(traffic.chooseUpstream([far], options)?.name).toEqual("far");
     });
 });
 
-describe("bulk", () => {
+test.describe("bulk", () => {
     const names = [...Array(12).keys()].map(index => ({ name: `upstream-${index}`, region: `region-${index % 3}` }));
 
-    it("keeps to its share of each region's upstreams, the same for every instance", () => {
-        const chosen = chooseBulkUpstreams(names, 0.5);
-        expect(chosen).toEqual(chooseBulkUpstreams([...names].reverse(), 0.5));
-        expect(
+    test.it("keeps to its share of each region's upstreams, the same for every instance", () => {
+        const chosen = traffic.chooseBulkUpstreams(names, 0.5);
+        earl.expect(chosen).toEqual(traffic.chooseBulkUpstreams([...names].reverse(), 0.5));
+        earl.expect(
             ["region-0", "region-1", "region-2"].map(region =>
                 names.filter(upstream => upstream.region === region && chosen.has(upstream.name)).length
             ),
         ).toEqual([2, 2, 2]);
     });
 
-    it("never goes to the other upstreams, which other work prefers", () => {
-        const options = { region: "north", mayCross: () => true, excluded: [], random: createRandom(1) };
+    test.it("never goes to the other upstreams, which other work prefers", () => {
+        const options = { region: "north", mayCross: () => true, excluded: [], random: foundation.createRandom(1) };
         const free = createCandidate("free", { takesBulk: false, outstanding: 3 });
         const bulk = createCandidate("bulk");
-        expect(chooseUpstream([free, bulk], { ...options, isBulk: false })?.name).toEqual("free");
-        expect(chooseUpstream([free, bulk], { ...options, isBulk: true })?.name).toEqual("bulk");
-        expect(chooseUpstream([free], { ...options, isBulk: true })).toEqual(undefined);
+        earl.expect(traffic.chooseUpstream([free, bulk], { ...options, isBulk: false })?.name).toEqual("free");
+        earl.expect(traffic.chooseUpstream([free, bulk], { ...options, isBulk: true })?.name).toEqual("bulk");
+        earl.expect(traffic.chooseUpstream([free], { ...options, isBulk: true })).toEqual(undefined);
     });
 });
 
-describe("ejection", () => {
-    it("ejects after failures in a row and lets back in after a while", () => {
-        const ejection = createEjection();
+test.describe("ejection", () => {
+    test.it("ejects after failures in a row and lets back in after a while", () => {
+        const ejection = traffic.createEjection();
         ejection.setUpstreams(["a", "b"]);
         [1, 2, 3].forEach(now => ejection.onFailure("a", now));
-        expect(ejection.isEjected("a", 4)).toEqual(true);
-        expect(ejection.isEjected("a", 1100)).toEqual(false);
+        earl.expect(ejection.isEjected("a", 4)).toEqual(true);
+        earl.expect(ejection.isEjected("a", 1100)).toEqual(false);
     });
 
-    it("never ejects more than half", () => {
-        const ejection = createEjection();
+    test.it("never ejects more than half", () => {
+        const ejection = traffic.createEjection();
         ejection.setUpstreams(["a", "b", "c", "d"]);
         for (const name of ["a", "b", "c", "d"]) {
             [1, 2, 3, 4, 5].forEach(now => ejection.onFailure(name, now));
         }
-        expect(["a", "b", "c", "d"].filter(name => ejection.isEjected(name, 10)).length).toEqual(2);
+        earl.expect(["a", "b", "c", "d"].filter(name => ejection.isEjected(name, 10)).length).toEqual(2);
     });
 });
 
-describe("the retry budget", () => {
-    it("keeps retries to a tenth of the requests", () => {
-        const budget = createRetryBudget();
+test.describe("the retry budget", () => {
+    test.it("keeps retries to a tenth of the requests", () => {
+        const budget = traffic.createRetryBudget();
         let retries = 0;
         for (let request = 0; request < 10_000; request++) {
             budget.onRequest();
             retries += budget.take() ? 1 : 0;
         }
-        expect(retries <= 10_000 * 0.1 + 20).toEqual(true);
+        earl.expect(retries <= 10_000 * 0.1 + 20).toEqual(true);
     });
 });
 
-describe("the link budget", () => {
-    it("holds a rank to its share of the rate", () => {
-        const link = createLinkBudget(8_000_000, () => 0.5);
+test.describe("the link budget", () => {
+    test.it("holds a rank to its share of the rate", () => {
+        const link = traffic.createLinkBudget(8_000_000, () => 0.5);
         let sent = 0;
         for (let now = 0; now < 10_000; now += 10) {
             if (link.mayUse("scan", now)) {
@@ -160,60 +156,62 @@
                 sent += 100_000;
             }
         }
-        expect(sent <= 500_000 * 11 + 100_000).toEqual(true);
-        expect(sent >= 500_000 * 9).toEqual(true);
+        earl.expect(sent <= 500_000 * 11 + 100_000).toEqual(true);
+        earl.expect(sent >= 500_000 * 9).toEqual(true);
     });
 
-    it("refuses a rank without a share", () => {
-        expect(createLinkBudget(8_000_000, () => 0).mayUse("scan", 0)).toEqual(false);
+    test.it("refuses a rank without a share", () => {
+        earl.expect(traffic.createLinkBudget(8_000_000, () => 0).mayUse("scan", 0)).toEqual(false);
     });
 });
 
-describe("outcomes", () => {
-    it("are not-run only when nothing can have run", () => {
+test.describe("outcomes", () => {
+    test.it("are not-run only when nothing can have run", () => {
         const property = fastCheck.property(
             fastCheck.array(fastCheck.constantFrom(...attemptKinds), { maxLength: 6 }),
             attempts => {
-                const outcome = outcomeOf(attempts);
+                const outcome = traffic.outcomeOf(attempts);
                 const mayHaveRun = attempts.includes("lost") || attempts[attempts.length - 1] === "answered";
-                expect(outcome === "not-run").toEqual(!mayHaveRun);
+                earl.expect(outcome === "not-run").toEqual(!mayHaveRun);
             },
         );
         fastCheck.assert(property, { seed: 3, numRuns: 300 });
     });
 
-    it("allow no second run of work that is not idempotent", () => {
+    test.it("allow no second run of work that is not idempotent", () => {
         const property = fastCheck.property(
-            fastCheck.array(fastCheck.constantFrom<AttemptResultKind>("notSent", "refused", "lost"), { maxLength: 6 }),
+            fastCheck.array(fastCheck.constantFrom<traffic.AttemptResultKind>("notSent", "refused", "lost"), {
+                maxLength: 6,
+            }),
             attempts => {
-                const mayRepeat = mayAttemptAgain({
+                const mayRepeat = traffic.mayAttemptAgain({
                     attempts,
                     isIdempotent: false,
                     isBodyIntact: true,
                     remainingMilliseconds: 100,
                 });
-                expect(mayRepeat && attempts.includes("lost")).toEqual(false);
+                earl.expect(mayRepeat && attempts.includes("lost")).toEqual(false);
             },
         );
         fastCheck.assert(property, { seed: 3, numRuns: 300 });
     });
 
-    it("allow no attempt with a body that is partly spent, or past the deadline", () => {
+    test.it("allow no attempt with a body that is partly spent, or past the deadline", () => {
         const again = { attempts: [], isIdempotent: true, isBodyIntact: true, remainingMilliseconds: 100 };
-        expect(mayAttemptAgain(again)).toEqual(true);
-        expect(mayAttemptAgain({ ...again, isBodyIntact: false })).toEqual(false);
-        expect(mayAttemptAgain({ ...again, remainingMilliseconds: 0 })).toEqual(false);
+        earl.expect(traffic.mayAttemptAgain(again)).toEqual(true);
+        earl.expect(traffic.mayAttemptAgain({ ...again, isBodyIntact: false })).toEqual(false);
+        earl.expect(traffic.mayAttemptAgain({ ...again, remainingMilliseconds: 0 })).toEqual(false);
     });
 });
 
-describe("the load counter", () => {
-    it("reports the busiest slots and forgets the idle ones", () => {
-        const counter = createLoadCounter(0);
+test.describe("the load counter", () => {
+    test.it("reports the busiest slots and forgets the idle ones", () => {
+        const counter = traffic.createLoadCounter(0);
         [...Array(100).keys()].forEach(() => counter.onRequest("records", 7));
         counter.onRequest("records", 8);
         counter.sample(1000);
-        expect(counter.busiest()[0]).toEqual({ service: "records", slot: 7, requestsPerSecond: 50 });
+        earl.expect(counter.busiest()[0]).toEqual({ service: "records", slot: 7, requestsPerSecond: 50 });
         [2000, 3000, 4000, 5000, 6000, 7000, 8000].forEach(counter.sample);
-        expect(counter.busiest()).toEqual([]);
+        earl.expect(counter.busiest()).toEqual([]);
     });
 });
--- a/packages/traffic/test/rankQueue.test.ts
+++ b/packages/traffic/test/rankQueue.test.ts
@@ -1,7 +1,7 @@
 /** The queue by rank: urgent first, floors kept, hopeless work refused early. */
-import { createRankQueue, type RankQueue } from "@mulberryseam/traffic";
-import { expect } from "earl";
-import { describe, it } from "node:test";
+import * as traffic from "@mulberryseam/traffic";
+import * as earl from "earl";
+import * as test from "node:test";
 
 const ranks = [
     { name: "lookup", floorShare: 0.3, maximumShare: 1, targetMilliseconds: 100 },
@@ -10,13 +10,13 @@
 ];
 const always = (): boolean => true;
 
-const fill = (queue: RankQueue<number>, rank: string, count: number, deadlineAt = 1_000_000): void => {
+const fill = (queue: traffic.RankQueue<number>, rank: string, count: number, deadlineAt = 1_000_000): void => {
     for (let index = 0; index < count; index++) {
         queue.enqueue({ item: index, rank, deadlineAt, bytes: 0 }, 0);
     }
 };
 
-const serve = (queue: RankQueue<number>, rounds: number, heldMilliseconds: Record<string, number>) => {
+const serve = (queue: traffic.RankQueue<number>, rounds: number, heldMilliseconds: Record<string, number>) => {
     const served: Record<string, number> = { lookup: 0, order: 0, scan: 0 };
     for (let round = 0; round < rounds; round++) {
         const next = queue.next(1, 0, always);
@@ -29,54 +29,54 @@
     return served;
 };
 
-describe("the queue by rank", () => {
-    it("serves the most urgent rank first", () => {
-        const queue = createRankQueue<number>(ranks);
+test.describe("the queue by rank", () => {
+    test.it("serves the most urgent rank first", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "scan", 1);
         fill(queue, "lookup", 1);
-        expect(queue.next(1, 0, always)?.rank).toEqual("lookup");
+        earl.expect(queue.next(1, 0, always)?.rank).toEqual("lookup");
     });
 
-    it("keeps each rank's floor while urgent work floods", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("keeps each rank's floor while urgent work floods", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "lookup", 500);
         fill(queue, "order", 500);
         fill(queue, "scan", 500);
         const served = serve(queue, 200, {});
-        expect(served.order >= 38).toEqual(true);
-        expect(served.scan >= 18).toEqual(true);
-        expect(served.lookup >= 120).toEqual(true);
+        earl.expect(served.order >= 38).toEqual(true);
+        earl.expect(served.scan >= 18).toEqual(true);
+        earl.expect(served.lookup >= 120).toEqual(true);
     });
 
-    it("counts floors in time held, so dear requests take their turn less often", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("counts floors in time held, so dear requests take their turn less often", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "lookup", 900);
         fill(queue, "scan", 500);
         const served = serve(queue, 600, { scan: 50 });
         const scanTime = served.scan * 50;
         const share = scanTime / (scanTime + served.lookup * 5);
-        expect(share > 0.05 && share < 0.2).toEqual(true);
+        earl.expect(share > 0.05 && share < 0.2).toEqual(true);
     });
 
-    it("never lets a rank hold more than its largest share", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("never lets a rank hold more than its largest share", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "scan", 10);
         const taken = [...Array(10).keys()].map(() => queue.next(6, 0, always)).filter(next => next !== undefined);
-        expect(taken.length).toEqual(3);
+        earl.expect(taken.length).toEqual(3);
     });
 
-    it("refuses at once what cannot be answered in time", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("refuses at once what cannot be answered in time", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "lookup", 1);
         queue.next(1, 0, always);
         fill(queue, "lookup", 100);
         const refusal = queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 50, bytes: 0 }, 0);
-        expect(refusal?.reason).toEqual("deadline");
-        expect((refusal?.retryAfterMilliseconds ?? 0) > 0).toEqual(true);
+        earl.expect(refusal?.reason).toEqual("deadline");
+        earl.expect((refusal?.retryAfterMilliseconds ?? 0) > 0).toEqual(true);
     });
 
-    it("answers within the target in a lasting overload, rather than every request late", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("answers within the target in a lasting overload, rather than every request late", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         const waits: number[] = [];
         const started = new Map<number, number>();
         for (let now = 0; now < 5000; now++) {
@@ -91,45 +91,47 @@
             }
         }
         const lasting = waits.slice(waits.length / 2);
-        expect(lasting.every(wait => wait <= 100)).toEqual(true);
-        expect(waits.length > 1100).toEqual(true);
+        earl.expect(lasting.every(wait => wait <= 100)).toEqual(true);
+        earl.expect(waits.length > 1100).toEqual(true);
     });
 
-    it("lets a short burst wait for its deadline", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("lets a short burst wait for its deadline", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "lookup", 100, 2000);
-        expect(queue.length()).toEqual(100);
-        expect(queue.expire(90).length).toEqual(0);
+        earl.expect(queue.length()).toEqual(100);
+        earl.expect(queue.expire(90).length).toEqual(0);
     });
 
-    it("admits urgent work past a long queue of other work", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("admits urgent work past a long queue of other work", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "scan", 1000);
-        expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 50, bytes: 0 }, 0)).toEqual(undefined);
+        earl.expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 50, bytes: 0 }, 0)).toEqual(undefined);
     });
 
-    it("bounds what waits by number and by bytes", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("bounds what waits by number and by bytes", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "scan", 2000);
-        expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 9e9, bytes: 0 }, 0)?.reason).toEqual("overload");
-        const heavy = createRankQueue<number>(ranks);
+        earl.expect(queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 9e9, bytes: 0 }, 0)?.reason).toEqual(
+            "overload",
+        );
+        const heavy = traffic.createRankQueue<number>(ranks);
         heavy.enqueue({ item: 1, rank: "scan", deadlineAt: 9e9, bytes: 30_000_000 }, 0);
-        expect(heavy.enqueue({ item: 2, rank: "scan", deadlineAt: 9e9, bytes: 9_000_000 }, 0)?.reason)
+        earl.expect(heavy.enqueue({ item: 2, rank: "scan", deadlineAt: 9e9, bytes: 9_000_000 }, 0)?.reason)
             .toEqual("overload");
     });
 
-    it("gives out what has expired", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("gives out what has expired", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         fill(queue, "lookup", 2, 100);
         fill(queue, "scan", 1, 900);
-        expect(queue.expire(200).length).toEqual(2);
-        expect(queue.length()).toEqual(1);
+        earl.expect(queue.expire(200).length).toEqual(2);
+        earl.expect(queue.length()).toEqual(1);
     });
 
-    it("lets a rank that can run go ahead of one that cannot", () => {
-        const queue = createRankQueue<number>(ranks);
+    test.it("lets a rank that can run go ahead of one that cannot", () => {
+        const queue = traffic.createRankQueue<number>(ranks);
         queue.enqueue({ item: 1, rank: "lookup", deadlineAt: 9e9, bytes: 0 }, 0);
         queue.enqueue({ item: 2, rank: "scan", deadlineAt: 9e9, bytes: 0 }, 0);
-        expect(queue.next(4, 0, item => item === 2)?.rank).toEqual("scan");
+        earl.expect(queue.next(4, 0, item => item === 2)?.rank).toEqual("scan");
     });
 });
