Do not ask an owner again that does not hold the key; send callers elsewhere when the instance is behind; notice who has left

A request now waits for routing to name another token, and an upstream that answers so three times in a row gets one request each 300 ms. It now lets sockets be read once more before it sends, when it is behind, and refuses at once what it cannot pass on in time, the least urgent first, so that callers go to other instances. The test of the departed caller fails without the change, in most runs; that of the misdirected request was not run against the old code.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -76,6 +76,7 @@
         leavingMilliseconds: settings.drainMilliseconds - siteView.highestRegistryAgeMilliseconds
             - drainMarginMilliseconds,
     });
+    const loopDelay = relay.createLoopDelay(timers, owner);
     const passing = relay.createRelay({
         timers,
         random: foundation.createRandom(process.pid ^ Date.now()),
@@ -90,6 +91,7 @@
             slack: settings.retrySlack,
             instances: ownership.instances,
         },
+        loopDelay,
         isStopping: () => isStopping,
         onFinished: result => counters.onFinished(result),
     });
@@ -101,6 +103,7 @@
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
             registryAge: view.registryAge,
+            loopDelay: loopDelay.milliseconds,
         },
         log,
         owner,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -12,6 +12,8 @@
     upstreams: () => number;
     /** Time since the registry was last read, in milliseconds. */
     registryAge: () => number;
+    /** How far the process is behind with its work, in milliseconds. */
+    loopDelay: () => number;
 }
 
 /** Metrics of an instance. */
@@ -82,6 +84,11 @@
         "Time since the registry was last read.",
         () => gauges.registryAge() / 1000,
     );
+    addGauge(
+        "mulberryseam_event_loop_delay_seconds",
+        "How far the process is behind with its work.",
+        () => gauges.loopDelay() / 1000,
+    );
     addGauge(
         "mulberryseam_memory_bytes",
         "Resident memory of the process.",
--- a/packages/explain/src/cause.ts
+++ b/packages/explain/src/cause.ts
@@ -18,6 +18,8 @@
         + `${text(line.expectedWait)} ms, known ${text(line.reportAge)} ms before.`,
     "no connection to an upstream is free": line =>
         `${text(line.upstream)} takes no more connections of this instance while it has ${text(line.queue)} requests.`,
+    "the instance is behind with its work": line =>
+        `${line.instance} had more requests than its processor could pass on and sent the caller to another instance.`,
     "upstreams refused it": line =>
         `Every upstream that was asked (${text(line.tried)}) answered that it did not run it.`,
     "the time limit has passed": line =>
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -22,7 +22,14 @@
 export type AttemptEnd =
     | { kind: "answered"; answer: UpstreamAnswer; report: upstreamHealth.LoadReport | undefined; }
     /** Never sent, or refused by the upstream in so many words. */
-    | { kind: "notRun"; reason: string; isShed: boolean; report: upstreamHealth.LoadReport | undefined; }
+    | {
+        kind: "notRun";
+        reason: string;
+        isShed: boolean;
+        /** Whether the upstream does not hold the request's key, or is not the one that was meant. */
+        isMisdirected: boolean;
+        report: upstreamHealth.LoadReport | undefined;
+    }
     /** Sent; it may have run, and may still run. */
     | { kind: "unknown"; reason: string; isNewConnection: boolean; };
 
@@ -55,6 +62,7 @@
 /** Bytes of an answer that are held until it is whole, so that one that breaks off is never begun. */
 const heldBytes = 256 * 1024;
 
+const misdirectedStatus = 421;
 const idleHint = /timeout=(\d+)/;
 
 const single = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
@@ -74,7 +82,7 @@
 };
 
 const isRefusal = (response: http.IncomingMessage): boolean =>
-    response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === 421;
+    response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
 /**
  * Sends a request to an upstream.
@@ -113,7 +121,7 @@
             finish(
                 isConnected
                     ? { kind: "unknown", reason, isNewConnection }
-                    : { kind: "notRun", reason, isShed: false, report: undefined },
+                    : { kind: "notRun", reason, isShed: false, isMisdirected: false, report: undefined },
             );
         };
         const startedAt = performance.now();
@@ -171,7 +179,14 @@
                     response.socket.destroy();
                 }
                 if (isRefusal(response)) {
-                    finish({ kind: "notRun", reason: `status ${response.statusCode}`, isShed: true, report });
+                    const isMisdirected = response.statusCode === misdirectedStatus;
+                    finish({
+                        kind: "notRun",
+                        reason: `status ${response.statusCode}`,
+                        isShed: true,
+                        isMisdirected,
+                        report,
+                    });
                     return;
                 }
                 const { rawHeaders, statusCode = 0 } = response;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -7,6 +7,8 @@
 export type { CallerServer, CallerServerOptions } from "./callerServer";
 export { choose, expectedAnswer, expectedWait } from "./choice";
 export type { Choice, Option } from "./choice";
+export { createLoopDelay, isBehind } from "./loopDelay";
+export type { LoopDelay } from "./loopDelay";
 export { createRelay } from "./relay";
 export type { InForce, Relay, RelayOptions } from "./relay";
 export { createRetryWindow } from "./retryWindow";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -10,11 +10,13 @@
 import * as admission from "./admission";
 import * as answers from "./answering";
 import * as attempts from "./attempt";
+import * as loopDelay from "./loopDelay";
 import * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
 import * as retryWindow from "./retryWindow";
 import * as selection from "./selection";
 import * as sending from "./sending";
+import * as splitCost from "./splitCost";
 import * as upstreamPool from "./upstreamPool";
 
 /** What is in force for new requests. */
@@ -34,6 +36,7 @@
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     onKeyRequested: (service: string, key: number) => void;
     allowance: retryWindow.RetryAllowance;
+    loopDelay: loopDelay.LoopDelay;
     isStopping: () => boolean;
     onFinished: (result: answers.FinishedRequest) => void;
 }
@@ -56,11 +59,15 @@
 /** Longest time that a request waits for its key to get an owner, as a part of its route's target. */
 const ownerWaitPart = 0.6;
 
-/** Bytes between regions from which a request is as dear as one can be when a split is decided. */
-const dearBytes = 64 * 1024;
 /** Bytes of an ordinary answer with its headers. */
 const usualAnswerBytes = 1200;
 
+/** Reads the key of a request to a keyed service; undefined when it has none. */
+const parseKey = (request: http.IncomingMessage): number | undefined => {
+    const key = Number(request.headers[platform.HeaderName.key]);
+    return Number.isInteger(key) && key >= 0 && key < assignment.keyCount ? key : undefined;
+};
+
 /**
  * Creates the relay.
  *
@@ -68,10 +75,11 @@
  * @returns the relay
  */
 export const createRelay = (options: RelayOptions): Relay => {
-    const { timers, log, pool } = options;
+    const { timers, log } = options;
     const answering = answers.createAnswering(options);
     const select = selection.createSelector(options);
     const send = sending.createSender(options);
+    const costOf = splitCost.createSplitCost(options);
     const windows = new Map<string, retryWindow.RetryWindow>();
     let openRequests = 0;
 
@@ -174,18 +182,6 @@
         });
     };
 
-    const parseKey = (request: http.IncomingMessage): number | undefined => {
-        const key = Number(request.headers[platform.HeaderName.key]);
-        return Number.isInteger(key) && key >= 0 && key < assignment.keyCount ? key : undefined;
-    };
-
-    /** What it costs to send a request to the owner of its key, from 0 to 1: bytes between regions are paid for. */
-    const remoteCost = (service: string, key: number, bytes: number): number => {
-        const route = options.findOwner(service, key);
-        const target = route === undefined ? undefined : pool.find(route.owner.identifier, route.owner.startedAt);
-        return target !== undefined && pool.isRemote(target) ? Math.min(1, (bytes + usualAnswerBytes) / dearBytes) : 0;
-    };
-
     const start = async (
         request: http.IncomingMessage,
         response: http.ServerResponse,
@@ -196,9 +192,7 @@
         const key = parseKey(request);
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
         const service = entry.nextService(name =>
-            document.services.get(name)?.isKeyed === true && key !== undefined
-                ? remoteCost(name, key, declaredBytes)
-                : 0
+            document.services.get(name)?.isKeyed === true ? costOf(name, key, usualAnswerBytes + declaredBytes) : 0
         );
         const arrivedAt = timers.now();
         const wanted = Number(request.headers[platform.HeaderName.remainingMilliseconds]);
@@ -216,6 +210,7 @@
             arrivedAt,
             endsAt: arrivedAt + Math.min(patience, route.timeoutMilliseconds),
             tried: new Set(),
+            misdirectedToken: undefined,
             attempts: 0,
             mayHaveRun: false,
             isOver: false,
@@ -229,6 +224,10 @@
             options.onKeyRequested(service, state.key);
         }
         watch(state);
+        if (loopDelay.isBehind(route.rank, options.loopDelay.milliseconds())) {
+            answering.fail(state, requestState.Reason.behind, selection.unknownReturnMilliseconds);
+            return;
+        }
         const body = await requestBody.readBody(request, document.limits.bodyBytes);
         if (state.isOver) {
             return;
@@ -243,6 +242,10 @@
             response.destroy();
             return;
         }
+        await options.loopDelay.catchUp();
+        if (state.isOver || request.socket.destroyed || request.socket.readableEnded) {
+            return;
+        }
         state.bytes += body.kind === "whole" ? body.bytes.length : declaredBytes;
         await run(state, body);
     };
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -12,6 +12,7 @@
     noOwner: "no upstream owns the key",
     noRoom: "no answer is expected in time",
     noConnection: "no connection to an upstream is free",
+    behind: "the instance is behind with its work",
     refused: "upstreams refused it",
     timeout: "the time limit has passed",
     lost: "the answer was lost",
@@ -49,6 +50,8 @@
     /** Time at which the caller, or the route, gives up. */
     endsAt: number;
     tried: Set<string>;
+    /** Token of the owner that answered that it does not hold the request's key. */
+    misdirectedToken: number | undefined;
     attempts: number;
     mayHaveRun: boolean;
     isOver: boolean;
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -43,7 +43,9 @@
         const target = route === undefined
             ? undefined
             : pool.find(route.owner.identifier, route.owner.startedAt);
-        if (target === undefined) {
+        // An owner that does not hold the key is not asked again before routing names another one.
+        const isStale = route !== undefined && route.token === state.misdirectedToken;
+        if (target === undefined || isStale || target.health.isMisdirecting(pool.now())) {
             return {
                 kind: "none",
                 reason: requestState.Reason.noOwner,
--- a/packages/relay/src/sending.ts
+++ b/packages/relay/src/sending.ts
@@ -25,6 +25,9 @@
     if (end.kind === "answered") {
         return end.answer.status >= 500 ? upstreamHealth.AttemptSign.failed : upstreamHealth.AttemptSign.answered;
     }
+    if (end.kind === "notRun" && end.isMisdirected) {
+        return upstreamHealth.AttemptSign.misdirected;
+    }
     return end.kind === "notRun" && end.isShed
         ? upstreamHealth.AttemptSign.shed
         : upstreamHealth.AttemptSign.broken;
@@ -76,6 +79,9 @@
         if (end.kind === "unknown") {
             state.mayHaveRun = true;
         }
+        if (end.kind === "notRun" && end.isMisdirected) {
+            state.misdirectedToken = state.decision?.token;
+        }
         const report = end.kind === "unknown" ? undefined : end.report;
         health.end(open, state.isOver ? upstreamHealth.AttemptSign.none : signOf(end), report, timers.now());
         if (end.kind !== "answered" && !state.isOver) {
--- a/packages/relay/src/upstreamHealth.ts
+++ b/packages/relay/src/upstreamHealth.ts
@@ -14,6 +14,8 @@
     failed: "failed",
     /** It refused to run the request. */
     shed: "shed",
+    /** It answered that it does not hold the key, or is not the one that was meant. */
+    misdirected: "misdirected",
     /** No connection, or no whole answer. */
     broken: "broken",
     /** The attempt was given up; it says nothing. */
@@ -43,6 +45,8 @@
     takeIsMeasured: () => boolean;
     /** Smoothed share of attempts that were refused or failed. */
     failureShare: (now: number) => number;
+    /** Whether it has answered several requests in a row that they are not its own; asked again now and then. */
+    isMisdirecting: (now: number) => boolean;
     /** Whether it has stopped answering, or cannot be reached. */
     isAvoided: (now: number) => boolean;
 }
@@ -63,6 +67,10 @@
 /** Time without attempts after a broken one, in milliseconds, doubled with each in a row. */
 const baseAvoidanceMilliseconds = 150;
 const longestAvoidanceMilliseconds = 1500;
+/** Requests in a row that were not the upstream's own from which it gets no more for a while. */
+const misdirectedToPause = 3;
+/** Time between two requests to an upstream that answers so, in milliseconds: routing is news within about as long. */
+const misdirectedPauseMilliseconds = 300;
 /** Broken attempts in a row from which an upstream is avoided. */
 const brokenToAvoid = 2;
 
@@ -82,6 +90,8 @@
     let lastAnswerAt = -Infinity;
     let lastBeginAt = -Infinity;
     let broken = 0;
+    let misdirected = 0;
+    let misdirectedAt = -Infinity;
     let avoidedUntil = -Infinity;
 
     const failureNow = (now: number): number => failure * 0.5 ** ((now - failureAt) / failureHalfLifeMilliseconds);
@@ -110,6 +120,12 @@
             if (sign === AttemptSign.none) {
                 return;
             }
+            if (sign === AttemptSign.misdirected) {
+                misdirected += 1;
+                misdirectedAt = now;
+                return;
+            }
+            misdirected = 0;
             const isGood = sign === AttemptSign.answered;
             const before = failureAt === -Infinity ? 0 : failureNow(now);
             failure = before + ((isGood ? 0 : 1) - before) * failureSmoothing;
@@ -142,6 +158,9 @@
             return isMeasured;
         },
         failureShare: now => (failureAt === -Infinity ? 0 : failureNow(now)),
+        isMisdirecting: now =>
+            misdirected >= misdirectedToPause
+            && now - Math.max(misdirectedAt, lastBeginAt) < misdirectedPauseMilliseconds,
         isAvoided: now => {
             if (now < avoidedUntil) {
                 return true;
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -29,6 +29,8 @@
 
 /** The upstreams of an instance. */
 export interface UpstreamPool {
+    /** The pool's time, in milliseconds. */
+    now: () => number;
     /** Upstreams of a service that may get new requests, those that are avoided last. */
     usable: (service: string) => PooledUpstream[];
     /** Finds an upstream that may still be sent requests for its keys. */
@@ -131,6 +133,7 @@
         return target.upstream.failureDomain === options.failureDomain ? 0 : domainMillisecondsPerKilobyte;
     };
     return {
+        now,
         usable: service => {
             const ready = directory.ofService(service).filter(entry => entry.leavingSince === undefined);
             const all = ready.map(entry => pool(entry.upstream));
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -5,18 +5,7 @@
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
 
-const using = async (
-    options: relayFixture.RelayFixtureOptions,
-    run: (fixture: relayFixture.RelayFixture) => Promise<void>,
-): Promise<void> => {
-    const fixture = await relayFixture.createRelayFixture(options);
-    try {
-        await run(fixture);
-    }
-    finally {
-        await fixture.dispose();
-    }
-};
+const { using } = relayFixture;
 
 const breakOff: relayFixture.Behaviour = request => request.socket.destroy();
 
