Back off from a store that fails, and look for a lost leader as often together however many instances there are

Pauses now double up to a second, spread by chance, and looks into the store without a leader grow apart beyond 16 instances.

--- a/packages/assignment/src/leadership.ts
+++ b/packages/assignment/src/leadership.ts
@@ -23,6 +23,10 @@
     isLeaderEnded: boolean;
     /** Address of this instance for its peers. */
     host: string;
+    /** Instances of the site: where they are many, each looks into the store less often. */
+    instances: number;
+    /** A number from 0 to 1 that spreads the instances' looks. */
+    readPhase: number;
 }
 
 /** Time after which a record that does not change is taken as a leader's loss, in milliseconds: one beat and a half. */
@@ -31,6 +35,14 @@
 const recentMilliseconds = 400;
 /** Time between two looks into the store while the leader is not heard, in milliseconds. */
 const readIntervalMilliseconds = 350;
+/** Instances beyond which the time between an instance's looks grows with their number, up to a factor. */
+const fewInstances = 16;
+const highestIntervalFactor = 4;
+
+const readInterval = ({ instances, readPhase }: LeadershipInput): number => {
+    const factor = Math.min(highestIntervalFactor, Math.max(1, instances / fewInstances));
+    return readIntervalMilliseconds * (factor === 1 ? 1 : factor * (0.5 + readPhase));
+};
 
 /**
  * Decides.
@@ -51,5 +63,5 @@
     if (isVacant || isLost) {
         return now - input.lastReadAt < recentMilliseconds ? LeadershipStep.campaign : LeadershipStep.read;
     }
-    return now - input.lastReadAt >= readIntervalMilliseconds ? LeadershipStep.read : LeadershipStep.follow;
+    return now - input.lastReadAt >= readInterval(input) ? LeadershipStep.read : LeadershipStep.follow;
 };
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -22,6 +22,8 @@
     isHearing: false,
     isLeaderEnded: false,
     host: "10.0.0.2",
+    instances: 8,
+    readPhase: 0.5,
     ...change,
 });
 
@@ -34,6 +36,26 @@
         earl.expect(step({ isHearing: true, unchangedSince: 0 })).toEqual("follow");
     });
 
+    test.it("is looked for in the store about as often by all together, however many instances lose the leader", () => {
+        const readsOfAll = (instances: number): number => {
+            let reads = 0;
+            for (let instance = 0; instance < instances; instance += 1) {
+                let lastReadAt = 0;
+                for (let now = 10; now <= 1500; now += 10) {
+                    const input = { now, lastReadAt, instances, readPhase: instance / instances, unchangedSince: 0 };
+                    if (step(input) === "read") {
+                        lastReadAt = now;
+                        reads += 1;
+                    }
+                }
+            }
+            return reads;
+        };
+        earl.expect(readsOfAll(8)).toEqual(32);
+        earl.expect(readsOfAll(64) <= 130).toEqual(true);
+        earl.expect(readsOfAll(64) >= 32).toEqual(true);
+    });
+
     test.it("is asked for when nobody has it, the leader resigned or ended, or this host had it", () => {
         earl.expect(step({ leader: undefined })).toEqual("campaign");
         earl.expect(step({ leader: { ...record, isResigned: true } })).toEqual("campaign");
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -39,11 +39,13 @@
     const store = platform.createStoreClient(settings.store.host, settings.store.port);
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
+    const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     const view = siteView.createSiteView({
         store,
         directory,
         timers,
+        random,
         log,
         isLeading: () => ownership.isLeading(),
         passOn: (topic, records, end) => ownership.passOn(topic, records, end),
@@ -60,6 +62,7 @@
         store,
         directory,
         timers,
+        random,
         log,
         keyedServices,
         takeSpeeds: () => pool.takeSpeeds(keyedServices()),
@@ -79,7 +82,7 @@
     const loopDelay = relay.createLoopDelay(timers, owner);
     const passing = relay.createRelay({
         timers,
-        random: foundation.createRandom(process.pid ^ Date.now()),
+        random,
         log,
         pool,
         inForce: view.inForce,
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -18,6 +18,7 @@
     store: platform.StoreClient;
     directory: routing.UpstreamDirectory;
     timers: foundation.TimerService;
+    random: foundation.Random;
     log: foundation.EventLog;
     keyedServices: () => string[];
     /** Takes the time that a request takes at each keyed upstream measured since the last call, in milliseconds. */
@@ -48,8 +49,9 @@
 const tickMilliseconds = 40;
 const beatMilliseconds = 250;
 const reportMilliseconds = 400;
-/** Pause after a call to the store that failed, in milliseconds. */
-const retryMilliseconds = 150;
+/** Pauses after calls to the store that failed, in milliseconds. */
+const shortestRetryMilliseconds = 150;
+const longestRetryMilliseconds = 1000;
 
 /**
  * Starts the task.
@@ -69,6 +71,10 @@
     const grants = platform.createGrantClient(assignment.grantTimeoutMilliseconds);
     owner.onCleanup(() => grants.close());
 
+    const backoff = foundation.createBackoff(shortestRetryMilliseconds, longestRetryMilliseconds, options.random);
+    /** Spreads the reads of instances that lose the leader together. */
+    const readPhase = options.random.fraction();
+
     let session: leaderSession.LeaderSession | undefined;
     let snapshot: ownershipStore.OwnershipSnapshot | undefined;
     let unchangedSince = timers.now();
@@ -119,6 +125,7 @@
         const sentAt = timers.now();
         lastReadAt = sentAt;
         const next = await ownershipStore.readOwnership(store, log);
+        backoff.reset();
         const isSame = next.leader?.identifier === snapshot?.leader?.identifier
             && next.leader?.beat === snapshot?.leader?.beat && next.leader?.term === snapshot?.leader?.term;
         if (!isSame) {
@@ -193,6 +200,8 @@
             isHearing: link.isHearing(),
             isLeaderEnded: snapshot?.leader !== undefined && link.endedLeader() === snapshot.leader.identifier,
             host: settings.host,
+            instances: link.instances(),
+            readPhase,
         });
         if (next === assignment.LeadershipStep.read) {
             await read();
@@ -215,7 +224,7 @@
         void step()
             .catch(error => {
                 log.write("ownership-read-failed", { reason: (error as Error).message });
-                return foundation.pause(timers, retryMilliseconds);
+                return foundation.pause(timers, backoff.next());
             })
             .finally(() => {
                 isBusy = false;
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -11,6 +11,7 @@
     store: platform.StoreClient;
     directory: routing.UpstreamDirectory;
     timers: foundation.TimerService;
+    random: foundation.Random;
     log: foundation.EventLog;
     /** Whether this instance reads for the others. */
     isLeading: () => boolean;
@@ -59,7 +60,7 @@
  * @returns the view; nothing is known yet
  */
 export const createSiteView = (options: SiteViewOptions, owner: foundation.Owner): SiteView => {
-    const { store, directory, timers, log, isLeading } = options;
+    const { store, directory, timers, random, log, isLeading } = options;
     let inForce: relay.InForce | undefined;
     let isRegistryKnown = false;
     let storeFailure: string | undefined;
@@ -120,6 +121,7 @@
         store,
         topic: platform.Topic.documents,
         timers,
+        random,
         readAge: () => isLeading() ? 0 : highestDocumentAgeMilliseconds,
         waitMilliseconds: () => isLeading() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
@@ -134,6 +136,7 @@
         store,
         topic: platform.Topic.upstreams,
         timers,
+        random,
         readAge: () => isLeading() ? leaderRegistryMilliseconds : highestRegistryAgeMilliseconds,
         waitMilliseconds: () => 0,
         fingerprintOf: upstreamFingerprint,
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -14,6 +14,7 @@
     store: platform.StoreClient;
     topic: platform.TopicName;
     timers: foundation.TimerService;
+    random: foundation.Random;
     /** Age of what is known at which the store is read, in milliseconds; 0 reads again after each answer. */
     readAge: () => number;
     /** Longest time that a read waits for news, in milliseconds. */
@@ -48,8 +49,9 @@
     position: () => { end: number; age: number; } | undefined;
 }
 
-/** Pause after a failed call, in milliseconds: short beside the time in which a change has to be in force. */
-const retryMilliseconds = 250;
+/** Pauses after failed calls, in milliseconds: short beside the time in which a change has to be in force. */
+const shortestRetryMilliseconds = 250;
+const longestRetryMilliseconds = 1000;
 /** Longest pause before it is looked again whether a read is due, in milliseconds. */
 const checkMilliseconds = 100;
 
@@ -62,6 +64,7 @@
  */
 export const startTopicTask = (options: TopicTaskOptions, owner: foundation.Owner): TopicTask => {
     const { store, topic, timers } = options;
+    const backoff = foundation.createBackoff(shortestRetryMilliseconds, longestRetryMilliseconds, options.random);
     const state = keyedState.createKeyedState(options.fingerprintOf);
     let offset: number | undefined;
     let knownAt = -Infinity;
@@ -81,6 +84,7 @@
     };
     const onContact = (at: number, source: TopicSourceValue): void => {
         knownAt = Math.max(knownAt, at);
+        backoff.reset();
         options.onContact(source);
     };
 
@@ -119,7 +123,7 @@
             }
             catch (error) {
                 options.onFailure((error as Error).message);
-                await foundation.pause(timers, retryMilliseconds);
+                await foundation.pause(timers, backoff.next());
             }
         }
     };
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -49,6 +49,7 @@
         store,
         topic: "keyed.op",
         timers,
+        random: foundation.createRandom(1),
         readAge: () => readAge,
         waitMilliseconds: () => 2500,
         fingerprintOf: (...[, value]) => value.toString(),
@@ -109,6 +110,27 @@
         await fixture.owner.dispose();
     });
 
+    test.it("asks a store that is down less and less often, and the sooner again once it has answered", async () => {
+        const fixture = createFixture(call =>
+            call === 20 ? Promise.resolve({ records: [], end: 7, isBehind: false }) : Promise.reject(new Error("away"))
+        );
+        const callsIn = async (milliseconds: number): Promise<number> => {
+            const before = fixture.reads.length;
+            for (let passed = 0; passed < milliseconds; passed += 10) {
+                fixture.timers.advance(10);
+                await flush();
+            }
+            return fixture.reads.length - before;
+        };
+        earl.expect(await callsIn(1000) >= 3).toEqual(true);
+        earl.expect(await callsIn(10_000) <= 14).toEqual(true);
+        while (fixture.reads.length < 20) {
+            await callsIn(10);
+        }
+        earl.expect(await callsIn(400) >= 1).toEqual(true);
+        await fixture.owner.dispose();
+    });
+
     test.it("reads only when what the leader passes on is not recent", async () => {
         const fixture = createFixture(() => Promise.resolve({ records: [], end: 8, isBehind: false }), 800);
         await flush();
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -1,4 +1,6 @@
 /** Facilities that every other package builds on: ownership of resources, time, randomness, hashing, logs, metrics. */
+export { createBackoff } from "./backoff";
+export type { Backoff } from "./backoff";
 export { createOwner } from "./cleanup";
 export type { Cleanup, Owner } from "./cleanup";
 export { connectionHeaders } from "./connectionHeaders";
