--- a/packages/entry/test/wholePath.test.ts
+++ b/packages/entry/test/wholePath.test.ts
@@ -1,11 +1,11 @@
 /** The whole path as separate processes: two instances on a stand-in of the platform, with a loss of each kind. */
 import * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
+import * as site from "@mulberryseam/site";
 import * as earl from "earl";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as http from "node:http";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as test from "node:test";
@@ -20,16 +20,8 @@
     readiness: number;
 }
 
-const reservePort = async (host: string): Promise<number> => {
-    const server = net.createServer();
-    await foundation.listenOn(server, host, 0);
-    const { port } = server.address() as net.AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-};
-
 const startInstance = async (host: string, peerPort: number, storePort: number): Promise<Instance> => {
-    const [callers, readiness] = [await reservePort(host), await reservePort(host)];
+    const [callers, readiness] = await site.reservePorts(2, host);
     const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-entry-")), "settings.json");
     fs.writeFileSync(
         file,
@@ -126,7 +118,7 @@
         store.put("keyed.op", "config", JSON.stringify(document));
         upstreams.forEach(upstream => register(store, upstream));
         const hosts = ["127.0.0.1", "127.0.0.2"];
-        const peerPort = await reservePort(hosts[0]);
+        const [peerPort] = await site.reservePorts(1);
         const instances = await Promise.all(hosts.map(host => startInstance(host, peerPort, store.port)));
         try {
             const isReady = (index: number): Promise<boolean> =>
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -1,9 +1,9 @@
 /** Instances as separate processes: started with settings of their own, signalled, and started again when they end. */
 import * as foundation from "@mulberryseam/foundation";
+import * as site from "@mulberryseam/site";
 import * as standins from "@mulberryseam/standins";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 
@@ -38,14 +38,6 @@
 
 const usualRestartMilliseconds = 300;
 
-const reservePort = async (host: string): Promise<number> => {
-    const server = net.createServer();
-    await foundation.listenOn(server, host, 0);
-    const { port } = server.address() as net.AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-};
-
 /**
  * Starts an instance.
  *
@@ -61,7 +53,7 @@
         targetPort: options.storePort,
         delayMilliseconds: 1,
     }, owner);
-    const [callers, readiness] = [await reservePort(host), await reservePort(host)];
+    const [callers, readiness] = await site.reservePorts(2, host);
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-"));
     const settings = path.join(folder, "settings.json");
     fs.writeFileSync(
