Avoid an unkeyed upstream that answers so too; take stale beats of the leader for no news of the store

A misdirected answer did not count as a failure any more, so that unkeyed requests went on being sent to an address that another service has; and beats of a leader that the store does not answer counted as the store's return, so that followers logged it lost and regained by turns.

--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -135,7 +135,10 @@
                 return;
             }
             advance(records, end);
-            onContact(timers.now() - age, TopicSource.leader);
+            // The beats of a leader that the store does not answer say nothing of the store.
+            if (age < options.readAge()) {
+                onContact(timers.now() - age, TopicSource.leader);
+            }
         },
         position: () => offset === undefined ? undefined : { end: offset, age: timers.now() - knownAt },
     };
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -26,6 +26,7 @@
     reads: number[];
     seen: platform.StoredRecord[];
     failures: string[];
+    contacts: topicTask.TopicSourceValue[];
     timers: foundation.VirtualTimerService;
     owner: foundation.Owner;
 }
@@ -36,6 +37,7 @@
     const reads: number[] = [];
     const seen: platform.StoredRecord[] = [];
     const failures: string[] = [];
+    const contacts: topicTask.TopicSourceValue[] = [];
     const store: platform.StoreClient = {
         readNewest: () => Promise.resolve({ records: [], end: 7 }),
         readFrom: (...[, offset]) => {
@@ -54,10 +56,10 @@
         waitMilliseconds: () => 2500,
         fingerprintOf: (...[, value]) => value.toString(),
         onChanges: records => seen.push(...records),
-        onContact: () => undefined,
+        onContact: source => contacts.push(source),
         onFailure: reason => failures.push(reason),
     }, owner);
-    return { task, reads, seen, failures, timers, owner };
+    return { task, reads, seen, failures, contacts, timers, owner };
 };
 
 const advance = async (fixture: Fixture): Promise<void> => {
@@ -148,6 +150,17 @@
         await fixture.owner.dispose();
     });
 
+    test.it("takes the beats of a leader that the store does not answer for no news of the store", async () => {
+        const fixture = createFixture(() => Promise.reject(new Error("away")), 800);
+        await flush();
+        const before = fixture.contacts.length;
+        fixture.task.onRelayed({ from: 7, end: 7, age: 3000, records: [] });
+        earl.expect(fixture.contacts.length).toEqual(before);
+        fixture.task.onRelayed({ from: 7, end: 7, age: 100, records: [] });
+        earl.expect(fixture.contacts[before]).toEqual("leader");
+        await fixture.owner.dispose();
+    });
+
     test.it("takes what the leader passes on, and nothing behind a gap", async () => {
         const fixture = createFixture(never, 800);
         await flush();
--- a/packages/relay/src/upstreamHealth.ts
+++ b/packages/relay/src/upstreamHealth.ts
@@ -105,6 +105,8 @@
             service = service === undefined ? milliseconds : service + (milliseconds - service) * speedSmoothing;
         }
     };
+    const isMisdirecting = (now: number): boolean =>
+        misdirected >= misdirectedToPause && now - Math.max(misdirectedAt, lastBeginAt) < misdirectedPauseMilliseconds;
     return {
         begin: now => {
             const attempt = { startedAt: now };
@@ -120,12 +122,8 @@
             if (sign === AttemptSign.none) {
                 return;
             }
-            if (sign === AttemptSign.misdirected) {
-                misdirected += 1;
-                misdirectedAt = now;
-                return;
-            }
-            misdirected = 0;
+            misdirected = sign === AttemptSign.misdirected ? misdirected + 1 : 0;
+            misdirectedAt = sign === AttemptSign.misdirected ? now : misdirectedAt;
             const isGood = sign === AttemptSign.answered;
             const before = failureAt === -Infinity ? 0 : failureNow(now);
             failure = before + ((isGood ? 0 : 1) - before) * failureSmoothing;
@@ -158,11 +156,9 @@
             return isMeasured;
         },
         failureShare: now => (failureAt === -Infinity ? 0 : failureNow(now)),
-        isMisdirecting: now =>
-            misdirected >= misdirectedToPause
-            && now - Math.max(misdirectedAt, lastBeginAt) < misdirectedPauseMilliseconds,
+        isMisdirecting,
         isAvoided: now => {
-            if (now < avoidedUntil) {
+            if (now < avoidedUntil || isMisdirecting(now)) {
                 return true;
             }
             const silence = Math.max(lowestSilenceMilliseconds, silentServices * (service ?? 0));
--- a/packages/relay/test/policies.test.ts
+++ b/packages/relay/test/policies.test.ts
@@ -117,6 +117,18 @@
         earl.expect(health.isAvoided(1200)).toEqual(false);
     });
 
+    test.it("avoids one whose address another service has, but for a request now and then", () => {
+        const health = relay.createUpstreamHealth();
+        for (let turn = 0; turn < 3; turn += 1) {
+            earl.expect(health.isAvoided(turn * 10)).toEqual(false);
+            health.end(health.begin(turn * 10), relay.AttemptSign.misdirected, undefined, turn * 10 + 5);
+        }
+        earl.expect([health.isAvoided(100), health.isMisdirecting(100)]).toEqual([true, true]);
+        earl.expect(health.isAvoided(400)).toEqual(false);
+        health.end(health.begin(400), relay.AttemptSign.answered, undefined, 450);
+        earl.expect(health.isMisdirecting(451)).toEqual(false);
+    });
+
     test.it("avoids one that breaks attempts off in a row, and takes it back after an answer", () => {
         const health = relay.createUpstreamHealth();
         health.end(health.begin(0), relay.AttemptSign.broken, undefined, 10);
