--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 import * as cac from "cac";
 import * as fs from "node:fs";
 import * as path from "node:path";
+import * as regressions from "./regressions";
 import * as soakRun from "./soakRun";
 
 interface MainOptions {
@@ -13,6 +14,7 @@
     rate: number;
     beside: number;
     folder: string;
+    regressions: boolean;
 }
 
 const program = ["target/entry.cjs"];
@@ -47,7 +49,10 @@
 
 const run = async (options: MainOptions): Promise<void> => {
     fs.mkdirSync(options.folder, { recursive: true });
-    const seeds = Array.from({ length: options.seeds }, (...[, index]) => options.first + index);
+    const seeds = options.regressions
+        ? regressions.regressions.map(({ seed }) => seed)
+        : Array.from({ length: options.seeds }, (...[, index]) => options.first + index);
+    const count = seeds.length;
     const broken: number[] = [];
     const playLane = async (lane: number): Promise<void> => {
         for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
@@ -57,7 +62,7 @@
         }
     };
     await Promise.all(Array.from({ length: options.beside }, (...[, lane]) => playLane(lane)));
-    process.stdout.write(`${options.seeds - broken.length} passed, ${broken.length} failed\n`);
+    process.stdout.write(`${count - broken.length} passed, ${broken.length} failed\n`);
     process.stdout.write(broken.length > 0 ? `seeds with a broken promise: ${broken.join(" ")}\n` : "");
     process.exitCode = broken.length === 0 ? 0 : 1;
 };
@@ -66,6 +71,7 @@
 commandLine.command("", "Play runs with random faults")
     .option("--first <seed>", "First seed", { default: 1 })
     .option("--seeds <number>", "How many seeds", { default: 10 })
+    .option("--regressions", "Play the seeds that once broke a promise instead", { default: false })
     .option("--seconds <number>", "How long faults begin in a run", { default: 10 })
     .option("--instances <number>", "Instances of a run", { default: 4 })
     .option("--upstreams <number>", "Upstreams of each service", { default: 4 })
--- a/packages/soak/test/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -1,4 +1,4 @@
-/** Seeds that once broke a promise, each with its cause; played by `npm run soak -- --first SEED --seeds 1`. */
+/** Seeds that once broke a promise, each with its cause; played by `npm run soak -- --regressions`. */
 export const regressions: readonly { seed: number; cause: string; }[] = [
     {
         seed: 15,
