--- a/packages/explain/src/cause.ts
+++ b/packages/explain/src/cause.ts
@@ -27,7 +27,9 @@
             text(line.mayHaveRun)
         }.`,
     "the answer was lost": line => `${text(line.tried)} was sent the request and the answer did not come back whole.`,
-    "the caller left": line => `The caller closed its connection after ${text(line.milliseconds)} ms.`,
+    "the caller left": line =>
+        `The caller closed its connection ${text(line.milliseconds)} ms after its request was read, `
+        + `by an instance that was ${text(line.behind)} ms behind with its work.`,
 };
 
 /**
--- a/packages/relay/src/answering.ts
+++ b/packages/relay/src/answering.ts
@@ -5,6 +5,7 @@
 import * as admission from "./admission";
 import type * as attempts from "./attempt";
 import * as headers from "./headers";
+import type * as loopDelay from "./loopDelay";
 import * as requestState from "./requestState";
 
 /** How a request ended, for counters. */
@@ -21,6 +22,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    loopDelay: loopDelay.LoopDelay;
     isStopping: () => boolean;
     onFinished: (result: FinishedRequest) => void;
 }
@@ -71,6 +73,7 @@
             reportAge: rounded(decision?.reportAgeMilliseconds),
             serviceTime: rounded(decision?.serviceMilliseconds),
             expectedWait: rounded(decision?.waitMilliseconds),
+            behind: rounded(options.loopDelay.milliseconds()),
         };
         if (reason === "") {
             log.sample("request-answered", fields);
