--- a/packages/relay/src/answering.ts
+++ b/packages/relay/src/answering.ts
@@ -132,17 +132,20 @@
             answer.rest?.destroy();
             return;
         }
-        if (answer.isUnframed && answer.body.length > 0) {
-            // The length is not known, so the answer must not claim one.
+        const hasBody = state.request.method !== "HEAD" && answer.status !== 204 && answer.status !== 304;
+        if (answer.isUnframed && hasBody) {
+            // The length is not known, so the answer must not claim one: not even none, as the upstream may have ended
+            // before the first byte.
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
             response.writeHead(answer.status, [...kept, "Connection", "close"]);
-            response.write(answer.body);
+            if (answer.body.length > 0) {
+                response.write(answer.body);
+            }
             finishStream(state, answer.rest);
             return;
         }
         if (answer.rest === undefined) {
-            const hasBody = state.request.method !== "HEAD" && answer.status !== 204 && answer.status !== 304;
             const length = hasBody ? ["Content-Length", String(answer.body.length)] : [];
             response.writeHead(answer.status, answerHeaders([...kept, ...length]));
             response.end(answer.body);
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -86,6 +86,20 @@
             }],
         }, async ({ ask }) => earl.expect((await ask()).status).toEqual(502)));
 
+    test.it("claims no length, not even none, where the upstream ends behind a head without one", () => {
+        const endBehindHead: relayFixture.Behaviour = (request, response) => {
+            const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${
+                request.headers["request-id"]
+            }\r\nResponse-Signature: s\r\n\r\n`;
+            response.socket?.end(head);
+        };
+        return using({ behaviours: [endBehindHead] }, async ({ ask }) => {
+            const answer = await ask();
+            earl.expect(answer.headers["content-length"]).toEqual(undefined);
+            earl.expect(answer.headers.connection).toEqual("close");
+        });
+    });
+
     test.it("claims no length where the upstream told none", () =>
         using({
             behaviours: [(request, response) => {
