--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -100,6 +100,21 @@
         });
     });
 
+    for (const body of ["", "part"]) {
+        test.it(`is unknown when an answer without a length is reset behind ${body.length} bytes of its body`, () => {
+            const resetMidway: relayFixture.Behaviour = (request, response) => {
+                const { socket } = response;
+                const head = `Request-Id: ${request.headers["request-id"]}\r\nResponse-Signature: s`;
+                socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`);
+                setTimeout(() => socket?.resetAndDestroy(), 30);
+            };
+            return using(
+                { behaviours: [resetMidway] },
+                async ({ ask }) => earl.expect((await ask({ body: Buffer.from("order") })).status).toEqual(502),
+            );
+        });
+    }
+
     test.it("claims no length where the upstream told none", () =>
         using({
             behaviours: [(request, response) => {
