Keep one assumed service time, one entry of a test upstream and one pause

Found by reading the whole change: the time assumed before any answer stood in the relay and in the leader's session, the entry of an upstream twice in the relay's tests, and the soak had a pause beside the timer service's. Behaviour and assertions are the same.

--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -3,6 +3,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
+import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as orderSender from "./orderSender";
 import * as ownershipLog from "./ownershipLog";
@@ -62,8 +63,6 @@
 const initialRangeKeys = 256;
 /** Seconds of load that capacity is reckoned for at least: a new leader has seen none yet. */
 const lowestLoadSeconds = 0.5;
-/** Time that a request is taken to need before any was answered, in milliseconds. */
-const assumedServiceMilliseconds = 120;
 /** Time in which upstreams register when a site starts, before keys are dealt for the first time, in milliseconds. */
 const firstDealMilliseconds = 2500;
 /** How much of a new measurement enters an upstream's speed. */
@@ -185,7 +184,7 @@
         });
         const known = entries.flatMap(({ upstream }) => speeds.get(upstream.identifier) ?? []);
         const usual = known.length === 0
-            ? assumedServiceMilliseconds
+            ? relay.assumedServiceMilliseconds
             : known.reduce((sum, speed) => sum + speed, 0) / known.length;
         const loadSeconds = Math.max(lowestLoadSeconds, load.seconds());
         return entries.map(({ upstream }) => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,5 +16,5 @@
 export { createUpstreamConnections } from "./upstreamConnections";
 export { AttemptSign, createUpstreamHealth } from "./upstreamHealth";
 export type { UpstreamHealth } from "./upstreamHealth";
-export { createUpstreamPool } from "./upstreamPool";
+export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
 export type { PooledUpstream, UpstreamPool } from "./upstreamPool";
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -55,7 +55,7 @@
 }
 
 /** Time that a request is taken to need before any was answered, in milliseconds. */
-const assumedServiceMilliseconds = 120;
+export const assumedServiceMilliseconds = 120;
 /** Times to another region and back, and within one, before any connection was made, in milliseconds. */
 const assumedRegionRoundTripMilliseconds = 60;
 const assumedNearRoundTripMilliseconds = 2;
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -141,17 +141,7 @@
     test.it("is refused after a few attempts when no upstream takes a connection", () =>
         using({ behaviours: [] }, async fixture => {
             for (const [index, port] of [1, 2, 3].entries()) {
-                fixture.directory.onEntry({
-                    identifier: `closed-${index}`,
-                    service: "orders",
-                    host: "127.0.0.1",
-                    port,
-                    failureDomain: "north-a",
-                    slots: 4,
-                    isDraining: false,
-                    warmupMilliseconds: 0,
-                    startedAt: 100 + index,
-                }, 0);
+                fixture.directory.onEntry(relayFixture.createUpstream(`closed-${index}`, port, 100 + index), 0);
             }
             earl.expect((await fixture.ask()).status).toEqual(503);
             earl.expect(fixture.finished[0].attempts <= 5).toEqual(true);
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -49,7 +49,9 @@
 const settleMilliseconds = 1500;
 const pollMilliseconds = 50;
 
-const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+const timers = foundation.createTimerService();
+
+const pause = (milliseconds: number): Promise<void> => foundation.pause(timers, milliseconds);
 
 const isReady = (host: string, port: number): Promise<boolean> =>
     new Promise(resolve => {
