--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,33 +1,64 @@
-/** Another writer puts one entry into the registry whose address cannot be read: its port is beyond 65535. */
-import * as lost from "../harness/lost.mjs";
+/** An upstream that holds keys is cut off from the instances for a time: its connections are reset and refused, while it runs on. */
+import * as callers from "../harness/caller.mjs";
+import { document } from "../harness/document.mjs";
+import { watchHolders } from "../harness/holders.mjs";
 import { hasTrouble, runCase } from "../harness/runCase.mjs";
+import * as sites from "../harness/site.mjs";
+import * as stores from "../harness/store.mjs";
+import * as upstreams from "../harness/upstream.mjs";
 
-await runCase(import.meta.dirname, record =>
-    lost.runLostCheck({
-        record,
-        hasTrouble,
-        troubleMilliseconds: 8000,
-        callersPerInstance: 10,
-        slots: 6,
-        serviceMilliseconds: 100,
-        disturb: store => {
-            record("another writer puts the entry desk-9 with the address 127.0.0.1:80800");
-            store.put(
-                "keyed.servers",
-                "desk-9",
-                JSON.stringify({
-                    service: "booking-desk",
-                    address: "127.0.0.1:80800",
-                    zone: "lautoka-a",
-                    version: "v1",
-                    slots: 6,
-                    state: "ready",
-                    warmupLeft: "0ms",
-                    sequence: 1,
-                    born: Date.now(),
-                }),
-            );
-            // The store removes an entry after three intervals of silence.
-            setTimeout(() => store.put("keyed.servers", "desk-9", ""), 4500);
-        },
-    }));
+const cutMilliseconds = 5500;
+const keyCount = 65_536;
+/** The rule allows two upstreams to hold the same keys for so long. */
+const allowedMilliseconds = 500;
+
+await runCase(import.meta.dirname, async record => {
+    const store = await stores.startStore();
+    store.put("keyed.op", "config", document);
+    const running = [];
+    for (let index = 1; index <= 4; index += 1) {
+        running.push(
+            await upstreams.startUpstream({ identifier: `roster-${index}`, service: "roster-read", store, record, isKeyed: true, slots: 3 }),
+        );
+    }
+    const site = await sites.startInstances({ count: 3, storePort: store.port, record });
+    await sites.waitUntil(site.areReady, 30_000, "readiness");
+    const holders = watchHolders(running, record);
+    let number = 0;
+    const results = [];
+    const all = site.instances.flatMap(instance =>
+        Array.from({ length: 4 }, () =>
+            callers.startCaller({
+                instance,
+                intervalMilliseconds: 40,
+                createRequest: () => {
+                    number += 1;
+                    const headers = { "Shard-Key": String(number * 7919 % keyCount) };
+                    return { method: "GET", path: "/lookup/fitter", headers, deadlineMilliseconds: 1200 };
+                },
+                onResult: result => {
+                    results.push(result);
+                    record(
+                        `caller at ${result.instance}: ${result.requestIdentifier} for key ${result.headers["Shard-Key"]} got `
+                            + `${result.status || `no answer (${result.detail})`} after ${result.milliseconds} ms`,
+                    );
+                },
+            }))
+    );
+    await sites.pause(6000);
+    const calm = results.length;
+    if (hasTrouble) {
+        record(`roster-1 is cut off from the instances, with resets, for ${cutMilliseconds} ms`);
+        running[0].cutWithResets(cutMilliseconds);
+        setTimeout(() => record("roster-1 is reached again"), cutMilliseconds);
+    }
+    await sites.pause(10_000);
+    await Promise.all(all.map(caller => caller.stop()));
+    const pairs = holders.stop().filter(({ milliseconds }) => milliseconds > allowedMilliseconds);
+    site.logLines(/owner-ended/).forEach(line => record(`log of ${line.slice(0, 300)}`));
+    record(`${results.length} requests, ${calm} of them before the disruption; ${results.filter(({ status }) => status === 200).length} answered with 200`);
+    await site.close();
+    running.forEach(upstream => upstream.close());
+    store.close();
+    return pairs.map(({ pair, key, milliseconds }) => `OWNER: ${pair} both held key ${key} for ${Math.round(milliseconds)} ms`);
+});
--- a/review/harness/upstream.mjs
+++ b/review/harness/upstream.mjs
@@ -152,7 +152,17 @@
     };
     register();
     const heartbeat = setInterval(register, heartbeatMilliseconds);
-    return { identifier, port, executions, liveHolds, close: () => {
+    const listen = () => new Promise(resolve => server.listen(port, "127.0.0.1", resolve));
+    const refuse = () => {
+        server.close();
+        server.closeAllConnections();
+    };
+    /** Resets the connections and refuses new ones for a time, as behind a cut with resets; the upstream runs on. */
+    const cutWithResets = milliseconds => {
+        refuse();
+        setTimeout(listen, milliseconds);
+    };
+    return { identifier, port, executions, liveHolds, cutWithResets, close: () => {
         clearInterval(heartbeat);
         server.close();
         server.closeAllConnections();
