--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -22,7 +22,7 @@
         );
     }
     const site = await sites.startInstances({ count: 3, storePort: store.port, record });
-    await sites.waitUntil(site.areReady, 30_000, "readiness");
+    await site.waitUntilReady();
     const holders = watchHolders(running, record);
     let number = 0;
     const results = [];
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -37,7 +37,7 @@
         );
     }
     const site = await sites.startInstances({ count: 4, storePort: store.port, record });
-    await sites.waitUntil(site.areReady, 30_000, "readiness");
+    await site.waitUntilReady();
     await sites.pause(5000);
     const leaders = () => site.logLines(/"event":"leadership-won"/);
     const leader = () => site.instances.find(({ name }) => leaders().sort((left, right) => term(right) - term(left))[0].startsWith(`${name}:`));
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -51,7 +51,7 @@
     }
     const keyed = await upstreams.startUpstream({ identifier: "roster-1", service: "roster-read", store, record, isKeyed: true });
     const site = await sites.startInstances({ count: 3, storePort: store.port, record });
-    await sites.waitUntil(site.areReady, 30_000, "readiness");
+    await site.waitUntilReady();
     const cut = [];
     const all = site.instances.flatMap(instance =>
         Array.from({ length: 6 }, () =>
--- a/review/harness/lost.mjs
+++ b/review/harness/lost.mjs
@@ -47,7 +47,7 @@
     }
     const keyed = await upstreams.startUpstream({ identifier: "roster-1", service: "roster-read", store, record, isKeyed: true });
     const site = await sites.startInstances({ count: instanceCount, storePort: store.port, record });
-    await sites.waitUntil(site.areReady, 30_000, "readiness");
+    await site.waitUntilReady();
     const results = [];
     const all = site.instances.flatMap(instance =>
         Array.from({ length: callersPerInstance }, () =>
--- a/review/harness/site.mjs
+++ b/review/harness/site.mjs
@@ -7,6 +7,8 @@
 import * as path from "node:path";
 
 const restartDelayMilliseconds = 300;
+const internalPortCount = 16;
+const readinessTimeoutMilliseconds = 30_000;
 
 export const pause = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds));
 
@@ -24,13 +26,16 @@
 /** Reads the command of the role from the deploy file. */
 const readCommand = () => /^run = "(.*)"$/m.exec(fs.readFileSync("deploy/system.toml", "utf8"))[1].split(" ");
 
-const freePort = host =>
-    new Promise(resolve => {
+/** Returns a free port of an address, other than `count` ports from `excluded` on. */
+const freePort = async (host, excluded = 0, count = 0) => {
+    const port = await new Promise(resolve => {
         const server = net.createServer().listen(0, host, () => {
-            const { port } = server.address();
-            server.close(() => resolve(port));
+            const found = server.address().port;
+            server.close(() => resolve(found));
         });
     });
+    return port >= excluded && port < excluded + count ? freePort(host, excluded, count) : port;
+};
 
 /** Asks an instance whether it is ready. */
 const isReady = ({ host, readinessPort }) =>
@@ -48,7 +53,7 @@
  * Starts `count` instances, each on a loopback address of its own, and restarts one that ends as the platform does. The settings
  * are those of a small deployment.
  */
-export const startInstances = async ({ count, storePort, record, isTolerant = true }) => {
+export const startInstances = async ({ count, storePort, record }) => {
     const [program, ...programArguments] = readCommand();
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-review-"));
     const prefix = `127.${20 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
@@ -76,8 +81,8 @@
     for (let index = 1; index <= count; index += 1) {
         const host = `${prefix}.${index}`;
         const name = `front-${index}`;
-        const callerPort = await freePort(host);
-        const readinessPort = await freePort(host);
+        const callerPort = await freePort(host, peerPort, internalPortCount);
+        const readinessPort = await freePort(host, peerPort, internalPortCount);
         const settings = path.join(folder, `${name}.json`);
         const file = {
             nodeName: name,
@@ -87,7 +92,7 @@
             ip: host,
             zone: "lautoka-a",
             region: "viti-west",
-            internalPorts: [peerPort, peerPort + 15],
+            internalPorts: [peerPort, peerPort + internalPortCount - 1],
             heartbeat: "1500ms",
             zones,
             listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
@@ -121,8 +126,19 @@
     process.on("exit", closeAll);
     return {
         instances,
-        areReady: async () => (await Promise.all(instances.map(isReady))).every(Boolean),
-        isReady,
+        /** Waits until every instance is ready; otherwise records what the instances logged last. */
+        waitUntilReady: async () => {
+            const areReady = async () => (await Promise.all(instances.map(isReady))).every(Boolean);
+            try {
+                await waitUntil(areReady, readinessTimeoutMilliseconds, "readiness");
+            }
+            catch (error) {
+                instances.forEach(({ name, logFile }) =>
+                    fs.readFileSync(logFile, "utf8").split("\n").slice(-30).forEach(line => record(`log of ${name}: ${line.slice(0, 300)}`))
+                );
+                throw error;
+            }
+        },
         signal: (instance, name) => {
             instance.isSignalled = true;
             record(`${instance.name}: ${name} sent`);
