--- a/review/harness/runCase.mjs
+++ b/review/harness/runCase.mjs
@@ -23,6 +23,8 @@
         record("the case did not end in time");
         end(2);
     }, maxMilliseconds);
+    // The exit handlers end the instances.
+    ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => end(2)));
     record(`start, ${hasTrouble ? "with" : "without"} the disruption`);
     try {
         const broken = await run(record);
--- a/review/harness/site.mjs
+++ b/review/harness/site.mjs
@@ -51,9 +51,9 @@
 
 /**
  * Starts `count` instances, each on a loopback address of its own, and restarts one that ends as the platform does. The settings
- * are those of a small deployment.
+ * are those of a small deployment. `cpuShareOf` and `storePortOf` give an instance, numbered from 1, settings of its own.
  */
-export const startInstances = async ({ count, storePort, record }) => {
+export const startInstances = async ({ count, storePort, record, storePortOf = () => storePort, cpuShareOf = () => 0.54 }) => {
     const [program, ...programArguments] = readCommand();
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-review-"));
     const prefix = `127.${20 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
@@ -96,7 +96,7 @@
             heartbeat: "1500ms",
             zones,
             listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
-            limits: { cpuShare: 0.54, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000 },
+            limits: { cpuShare: cpuShareOf(index), cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000 },
             bounds: {
                 reuseAfter: "2s",
                 stableWindow: "4000ms",
@@ -110,7 +110,7 @@
                 holdMax: "10000ms",
                 thaw: "300ms",
             },
-            platform: { address: `127.0.0.1:${storePort}`, form: "log" },
+            platform: { address: `127.0.0.1:${storePortOf(index)}`, form: "log" },
         };
         fs.writeFileSync(settings, JSON.stringify(file));
         const logFile = path.join(folder, `${name}.log`);
--- a/review/harness/store.mjs
+++ b/review/harness/store.mjs
@@ -67,11 +67,17 @@
         }));
         respond(response, 200, { items, more: keys.length > pageRecords, end: topic.records.length });
     };
-    const server = http.createServer((request, response) => {
+    const listen = isRefused => {
+        const server = http.createServer((request, response) => handle(request, response, isRefused));
+        servers.push(server);
+        return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server.address().port)));
+    };
+    const servers = [];
+    const handle = (request, response, isRefused) => {
         const chunks = [];
         request.on("data", chunk => chunks.push(chunk));
         request.on("end", () => {
-            if (isDown) {
+            if (isRefused()) {
                 respond(response, 503, {});
                 return;
             }
@@ -98,10 +104,17 @@
                 respond(response, 404, {});
             }
         });
-    });
-    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
+    };
     return {
-        port: server.address().port,
+        port: await listen(() => isDown),
+        /** Opens an address for one instance, which the store can turn away while it serves the others. */
+        openFor: async () => {
+            let isTurnedAway = false;
+            const port = await listen(() => isDown || isTurnedAway);
+            return { port, setTurnedAway: value => {
+                isTurnedAway = value;
+            } };
+        },
         /** Appends a record as an operator or an upstream does; an empty value removes the key. */
         put: (name, key, value) => append(topicOf(name), [{ key, value: Buffer.from(value) }]),
         /** Refuses every call with 503, which says that nothing was done. */
@@ -111,8 +124,10 @@
         /** Returns the newest value of a key. */
         newest: (name, key) => topicOf(name).records.findLast(record => record.key === key)?.value,
         close: () => {
-            server.close();
-            server.closeAllConnections();
+            servers.forEach(server => {
+                server.close();
+                server.closeAllConnections();
+            });
         },
     };
 };
--- a/review/harness/upstream.mjs
+++ b/review/harness/upstream.mjs
@@ -12,7 +12,8 @@
  *
  * `respond(request, response, headers)` may send a response of its own once a request has run; it returns true if it did.
  * `onHead(request, response)` may respond before the body is read; it returns true if it did.
- * `isCut(socket)` says whether bytes from and to a connection are dropped at present.
+ * `isCut(request)` says whether the path that a request came by is cut; the request is then lost.
+ * `onGrant(body)` is told of each grant that is carried out.
  */
 export const startUpstream = async options => {
     const { identifier, service, store, record, isKeyed = false, slots = 4, serviceMilliseconds = 20 } = options;
@@ -50,6 +51,7 @@
         if (!isFenced) {
             holds = [...without(from, target), { from, target, fence, until: performance.now() + parseFloat(body.hold_time) }];
             seen.push({ from, target, fence });
+            options.onGrant?.(body);
         }
         record(`${identifier}: grant ${from}-${target} fence ${fence} for ${body.hold_time}: ${isFenced ? 409 : 200}`);
         send(response, isFenced ? 409 : 200, {});
@@ -113,7 +115,7 @@
         const chunks = [];
         request.on("data", chunk => chunks.push(chunk));
         request.on("end", () => {
-            if (options.isCut?.(request.socket) === true) {
+            if (options.isCut?.(request) === true) {
                 return;
             }
             if (target !== undefined && target !== identifier) {
