Soak: report processes of instances that end by themselves

A process that ended was restarted and nothing was reported, so that a run passed although callers lost their connections. Each instance now notes which signals the soak sent. An end that follows no SIGTERM or SIGKILL, or a status other than 0 after SIGTERM, is a violation with the status or signal and the last error output, which goes through a pipe to the log. Tests run stand-in programs that throw, abort, exit with 0 and fail while they stop; before, none of these was visible.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,8 @@
 /** Randomized soak test with fault injection that runs the real programs as separate processes on loopback. */
 export { createSchedule, FaultKind } from "./faults";
 export type { Fault, FaultKindValue, Schedule } from "./faults";
+export { startInstance } from "./instances";
+export type { InstanceOptions, SoakInstance } from "./instances";
 export { checkInvariants } from "./invariantChecker";
 export type { CallerRecord, ExecutionRecord, Observations } from "./invariantChecker";
 export { startSite } from "./site";
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -32,11 +32,27 @@
     signal: (signal: NodeJS.Signals) => void;
     /** Sets the delay before the next restart, in milliseconds; later restarts use the default delay. */
     setRestartDelay: (milliseconds: number) => void;
+    /** Returns one line for each process that ended although the soak had sent no signal that ends it. */
+    ownEnds: () => readonly string[];
     /** Kills the process, prevents restarts and waits for the process to exit. */
     terminate: () => Promise<void>;
 }
 
 const defaultRestartDelayMilliseconds = 300;
+/** Length of the error output kept for the description of an end, in characters. */
+const maxErrorOutputLength = 2000;
+const terminatingSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
+
+/** The end of a process. */
+interface ProcessEnd {
+    /** Exit status; undefined if a signal ended the process. */
+    status: number | undefined;
+    /** The first signal that the soak sent to end the process. */
+    requestedBy: NodeJS.Signals | undefined;
+}
+
+const endedByItself = ({ status, requestedBy }: ProcessEnd): boolean =>
+    requestedBy === undefined || (status !== undefined && status !== 0);
 
 /**
  * Starts an instance.
@@ -72,23 +88,47 @@
     let child: childProcess.ChildProcess | undefined;
     let restartDelayMilliseconds = defaultRestartDelayMilliseconds;
     let isTerminated = false;
+    let requestedBy: NodeJS.Signals | undefined;
+    let lastProcessClosed = Promise.resolve();
+    let restartTimer: NodeJS.Timeout | undefined;
+    const ownEnds: string[] = [];
     const logDescriptor = fs.openSync(options.logFile, "a");
     const spawnProcess = (): void => {
         const spawned = childProcess.spawn(process.execPath, options.programArguments, {
             env: { ...process.env, MULBERRYSEAM_SETTINGS: settingsPath },
-            stdio: ["ignore", logDescriptor, logDescriptor],
+            stdio: ["ignore", logDescriptor, "pipe"],
         });
         child = spawned;
-        spawned.once("exit", () => {
+        requestedBy = undefined;
+        let errorOutput = "";
+        spawned.stderr?.on("data", chunk => {
+            errorOutput = (errorOutput + String(chunk)).slice(-maxErrorOutputLength);
+            fs.writeSync(logDescriptor, chunk as Buffer);
+        });
+        spawned.once("exit", (status, signal) => {
             child = undefined;
-            setTimeout(() => isTerminated || spawnProcess(), restartDelayMilliseconds);
+            const end = { status: status ?? undefined, requestedBy };
+            restartTimer = setTimeout(() => isTerminated || spawnProcess(), restartDelayMilliseconds);
             restartDelayMilliseconds = defaultRestartDelayMilliseconds;
+            if (endedByItself(end)) {
+                void lastProcessClosed.then(() => {
+                    ownEnds.push(
+                        `${name} ended by itself: ${signal ?? `exit status ${status}`}, ${errorOutput.trim()}`,
+                    );
+                });
+            }
         });
+        // The error output is complete only when the process has closed it.
+        lastProcessClosed = new Promise(resolve => spawned.once("close", () => resolve()));
     };
     spawnProcess();
-    const killProcess = (): void => {
-        child?.kill("SIGKILL");
+    const sendSignal = (signal: NodeJS.Signals): void => {
+        const isSent = child?.kill(signal) ?? false;
+        if (isSent && terminatingSignals.includes(signal)) {
+            requestedBy ??= signal;
+        }
     };
+    const killProcess = (): void => sendSignal("SIGKILL");
     process.on("exit", killProcess);
     owner.onCleanup(() => {
         process.off("exit", killProcess);
@@ -102,21 +142,17 @@
         readinessPort,
         storeLink,
         isRunning: () => child !== undefined,
-        signal: signal => {
-            child?.kill(signal);
-        },
+        signal: sendSignal,
         setRestartDelay: milliseconds => {
             restartDelayMilliseconds = milliseconds;
         },
+        ownEnds: () => ownEnds,
         terminate: async () => {
             isTerminated = true;
-            const running = child;
-            if (running !== undefined) {
-                const exited = new Promise(resolve => running.once("exit", resolve));
-                running.kill("SIGCONT");
-                running.kill("SIGKILL");
-                await exited;
-            }
+            clearTimeout(restartTimer);
+            sendSignal("SIGCONT");
+            sendSignal("SIGKILL");
+            await lastProcessClosed;
         },
     };
 };
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -27,6 +27,8 @@
     executions: readonly ExecutionRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: readonly string[];
+    /** Descriptions of processes that ended although nothing had asked them to. */
+    ownEnds: readonly string[];
     /** Whether the run contained planned operations only. */
     isPlanned: boolean;
     /** Time from which the site is required to serve requests again. */
@@ -118,6 +120,7 @@
  * @returns one line for each violation; empty if every guarantee was kept
  */
 export const checkInvariants = (observations: Observations): string[] => [
+    ...observations.ownEnds,
     ...observations.ownershipViolations,
     ...checkResponses(observations),
     ...checkExecutions(observations),
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -190,6 +190,7 @@
         callers: records,
         executions: site.executions,
         ownershipViolations: site.ownershipViolations,
+        ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         isPlanned: schedule.isPlanned,
         recoveredAt,
         timeoutMilliseconds: options.checksTiming ? sites.timeoutMilliseconds : undefined,
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -31,6 +31,7 @@
     callers: [createRecord()],
     executions: [createExecution()],
     ownershipViolations: [],
+    ownEnds: [],
     isPlanned: false,
     recoveredAt: 0,
     timeoutMilliseconds: 1200,
@@ -76,6 +77,79 @@
     test.it("report a site that does not recover and keys with two owners", () => {
         earl.expect(countViolations({ callers: [createRecord({ status: 502 })] })).toEqual(1);
         earl.expect(countViolations({ ownershipViolations: ["key 1"] })).toEqual(1);
+        earl.expect(countViolations({ ownEnds: ["entry-1 ended by itself"] })).toEqual(1);
+    });
+});
+
+/** Starts an instance whose program is the given script, and returns how its processes ended by themselves. */
+const runProgram = async (
+    script: string,
+    act: (instance: soak.SoakInstance, logFile: string) => Promise<void>,
+): Promise<readonly string[]> => {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-test-"));
+    const logFile = path.join(folder, "log");
+    const owner = foundation.createOwner();
+    const instance = await soak.startInstance({
+        name: "entry-1",
+        host: "127.2.2.1",
+        peerPort: 17_650,
+        storePort: 1,
+        programArguments: ["--eval", script],
+        logFile,
+    }, owner);
+    // Without a restart, only the first process is observed.
+    instance.setRestartDelay(maxProgramMilliseconds);
+    await act(instance, logFile);
+    await instance.terminate();
+    await owner.dispose();
+    fs.rmSync(folder, { recursive: true });
+    return instance.ownEnds();
+};
+
+/** Time that a program may take to end, in milliseconds; only a run that hangs reaches it. */
+const maxProgramMilliseconds = 20_000;
+const pollMilliseconds = 20;
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+    const deadline = performance.now() + maxProgramMilliseconds;
+    while (!condition() && performance.now() < deadline) {
+        await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
+    }
+};
+
+const waitUntilEnded = (instance: soak.SoakInstance): Promise<void> => waitUntil(() => !instance.isRunning());
+
+test.describe("instances of a soak run", () => {
+    test.it("report a process that ends by itself with its status and last error output", async () => {
+        const ends = await runProgram("setTimeout(() => { throw new Error('broken record'); }, 10)", waitUntilEnded);
+        earl.expect(ends.length).toEqual(1);
+        earl.expect(ends[0].startsWith("entry-1 ended by itself: exit status 1, ")).toEqual(true);
+        earl.expect(ends[0]).toEqual(earl.expect.includes("broken record"));
+        const aborted = await runProgram("process.abort()", waitUntilEnded);
+        earl.expect(aborted.map(line => line.split(",")[0])).toEqual(["entry-1 ended by itself: SIGABRT"]);
+        const silent = await runProgram("process.exit(0)", waitUntilEnded);
+        earl.expect(silent).toEqual(["entry-1 ended by itself: exit status 0, "]);
+    });
+
+    test.it("report a process that fails while it stops", async () => {
+        const script = "process.on('SIGTERM', () => process.exit(1)); setInterval(() => undefined, 1000);"
+            + "process.stdout.write('ready');";
+        const ends = await runProgram(script, async (instance, logFile) => {
+            await waitUntil(() => fs.readFileSync(logFile, "utf8") === "ready");
+            instance.signal("SIGTERM");
+            await waitUntilEnded(instance);
+        });
+        earl.expect(ends).toEqual(["entry-1 ended by itself: exit status 1, "]);
+    });
+
+    test.it("report no process that the soak ends, also while it is paused", async () => {
+        for (const signals of [["SIGKILL"], ["SIGTERM"], ["SIGSTOP", "SIGKILL"], ["SIGTERM", "SIGTERM"]] as const) {
+            const ends = await runProgram("setInterval(() => undefined, 1000)", async instance => {
+                signals.forEach(signal => instance.signal(signal));
+                await waitUntilEnded(instance);
+            });
+            earl.expect(ends).toEqual([]);
+        }
     });
 });
 
