Link stand-in: propagate resets and refuse connections

A connection that one side reset was closed orderly towards the other side, so that a response without a length looked complete behind a link. A link now passes the reset on, and can refuse connections, all or every second one, while its target runs on. Before, the new test saw 'The value "ended" is not equal to "ECONNRESET"'.

--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -3,6 +3,18 @@
 import * as net from "node:net";
 import * as httpServer from "./httpServer";
 
+/** Which new connections a link refuses. */
+export const LinkRefusal = {
+    none: "none",
+    /** Every second one is accepted and reset, as if only some callers were refused. */
+    alternating: "alternating",
+    /** Nothing listens at the port, so that each connection is refused. */
+    all: "all",
+} as const;
+
+/** A value of {@link LinkRefusal}. */
+export type LinkRefusalValue = typeof LinkRefusal[keyof typeof LinkRefusal];
+
 /** A running link. */
 export interface LinkStandIn {
     port: number;
@@ -10,6 +22,8 @@
     setInterrupted: (interrupted: { forward: boolean; backward: boolean; }) => void;
     /** Sets the propagation delay of each direction. */
     setDelay: (milliseconds: number) => void;
+    /** Refuses new connections and resets the open ones, or accepts every connection again. */
+    setRefusal: (refusal: LinkRefusalValue) => void;
     /** Resets every connection (TCP RST). */
     reset: () => void;
     /** Returns the number of bytes received in both directions, including dropped ones. */
@@ -34,6 +48,7 @@
 }
 
 const millisecondsPerSecond = 1000;
+const listenRetryMilliseconds = 50;
 
 /**
  * Starts a link on loopback.
@@ -84,14 +99,28 @@
                 }
             }, deliveryDelayMilliseconds(direction, 0));
         });
-        source.on("error", () => destination.destroy());
+        source.on("error", error => {
+            const isReset = (error as NodeJS.ErrnoException).code === "ECONNRESET" && !isInterrupted();
+            setTimeout(
+                () => isReset ? destination.resetAndDestroy() : destination.destroy(),
+                deliveryDelayMilliseconds(direction, 0),
+            );
+        });
         source.on("close", () => {
             sockets.delete(source);
             setTimeout(() => destination.destroySoon(), deliveryDelayMilliseconds(direction, 0));
         });
     };
 
+    let refusal: LinkRefusalValue = LinkRefusal.none;
+    let connectionCount = 0;
     const server = net.createServer({ allowHalfOpen: true }, incoming => {
+        connectionCount += 1;
+        if (refusal === LinkRefusal.alternating && connectionCount % 2 === 0) {
+            incoming.on("error", () => undefined);
+            incoming.resetAndDestroy();
+            return;
+        }
         const outgoing = net.connect({ host: options.targetHost, port: options.targetPort, allowHalfOpen: true });
         incoming.setNoDelay(true);
         outgoing.setNoDelay(true);
@@ -101,19 +130,48 @@
         forwardData(outgoing, incoming, directions.backward, () => interrupted.backward);
     });
     await foundation.listenOn(server, "127.0.0.1", options.port);
-    owner.onCleanup(() =>
-        new Promise<void>(resolve => {
-            sockets.forEach(socket => socket.destroy());
-            server.close(() => resolve());
-        })
-    );
+    const port = httpServer.portOf(server);
+    const closeIfRefused = (): void => {
+        if (refusal === LinkRefusal.all) {
+            server.close();
+        }
+    };
+    // Another process may have taken the port in the meantime.
+    const listenAgain = async (): Promise<void> => {
+        while (!server.listening && refusal !== LinkRefusal.all && !owner.isDisposed()) {
+            try {
+                await foundation.listenOn(server, "127.0.0.1", port);
+                closeIfRefused();
+            }
+            catch {
+                await new Promise(resolve => setTimeout(resolve, listenRetryMilliseconds));
+            }
+        }
+    };
+    let lastListening = Promise.resolve();
+    owner.onCleanup(async () => {
+        await lastListening;
+        sockets.forEach(socket => socket.destroy());
+        await new Promise<void>(resolve => server.close(() => resolve()));
+    });
+    const reset = (): void => sockets.forEach(socket => socket.resetAndDestroy());
     return {
-        port: httpServer.portOf(server),
+        port,
+        setRefusal: newRefusal => {
+            refusal = newRefusal;
+            closeIfRefused();
+            if (refusal === LinkRefusal.none) {
+                lastListening = lastListening.then(listenAgain);
+            }
+            else {
+                reset();
+            }
+        },
         setInterrupted: change => Object.assign(interrupted, change),
         setDelay: milliseconds => {
             delayMilliseconds = milliseconds;
         },
-        reset: () => sockets.forEach(socket => socket.resetAndDestroy()),
+        reset,
         transferredBytes: () => transferredBytes,
     };
 };
--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -28,21 +28,35 @@
         socket.on("error", reject);
     });
 
-const withLink = async (
-    options: Partial<standins.LinkOptions>,
-    run: (link: standins.LinkStandIn) => Promise<void>,
-): Promise<void> => {
+/** Connects and returns how the connection ends: the code of its error, or "ended". */
+const connectAndWait = (port: number): Promise<string> =>
+    new Promise(resolve => {
+        const socket = net.connect({ host: "127.0.0.1", port });
+        socket.resume();
+        socket.on("error", error => resolve((error as NodeJS.ErrnoException).code ?? ""));
+        socket.on("close", () => resolve("ended"));
+    });
+
+const withOwner = async (run: (owner: foundation.Owner) => Promise<void>): Promise<void> => {
     const owner = foundation.createOwner();
     try {
-        const targetPort = await startEchoServer(owner);
-        const defaults = { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 };
-        await run(await standins.createLinkStandIn({ ...defaults, ...options }, owner));
+        await run(owner);
     }
     finally {
         await owner.dispose();
     }
 };
 
+const withLink = (
+    options: Partial<standins.LinkOptions>,
+    run: (link: standins.LinkStandIn) => Promise<void>,
+): Promise<void> =>
+    withOwner(async owner => {
+        const targetPort = await startEchoServer(owner);
+        const defaults = { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 };
+        await run(await standins.createLinkStandIn({ ...defaults, ...options }, owner));
+    });
+
 test.describe("link stand-in", () => {
     test.it("forwards a stream unchanged after the delay", () =>
         withLink({ delayMilliseconds: 20 }, async link => {
@@ -78,4 +92,44 @@
             earl.expect(received).toEqual(5);
             socket.destroy();
         }));
+
+    test.it("resets the connection to the receiver when the sender resets its own", () =>
+        withOwner(async owner => {
+            const sender = net.createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.write("start", () => socket.resetAndDestroy());
+            });
+            await foundation.listenOn(sender, "127.0.0.1", 0);
+            owner.onCleanup(() => {
+                sender.close();
+            });
+            const { port: targetPort } = sender.address() as net.AddressInfo;
+            const link = await standins.createLinkStandIn(
+                { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 },
+                owner,
+            );
+            earl.expect(await connectAndWait(link.port)).toEqual("ECONNRESET");
+        }));
+
+    test.it("refuses connections while the target runs on, and accepts them again", () =>
+        withLink({}, async link => {
+            const open = connectAndWait(link.port);
+            await timers.setTimeout(50);
+            link.setRefusal(standins.LinkRefusal.all);
+            earl.expect(await open).toEqual("ECONNRESET");
+            earl.expect(await connectAndWait(link.port)).toEqual("ECONNREFUSED");
+            link.setRefusal(standins.LinkRefusal.none);
+            await timers.setTimeout(50);
+            earl.expect(await sendAndReceive(link.port, Buffer.from("a"))).toEqual(Buffer.from("a"));
+        }));
+
+    test.it("refuses every second connection", () =>
+        withLink({}, async link => {
+            link.setRefusal(standins.LinkRefusal.alternating);
+            const attempts = [];
+            for (let attempt = 0; attempt < 4; attempt += 1) {
+                attempts.push(await sendAndReceive(link.port, Buffer.from("a")).then(String, () => "refused"));
+            }
+            earl.expect(attempts).toEqual(["a", "refused", "a", "refused"]);
+        }));
 });
