Emulator: upstreams that announce that they leave, or ask for no requests for a time

Emulated upstreams get the modes `leaving` (`Server-Leaving: 1` in every answer, also to lease commands; `leave` stops the upstream after a time) and `busy` (503 with `Retry-After`). `onArrival` records each request of a caller with its arrival time and what its answer announced. All instances have the same source address on loopback, so the instance that a request came from is found by the request's identifier among the records of the callers.

Evidence: emulator/test/upstream.test.ts; neither mode existed before.

--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -4,4 +4,10 @@
 export { startEmulatedStore, StoreMode } from "./store";
 export type { EmulatedStore, StoreModeValue } from "./store";
 export { startEmulatedUpstream, UpstreamMode } from "./upstream";
-export type { EmulatedExecution, EmulatedUpstream, EmulatedUpstreamOptions, UpstreamModeValue } from "./upstream";
+export type {
+    EmulatedArrival,
+    EmulatedExecution,
+    EmulatedUpstream,
+    EmulatedUpstreamOptions,
+    UpstreamModeValue,
+} from "./upstream";
--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -10,6 +10,10 @@
     silent: "silent",
     /** Executes nothing and sends bytes without end. */
     endless: "endless",
+    /** Executes requests, and announces in every response that it is leaving. */
+    leaving: "leaving",
+    /** Refuses every request with status 503 and the headers of {@link EmulatedUpstreamOptions.busyHeaders}. */
+    busy: "busy",
 } as const;
 
 /** A value of {@link UpstreamMode}. */
@@ -25,6 +29,8 @@
     /** Returns the number of requests executed. */
     executionCount: () => number;
     setMode: (mode: UpstreamModeValue) => void;
+    /** Announces that the upstream is leaving, and stops it after a time. */
+    leave: (servingMilliseconds: number) => Promise<void>;
     /** Stops the upstream immediately and closes its connections. */
     stop: () => Promise<void>;
 }
@@ -37,12 +43,31 @@
     key: number | undefined;
 }
 
+/** A request of a caller that has reached an upstream, and the response to it; times of `performance.now()`. */
+export interface EmulatedArrival {
+    upstream: EmulatedUpstream;
+    requestIdentifier: string;
+    arrivedAt: number;
+    /** Undefined until the response is sent. */
+    answeredAt: number | undefined;
+    /** Status of the response; 0 until it is sent. */
+    status: number;
+    /** Whether the response announces that the upstream is leaving. */
+    isLeaving: boolean;
+    /** For how long the response asks for no further requests, in milliseconds; 0 if it does not. */
+    retryAfterMilliseconds: number;
+}
+
 /** Configures an emulated upstream. */
 export interface EmulatedUpstreamOptions {
     /** Returns the service time of the next request, in milliseconds; 0 by default. */
     serviceTimeMilliseconds?: () => number;
     /** Called when the execution of a request starts. */
     onExecution?: (execution: EmulatedExecution) => void;
+    /** Called when a request of a caller arrives; the record is completed once the response is sent. */
+    onArrival?: (arrival: EmulatedArrival) => void;
+    /** Headers of the responses in busy mode; by default the request was not executed, and may be repeated after 1 s. */
+    busyHeaders?: http.OutgoingHttpHeaders;
 }
 
 interface HeldRange {
@@ -62,8 +87,10 @@
 /** Interval and size of what an upstream in endless mode sends, in milliseconds and bytes. */
 const endlessIntervalMilliseconds = 5;
 const endlessChunkBytes = 16 * 1024;
+const defaultBusyHeaders: http.OutgoingHttpHeaders = { "not-executed": "1", "retry-after": "1" };
 const conflictStatus = 409;
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 
 /**
  * Starts an emulated upstream on a free port of 127.0.0.1.
@@ -80,6 +107,8 @@
 ): Promise<EmulatedUpstream> => {
     let heldRanges: HeldRange[] = [];
     const appliedCommands: HeldRange[] = [];
+    /** Requests of callers, by their responses. */
+    const arrivals = new WeakMap<http.ServerResponse, EmulatedArrival>();
     let executionCount = 0;
     let mode: UpstreamModeValue = UpstreamMode.serving;
     const ownsKey = (key: number): boolean =>
@@ -97,9 +126,31 @@
         headers: http.OutgoingHttpHeaders,
         text = "",
     ): void => {
-        response.writeHead(status, { ...headers, "content-length": text.length });
+        const isLeaving = mode === UpstreamMode.leaving;
+        const leavingHeaders = isLeaving ? { "server-leaving": "1" } : {};
+        const retryAfterMilliseconds = Number(headers["retry-after"] ?? 0) * 1000;
+        Object.assign(arrivals.get(response) ?? {}, {
+            answeredAt: performance.now(),
+            status,
+            isLeaving,
+            retryAfterMilliseconds,
+        });
+        response.writeHead(status, { ...headers, ...leavingHeaders, "content-length": text.length });
         response.end(text);
     };
+    const recordArrival = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+        const arrival: EmulatedArrival = {
+            upstream,
+            requestIdentifier: String(request.headers["request-id"]),
+            arrivedAt: performance.now(),
+            answeredAt: undefined,
+            status: 0,
+            isLeaving: false,
+            retryAfterMilliseconds: 0,
+        };
+        arrivals.set(response, arrival);
+        options.onArrival?.(arrival);
+    };
     const sendEndlessly = (response: http.ServerResponse, headers: http.OutgoingHttpHeaders): void => {
         response.writeHead(200, headers);
         const interval = setInterval(
@@ -142,10 +193,18 @@
                 sendResponse(response, 200, { "duty-handover": `from ${identifier}` });
                 return;
             }
+            recordArrival(request, response);
             const signature = { "response-signature": `signed by ${identifier}` };
             if (mode === UpstreamMode.silent) {
                 return;
             }
+            if (mode === UpstreamMode.busy) {
+                sendResponse(response, unavailableStatus, {
+                    ...commonHeaders,
+                    ...options.busyHeaders ?? defaultBusyHeaders,
+                });
+                return;
+            }
             if (mode === UpstreamMode.endless) {
                 sendEndlessly(response, { ...commonHeaders, ...signature });
                 return;
@@ -186,6 +245,11 @@
         setMode: newMode => {
             mode = newMode;
         },
+        leave: async servingMilliseconds => {
+            mode = UpstreamMode.leaving;
+            await new Promise(resolve => setTimeout(resolve, servingMilliseconds));
+            await stop();
+        },
         stop,
     };
     return upstream;
--- /dev/null
+++ b/packages/emulator/test/upstream.test.ts
@@ -0,0 +1,63 @@
+/** The modes of emulated upstreams and what they record of the requests that reach them. */
+import * as emulator from "@mulberryseam/emulator";
+import * as foundation from "@mulberryseam/foundation";
+import * as earl from "earl";
+import * as http from "node:http";
+import * as test from "node:test";
+
+interface Fixture {
+    upstream: emulator.EmulatedUpstream;
+    arrivals: emulator.EmulatedArrival[];
+    send: (path: string, body?: string) => Promise<http.IncomingMessage>;
+}
+
+const withUpstream = async (use: (fixture: Fixture) => Promise<void>): Promise<void> => {
+    const owner = foundation.createOwner();
+    const arrivals: emulator.EmulatedArrival[] = [];
+    const upstream = await emulator.startEmulatedUpstream("upstream-1", owner, {
+        onArrival: arrival => arrivals.push(arrival),
+    });
+    const send = (path: string, body?: string): Promise<http.IncomingMessage> =>
+        new Promise((resolve, reject) => {
+            const method = body === undefined ? "GET" : "POST";
+            const headers = { "request-id": "request-1" };
+            const request = http.request({ port: upstream.port, path, method, headers, agent: false }, response => {
+                response.resume();
+                response.on("end", () => resolve(response));
+            });
+            request.on("error", reject);
+            request.end(body);
+        });
+    try {
+        await use({ upstream, arrivals, send });
+    }
+    finally {
+        await owner.dispose();
+    }
+};
+
+test.describe("an emulated upstream", () => {
+    test.it("that is leaving says so in every answer, also to lease commands, and then stops", () =>
+        withUpstream(async ({ upstream, arrivals, send }) => {
+            earl.expect((await send("/orders/1")).headers["server-leaving"]).toEqual(undefined);
+            const hasLeft = upstream.leave(200);
+            earl.expect((await send("/orders/1")).headers["server-leaving"]).toEqual("1");
+            const command = JSON.stringify({ from: 0, target: 9, fence: 1, hold_time: "1000ms" });
+            earl.expect((await send("/mulberryseam/grant", command)).headers["server-leaving"]).toEqual("1");
+            earl.expect((await send("/mulberryseam/release", command)).headers["server-leaving"]).toEqual("1");
+            earl.expect(arrivals.map(arrival => arrival.isLeaving)).toEqual([false, true]);
+            await hasLeft;
+            await earl.expect(send("/orders/1")).toBeRejected();
+        }));
+
+    test.it("that is busy executes nothing and says when requests may return", () =>
+        withUpstream(async ({ upstream, arrivals, send }) => {
+            upstream.setMode(emulator.UpstreamMode.busy);
+            const { statusCode, headers } = await send("/orders/1");
+            earl.expect([statusCode, headers["retry-after"], headers["not-executed"]]).toEqual([503, "1", "1"]);
+            earl.expect(upstream.executionCount()).toEqual(0);
+            earl.expect(arrivals.map(arrival => arrival.retryAfterMilliseconds)).toEqual([1000]);
+            upstream.setMode(emulator.UpstreamMode.serving);
+            earl.expect((await send("/orders/1")).statusCode).toEqual(200);
+        }));
+});
