--- a/packages/relay/test/framing.test.ts
+++ b/packages/relay/test/framing.test.ts
@@ -6,6 +6,8 @@
 
 const { withRelay } = relayFixture;
 
+const repetitions = 50;
+
 test.describe("a response without a length", () => {
     test.it("gets no length, not even zero, when the upstream closes the connection after the headers", () => {
         const endAfterHeaders: relayFixture.Behaviour = (request, response) => {
@@ -52,6 +54,42 @@
         });
     });
 
+    test.it("is unknown when the connection is reset together with a part of the body", () =>
+        withRelay(
+            { behaviours: [relayFixture.sendUnframed(20_000, relayFixture.resetConnection)] },
+            async ({ sendRequest }) => {
+                for (let iteration = 0; iteration < repetitions; iteration += 1) {
+                    earl.expect((await sendRequest({ body: Buffer.from("order") })).status).toEqual(502);
+                }
+            },
+        ));
+
+    test.it("that is large never looks complete when the connection is reset together with a part of the body", () =>
+        withRelay({ behaviours: [relayFixture.sendUnframed(400_000, relayFixture.resetConnection)] }, async fixture => {
+            for (let iteration = 1; iteration <= repetitions; iteration += 1) {
+                const socket = relayFixture.sendWithoutReading(fixture.port);
+                await virtualTime.waitUntil(() => fixture.finished.length === iteration);
+                await virtualTime.waitUntil(() => fixture.openRequestCount() === 0);
+                const isStreamed = fixture.finished[iteration - 1].status === 200;
+                earl.expect(!isStreamed || await relayFixture.wasReset(socket)).toEqual(true);
+                socket.destroy();
+            }
+        }));
+
+    for (const size of [0, 20_000, 700_000]) {
+        test.it(`of ${size} bytes is complete whenever its connection ends regularly`, () =>
+            withRelay(
+                { behaviours: [relayFixture.sendUnframed(size, relayFixture.endConnection)] },
+                async ({ sendRequest }) => {
+                    for (let iteration = 0; iteration < repetitions; iteration += 1) {
+                        const response = await sendRequest({ body: Buffer.from("order") });
+                        earl.expect([response.status, response.isComplete, response.body.length])
+                            .toEqual([200, true, size]);
+                    }
+                },
+            ));
+    }
+
     test.it("is forwarded without a length", () =>
         withRelay({
             behaviours: [(request, response) => {
