Relay: do not end the process when an upstream responds before it has read the request

Callers saw their connections closed without a response: all requests in flight at an instance ended when one upstream sent the head of a response while the request was still being written, read the rest of the request, and then completed the response.

Cause: at the end of the response Node.js hands a connection back to the agent if the request is finished by then, and sets the response's socket to null. The attempt had noted at the head that the request was unfinished and called destroy() on that null. Nothing catches an exception in the response's `end` event, so the process ended with status 1.

Evidence: both cases of relay/test/earlyResponses.test.ts failed before with an uncaught exception, "Cannot read properties of null (reading 'destroy')" at attempt.ts finishResponse; both pass now.

The request keeps its socket, so the connection is closed through it; the agent discards a closed connection.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -230,7 +230,8 @@
                 }
                 if (isRequestUnfinished) {
                     // The upstream still expects the rest of the body on this connection.
-                    response.socket.destroy();
+                    // Not the response's socket, which Node.js has detached if the request was finished meanwhile.
+                    request.socket?.destroy();
                 }
                 if (isRefusal(response)) {
                     const isMisdirected = response.statusCode === misdirectedStatus;
