Leader: pass on the leases of earlier leaders when resigning

Callers' keyed requests could run at two upstreams: after a store outage a leader grants the longest leases, its successor takes them over but cannot reach one upstream, and resigns. It recorded only the longest lease that it had granted itself, so the next leader granted the unreachable upstream's keys to others after 4.3 s, while that upstream held them for seconds more.

Each leader record now says for how long commands and leases of earlier leaders may still last, and the longest lease that its writer may grant (a successor may have a shorter limit in its settings). The times are relative to the record, so they hold for any number of hand-overs, for a resignation right after a win and for an append that takes effect late: the reader counts from the time by which the record was stored, which is never earlier than when it was sent.

--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -9,10 +9,12 @@
     createLeaderLease,
     leaderLeaseMilliseconds,
     normalKeyLeaseMilliseconds,
+    passOnPreviousLeaders,
     previousCommandsEndAt,
+    previousLeaderTimes,
     previousLeasesEndAt,
 } from "./leaderLease";
-export type { LeaderLease, PreviousLeader } from "./leaderLease";
+export type { LeaderLease, PreviousLeader, PreviousLeaderTimes } from "./leaderLease";
 export {
     campaignDelay,
     isLeaderMissing,
--- a/packages/assignment/src/leaderLease.ts
+++ b/packages/assignment/src/leaderLease.ts
@@ -40,7 +40,10 @@
         return -Infinity;
     }
     const lastSentBy = record.isResigned ? recordSeenAt : recordSeenAt + leaderLeaseMilliseconds;
-    return Math.min(lastSentBy, terminatedBy ?? Infinity) + maxCommandDeliveryMilliseconds;
+    return Math.max(
+        Math.min(lastSentBy, terminatedBy ?? Infinity) + maxCommandDeliveryMilliseconds,
+        recordSeenAt + record.previousCommandsMilliseconds,
+    );
 };
 
 /**
@@ -54,14 +57,56 @@
     if (record === undefined) {
         return -Infinity;
     }
-    if (record.isResigned) {
-        return recordSeenAt + maxCommandDeliveryMilliseconds
-            + record.longestLeaseMilliseconds * rangeLease.clockDriftFactor;
-    }
-    return recordSeenAt + leaderLeaseMilliseconds + maxCommandDeliveryMilliseconds
-        + maxLeaseMilliseconds * rangeLease.clockDriftFactor;
+    const lastArrivalAt = recordSeenAt + (record.isResigned ? 0 : leaderLeaseMilliseconds)
+        + maxCommandDeliveryMilliseconds;
+    // The leader may have had other settings.
+    const longestLeaseMilliseconds = record.isResigned
+        ? record.longestLeaseMilliseconds
+        : Math.max(record.longestLeaseMilliseconds, maxLeaseMilliseconds);
+    return Math.max(
+        lastArrivalAt + longestLeaseMilliseconds * rangeLease.clockDriftFactor,
+        recordSeenAt + record.previousLeasesMilliseconds,
+    );
 };
 
+/** Times until which earlier leaders may affect upstreams, on the clock of the instance. */
+export interface PreviousLeaderTimes {
+    /** Time until which their lease commands may arrive. */
+    previousCommandsUntil: number;
+    /** Time by which all leases that they may have granted have expired. */
+    previousLeasesUntil: number;
+}
+
+/**
+ * Returns the times until which earlier leaders may affect upstreams.
+ *
+ * @param previousLeader - last known leader
+ * @param maxLeaseMilliseconds - longest lease that upstreams accept
+ * @returns times on the clock of `recordSeenAt`
+ */
+export const previousLeaderTimes = (
+    previousLeader: PreviousLeader,
+    maxLeaseMilliseconds: number,
+): PreviousLeaderTimes => ({
+    previousCommandsUntil: previousCommandsEndAt(previousLeader),
+    previousLeasesUntil: previousLeasesEndAt(previousLeader, maxLeaseMilliseconds),
+});
+
+/**
+ * Returns what a leader's record passes on about earlier leaders: its successor knows only the last record.
+ *
+ * @param times - what the leader knows of earlier leaders
+ * @param now - time before the record is sent
+ * @returns the fields of the record
+ */
+export const passOnPreviousLeaders = (
+    { previousCommandsUntil, previousLeasesUntil }: PreviousLeaderTimes,
+    now: number,
+): Pick<records.LeaderRecord, "previousCommandsMilliseconds" | "previousLeasesMilliseconds"> => ({
+    previousCommandsMilliseconds: Math.max(0, previousCommandsUntil - now),
+    previousLeasesMilliseconds: Math.max(0, previousLeasesUntil - now),
+});
+
 /** Tracks whether a leader is allowed to send lease commands. */
 export interface LeaderLease {
     /** Records that the store confirmed leadership in response to a call sent at `sentAt`. */
--- a/packages/assignment/src/records.ts
+++ b/packages/assignment/src/records.ts
@@ -21,8 +21,12 @@
     beat: number;
     /** Whether the leader has resigned and sends no more grants. */
     isResigned: boolean;
-    /** Longest lease granted recently, in milliseconds; meaningful only if the leader has resigned. */
+    /** Longest lease that the leader may have granted, in milliseconds; if it has resigned, the longest one granted recently. */
     longestLeaseMilliseconds: number;
+    /** Time after this record in which commands of earlier leaders may still arrive, in milliseconds. */
+    previousCommandsMilliseconds: number;
+    /** Time after this record in which leases that earlier leaders granted may still run, in milliseconds. */
+    previousLeasesMilliseconds: number;
 }
 
 const leaderSchema = zod.object({
@@ -33,6 +37,8 @@
     beat: zod.int(),
     isResigned: zod.boolean(),
     longestLeaseMilliseconds: zod.number(),
+    previousCommandsMilliseconds: zod.number().default(0),
+    previousLeasesMilliseconds: zod.number().default(0),
 });
 
 const assignmentSchema = zod.object({
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -11,6 +11,8 @@
     beat: 9,
     isResigned: false,
     longestLeaseMilliseconds: 3500,
+    previousCommandsMilliseconds: 0,
+    previousLeasesMilliseconds: 0,
 };
 
 const createInput = (change: Partial<assignment.LeadershipInput>): assignment.LeadershipInput => ({
@@ -148,6 +150,40 @@
         earl.expect(resignedEndAt > 5000 && resignedEndAt < commandsEndAt).toEqual(true);
     });
 
+    test.it("passes on how long commands and leases of earlier leaders last, also if the leader resigns at once", () => {
+        const previousLeader = { record, recordSeenAt: 5000, terminatedBy: undefined };
+        const times = {
+            previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
+            previousLeasesUntil: assignment.previousLeasesEndAt(previousLeader, maxLeaseMilliseconds),
+        };
+        for (const isResigned of [false, true]) {
+            for (const resignedAt of [5050, 9000, 30_000]) {
+                const passedOn = assignment.passOnPreviousLeaders(times, resignedAt);
+                const successor = {
+                    record: { ...record, ...passedOn, isResigned },
+                    recordSeenAt: resignedAt + 10,
+                    terminatedBy: resignedAt,
+                };
+                earl.expect(assignment.previousCommandsEndAt(successor) >= times.previousCommandsUntil).toEqual(true);
+                earl.expect(assignment.previousLeasesEndAt(successor, 1000) >= times.previousLeasesUntil).toEqual(true);
+            }
+        }
+        const decoded = assignment.decodeLeader(
+            assignment.encodeLeader({ ...record, ...assignment.passOnPreviousLeaders(times, 5050) }),
+        ).unwrap();
+        earl.expect(decoded.previousLeasesMilliseconds).toEqual(times.previousLeasesUntil - 5050);
+    });
+
+    test.it("waits for the longest lease of a leader that had a longer limit in its settings", () => {
+        const previousLeader = {
+            record: { ...record, longestLeaseMilliseconds: maxLeaseMilliseconds },
+            recordSeenAt: 5000,
+            terminatedBy: undefined,
+        };
+        earl.expect(assignment.previousLeasesEndAt(previousLeader, 4000))
+            .toEqual(assignment.previousLeasesEndAt(previousLeader, maxLeaseMilliseconds));
+    });
+
     test.it("counts from the end of the read that first returned the record, as it may be appended during the read", () => {
         const previous = { leader: record, storedBy: 1000 };
         const next = { ...record, beat: record.beat + 1 };
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -22,10 +22,7 @@
     /** This instance's leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
     snapshot: ownershipReader.OwnershipSnapshot;
-    /** Time by which every lease that a previous leader may have granted has expired. */
-    previousLeasesUntil: number;
-    /** Time until which a previous leader may send lease commands. */
-    previousCommandsUntil: number;
+    previousLeaders: assignment.PreviousLeaderTimes;
     maxLeaseMilliseconds: number;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
@@ -165,6 +162,7 @@
         timers,
         log,
         record: options.record,
+        previousLeaders: options.previousLeaders,
         end: options.snapshot.end,
         onLeadershipConfirmed,
         onSnapshot: snapshot => {
@@ -202,7 +200,7 @@
      */
     const canMove = (leaseManager: assignment.LeaseManager, range: assignment.KeyRange): boolean => {
         const now = timers.now();
-        const canPreviousLeaderRenew = now < options.previousCommandsUntil && range.owner !== undefined
+        const canPreviousLeaderRenew = now < options.previousLeaders.previousCommandsUntil && range.owner !== undefined
             && !sender.isTerminated(range.owner);
         return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
     };
@@ -246,7 +244,7 @@
             unconfirmedPlans = plans;
             setPendingPlans(plans);
         }
-        if (await writer.append(plans, false, 0)) {
+        if (await writer.append(plans, false, options.maxLeaseMilliseconds)) {
             unconfirmedPlans = [];
             setPendingPlans([]);
             for (const plan of plans) {
@@ -274,7 +272,7 @@
         isCommitting = false;
     };
 
-    applySnapshot(options.snapshot, options.previousLeasesUntil);
+    applySnapshot(options.snapshot, options.previousLeaders.previousLeasesUntil);
     onLeadershipConfirmed(startedAt);
 
     return {
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -66,16 +66,18 @@
 /** Creates the first record of a term. */
 const createLeaderRecord = (
     identifier: string,
-    { host, peerPort }: platform.InstanceSettings,
+    { settings, timers }: OwnershipTaskOptions,
     term: number,
+    previousLeaders: assignment.PreviousLeaderTimes,
 ): assignment.LeaderRecord => ({
     identifier,
-    host,
-    port: peerPort,
+    host: settings.host,
+    port: settings.peerPort,
     term,
     beat: 0,
     isResigned: false,
-    longestLeaseMilliseconds: 0,
+    longestLeaseMilliseconds: settings.maxLeaseMilliseconds,
+    ...assignment.passOnPreviousLeaders(previousLeaders, timers.now()),
 });
 
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
@@ -180,7 +182,6 @@
     };
 
     const campaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
-        const record = createLeaderRecord(identifier, settings, (stored.leader?.term ?? 0) + 1);
         // A leader record with the host of this instance was written by an earlier process of it.
         const hasTerminated = link.terminatedLeader() === stored.leader?.identifier
             || stored.leader?.host === settings.host;
@@ -189,6 +190,8 @@
             recordSeenAt: watch.unchangedSince(),
             terminatedBy: hasTerminated ? timers.now() : undefined,
         };
+        const previousLeaders = assignment.previousLeaderTimes(previousLeader, settings.maxLeaseMilliseconds);
+        const record = createLeaderRecord(identifier, options, (stored.leader?.term ?? 0) + 1, previousLeaders);
         const response = await store.append(platform.Topic.ownership, stored.end, [
             { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
         ]);
@@ -212,8 +215,7 @@
             log,
             record,
             snapshot: initial,
-            previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
-            previousLeasesUntil: assignment.previousLeasesEndAt(previousLeader, settings.maxLeaseMilliseconds),
+            previousLeaders,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -14,6 +14,7 @@
     log: foundation.EventLog;
     /** The leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
+    previousLeaders: assignment.PreviousLeaderTimes;
     /** Offset at which the next record is appended. */
     end: number;
     /** Called when the response to a call sent at `sentAt` confirms that this instance leads. */
@@ -28,13 +29,12 @@
 export interface OwnershipWriter {
     /**
      * Appends the leader record and changed assignments. Resolves to false unless the append is known to have
-     * succeeded; the topic must then be read before the next append. `maxLeaseMilliseconds` is the longest lease
-     * granted recently; it only matters when the leader resigns.
+     * succeeded; the topic must then be read before the next append.
      */
     append: (
         plans: readonly assignment.ServiceAssignment[],
         isResigned: boolean,
-        maxLeaseMilliseconds: number,
+        longestLeaseMilliseconds: number,
     ) => Promise<boolean>;
     /** Reads the topic and calls `onSnapshot` or `onSuperseded`; rejects if the store does not respond. */
     resynchronize: () => Promise<void>;
@@ -61,13 +61,14 @@
     let hasUnconfirmedPlans = false;
     let lastAppendAt = timers.now();
     return {
-        append: async (plans, isResigned, maxLeaseMilliseconds) => {
+        append: async (plans, isResigned, longestLeaseMilliseconds) => {
             const sentAt = timers.now();
             const nextRecord = {
                 ...record,
+                ...assignment.passOnPreviousLeaders(options.previousLeaders, sentAt),
                 beat: record.beat + 1,
                 isResigned,
-                longestLeaseMilliseconds: maxLeaseMilliseconds,
+                longestLeaseMilliseconds,
             };
             const response = await store.append(platform.Topic.ownership, end, [
                 { key: assignment.leaderKey, value: assignment.encodeLeader(nextRecord) },
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -63,6 +63,8 @@
         beat: 0,
         isResigned: false,
         longestLeaseMilliseconds: 0,
+        previousCommandsMilliseconds: 0,
+        previousLeasesMilliseconds: 0,
     };
     link.follow(leader);
     return Object.assign(follower, { link });
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -80,6 +80,23 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
+        await simulation.run(6000);
+        simulation.setStoreUnavailable(true);
+        await simulation.run(1800);
+        simulation.setPartitioned(0, true);
+        simulation.setStoreUnavailable(false);
+        await simulation.replaceLeader(false);
+        for (let resignations = 0; resignations < 3; resignations += 1) {
+            await simulation.run(700);
+            await simulation.resignLeader();
+        }
+        await simulation.run(settledMilliseconds);
+        earl.expect(simulation.violations()).toEqual([]);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+    });
+
     for (let seed = firstSeed; seed < firstSeed + runCount; seed += 1) {
         test.it(`never has two owners for a key under random faults, seed ${seed}`, async () => {
             // In every second run, a leader's successor knows the last record only from a slow read.
@@ -103,6 +120,13 @@
                         simulation.setStoreUnavailable(false);
                         await simulation.replaceLeader(random.fraction() < 0.5);
                     },
+                    async () => {
+                        simulation.setStoreUnavailable(false);
+                        for (let resignations = random.below(4); resignations >= 0; resignations -= 1) {
+                            await simulation.resignLeader();
+                            await simulation.run(random.below(900));
+                        }
+                    },
                 ];
                 await actions[random.below(actions.length)]();
                 await simulation.run(random.below(2500));
