--- /dev/null
+++ b/packages/entry/src/campaign.ts
@@ -0,0 +1,77 @@
+/** Competes for the leadership by a conditional append to the ownership topic. */
+import * as assignment from "@mulberryseam/assignment";
+import type * as foundation from "@mulberryseam/foundation";
+import * as platform from "@mulberryseam/platform";
+import type * as ownershipReader from "./ownershipReader";
+import type * as ownershipWatch from "./ownershipWatch";
+
+/** The instance that campaigns, and what it knows. */
+export interface CampaignOptions {
+    store: platform.StoreClient;
+    timers: foundation.TimerService;
+    log: foundation.EventLog;
+    watch: ownershipWatch.OwnershipWatch;
+    /** Reads the ownership topic again; rejects if the store does not respond. */
+    readSnapshot: () => Promise<void>;
+    /** Identifies this process of the instance. */
+    identifier: string;
+    host: string;
+    port: number;
+    maxLeaseMilliseconds: number;
+    /** Identifier of the last leader that is known to have terminated. */
+    terminatedLeader: () => string | undefined;
+}
+
+/** What a leader starts with. */
+export interface WonCampaign {
+    /** The first record of its term. */
+    record: assignment.LeaderRecord;
+    snapshot: ownershipReader.OwnershipSnapshot;
+    previousLeaders: assignment.PreviousLeaderTimes;
+}
+
+/**
+ * Appends a leader record of this instance, unless another record was appended after the topic was read.
+ *
+ * @param options - the instance and the store
+ * @param stored - the topic as last read
+ * @returns what the leader starts with, or undefined if this instance does not lead
+ */
+export const campaign = async (
+    options: CampaignOptions,
+    stored: ownershipReader.OwnershipSnapshot,
+): Promise<WonCampaign | undefined> => {
+    const { watch, timers, log, identifier, host, port, maxLeaseMilliseconds } = options;
+    // A leader record with the host of this instance was written by an earlier process of it.
+    const hasTerminated = options.terminatedLeader() === stored.leader?.identifier || stored.leader?.host === host;
+    const previousLeaders = assignment.previousLeaderTimes({
+        record: stored.leader,
+        recordSeenAt: watch.unchangedSince(),
+        terminatedBy: hasTerminated ? timers.now() : undefined,
+    }, maxLeaseMilliseconds);
+    const record: assignment.LeaderRecord = {
+        identifier,
+        host,
+        port,
+        term: (stored.leader?.term ?? 0) + 1,
+        beat: 0,
+        isResigned: false,
+        longestLeaseMilliseconds: maxLeaseMilliseconds,
+        ...assignment.passOnPreviousLeaders(previousLeaders, timers.now()),
+    };
+    const response = await options.store.append(platform.Topic.ownership, stored.end, [
+        { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
+    ]);
+    if (response.result !== platform.AppendResult.appended) {
+        log.write("campaign-failed", { term: record.term, result: response.result, reason: response.reason });
+        await options.readSnapshot();
+        // An append without a response may still have taken effect.
+        if (watch.snapshot()?.leader?.identifier !== identifier) {
+            return undefined;
+        }
+    }
+    const snapshot = { ...(watch.snapshot() ?? stored), leader: record };
+    snapshot.end = response.result === platform.AppendResult.appended ? response.end : snapshot.end;
+    log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: snapshot.end });
+    return { record, snapshot, previousLeaders };
+};
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -5,6 +5,7 @@
 import * as protocol from "@mulberryseam/protocol";
 import type * as routing from "@mulberryseam/routing";
 import * as crypto from "node:crypto";
+import * as campaign from "./campaign";
 import * as followerServer from "./followerServer";
 import * as keyRequestSampler from "./keyRequestSampler";
 import * as keyRouting from "./keyRouting";
@@ -63,23 +64,6 @@
 const minRetryMilliseconds = 150;
 const maxRetryMilliseconds = 1000;
 
-/** Creates the first record of a term. */
-const createLeaderRecord = (
-    identifier: string,
-    { settings, timers }: OwnershipTaskOptions,
-    term: number,
-    previousLeaders: assignment.PreviousLeaderTimes,
-): assignment.LeaderRecord => ({
-    identifier,
-    host: settings.host,
-    port: settings.peerPort,
-    term,
-    beat: 0,
-    isResigned: false,
-    longestLeaseMilliseconds: settings.maxLeaseMilliseconds,
-    ...assignment.passOnPreviousLeaders(previousLeaders, timers.now()),
-});
-
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 
 /** Creates a function that counts bytes exchanged with a failure domain. */
@@ -181,41 +165,30 @@
         }
     };
 
-    const campaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
-        // A leader record with the host of this instance was written by an earlier process of it.
-        const hasTerminated = link.terminatedLeader() === stored.leader?.identifier
-            || stored.leader?.host === settings.host;
-        const previousLeader: assignment.PreviousLeader = {
-            record: stored.leader,
-            recordSeenAt: watch.unchangedSince(),
-            terminatedBy: hasTerminated ? timers.now() : undefined,
-        };
-        const previousLeaders = assignment.previousLeaderTimes(previousLeader, settings.maxLeaseMilliseconds);
-        const record = createLeaderRecord(identifier, options, (stored.leader?.term ?? 0) + 1, previousLeaders);
-        const response = await store.append(platform.Topic.ownership, stored.end, [
-            { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
-        ]);
-        if (response.result !== platform.AppendResult.appended) {
-            log.write("campaign-failed", { term: record.term, result: response.result, reason: response.reason });
-            await readSnapshot();
-            // An append without a response may still have taken effect.
-            if (watch.snapshot()?.leader?.identifier !== identifier) {
-                return;
-            }
+    const runCampaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
+        const won = await campaign.campaign({
+            store,
+            timers,
+            log,
+            watch,
+            readSnapshot,
+            identifier,
+            host: settings.host,
+            port: settings.peerPort,
+            maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
+            terminatedLeader: link.terminatedLeader,
+        }, stored);
+        if (won === undefined) {
+            return;
         }
-        const initial = { ...(watch.snapshot() ?? stored), leader: record };
-        initial.end = response.result === platform.AppendResult.appended ? response.end : initial.end;
-        log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: initial.end });
         link.close();
         session = leaderSession.createLeaderSession({
+            ...won,
             store,
             leaseClient,
             directory: options.directory,
             timers,
             log,
-            record,
-            snapshot: initial,
-            previousLeaders,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
@@ -225,7 +198,7 @@
                 followers.disconnectAll();
             },
         });
-        keyOwners.applySnapshot(initial);
+        keyOwners.applySnapshot(won.snapshot);
     };
 
     const step = async (): Promise<void> => {
@@ -250,7 +223,7 @@
             await readSnapshot();
         }
         else if (nextStep === assignment.LeadershipStep.campaign && known !== undefined && !isResigning) {
-            await campaign(known);
+            await runCampaign(known);
         }
         const leader = watch.snapshot()?.leader;
         if (leader !== undefined && leader.identifier !== identifier && !leader.isResigned && session === undefined) {
