Relay: end a request whose handling throws with a response, not the process

Callers saw their connections closed without a response: one response, request or upstream address that Node.js refuses to send on ended the instance with status 1, and every request in flight with it.

Cause: the HTTP parser accepts more than may be sent (header names that are no token, status codes below 100, a tab in a target, ports above 65535 are not even its business), and nothing caught the exceptions of writeHead() and http.request() in event handlers and promises that nobody waits for.

- A response that cannot be forwarded is none in the protocol: the outcome of its attempt is unknown.
- An attempt that cannot be sent has not run.
A request that cannot be sent is answered 400 without an attempt.
- Any other exception is recorded as the event `internal-error` with part, input and stack, and counted in `mulberryseam_internal_errors_total`.
The request ends with 503 before its first attempt and with 502 after it.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -51,6 +51,7 @@
     const timers = foundation.createTimerService();
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
+    const failures = foundation.createFailureBoundary(log);
     const { host: storeHost, port: storePort } = settings.storeAddress;
     const store = platform.createStoreClient(
         storeHost,
@@ -110,6 +111,7 @@
         timers,
         log,
         traffic,
+        failures,
         delegates: relay.createDelegatePool({
             ownIdentifier: ownership.identifier,
             delegates: ownership.delegates,
@@ -124,6 +126,7 @@
         log,
         pool,
         traffic,
+        failures,
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
@@ -149,6 +152,7 @@
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
+            internalErrors: failures.counts,
         },
         log,
         owner,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -16,6 +16,8 @@
     eventLoopDelay: () => number;
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
+    /** Exceptions so far, by the part of the instance in which they were thrown. */
+    internalErrors: () => ReadonlyMap<string, number>;
 }
 
 /** Records requests in the metrics of an instance. */
@@ -113,6 +115,18 @@
             }
         },
     });
+    const internalErrors: promClient.Counter = new promClient.Counter({
+        name: "mulberryseam_internal_errors_total",
+        help: "Exceptions that were contained, by the part of the instance.",
+        labelNames: ["part"],
+        registers,
+        collect: () => {
+            internalErrors.reset();
+            for (const [part, count] of gauges.internalErrors()) {
+                internalErrors.inc({ part }, count);
+            }
+        },
+    });
     const server = http.createServer((request, response) => {
         if (request.url !== metricsPath) {
             response.writeHead(404, { "content-length": 0 });
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -11,6 +11,7 @@
     "document-read-failed",
     "document-unreadable",
     "follower-refused",
+    "internal-error",
     "isolated",
     "isolation-ended",
     "leadership-lost",
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -3,6 +3,8 @@
 import * as platform from "@mulberryseam/platform";
 import * as http from "node:http";
 import * as stream from "node:stream";
+import * as tsResults from "ts-results";
+import * as messageValidity from "./messageValidity";
 import type * as requestBody from "./requestBody";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
@@ -54,6 +56,8 @@
     onConnected: (milliseconds: number) => void;
     /** Called with the bytes of the attempt once it has ended. */
     onTransferred: (transfer: foundation.Transfer) => void;
+    /** Records exceptions of the attempt's handlers. */
+    failures: foundation.FailureBoundary;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
 }
@@ -74,6 +78,9 @@
 const maxInterimResponses = 16;
 
 const misdirectedStatus = 421;
+/** Range of the status codes of final responses. */
+const minFinalStatus = 200;
+const maxFinalStatus = 599;
 const keepAliveTimeoutPattern = /timeout=(\d+)/;
 
 const firstValue = (value: string | string[] | undefined): string | undefined =>
@@ -84,11 +91,14 @@
     response: http.IncomingMessage,
     requestIdentifier: string | undefined,
 ): string | undefined => {
+    const status = response.statusCode ?? 0;
+    if (status < minFinalStatus || status > maxFinalStatus || !messageValidity.areHeadersValid(response.rawHeaders)) {
+        return "the response is malformed";
+    }
     const echoedIdentifier = firstValue(response.headers[platform.HeaderName.requestIdentifier]);
     if (requestIdentifier !== undefined && echoedIdentifier !== undefined && echoedIdentifier !== requestIdentifier) {
         return "the response belongs to another request";
     }
-    const status = response.statusCode ?? 0;
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && response.headers[platform.HeaderName.signature] === undefined) {
         return "successful response without a signature";
@@ -99,6 +109,41 @@
 const isRefusal = (response: http.IncomingMessage): boolean =>
     response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
+/** Opens the request of an attempt; the error is the reason why nothing can be sent. */
+const openRequest = (options: AttemptOptions): tsResults.Result<http.ClientRequest, string> => {
+    const { connections, body } = options;
+    const framingHeaders = body.kind === "whole"
+        ? (body.bytes.length > 0 || options.method === "POST" || options.method === "PUT"
+            ? ["Content-Length", String(body.bytes.length)]
+            : [])
+        : ["Transfer-Encoding", "chunked"];
+    try {
+        return tsResults.Ok(http.request({
+            agent: connections.agent,
+            host: options.host,
+            port: options.port,
+            method: options.method,
+            path: options.path,
+            headers: [
+                ...options.headers,
+                ...framingHeaders,
+                "Connection",
+                "keep-alive",
+            ] as unknown as http.OutgoingHttpHeaders,
+        }));
+    }
+    catch (error) {
+        return tsResults.Err((error as Error).message);
+    }
+};
+
+/** Returns an attempt of which nothing was sent. */
+const createUnsentAttempt = (reason: string): Attempt => ({
+    result: Promise.resolve({ kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined }),
+    cancel: () => undefined,
+    mayHaveBeenSent: () => false,
+});
+
 /**
  * Starts an attempt: sends the request to the upstream and reads its response.
  *
@@ -106,25 +151,12 @@
  * @returns the attempt
  */
 export const startAttempt = (options: AttemptOptions): Attempt => {
-    const { timers, connections, body } = options;
-    const framingHeaders = body.kind === "whole"
-        ? (body.bytes.length > 0 || options.method === "POST" || options.method === "PUT"
-            ? ["Content-Length", String(body.bytes.length)]
-            : [])
-        : ["Transfer-Encoding", "chunked"];
-    const request = http.request({
-        agent: connections.agent,
-        host: options.host,
-        port: options.port,
-        method: options.method,
-        path: options.path,
-        headers: [
-            ...options.headers,
-            ...framingHeaders,
-            "Connection",
-            "keep-alive",
-        ] as unknown as http.OutgoingHttpHeaders,
-    });
+    const { timers, connections, body, failures } = options;
+    const opened = openRequest(options);
+    if (opened.err) {
+        return createUnsentAttempt(opened.val);
+    }
+    const request = opened.val;
     let isConnected = false;
     let isNewConnection = false;
     let isFinished = false;
@@ -144,6 +176,19 @@
                     : { kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined },
             );
         };
+        /** Ends the attempt if a handler throws, so that it always has a result. */
+        const guard =
+            <Parameters extends unknown[]>(handler: (...parameters: Parameters) => void) =>
+            (...parameters: Parameters): void => {
+                try {
+                    handler(...parameters);
+                }
+                catch (error) {
+                    failures.report("attempt", error, { request: options.requestIdentifier, host: options.host });
+                    request.destroy();
+                    fail("internal error");
+                }
+            };
         const startedAt = timers.now();
         let endTransfer: (() => foundation.Transfer) | undefined;
         const connectTimeout = timers.onDelay(options.connectTimeoutMilliseconds, () => {
@@ -151,18 +196,24 @@
                 request.destroy(new Error("connection timeout"));
             }
         });
-        request.on("socket", socket => {
-            endTransfer = foundation.startTransfer(socket);
-            if (!socket.connecting) {
-                isConnected = true;
-                return;
-            }
-            isNewConnection = true;
-            socket.once("connect", () => {
-                isConnected = true;
-                options.onConnected(timers.now() - startedAt);
-            });
-        });
+        request.on(
+            "socket",
+            guard(socket => {
+                endTransfer = foundation.startTransfer(socket);
+                if (!socket.connecting) {
+                    isConnected = true;
+                    return;
+                }
+                isNewConnection = true;
+                socket.once(
+                    "connect",
+                    guard(() => {
+                        isConnected = true;
+                        options.onConnected(timers.now() - startedAt);
+                    }),
+                );
+            }),
+        );
         let currentResponse: http.IncomingMessage | undefined;
         request.on("error", error => {
             // Bytes behind a complete response end the connection, not the response.
@@ -173,102 +224,114 @@
             // Without a length, a reset connection would end the streamed rest as if it were complete.
             currentResponse?.destroy(error);
         });
-        request.on("close", () => {
-            if (endTransfer !== undefined) {
-                options.onTransferred(endTransfer());
-            }
-            fail("the connection was closed");
-        });
+        request.on(
+            "close",
+            guard(() => {
+                if (endTransfer !== undefined) {
+                    options.onTransferred(endTransfer());
+                }
+                fail("the connection was closed");
+            }),
+        );
         let interimResponses = 0;
-        request.on("information", () => {
-            interimResponses += 1;
-            options.onInterim?.();
-            if (options.onInterim === undefined && interimResponses > maxInterimResponses) {
-                request.destroy(new Error("too many interim responses"));
-            }
-        });
-        request.on("response", response => {
-            currentResponse = response;
-            const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
-            const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
-                ?.[1];
-            if (keepAliveSeconds !== undefined) {
-                connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
-            }
-            const isRequestUnfinished = !request.writableFinished;
-            const hasLength = response.headers["content-length"] !== undefined;
-            const isCloseDelimited = !hasLength
-                && response.headers["transfer-encoding"] === undefined;
-            const fault = findResponseFault(response, options.requestIdentifier);
-            if (fault !== undefined) {
-                response.on("error", () => undefined);
-                request.destroy();
-                fail(fault);
-                return;
-            }
-            const chunks: Buffer[] = [];
-            let size = 0;
-            const onData = (chunk: Buffer): void => {
-                chunks.push(chunk);
-                size += chunk.length;
-                if (size <= maxBufferedBytes) {
-                    return;
+        request.on(
+            "information",
+            guard(() => {
+                interimResponses += 1;
+                options.onInterim?.();
+                if (options.onInterim === undefined && interimResponses > maxInterimResponses) {
+                    request.destroy(new Error("too many interim responses"));
                 }
-                if (response.headers[platform.HeaderName.signature] === undefined) {
-                    // Only signed responses are this large; a refusal must be complete to be believed.
-                    request.destroy();
-                    fail("large response without a signature");
-                    return;
+            }),
+        );
+        request.on(
+            "response",
+            guard(response => {
+                currentResponse = response;
+                const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
+                const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
+                    ?.[1];
+                if (keepAliveSeconds !== undefined) {
+                    connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
                 }
-                response.pause();
-                response.off("data", onData);
-                finishResponse(response);
-            };
-            const finishResponse = (rest: http.IncomingMessage | undefined): void => {
-                if (isFinished) {
+                const isRequestUnfinished = !request.writableFinished;
+                const hasLength = response.headers["content-length"] !== undefined;
+                const isCloseDelimited = !hasLength
+                    && response.headers["transfer-encoding"] === undefined;
+                const fault = findResponseFault(response, options.requestIdentifier);
+                if (fault !== undefined) {
+                    response.on("error", () => undefined);
+                    request.destroy();
+                    fail(fault);
                     return;
                 }
-                if (isRequestUnfinished) {
-                    // The upstream still expects the rest of the body on this connection.
-                    // Not the response's socket, which Node.js has detached if the request was finished meanwhile.
-                    request.socket?.destroy();
-                }
-                if (isRefusal(response)) {
-                    const isMisdirected = response.statusCode === misdirectedStatus;
+                const chunks: Buffer[] = [];
+                let size = 0;
+                const onData = guard((chunk: Buffer): void => {
+                    chunks.push(chunk);
+                    size += chunk.length;
+                    if (size <= maxBufferedBytes) {
+                        return;
+                    }
+                    if (response.headers[platform.HeaderName.signature] === undefined) {
+                        // Only signed responses are this large; a refusal must be complete to be believed.
+                        request.destroy();
+                        fail("large response without a signature");
+                        return;
+                    }
+                    response.pause();
+                    response.off("data", onData);
+                    finishResponse(response);
+                });
+                const finishResponse = (rest: http.IncomingMessage | undefined): void => {
+                    if (isFinished) {
+                        return;
+                    }
+                    if (isRequestUnfinished) {
+                        // The upstream still expects the rest of the body on this connection.
+                        // Not the response's socket, which Node.js has detached if the request was finished meanwhile.
+                        request.socket?.destroy();
+                    }
+                    if (isRefusal(response)) {
+                        const isMisdirected = response.statusCode === misdirectedStatus;
+                        finish({
+                            kind: "notRun",
+                            reason: `status ${response.statusCode}`,
+                            isRefused: true,
+                            isMisdirected,
+                            report,
+                        });
+                        return;
+                    }
+                    const { rawHeaders, statusCode = 0 } = response;
                     finish({
-                        kind: "notRun",
-                        reason: `status ${response.statusCode}`,
-                        isRefused: true,
-                        isMisdirected,
+                        kind: "answered",
+                        response: {
+                            status: statusCode,
+                            rawHeaders,
+                            body: Buffer.concat(chunks),
+                            isCloseDelimited,
+                            hasLength,
+                            rest,
+                        },
                         report,
                     });
-                    return;
-                }
-                const { rawHeaders, statusCode = 0 } = response;
-                finish({
-                    kind: "answered",
-                    response: {
-                        status: statusCode,
-                        rawHeaders,
-                        body: Buffer.concat(chunks),
-                        isCloseDelimited,
-                        hasLength,
-                        rest,
-                    },
-                    report,
-                });
-            };
-            response.on("data", onData);
-            response.on("end", () => {
-                if (response.complete) {
-                    finishResponse(undefined);
-                }
-                else {
-                    fail("the response was interrupted");
-                }
-            });
-            response.on("error", error => fail(error.message));
-        });
+                };
+                response.on("data", onData);
+                response.on(
+                    "end",
+                    guard(() => {
+                        if (response.complete) {
+                            finishResponse(undefined);
+                        }
+                        else {
+                            fail("the response was interrupted");
+                        }
+                    }),
+                );
+                response.on("error", error => fail(error.message));
+            }),
+        );
     });
     if (body.kind === "whole") {
         request.end(body.bytes);
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -17,6 +17,7 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
     /** Whether a request that has been sent could be sent again now. */
     canSendAgain: (state: requestState.RequestState) => boolean;
 }
@@ -115,6 +116,7 @@
                 upstream.identifier,
             ],
             requestIdentifier: state.requestIdentifier,
+            failures: options.failures,
             body,
             connectTimeoutMilliseconds: pool.connectTimeoutMilliseconds(target),
             onConnected: milliseconds => pool.onConnected(target, milliseconds),
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -16,6 +16,7 @@
     log: foundation.EventLog;
     delegates: delegatePool.DelegatePool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     /** Number of upstreams of a service. */
     upstreamCount: (service: string) => number;
@@ -142,6 +143,7 @@
                 delegatedRequest.encodeDelegation(state, now),
             ],
             requestIdentifier: state.requestIdentifier,
+            failures: options.failures,
             body,
             connectTimeoutMilliseconds,
             onConnected: () => undefined,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,8 +8,10 @@
 import * as delegateHealth from "./delegateHealth";
 import type * as delegator from "./delegator";
 import * as eventLoopDelay from "./eventLoopDelay";
+import * as messageValidity from "./messageValidity";
 import * as openRequestSet from "./openRequests";
 import * as requestBody from "./requestBody";
+import * as requestExceptions from "./requestExceptions";
 import * as requestServing from "./requestServing";
 import * as requestState from "./requestState";
 import * as responders from "./responder";
@@ -31,6 +33,8 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    /** Records exceptions while a request is handled; the request still gets a response. */
+    failures: foundation.FailureBoundary;
     /** Returns undefined until the first document is known. */
     documentInForce: () => DocumentInForce | undefined;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
@@ -73,9 +77,10 @@
  * @returns the relay
  */
 export const createRelay = (options: RelayOptions): Relay => {
-    const { timers, log } = options;
+    const { timers, log, failures } = options;
     const responder = responders.createResponder(options);
     const signsOfLife = foundation.createSharedInterval(timers, delegateHealth.signOfLifeMilliseconds);
+    const exceptions = requestExceptions.createRequestExceptions({ failures, responder });
     const serve = requestServing.createRequestServing({ ...options, responder });
     const splitCostOf = splitCost.createSplitCostEstimator(options);
     const openRequests = openRequestSet.createOpenRequests({
@@ -92,6 +97,7 @@
 
     const watchRequest = (state: requestState.RequestState): void => {
         openRequests.add(state);
+        state.response.on("error", error => failures.report("response", error, { request: state.requestIdentifier }));
         state.response.on("close", () => {
             openRequests.remove(state);
             if (!state.isFinished) {
@@ -102,12 +108,12 @@
         });
     };
 
-    const startRequest = async (
+    const startRequest = (
         request: http.IncomingMessage,
         response: http.ServerResponse,
         document: routing.RoutingDocument,
         entry: routing.RouteEntry,
-    ): Promise<void> => {
+    ): void => {
         const { route } = entry;
         const key = parseKey(request);
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
@@ -131,13 +137,17 @@
             options.onKeyRequested(service, state.key);
             options.delegator?.onRequest(service);
         }
-        await runRequest(state, document.limits.maxBodyBytes);
+        runRequest(state, document.limits.maxBodyBytes);
+    };
+
+    const runRequest = (state: requestState.RequestState, maxBodyBytes: number): void => {
+        watchRequest(state);
+        serveRequest(state, maxBodyBytes).catch(error => exceptions.end(state, error));
     };
 
     /** Reads the body of a request, then serves it. */
-    const runRequest = async (state: requestState.RequestState, maxBodyBytes: number): Promise<void> => {
+    const serveRequest = async (state: requestState.RequestState, maxBodyBytes: number): Promise<void> => {
         const { request, response } = state;
-        watchRequest(state);
         if (eventLoopDelay.isOverloaded(state.route.rank, options.eventLoopDelay.milliseconds())) {
             responder.fail(state, requestState.FailureReason.overloaded, selection.defaultRetryAfterMilliseconds);
             return;
@@ -178,7 +188,7 @@
         response.on("close", () => subscription.cancel());
     };
 
-    const handleDelegated = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+    const acceptDelegated = (request: http.IncomingMessage, response: http.ServerResponse): void => {
         const parsed = delegatedRequest.parseDelegation(String(request.headers[delegatedRequest.delegationHeader]));
         const key = parseKey(request);
         if (parsed.err || key === undefined || !options.acceptsDelegated()) {
@@ -199,38 +209,58 @@
             isDelegated: true,
         });
         sendSignsOfLife(response);
-        void runRequest(state, Infinity);
+        runRequest(state, Infinity);
+    };
+
+    const accept = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+        const documentInForce = options.documentInForce();
+        if (documentInForce === undefined) {
+            responder.reply(
+                response,
+                503,
+                ["Retry-After", (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3)],
+                requestState.FailureReason.noDocument,
+            );
+            return;
+        }
+        if (!messageValidity.isRequestValid(request)) {
+            log.write("caller-malformed", {
+                request: String(request.headers[platform.HeaderName.requestIdentifier]),
+                reason: requestState.FailureReason.malformed,
+            });
+            request.resume();
+            responder.reply(response, 400, [], requestState.FailureReason.malformed);
+            return;
+        }
+        const [path] = (request.url ?? "/").split("?");
+        const entry = documentInForce.table.find(request.headers.host ?? "", path);
+        if (entry === undefined) {
+            log.write("request-failed", {
+                request: String(request.headers[platform.HeaderName.requestIdentifier]),
+                host: request.headers.host,
+                path,
+                status: 404,
+                reason: requestState.FailureReason.noRoute,
+                version: documentInForce.document.version,
+            });
+            responder.reply(response, 404, [], requestState.FailureReason.noRoute);
+            return;
+        }
+        startRequest(request, response, documentInForce.document, entry);
+    };
+
+    const guardArrival = (handler: Relay["handle"], isDelegated: boolean): Relay["handle"] => (request, response) => {
+        try {
+            handler(request, response);
+        }
+        catch (error) {
+            exceptions.refuse(request, response, isDelegated, error);
+        }
     };
 
     return {
-        handleDelegated,
-        handle: (request, response) => {
-            const documentInForce = options.documentInForce();
-            if (documentInForce === undefined) {
-                responder.reply(
-                    response,
-                    503,
-                    ["Retry-After", (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3)],
-                    requestState.FailureReason.noDocument,
-                );
-                return;
-            }
-            const [path] = (request.url ?? "/").split("?");
-            const entry = documentInForce.table.find(request.headers.host ?? "", path);
-            if (entry === undefined) {
-                log.write("request-failed", {
-                    request: String(request.headers[platform.HeaderName.requestIdentifier]),
-                    host: request.headers.host,
-                    path,
-                    status: 404,
-                    reason: requestState.FailureReason.noRoute,
-                    version: documentInForce.document.version,
-                });
-                responder.reply(response, 404, [], requestState.FailureReason.noRoute);
-                return;
-            }
-            void startRequest(request, response, documentInForce.document, entry);
-        },
+        handleDelegated: guardArrival(acceptDelegated, true),
+        handle: guardArrival(accept, false),
         openRequestCount: openRequests.count,
         limitDeadlines: openRequests.limitDeadlines,
     };
--- /dev/null
+++ b/packages/relay/src/requestExceptions.ts
@@ -0,0 +1,75 @@
+/** Ends requests whose handling has thrown, so that none remains without a response. */
+import type * as foundation from "@mulberryseam/foundation";
+import * as platform from "@mulberryseam/platform";
+import type * as http from "node:http";
+import * as delegatedRequest from "./delegatedRequest";
+import * as requestState from "./requestState";
+import type * as responders from "./responder";
+import * as selection from "./selection";
+
+/** Dependencies of the handling of exceptions. */
+export interface RequestExceptionsOptions {
+    failures: foundation.FailureBoundary;
+    responder: responders.Responder;
+}
+
+/** Ends requests whose handling has thrown. */
+export interface RequestExceptions {
+    /** Ends a request in progress. It may have run if an attempt was started, whatever became of it. */
+    end: (state: requestState.RequestState, error: unknown) => void;
+    /** Ends a request that has thrown on its arrival, before any attempt: it has not run. */
+    refuse: (
+        request: http.IncomingMessage,
+        response: http.ServerResponse,
+        isDelegated: boolean,
+        error: unknown,
+    ) => void;
+}
+
+const reason = requestState.FailureReason.internalError;
+
+/**
+ * Creates the handling of exceptions.
+ *
+ * @param options - what records exceptions, and the responder
+ * @returns the functions that end requests
+ */
+export const createRequestExceptions = ({ failures, responder }: RequestExceptionsOptions): RequestExceptions => {
+    const failureHeaders = (isDelegated: boolean): string[] =>
+        isDelegated ? [delegatedRequest.failureHeader, reason] : [];
+    return {
+        end: (state, error) => {
+            const { response, currentAttempt } = state;
+            failures.report("request", error, {
+                request: state.requestIdentifier,
+                route: state.route.name,
+                tried: [...state.triedUpstreams].join(","),
+            });
+            state.mayHaveRun ||= state.attemptCount > 0 || state.delegate !== undefined;
+            if (!state.isFinished) {
+                responder.fail(state, reason, selection.defaultRetryAfterMilliseconds);
+            }
+            else if (!response.headersSent) {
+                responder.reply(response, 502, failureHeaders(state.isDelegated), reason);
+            }
+            else if (!response.writableEnded) {
+                // A response that is cut off must not look complete.
+                response.destroy();
+            }
+            currentAttempt?.cancel(reason);
+        },
+        refuse: (request, response, isDelegated, error) => {
+            failures.report("request", error, {
+                request: String(request.headers[platform.HeaderName.requestIdentifier]),
+                host: request.headers.host,
+                path: request.url?.split("?")[0],
+            });
+            request.resume();
+            responder.reply(response, 503, [
+                "Retry-After",
+                (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3),
+                ...failureHeaders(isDelegated),
+            ], reason);
+        },
+    };
+};
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -23,6 +23,7 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     /** Without it, the instance sends every request itself. */
     delegator?: delegator.Delegator;
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -19,6 +19,8 @@
     lost: "the answer was lost",
     callerDisconnected: "the caller left",
     notAccepted: "the instance takes no delegated requests",
+    malformed: "the request is malformed",
+    internalError: "an internal error",
 } as const;
 
 /** One of {@link FailureReason}. */
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -23,6 +23,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     eventLoopDelay: eventLoopDelay.EventLoopDelay;
     /** Whether responses tell callers to open their next connection elsewhere. */
     shouldCloseConnections: () => boolean;
@@ -46,12 +47,12 @@
  * @returns the responder
  */
 export const createResponder = (options: ResponderOptions): Responder => {
-    const { timers, log, random } = options;
+    const { timers, log, random, failures } = options;
 
     const responseHeaders = (extraHeaders: string[]): string[] =>
         options.shouldCloseConnections() ? [...extraHeaders, "Connection", "close"] : extraHeaders;
 
-    const recordOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
+    const writeOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
         const durationMilliseconds = timers.now() - state.arrivedAt;
         const { decision } = state;
         const rounded = (value: number | undefined): number | undefined =>
@@ -98,6 +99,11 @@
         });
     };
 
+    const recordOutcome: Responder["recordOutcome"] = (state, status, reason) =>
+        failures.run("request outcome", () => writeOutcome(state, status, reason), {
+            request: state.requestIdentifier,
+        });
+
     const reply = (response: http.ServerResponse, status: number, extraHeaders: string[], text: string): void => {
         if (response.headersSent || response.destroyed) {
             return;
@@ -162,7 +168,10 @@
         });
     };
 
-    const forward = (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse): void => {
+    const forwardResponse = (
+        state: requestState.RequestState,
+        upstreamResponse: attempts.UpstreamResponse,
+    ): void => {
         state.isFinished = true;
         recordOutcome(state, upstreamResponse.status, "");
         const { response } = state;
@@ -201,5 +210,15 @@
         forwardRest(state, upstreamResponse);
     };
 
+    const forward: Responder["forward"] = (state, upstreamResponse) => {
+        try {
+            forwardResponse(state, upstreamResponse);
+        }
+        catch (error) {
+            upstreamResponse.rest?.destroy();
+            throw error;
+        }
+    };
+
     return { recordOutcome, reply, fail, forward };
 };
