Leader lease: a late response does not restore it after a suspension

Leases could be renewed by a leader that others had replaced: if the process was suspended while an append was in flight and the monotonic clock stood still, the response that arrived after the suspension was detected counted as a fresh confirmation, and the leader sent commands for up to 2 s more.

Responses to calls that were sent before the suspension was detected no longer count. Evidence: the new test "is not restored by the response to a call that was sent before a suspension" fails on the unchanged source ("The value true is not equal to false").

--- a/packages/assignment/src/leaderLease.ts
+++ b/packages/assignment/src/leaderLease.ts
@@ -133,17 +133,22 @@
     let confirmedAt = -Infinity;
     let lastCheckedAt: number | undefined;
     let lastWallClock = 0;
+    let suspensionDetectedAt = -Infinity;
     let lastLongLeaseAt = -Infinity;
     const normalLeaseMilliseconds = Math.min(normalKeyLeaseMilliseconds, maxLeaseMilliseconds);
     return {
         onConfirmation: sentAt => {
-            confirmedAt = Math.max(confirmedAt, sentAt);
+            // The monotonic clock may have stood still since a call that was sent before the suspension was detected.
+            if (sentAt > suspensionDetectedAt) {
+                confirmedAt = Math.max(confirmedAt, sentAt);
+            }
         },
         detectSuspension: (now, wallClock) => {
             if (lastCheckedAt !== undefined) {
                 const clockDifference = Math.abs(wallClock - lastWallClock - (now - lastCheckedAt));
                 if (clockDifference > minSuspensionMilliseconds) {
                     confirmedAt = -Infinity;
+                    suspensionDetectedAt = now;
                 }
             }
             lastCheckedAt = now;
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -119,6 +119,16 @@
         }
     });
 
+    test.it("is not restored by the response to a call that was sent before a suspension", () => {
+        const leaderLease = assignment.createLeaderLease(maxLeaseMilliseconds);
+        leaderLease.detectSuspension(1000, 5000);
+        leaderLease.detectSuspension(1050, 13_050);
+        leaderLease.onConfirmation(1040);
+        earl.expect(leaderLease.canSendCommands(1060)).toEqual(false);
+        leaderLease.onConfirmation(1055);
+        earl.expect(leaderLease.canSendCommands(1060)).toEqual(true);
+    });
+
     test.it("grants the longest leases once a confirmation is overdue, and reports them as granted for a while", () => {
         const leaderLease = assignment.createLeaderLease(maxLeaseMilliseconds);
         leaderLease.onConfirmation(0);
