Leader: count the first confirmation from when the campaign's append was sent

A new leader took the creation of its session for the time at which the store confirmed it. The append may have been answered up to a second after it took effect, or only been found by a read, while a successor counts from the time by which the record was stored: the leader could still renew leases when the successor moved keys, and an upstream that restarted in between accepted them. A suspension of the process while that append was in flight went unnoticed, too.

The session now starts from the times, on both clocks, at which the append was sent, and its next record is due accordingly.

--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -22,12 +22,19 @@
     terminatedLeader: () => string | undefined;
 }
 
+/** When the append that the store confirmed was sent, on both clocks: the process may have been suspended since. */
+export interface LeadershipConfirmation {
+    sentAt: number;
+    wallClock: number;
+}
+
 /** What a leader starts with. */
 export interface WonCampaign {
     /** The first record of its term. */
     record: assignment.LeaderRecord;
     snapshot: ownershipReader.OwnershipSnapshot;
     previousLeaders: assignment.PreviousLeaderTimes;
+    confirmation: LeadershipConfirmation;
 }
 
 /**
@@ -59,6 +66,7 @@
         longestLeaseMilliseconds: maxLeaseMilliseconds,
         ...assignment.passOnPreviousLeaders(previousLeaders, timers.now()),
     };
+    const confirmation = { sentAt: timers.now(), wallClock: timers.wallClock() };
     const response = await options.store.append(platform.Topic.ownership, stored.end, [
         { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
     ]);
@@ -73,5 +81,5 @@
     const snapshot = { ...(watch.snapshot() ?? stored), leader: record };
     snapshot.end = response.result === platform.AppendResult.appended ? response.end : snapshot.end;
     log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: snapshot.end });
-    return { record, snapshot, previousLeaders };
+    return { record, snapshot, previousLeaders, confirmation };
 };
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -8,6 +8,7 @@
 import * as protocol from "@mulberryseam/protocol";
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
+import type * as campaign from "./campaign";
 import * as leaseCommandSender from "./leaseCommandSender";
 import * as ownershipReader from "./ownershipReader";
 import * as ownershipWriter from "./ownershipWriter";
@@ -23,6 +24,8 @@
     record: assignment.LeaderRecord;
     snapshot: ownershipReader.OwnershipSnapshot;
     previousLeaders: assignment.PreviousLeaderTimes;
+    /** The append of the record. */
+    confirmation: campaign.LeadershipConfirmation;
     maxLeaseMilliseconds: number;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
@@ -108,6 +111,35 @@
     };
 };
 
+/** Returns a service's leases and load, which are created on first use. */
+const findOrCreate = (services: Map<string, KeyedService>, name: string): KeyedService => {
+    const existing = services.get(name);
+    if (existing !== undefined) {
+        return existing;
+    }
+    const created = { leaseManager: assignment.createLeaseManager(), load: assignment.createKeyLoad() };
+    services.set(name, created);
+    return created;
+};
+
+const applySnapshot = (
+    services: Map<string, KeyedService>,
+    snapshot: ownershipReader.OwnershipSnapshot,
+    previousLeasesUntil: number,
+): void => {
+    for (const [name, stored] of snapshot.assignments) {
+        findOrCreate(services, name).leaseManager.setAssignment(stored, previousLeasesUntil);
+    }
+};
+
+const setPendingPlans = (
+    services: Map<string, KeyedService>,
+    plans: readonly assignment.ServiceAssignment[],
+): void =>
+    services.forEach(({ leaseManager }, name) =>
+        leaseManager.setPendingAssignment(plans.find(plan => plan.service === name))
+    );
+
 /**
  * Starts a leader session.
  *
@@ -120,7 +152,7 @@
     const services = new Map<string, KeyedService>();
     const serviceTimes = new Map<string, number>();
     const startedAt = timers.now();
-    let confirmedAt = startedAt;
+    let confirmedAt = options.confirmation.sentAt;
     let isCommitting = false;
     let isStopped = false;
     let nextCommitAt = startedAt;
@@ -131,22 +163,6 @@
         confirmedAt = sentAt;
         leaderLease.onConfirmation(sentAt);
     };
-    const createService = (name: string): KeyedService => {
-        const created = { leaseManager: assignment.createLeaseManager(), load: assignment.createKeyLoad() };
-        services.set(name, created);
-        return created;
-    };
-    const applySnapshot = (snapshot: ownershipReader.OwnershipSnapshot, previousLeasesUntil: number): void => {
-        for (const [name, stored] of snapshot.assignments) {
-            const { leaseManager } = services.get(name) ?? createService(name);
-            leaseManager.setAssignment(stored, previousLeasesUntil);
-        }
-    };
-    const setPendingPlans = (plans: readonly assignment.ServiceAssignment[]): void =>
-        services.forEach(({ leaseManager }, name) =>
-            leaseManager.setPendingAssignment(plans.find(plan => plan.service === name))
-        );
-
     const sender = leaseCommandSender.createLeaseCommandSender({
         leaseClient: options.leaseClient,
         timers,
@@ -164,10 +180,11 @@
         record: options.record,
         previousLeaders: options.previousLeaders,
         end: options.snapshot.end,
+        lastAppendAt: options.confirmation.sentAt,
         onLeadershipConfirmed,
         onSnapshot: snapshot => {
-            applySnapshot(snapshot, -Infinity);
-            setPendingPlans(unconfirmedPlans);
+            applySnapshot(services, snapshot, -Infinity);
+            setPendingPlans(services, unconfirmedPlans);
         },
         onSuperseded: newTerm => {
             isStopped = true;
@@ -206,7 +223,7 @@
     };
 
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
-        const keyedService = services.get(name) ?? createService(name);
+        const keyedService = findOrCreate(services, name);
         const { leaseManager, load } = keyedService;
         const settledAssignment = leaseManager.settledAssignment();
         if (settledAssignment === undefined && timers.now() - startedAt < initialAssignmentDelayMilliseconds) {
@@ -242,11 +259,11 @@
         }
         if (!hasUnconfirmedPlans) {
             unconfirmedPlans = plans;
-            setPendingPlans(plans);
+            setPendingPlans(services, plans);
         }
         if (await writer.append(plans, false, options.maxLeaseMilliseconds)) {
             unconfirmedPlans = [];
-            setPendingPlans([]);
+            setPendingPlans(services, []);
             for (const plan of plans) {
                 services.get(plan.service)?.leaseManager.setAssignment(plan, -Infinity);
                 log.write("assignment", {
@@ -272,8 +289,9 @@
         isCommitting = false;
     };
 
-    applySnapshot(options.snapshot, options.previousLeaders.previousLeasesUntil);
-    onLeadershipConfirmed(startedAt);
+    applySnapshot(services, options.snapshot, options.previousLeaders.previousLeasesUntil);
+    leaderLease.detectSuspension(options.confirmation.sentAt, options.confirmation.wallClock);
+    onLeadershipConfirmed(options.confirmation.sentAt);
 
     return {
         tick: () => {
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -17,6 +17,8 @@
     previousLeaders: assignment.PreviousLeaderTimes;
     /** Offset at which the next record is appended. */
     end: number;
+    /** Time at which the append of the record was sent. */
+    lastAppendAt: number;
     /** Called when the response to a call sent at `sentAt` confirms that this instance leads. */
     onLeadershipConfirmed: (sentAt: number) => void;
     /** Called with the content of the topic after a resynchronization; it may differ from the last append. */
@@ -55,11 +57,10 @@
  */
 export const createOwnershipWriter = (options: OwnershipWriterOptions): OwnershipWriter => {
     const { store, timers, log } = options;
-    let { record, end } = options;
+    let { record, end, lastAppendAt } = options;
     let acknowledgedRecordNumber = record.beat;
     let needsRead = false;
     let hasUnconfirmedPlans = false;
-    let lastAppendAt = timers.now();
     return {
         append: async (plans, isResigned, longestLeaseMilliseconds) => {
             const sentAt = timers.now();
--- /dev/null
+++ b/packages/entry/test/campaign.test.ts
@@ -0,0 +1,191 @@
+/** When a new leader may send lease commands, counted from the append of its first record. */
+import * as assignment from "@mulberryseam/assignment";
+import * as foundation from "@mulberryseam/foundation";
+import type * as platform from "@mulberryseam/platform";
+import * as routing from "@mulberryseam/routing";
+import * as earl from "earl";
+import * as test from "node:test";
+import * as campaign from "../src/campaign";
+import * as leaderSession from "../src/leaderSession";
+import * as ownershipWatch from "../src/ownershipWatch";
+
+const upstream: routing.Upstream = {
+    identifier: "upstream-1",
+    service: "records",
+    host: "127.0.0.1",
+    port: 9000,
+    failureDomain: "north-a",
+    slots: 6,
+    isDraining: false,
+    warmupMilliseconds: 0,
+    startedAt: 1,
+};
+const maxLeaseMilliseconds = 10_000;
+const stepMilliseconds = 40;
+const discardingLog: foundation.EventLog = { write: () => undefined, sample: () => undefined };
+
+interface CampaignFixture {
+    timers: foundation.VirtualTimerService;
+    /**
+     * Suspends the process while the next append is in flight; the monotonic clock stands still meanwhile. Grants before that are
+     * removed from {@link CampaignFixture.grantTimes}.
+     */
+    suspendAtAppend: (milliseconds: number) => void;
+    /** Sets how long the store takes to respond to an append that it has carried out. */
+    setAppendDelay: (milliseconds: number) => void;
+    /** Sets whether appends get no response. */
+    setAppendsLost: (areLost: boolean) => void;
+    /** Campaigns until this instance leads; the session is ticked by {@link CampaignFixture.run}. */
+    lead: () => Promise<void>;
+    run: (milliseconds: number) => Promise<void>;
+    /** Times of the grants, on the monotonic clock. */
+    grantTimes: number[];
+}
+
+const createCampaignFixture = (): CampaignFixture => {
+    const virtualTimers = foundation.createVirtualTimerService(1000);
+    let suspendedMilliseconds = 0;
+    let nextSuspension = 0;
+    let appendDelay = 10;
+    let areAppendsLost = false;
+    const timers = { ...virtualTimers, wallClock: () => virtualTimers.now() + suspendedMilliseconds };
+    const owner: assignment.Owner = upstream;
+    const stored = new Map([[
+        assignment.assignmentKey("records"),
+        assignment.encodeAssignment({
+            service: "records",
+            nextToken: 2,
+            ranges: [{ first: 0, last: assignment.keyCount - 1, owner, token: 1, previousOwner: undefined }],
+        }),
+    ]]);
+    let end = 1;
+    const store: platform.StoreClient = {
+        readSnapshot: () =>
+            Promise.resolve({ records: [...stored].map(([key, value]) => ({ key, value, offset: end - 1 })), end }),
+        readFrom: () => Promise.reject(new Error("not used")),
+        append: async (...[, expectedEnd, records]) => {
+            if (areAppendsLost || expectedEnd !== end) {
+                await foundation.pause(timers, 1000);
+                return { result: "failed", end: 0, reason: "no response" };
+            }
+            records.forEach(({ key, value }) => value !== undefined && stored.set(key, value));
+            end += records.length;
+            const appendedEnd = end;
+            await foundation.pause(timers, appendDelay / 2);
+            if (nextSuspension > 0) {
+                suspendedMilliseconds += nextSuspension;
+                nextSuspension = 0;
+                grantTimes.length = 0;
+            }
+            await foundation.pause(timers, appendDelay / 2);
+            return { result: "appended", end: appendedEnd, reason: "" };
+        },
+        close: () => undefined,
+    };
+    const grantTimes: number[] = [];
+    const leaseClient: platform.LeaseClient = {
+        grant: async () => {
+            grantTimes.push(timers.now());
+            await foundation.pause(timers, 5);
+            return { result: "done", handover: undefined, reason: "" };
+        },
+        release: () => Promise.reject(new Error("not used")),
+        close: () => undefined,
+    };
+    const directory = routing.createUpstreamDirectory();
+    directory.onEntry(upstream, timers.now());
+    let session: leaderSession.LeaderSession | undefined;
+    const run = async (milliseconds: number): Promise<void> => {
+        for (let elapsed = 0; elapsed < milliseconds; elapsed += stepMilliseconds) {
+            virtualTimers.advance(stepMilliseconds);
+            await new Promise(resolve => setImmediate(resolve));
+            session?.tick();
+        }
+    };
+    return {
+        timers,
+        suspendAtAppend: milliseconds => {
+            nextSuspension = milliseconds;
+        },
+        setAppendDelay: milliseconds => {
+            appendDelay = milliseconds;
+        },
+        setAppendsLost: areLost => {
+            areAppendsLost = areLost;
+        },
+        lead: async () => {
+            const options = { store, timers, log: discardingLog, confirmationTimeOf: () => undefined };
+            const watch = ownershipWatch.createOwnershipWatch(options);
+            let won: campaign.WonCampaign | undefined;
+            const pending = campaign.campaign({
+                ...options,
+                watch,
+                readSnapshot: async () => {
+                    await watch.read();
+                },
+                identifier: "instance-1",
+                host: "127.0.0.1",
+                port: 1,
+                maxLeaseMilliseconds,
+                terminatedLeader: () => undefined,
+            }, await watch.read()).then(result => {
+                won = result;
+            });
+            while (won === undefined) {
+                await run(stepMilliseconds);
+            }
+            await pending;
+            session = leaderSession.createLeaderSession({
+                ...won,
+                store,
+                leaseClient,
+                directory,
+                timers,
+                log: discardingLog,
+                maxLeaseMilliseconds,
+                keyedServices: () => ["records"],
+                broadcast: () => undefined,
+                onSuperseded: () => undefined,
+            });
+        },
+        run,
+        grantTimes,
+    };
+};
+
+test.describe("a new leader", () => {
+    test.it("stops sending commands when a successor expects it to, even if the response to its first append was late", async () => {
+        const fixture = createCampaignFixture();
+        const sentAt = fixture.timers.now();
+        fixture.setAppendDelay(900);
+        await fixture.lead();
+        fixture.setAppendsLost(true);
+        await fixture.run(5000);
+        earl.expect(fixture.grantTimes.length > 0).toEqual(true);
+        earl.expect(Math.max(...fixture.grantTimes) < sentAt + assignment.leaderLeaseMilliseconds).toEqual(true);
+    });
+
+    test.it("sends no command if the process was suspended while its first append was in flight", async () => {
+        const fixture = createCampaignFixture();
+        fixture.suspendAtAppend(8000);
+        await fixture.lead();
+        fixture.setAppendsLost(true);
+        await fixture.run(3000);
+        earl.expect(fixture.grantTimes).toEqual([]);
+        fixture.setAppendsLost(false);
+        await fixture.run(2000);
+        earl.expect(fixture.grantTimes.length > 0).toEqual(true);
+    });
+
+    test.it("sends no command on a confirmation that was requested before a suspension", async () => {
+        const fixture = createCampaignFixture();
+        await fixture.lead();
+        fixture.setAppendDelay(600);
+        fixture.suspendAtAppend(8000);
+        // The leader appends a record after 800 ms to 1300 ms.
+        await fixture.run(1320);
+        fixture.setAppendsLost(true);
+        await fixture.run(3000);
+        earl.expect(fixture.grantTimes).toEqual([]);
+    });
+});
