--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -162,6 +162,19 @@
     mayHaveBeenSent: () => false,
 });
 
+const sendBody = (request: http.ClientRequest, body: AttemptOptions["body"]): void => {
+    if (body.kind === "whole") {
+        request.end(body.bytes);
+        return;
+    }
+    request.write(body.start);
+    stream.pipeline(body.rest, request, error => {
+        if (error) {
+            request.destroy(error);
+        }
+    });
+};
+
 /**
  * Starts an attempt: sends the request to the upstream and reads its response.
  *
@@ -169,7 +182,7 @@
  * @returns the attempt
  */
 export const startAttempt = (options: AttemptOptions): Attempt => {
-    const { timers, connections, body, failures } = options;
+    const { timers, connections, failures } = options;
     const opened = openRequest(options);
     if (opened.err) {
         return createUnsentAttempt(opened.val);
@@ -355,17 +368,7 @@
             }),
         );
     });
-    if (body.kind === "whole") {
-        request.end(body.bytes);
-    }
-    else {
-        request.write(body.start);
-        stream.pipeline(body.rest, request, error => {
-            if (error) {
-                request.destroy(error);
-            }
-        });
-    }
+    sendBody(request, options.body);
     return {
         result,
         cancel: reason => {
