Leader: a refused connection does not prove that the previous leader has ended

A new leader moved keys 0.75 s after the previous leader's address had refused a connection, or had responded that the process does not lead. A cut path may refuse connections while the leader runs on, and a process that does not lead may learn later that its campaign was won. Such a leader may renew leases for 2 s after its last record, and an upstream that restarted since its keys moved accepts.

Both remain a reason to campaign at once, which is safe. Only a record that an earlier process of the same instance wrote shortens the wait for commands now. After other losses keys move up to 2 s later; renewals go on meanwhile.

Evidence: "waits for the commands of another instance's leader, which may still run, although it campaigns at once" fails on the unchanged source when the link reports that leader as ended ("The value false is not equal to true"). The test of steps towards leadership is unchanged but for the name of the field.

--- a/packages/assignment/src/leadership.ts
+++ b/packages/assignment/src/leadership.ts
@@ -19,8 +19,8 @@
     unchangedSince: number;
     /** Whether messages of the leader are arriving. */
     isReceivingUpdates: boolean;
-    /** Whether no process listens at the leader's address any more. */
-    hasLeaderTerminated: boolean;
+    /** Whether the leader's address refused a connection or responded that it does not lead; it may still send commands. */
+    isLeaderUnavailable: boolean;
     /** Host at which peers reach this instance. A leader recorded with this host is a terminated process. */
     host: string;
     /** Number of instances of the site; the more there are, the less often each one reads the store. */
@@ -118,7 +118,7 @@
 export const isLeaderMissing = (input: LeadershipInput): boolean => {
     const { now, leader } = input;
     const isVacant = leader === undefined || leader.isResigned || leader.host === input.host;
-    const isLost = input.hasLeaderTerminated || now - input.unchangedSince >= leaderTimeoutMilliseconds;
+    const isLost = input.isLeaderUnavailable || now - input.unchangedSince >= leaderTimeoutMilliseconds;
     return input.hasRead && (isVacant || (isLost && !input.isReceivingUpdates));
 };
 
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -22,7 +22,7 @@
     lastReadAt: 9900,
     unchangedSince: 9800,
     isReceivingUpdates: false,
-    hasLeaderTerminated: false,
+    isLeaderUnavailable: false,
     host: "10.0.0.2",
     instanceCount: 8,
     readPhase: 0.5,
@@ -83,10 +83,10 @@
         earl.expect(totalReads(64) >= 32).toEqual(true);
     });
 
-    test.it("campaigns if there is no leader, the leader resigned or terminated, or it ran on this host", () => {
+    test.it("campaigns if there is no leader, the leader resigned or is unavailable, or it ran on this host", () => {
         earl.expect(nextStep({ leader: undefined })).toEqual("campaign");
         earl.expect(nextStep({ leader: { ...record, isResigned: true } })).toEqual("campaign");
-        earl.expect(nextStep({ hasLeaderTerminated: true })).toEqual("campaign");
+        earl.expect(nextStep({ isLeaderUnavailable: true })).toEqual("campaign");
         earl.expect(nextStep({ host: record.host })).toEqual("campaign");
     });
 
--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -18,8 +18,6 @@
     host: string;
     port: number;
     maxLeaseMilliseconds: number;
-    /** Identifier of the last leader that is known to have terminated. */
-    terminatedLeader: () => string | undefined;
 }
 
 /** When the append that the store confirmed was sent, on both clocks: the process may have been suspended since. */
@@ -49,8 +47,9 @@
     stored: ownershipReader.OwnershipSnapshot,
 ): Promise<WonCampaign | undefined> => {
     const { watch, timers, log, identifier, host, port, maxLeaseMilliseconds } = options;
-    // A leader record with the host of this instance was written by an earlier process of it.
-    const hasTerminated = options.terminatedLeader() === stored.leader?.identifier || stored.leader?.host === host;
+    // A leader record with the host of this instance was written by an earlier process of it. A refused connection proves
+    // nothing: the path may be cut. Neither does the response that a process does not lead: it may learn later that it has won.
+    const hasTerminated = stored.leader?.host === host;
     const previousLeaders = assignment.previousLeaderTimes({
         record: stored.leader,
         recordSeenAt: watch.unchangedSince(),
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -33,7 +33,7 @@
     /** Time at which the store confirmed the leader record of the latest heartbeat; undefined for any other record. */
     confirmationTimeOf: (record: assignment.LeaderRecord) => number | undefined;
     /** Identifier of the last leader whose address refused a connection or responded that it does not lead. */
-    terminatedLeader: () => string | undefined;
+    unavailableLeader: () => string | undefined;
     /** Number of instances of the site, as reported by the leader. */
     instanceCount: () => number;
     send: (message: protocol.RoutingMessage) => void;
@@ -72,7 +72,7 @@
     const { timers, identifier } = options;
     let openConnection: OpenConnection | undefined;
     let lastConnectAt = -Infinity;
-    let terminatedLeader: string | undefined;
+    let unavailableLeader: string | undefined;
     let lastHeartbeatAt = -Infinity;
     let lastConfirmedAt = -Infinity;
     let confirmedAt = -Infinity;
@@ -134,7 +134,7 @@
             case protocol.RoutingMessageKind.resigned: {
                 const hasResigned = message.kind === protocol.RoutingMessageKind.resigned;
                 lastHeartbeatAt = -Infinity;
-                terminatedLeader = hasResigned ? terminatedLeader : leader.identifier;
+                unavailableLeader = hasResigned ? unavailableLeader : leader.identifier;
                 options.onLeaderLost(hasResigned);
                 openConnection?.connection.close();
                 return;
@@ -153,7 +153,7 @@
                     openConnection = undefined;
                 }
                 if (code === "ECONNREFUSED") {
-                    terminatedLeader = leader.identifier;
+                    unavailableLeader = leader.identifier;
                 }
             },
         });
@@ -199,7 +199,7 @@
                 && confirmedRecord.recordNumber === record.beat;
             return isConfirmed ? confirmedAt : undefined;
         },
-        terminatedLeader: () => terminatedLeader,
+        unavailableLeader: () => unavailableLeader,
         instanceCount: () => instanceCount,
         send: message => openConnection?.connection.send(message),
         announceStop: () => {
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -176,7 +176,6 @@
             host: settings.host,
             port: settings.peerPort,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
-            terminatedLeader: link.terminatedLeader,
         }, stored);
         if (won === undefined) {
             return;
@@ -207,7 +206,7 @@
             now: timers.now(),
             ...watch.leadershipState(),
             isReceivingUpdates: link.isLeaderHealthy(),
-            hasLeaderTerminated: link.terminatedLeader() === (known?.leader?.identifier ?? ""),
+            isLeaderUnavailable: link.unavailableLeader() === (known?.leader?.identifier ?? ""),
             host: settings.host,
             instanceCount: link.instanceCount(),
             readPhase,
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -9,10 +9,11 @@
 import * as leaderSession from "../src/leaderSession";
 import * as ownershipWatch from "../src/ownershipWatch";
 
+const host = "127.0.0.1";
 const upstream: routing.Upstream = {
     identifier: "upstream-1",
     service: "records",
-    host: "127.0.0.1",
+    host,
     port: 9000,
     failureDomain: "north-a",
     slots: 6,
@@ -36,7 +37,9 @@
     /** Sets whether appends get no response. */
     setAppendsLost: (areLost: boolean) => void;
     /** Campaigns until this instance leads; the session is ticked by {@link CampaignFixture.run}. */
-    lead: () => Promise<void>;
+    lead: () => Promise<campaign.WonCampaign>;
+    /** Stores the record of another leader. */
+    storeLeader: (host: string) => void;
     run: (milliseconds: number) => Promise<void>;
     /** Times of the grants, on the monotonic clock. */
     grantTimes: number[];
@@ -124,10 +127,9 @@
                     await watch.read();
                 },
                 identifier: "instance-1",
-                host: "127.0.0.1",
+                host,
                 port: 1,
                 maxLeaseMilliseconds,
-                terminatedLeader: () => undefined,
             }, await watch.read()).then(result => {
                 won = result;
             });
@@ -147,6 +149,21 @@
                 broadcast: () => undefined,
                 onSuperseded: () => undefined,
             });
+            return won;
+        },
+        storeLeader: leaderHost => {
+            const record: assignment.LeaderRecord = {
+                identifier: "other",
+                host: leaderHost,
+                port: 1,
+                term: 4,
+                beat: 2,
+                isResigned: false,
+                longestLeaseMilliseconds: maxLeaseMilliseconds,
+                previousCommandsMilliseconds: 0,
+                previousLeasesMilliseconds: 0,
+            };
+            stored.set(assignment.leaderKey, assignment.encodeLeader(record));
         },
         run,
         grantTimes,
@@ -154,6 +171,27 @@
 };
 
 test.describe("a new leader", () => {
+    test.it("waits for the commands of another instance's leader, which may still run, although it campaigns at once", async () => {
+        const fixture = createCampaignFixture();
+        fixture.storeLeader("127.0.0.2");
+        const storedBy = fixture.timers.now();
+        const { previousLeaders } = await fixture.lead();
+        earl.expect(previousLeaders.previousCommandsUntil > storedBy + assignment.leaderLeaseMilliseconds).toEqual(
+            true,
+        );
+    });
+
+    test.it("waits only for commands on their way if the leader was an earlier process of its own instance", async () => {
+        const fixture = createCampaignFixture();
+        fixture.storeLeader(host);
+        const storedBy = fixture.timers.now();
+        const { previousLeaders } = await fixture.lead();
+        earl.expect(previousLeaders.previousCommandsUntil > storedBy).toEqual(true);
+        earl.expect(previousLeaders.previousCommandsUntil < storedBy + assignment.leaderLeaseMilliseconds).toEqual(
+            true,
+        );
+    });
+
     test.it("stops sending commands when a successor expects it to, even if the response to its first append was late", async () => {
         const fixture = createCampaignFixture();
         const sentAt = fixture.timers.now();
