Registry: reject entries without a start time

One entry of another writer without a start time, at the address of an upstream, made the leader take that upstream for ended and grant its keys to others while it held them. A missing start time was read as 0, and such an entry counted as newer than any other. An entry without it names no upstream.

--- a/packages/routing/src/document.ts
+++ b/packages/routing/src/document.ts
@@ -69,6 +69,6 @@
     isDraining: boolean;
     /** Warm-up time, in milliseconds, that remained when the entry was written; the upstream is slower until then. */
     warmupMilliseconds: number;
-    /** Start of the incarnation in milliseconds since the epoch; 0 if unknown. Compared only with other starts. */
+    /** Start of the incarnation in milliseconds since the epoch. Compared only with other starts. */
     startedAt: number;
 }
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -79,8 +79,7 @@
     };
     /** Whether an entry was written late, after a later incarnation started with its identifier or at its address. */
     const isOutdated = (upstream: documents.Upstream): boolean =>
-        upstream.startedAt !== 0
-        && [...entries.values()].some(({ upstream: other }) => {
+        [...entries.values()].some(({ upstream: other }) => {
             const isSameIdentifierOrAddress = other.identifier === upstream.identifier
                 || (other.host === upstream.host && other.port === upstream.port);
             return isSameIdentifierOrAddress && other.startedAt > upstream.startedAt;
