Relay: send nothing more to an upstream that announces that it is leaving

Callers saw requests end with an upstream that had announced its end in its own answers: the instance only knew what the registry said, which lags or is unreachable, and went on sending for longer than the drain time.

Cause: nothing read `Server-Leaving`. It is now decoded from the head of every response, before the result is known, and the directory marks the incarnation as leaving at once. Registry entries of the same incarnation, also ones that are put back, do not clear it; a later incarnation starts clean. The owner of a key gets requests for the usual grace time; after that, while the store is unreachable and the key cannot move, they are refused at once with a time to return. The answer of a delegate names the upstream, so that the delegating instance marks the same incarnation, and does not delegate to it later either.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
@@ -105,6 +106,12 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
+    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
+        if (notice.isLeaving) {
+            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+        }
+    };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
@@ -116,6 +123,8 @@
             now: timers.now,
         }),
         findOwner: ownership.findOwner,
+        mayReceive: pool.mayReceive,
+        onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
     const requestRelay = relay.createRelay({
@@ -127,6 +136,7 @@
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
+        onNotice,
         delegator,
         acceptsDelegated: () => !isIsolated,
         retryBudget: {
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -6,6 +6,7 @@
 import type * as requestBody from "./requestBody";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
+import * as upstreamNotice from "./upstreamNotice";
 
 /** A response from an upstream. */
 export interface UpstreamResponse {
@@ -54,6 +55,8 @@
     onConnected: (milliseconds: number) => void;
     /** Called with the bytes of the attempt once it has ended. */
     onTransferred: (transfer: foundation.Transfer) => void;
+    /** Called with the notice in the head of a response, before the result is known. */
+    onNotice?: (notice: upstreamNotice.UpstreamNotice) => void;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
 }
@@ -189,6 +192,10 @@
         });
         request.on("response", response => {
             currentResponse = response;
+            const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
+            if (notice !== undefined) {
+                options.onNotice?.(notice);
+            }
             const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
             const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
                 ?.[1];
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -9,6 +9,7 @@
 import type * as requestState from "./requestState";
 import * as silence from "./silence";
 import * as upstreamHealth from "./upstreamHealth";
+import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
 
 /** Configures a sender of attempts. */
@@ -17,6 +18,7 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    onNotice: upstreamNotice.NoticeHandler;
     /** Whether a request that has been sent could be sent again now. */
     canSendAgain: (state: requestState.RequestState) => boolean;
 }
@@ -95,6 +97,7 @@
         window.onSent(now);
         state.attemptCount += 1;
         state.triedUpstreams.add(upstream.identifier);
+        state.notifiedBy = undefined;
         const remaining = Math.max(1, Math.floor(state.deadlineAt - now));
         const attempt = attempts.startAttempt({
             timers,
@@ -118,6 +121,10 @@
             body,
             connectTimeoutMilliseconds: pool.connectTimeoutMilliseconds(target),
             onConnected: milliseconds => pool.onConnected(target, milliseconds),
+            onNotice: notice => {
+                state.notifiedBy = upstream;
+                options.onNotice(upstream, notice);
+            },
             onTransferred: transfer =>
                 options.traffic.add(foundation.TrafficPurpose.request, pool.reachOf(target), transfer),
         });
--- a/packages/relay/src/delegatedRequest.ts
+++ b/packages/relay/src/delegatedRequest.ts
@@ -8,6 +8,9 @@
 /** Header that marks a response as the other instance's own: it contains the reason of the failure. */
 export const failureHeader = "mulberryseam-failure";
 
+/** Header that names the upstream that has sent a response, if it says something of itself there. */
+export const upstreamHeader = "mulberryseam-upstream";
+
 /** Route of a delegated request. */
 export interface Delegation {
     service: string;
@@ -73,6 +76,34 @@
     }
 };
 
+/**
+ * Encodes an upstream for the header that names it.
+ *
+ * @param incarnation - the upstream
+ * @returns the value of the header
+ */
+export const encodeUpstream = ({ identifier, startedAt }: routing.Incarnation): string =>
+    `${encodeURIComponent(identifier)},${startedAt}`;
+
+/**
+ * Decodes the header that names an upstream.
+ *
+ * @param value - the value of the header
+ * @returns the upstream, or the reason why the header is invalid
+ */
+export const parseUpstream = (value: string): tsResults.Result<routing.Incarnation, string> => {
+    const [identifier, startedAt] = value.split(",");
+    if (identifier === "" || startedAt === undefined || !Number.isFinite(Number(startedAt))) {
+        return tsResults.Err(`malformed upstream: ${value.slice(0, 100)}`);
+    }
+    try {
+        return tsResults.Ok({ identifier: decodeURIComponent(identifier), startedAt: Number(startedAt) });
+    }
+    catch (error) {
+        return tsResults.Err((error as Error).message);
+    }
+};
+
 /**
  * Returns the route of a delegated request. The delegating instance has applied the timeout to the request's deadline.
  *
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -9,6 +9,7 @@
 import * as delegation from "./delegation";
 import * as headers from "./headers";
 import * as requestState from "./requestState";
+import * as upstreamNotice from "./upstreamNotice";
 
 /** Configures a delegator. */
 export interface DelegatorOptions {
@@ -17,6 +18,10 @@
     delegates: delegatePool.DelegatePool;
     traffic: foundation.TrafficAccount;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
+    /** Whether an upstream may get requests as far as this instance knows, which may know more of it than a delegate. */
+    mayReceive: (incarnation: routing.Incarnation) => boolean;
+    /** Called with what an upstream says of itself in a response that came through a delegate. */
+    onNotice: upstreamNotice.NoticeHandler;
     /** Number of upstreams of a service. */
     upstreamCount: (service: string) => number;
 }
@@ -113,7 +118,28 @@
             return undefined;
         }
         const route = options.findOwner(state.service, state.key);
-        return route === undefined ? undefined : delegates.choose(route.owner.identifier);
+        return route === undefined || !options.mayReceive(route.owner)
+            ? undefined
+            : delegates.choose(route.owner.identifier);
+    };
+
+    /** Passes on the notice of an upstream, unless the response is the delegate's own. */
+    const applyNotice = ({ rawHeaders }: attempts.UpstreamResponse): void => {
+        const notice = upstreamNotice.parseNotice(name => headerValue(rawHeaders, name));
+        const upstream = headerValue(rawHeaders, delegatedRequest.upstreamHeader);
+        if (
+            notice === undefined || upstream === undefined
+            || headerValue(rawHeaders, delegatedRequest.failureHeader) !== undefined
+        ) {
+            return;
+        }
+        const parsed = delegatedRequest.parseUpstream(upstream);
+        if (parsed.ok) {
+            options.onNotice(parsed.val, notice);
+        }
+        else {
+            log.write("delegation-failed", { reason: parsed.val });
+        }
     };
 
     const send = async (
@@ -179,6 +205,7 @@
             state.delegate = target.delegate.identifier;
             const result = await send(state, target, body);
             if (result.kind === "answered") {
+                applyNotice(result.response);
                 return interpret(result.response);
             }
             if (!state.isFinished) {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -30,5 +30,7 @@
 export type { Candidate, Choice } from "./upstreamCost";
 export { createUpstreamHealth, HealthSignal } from "./upstreamHealth";
 export type { HealthSignalValue, LoadReport, OutstandingAttempt, UpstreamHealth } from "./upstreamHealth";
+export { parseNotice } from "./upstreamNotice";
+export type { NoticeHandler, UpstreamNotice } from "./upstreamNotice";
 export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
 export type { PooledUpstream, UpstreamPool } from "./upstreamPool";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -16,6 +16,7 @@
 import type * as retryBudget from "./retryBudget";
 import * as selection from "./selection";
 import * as splitCost from "./splitCost";
+import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
 
 /** The document in force for new requests, with its route table. */
@@ -35,6 +36,8 @@
     documentInForce: () => DocumentInForce | undefined;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     onKeyRequested: (service: string, key: number) => void;
+    /** Called with what an upstream says of itself in a response to this instance. */
+    onNotice: upstreamNotice.NoticeHandler;
     /** Delegates requests to other instances; without it, the instance sends every request itself. */
     delegator?: delegator.Delegator;
     /** Whether the instance serves the requests that others delegate to it. */
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -14,6 +14,7 @@
 import * as retryBudget from "./retryBudget";
 import * as selection from "./selection";
 import type * as upstreamCost from "./upstreamCost";
+import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
 
 /** Configures how requests are served. */
@@ -27,6 +28,8 @@
     /** Without it, the instance sends every request itself. */
     delegator?: delegator.Delegator;
     retryBudget: retryBudget.RetryBudgetOptions;
+    /** Called with what an upstream says of itself in a response to this instance. */
+    onNotice: upstreamNotice.NoticeHandler;
     responder: responders.Responder;
 }
 
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -56,6 +56,8 @@
     triedUpstreams: Set<string>;
     /** Token of the owner that responded that it does not hold the request's key. */
     misdirectedToken: number | undefined;
+    /** The upstream of the newest attempt, if it has said something of itself that other instances need to know. */
+    notifiedBy: routing.Incarnation | undefined;
     attemptCount: number;
     mayHaveRun: boolean;
     isFinished: boolean;
@@ -99,6 +101,7 @@
         callerDeadlineAt: arrivedAt + callerTimeout,
         triedUpstreams: new Set(),
         misdirectedToken: undefined,
+        notifiedBy: undefined,
         attemptCount: 0,
         mayHaveRun: false,
         isFinished: false,
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -168,7 +168,14 @@
         const { response } = state;
         const forwardedHeaders = headers.forwardedHeaders(upstreamResponse.rawHeaders, [
             delegatedRequest.failureHeader,
+            delegatedRequest.upstreamHeader,
         ]);
+        if (state.isDelegated && state.notifiedBy !== undefined) {
+            forwardedHeaders.push(
+                delegatedRequest.upstreamHeader,
+                delegatedRequest.encodeUpstream(state.notifiedBy),
+            );
+        }
         if (response.destroyed) {
             upstreamResponse.rest?.destroy();
             return;
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -19,6 +19,8 @@
 
 /** Time after which a caller should retry if the load is unknown, in milliseconds. */
 export const defaultRetryAfterMilliseconds = 250;
+/** Time after which a caller should retry if its key cannot get another owner before the store is reachable, in milliseconds. */
+const storeOutageRetryMilliseconds = 1000;
 
 const toDecision = (
     { candidate, waitMilliseconds }: upstreamCost.Choice,
@@ -43,6 +45,14 @@
 
     const selectOwner = (state: requestState.RequestState, key: number): Selection => {
         const route = options.findOwner(state.service, key);
+        if (route !== undefined && pool.keepsKeysAfterLeaving(route.owner)) {
+            return {
+                kind: "none",
+                reason: requestState.FailureReason.noOwner,
+                waitMilliseconds: storeOutageRetryMilliseconds,
+                isTransient: false,
+            };
+        }
         const target = route === undefined
             ? undefined
             : pool.find(route.owner.identifier, route.owner.startedAt);
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -39,6 +39,10 @@
     usable: (service: string) => PooledUpstream[];
     /** Finds an upstream that can still get requests for its keys. */
     find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
+    /** Whether an upstream may get requests, as far as this instance knows. */
+    mayReceive: (incarnation: routing.Incarnation) => boolean;
+    /** Whether an upstream is leaving, gets no more requests for its keys, and keeps them while the store is unreachable. */
+    keepsKeysAfterLeaving: (incarnation: routing.Incarnation) => boolean;
     /** Whether an upstream is in another region. */
     isRemote: (pooled: PooledUpstream) => boolean;
     /** Returns how far it is to an upstream. */
@@ -162,8 +166,15 @@
         }
         return target.upstream.failureDomain === options.failureDomain ? 0 : domainCostMillisecondsPerKilobyte;
     };
+    const hasLeft = ({ identifier, startedAt }: routing.Incarnation): boolean => {
+        const entry = directory.find(identifier);
+        return entry?.upstream.startedAt === startedAt && entry.leavingSince !== undefined
+            && now() - entry.leavingSince > options.leavingGraceMilliseconds();
+    };
     return {
         now,
+        mayReceive: incarnation => !hasLeft(incarnation),
+        keepsKeysAfterLeaving: incarnation => hasLeft(incarnation) && !directory.isStoreReachable(),
         usable: service => {
             const ready = directory.findByService(service).filter(entry => entry.leavingSince === undefined);
             const all = ready.map(entry => getOrCreate(entry.upstream));
@@ -175,9 +186,7 @@
             if (entry === undefined || entry.upstream.startedAt !== startedAt) {
                 return undefined;
             }
-            const hasLeft = entry.leavingSince !== undefined
-                && now() - entry.leavingSince > options.leavingGraceMilliseconds();
-            return hasLeft ? undefined : getOrCreate(entry.upstream);
+            return hasLeft(entry.upstream) ? undefined : getOrCreate(entry.upstream);
         },
         isRemote: target => target.region !== ownRegion,
         reachOf: ({ upstream }) => foundation.reachBetween(regions, options.failureDomain, upstream.failureDomain),
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -267,6 +267,33 @@
         });
     });
 
+    test.it("tells the delegating instance which upstream is leaving, and is not delegated to it later", async () => {
+        const secondBehaviour: relayFixture.Behaviour = (request, response) => {
+            response.writeHead(200, {
+                "request-id": request.headers["request-id"],
+                "response-signature": "signature",
+                "server-leaving": "1",
+                "mulberryseam-upstream": "another,1",
+                "content-length": 0,
+            });
+            response.end();
+        };
+        const timers = foundation.createVirtualTimerService();
+        await withPair({ secondBehaviour, timers }, async ({ first, second }) => {
+            const response = await first.sendRequest({ key: 8 });
+            earl.expect(response.headers["server-leaving"]).toEqual("1");
+            earl.expect(response.headers["mulberryseam-upstream"]).toEqual(undefined);
+            earl.expect(first.directory.find("upstream-0")?.leavingSince !== undefined).toEqual(true);
+            earl.expect(second.directory.find("upstream-0")?.leavingSince !== undefined).toEqual(true);
+            first.directory.onStoreUnreachable(timers.now());
+            second.directory.onStoreUnreachable(timers.now());
+            await virtualTime.advance(timers, 1600);
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect(first.requestCounts()).toEqual([0]);
+            earl.expect(second.requestCounts()).toEqual([1]);
+        });
+    });
+
     test.it("ends at the upstream when the caller leaves", async () => {
         await withPair({ secondBehaviour: () => undefined }, async ({ first, second }) => {
             await first.sendAndDisconnect(100, 8);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,4 +4,4 @@
 export { createRouteTable, createSplitter } from "./routeTable";
 export type { RouteEntry, RouteTable, Splitter } from "./routeTable";
 export { createUpstreamDirectory } from "./upstreamDirectory";
-export type { DirectoryEntry, UpstreamDirectory } from "./upstreamDirectory";
+export type { DirectoryEntry, Incarnation, LeavingIncarnation, UpstreamDirectory } from "./upstreamDirectory";
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -6,20 +6,36 @@
     upstream: documents.Upstream;
     /** Time at which this incarnation was first observed, on the clock of the instance. */
     firstSeenAt: number;
-    /** Time at which it was first observed draining or missing; undefined while it is ready. */
+    /** Time at which it was first observed draining, leaving or missing; undefined while it is ready. */
     leavingSince: number | undefined;
 }
 
+/** An incarnation of an upstream. */
+export type Incarnation = Pick<documents.Upstream, "identifier" | "startedAt">;
+
+/** An incarnation that has announced that it is leaving, and when this became known. */
+export interface LeavingIncarnation extends Incarnation {
+    since: number;
+}
+
 /** The registered upstreams of a site. */
 export interface UpstreamDirectory {
     /** Adds or updates the entry of an upstream. */
     onEntry: (upstream: documents.Upstream, now: number) => void;
     /** Handles the removal of an upstream's entry from the registry. */
     onRemoval: (identifier: string, now: number) => void;
+    /**
+     * Records that an incarnation has announced that it is leaving. Registry entries that still say that it is ready do not change
+     * this. Returns false if it was known, or if a later incarnation is registered.
+     */
+    onLeavingAnnounced: (incarnation: Incarnation, now: number) => boolean;
+    /** Returns the registered incarnations that have announced that they are leaving. */
+    announcedLeaving: () => LeavingIncarnation[];
     /** Records that a call to the store has failed. */
     onStoreUnreachable: (now: number) => void;
     /** Records that a call to the store has succeeded. */
     onStoreReachable: (now: number) => void;
+    isStoreReachable: () => boolean;
     /** Processes delayed removals and removes upstreams whose retention has ended. */
     expire: (now: number) => void;
     /** Returns the entries of a service, including leaving upstreams. */
@@ -38,6 +54,8 @@
 const reregistrationMilliseconds = 2200;
 /** Time in which an upstream without an entry still serves requests that no other upstream can, in milliseconds. */
 const leavingRetentionMilliseconds = 1500;
+/** Time for which the announcement of an incarnation without an entry is kept: a store may put back an old entry. */
+const announcementRetentionMilliseconds = 600_000;
 
 /**
  * Creates an upstream directory.
@@ -51,6 +69,8 @@
     const pendingRemovals = new Map<string, number>();
     /** Times, by identifier, at which upstreams without a registry entry are removed. */
     const leavingDeadlines = new Map<string, number>();
+    /** Announcements of incarnations that are leaving, by identifier. */
+    const announcements = new Map<string, LeavingIncarnation>();
     let terminated: documents.Upstream[] = [];
     let isStoreUnreachable = false;
     let storeRecoveredAt = -Infinity;
@@ -63,7 +83,15 @@
             entriesByService.set(entry.upstream.service, serviceEntries);
         }
     };
+    const announcementOf = ({ identifier, startedAt }: Incarnation): LeavingIncarnation | undefined => {
+        const announcement = announcements.get(identifier);
+        return announcement?.startedAt === startedAt ? announcement : undefined;
+    };
     const remove = (identifier: string): void => {
+        if (entries.get(identifier)?.upstream.startedAt === 0) {
+            // Incarnations without a start time cannot be distinguished, so the next one would count as leaving.
+            announcements.delete(identifier);
+        }
         entries.delete(identifier);
         pendingRemovals.delete(identifier);
         leavingDeadlines.delete(identifier);
@@ -111,11 +139,12 @@
             if (!isSameIncarnation) {
                 terminateOthersAtAddressOf(upstream);
             }
+            const announcement = announcementOf(upstream);
             entries.set(upstream.identifier, {
                 upstream,
                 firstSeenAt: isSameIncarnation ? existing.firstSeenAt : now,
-                leavingSince: upstream.isDraining
-                    ? (isSameIncarnation ? existing.leavingSince : undefined) ?? now
+                leavingSince: upstream.isDraining || announcement !== undefined
+                    ? (isSameIncarnation ? existing.leavingSince : undefined) ?? announcement?.since ?? now
                     : undefined,
             });
             rebuildServiceIndex();
@@ -130,6 +159,27 @@
             }
             markLeaving(identifier, now);
         },
+        onLeavingAnnounced: (incarnation, now) => {
+            const { identifier, startedAt } = incarnation;
+            const entry = entries.get(identifier);
+            const newestStartedAt = Math.max(
+                entry?.upstream.startedAt ?? -Infinity,
+                announcements.get(identifier)?.startedAt ?? -Infinity,
+            );
+            if (announcementOf(incarnation) !== undefined || newestStartedAt > startedAt) {
+                return false;
+            }
+            announcements.set(identifier, { identifier, startedAt, since: now });
+            if (entry?.upstream.startedAt === startedAt) {
+                entries.set(identifier, { ...entry, leavingSince: entry.leavingSince ?? now });
+                rebuildServiceIndex();
+            }
+            return true;
+        },
+        announcedLeaving: () =>
+            [...announcements.values()].filter(({ identifier, startedAt }) =>
+                entries.get(identifier)?.upstream.startedAt === startedAt
+            ),
         onStoreUnreachable: () => {
             isStoreUnreachable = true;
         },
@@ -142,7 +192,13 @@
                 );
             }
         },
+        isStoreReachable: () => !isStoreUnreachable,
         expire: now => {
+            for (const [identifier, { since }] of announcements) {
+                if (!entries.has(identifier) && now - since >= announcementRetentionMilliseconds) {
+                    announcements.delete(identifier);
+                }
+            }
             for (const [identifier, deadline] of pendingRemovals) {
                 if (!isStoreUnreachable && now >= deadline) {
                     pendingRemovals.delete(identifier);
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -116,6 +116,31 @@
         earl.expect(readyIdentifiers(directory)).toEqual([]);
     });
 
+    test.it("keeps an upstream that announced that it is leaving so, whatever entries of that incarnation say", () => {
+        const directory = routing.createUpstreamDirectory();
+        directory.onEntry(createUpstream("a"), 0);
+        earl.expect(directory.onLeavingAnnounced({ identifier: "a", startedAt: 100 }, 10)).toEqual(true);
+        earl.expect(directory.onLeavingAnnounced({ identifier: "a", startedAt: 100 }, 20)).toEqual(false);
+        directory.onEntry(createUpstream("a"), 30);
+        earl.expect(directory.find("a")?.leavingSince).toEqual(10);
+        directory.onRemoval("a", 40);
+        directory.expire(5000);
+        earl.expect(directory.find("a")).toEqual(undefined);
+        directory.onEntry(createUpstream("a"), 6000);
+        earl.expect(directory.find("a")?.leavingSince).toEqual(10);
+        earl.expect(directory.announcedLeaving()).toEqual([{ identifier: "a", startedAt: 100, since: 10 }]);
+    });
+
+    test.it("applies an announcement only to the incarnation that made it", () => {
+        const directory = routing.createUpstreamDirectory();
+        earl.expect(directory.onLeavingAnnounced({ identifier: "a", startedAt: 100 }, 0)).toEqual(true);
+        directory.onEntry(createUpstream("a", { startedAt: 200 }), 10);
+        earl.expect(readyIdentifiers(directory)).toEqual(["a"]);
+        earl.expect(directory.announcedLeaving()).toEqual([]);
+        earl.expect(directory.onLeavingAnnounced({ identifier: "a", startedAt: 100 }, 20)).toEqual(false);
+        earl.expect(readyIdentifiers(directory)).toEqual(["a"]);
+    });
+
     test.it("ignores an entry of an earlier incarnation that is written late", () => {
         const directory = routing.createUpstreamDirectory();
         directory.onEntry(createUpstream("a", { startedAt: 200 }), 0);
