--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -8,6 +8,7 @@
 import type * as requestBody from "./requestBody";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
+import * as upstreamNotice from "./upstreamNotice";
 
 /** A response from an upstream. */
 export interface UpstreamResponse {
@@ -58,6 +59,8 @@
     onTransferred: (transfer: foundation.Transfer) => void;
     /** Records exceptions of the attempt's handlers. */
     failures: foundation.FailureBoundary;
+    /** Called with the notice in the head of a response, before the result is known. */
+    onNotice?: (notice: upstreamNotice.UpstreamNotice) => void;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
 }
@@ -279,6 +282,10 @@
             "response",
             guard(response => {
                 currentResponse = response;
+                const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
+                if (notice !== undefined) {
+                    options.onNotice?.(notice);
+                }
                 const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
                 const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
                     ?.[1];
