Entry: contain exceptions of timers, records, peers, servers and the leader's work

Callers saw all connections of an instance end when a timer callback, a record of a topic, a message of another instance or an accepted connection threw where nothing catches: the process ended with status 1. A topic stopped being followed when the handler of a failed read threw, as the loop around it ended.

Every such place now stands behind the failure boundary, each record, connection and service by itself: the exception is recorded with its input, and what comes after it is still handled. Servers keep their `error` listener after they listen, so an accept that fails (EMFILE, ECONNABORTED) is recorded. Delays above 2^31 - 1 ms are bounded: Node.js would end them after 1 ms. The bytes of a connection that is closed early count as none; NaN made the counter of the metrics throw. Tests of the parts use a boundary that lets exceptions pass, and the relay's fixture expects none unless a test names the part.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,17 +41,18 @@
  *
  * @param settingsInForce - settings of the instance
  * @param log - receives the events of the instance
+ * @param failures - records exceptions, which do not end the instance
  * @returns the instance, once it listens for callers and readiness checks
  */
 export const startEntry = async (
     settingsInForce: inForce.SettingsInForce,
     log: foundation.EventLog,
+    failures: foundation.FailureBoundary,
 ): Promise<Entry> => {
     const settings = settingsInForce.current();
-    const timers = foundation.createTimerService();
+    const timers = foundation.createTimerService(error => failures.report("timer", error));
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
-    const failures = foundation.createFailureBoundary(log);
     const { host: storeHost, port: storePort } = settings.storeAddress;
     const store = platform.createStoreClient(
         storeHost,
@@ -69,6 +70,7 @@
         timers,
         random,
         log,
+        failures,
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
@@ -86,6 +88,7 @@
         timers,
         random,
         log,
+        failures,
         keyedServices,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
@@ -152,21 +155,23 @@
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
-            internalErrors: failures.counts,
         },
         log,
+        failures,
         owner,
     );
     const callerServer = await relay.startCallerServer({
         host: settings.callerAddress.host,
         port: settings.callerAddress.port,
         log,
+        failures,
         handle: requestRelay.handle,
     }, owner);
 
     await relay.startDelegateServer({
         host: settings.host,
         port: settings.delegatePort,
+        failures,
         handle: requestRelay.handleDelegated,
     }, owner);
 
@@ -193,7 +198,12 @@
         readinessServer.close();
         readinessServer.closeAllConnections();
     });
-    await foundation.listenOn(readinessServer, settings.readinessAddress.host, settings.readinessAddress.port);
+    await foundation.listenOn(
+        readinessServer,
+        settings.readinessAddress.host,
+        settings.readinessAddress.port,
+        error => failures.report("readiness server", error),
+    );
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -215,7 +225,7 @@
         log.write("stopping", { open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
-        await ownership.resign();
+        await ownership.resign().catch(error => failures.report("stop", error));
         await foundation.pause(timers, deregistrationMilliseconds);
         callerServer.stopListening();
         while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -19,6 +19,7 @@
     /** Called with the delegates of this instance's own failure domain after each change, while it leads. */
     onDelegates: (delegates: readonly protocol.Delegate[]) => void;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Called with the bytes of messages; the failure domain is undefined before the follower has joined. */
     onTransferred: (kind: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 }
@@ -124,6 +125,7 @@
     };
     const accept = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
+            failures: options.failures,
             onMessage: message => {
                 const session = options.session();
                 if (session === undefined) {
@@ -170,7 +172,12 @@
         server.close();
         disconnectAll();
     });
-    await foundation.listenOn(server, options.host, options.port);
+    await foundation.listenOn(
+        server,
+        options.host,
+        options.port,
+        error => options.failures.report("follower server", error),
+    );
     return {
         broadcast,
         sendHeartbeat: () => {
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -14,6 +14,7 @@
     /** Where this instance accepts requests of the other instances of its failure domain. */
     delegate: protocol.Delegate;
     timers: foundation.TimerService;
+    failures: foundation.FailureBoundary;
     onRouting: (message: Extract<protocol.RoutingMessage, { kind: "routing"; }>) => void;
     topics: topicExchange.TopicExchange;
     /** Called with the instances of this failure domain that accept requests of each other. */
@@ -147,6 +148,7 @@
         const socket = net.connect({ host: leader.host, port: leader.port });
         const topicEnds = new Map<string, number>();
         const connection = protocol.createRoutingConnection(socket, {
+            failures: options.failures,
             onMessage: message => onMessage(message, leader, topicEnds),
             onClose: code => {
                 if (openConnection?.connection === connection) {
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -19,6 +19,7 @@
     directory: routing.UpstreamDirectory;
     timers: foundation.TimerService;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** This instance's leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
     snapshot: ownershipReader.OwnershipSnapshot;
@@ -111,6 +112,17 @@
     };
 };
 
+const broadcastChanges = (
+    { broadcast }: LeaderSessionOptions,
+    service: string,
+    leaseManager: assignment.LeaseManager,
+): void => {
+    const changes = leaseManager.drainChanges();
+    if (changes.length > 0) {
+        broadcast(createRoutingMessage(service, changes));
+    }
+};
+
 /**
  * Starts a leader session.
  *
@@ -118,7 +130,7 @@
  * @returns the session; the caller drives it by {@link LeaderSession.tick}
  */
 export const createLeaderSession = (options: LeaderSessionOptions): LeaderSession => {
-    const { directory, timers, log } = options;
+    const { directory, timers, log, failures } = options;
     const leaderLease = assignment.createLeaderLease(options.maxLeaseMilliseconds);
     const services = new Map<string, KeyedService>();
     const serviceTimes = new Map<string, number>();
@@ -154,6 +166,7 @@
         leaseClient: options.leaseClient,
         timers,
         log,
+        failures,
         onTerminated: owner => {
             services.forEach(({ leaseManager }) => leaseManager.onOwnerTerminated(owner));
             nextCommitAt = timers.now();
@@ -234,7 +247,9 @@
         const hasUnconfirmedPlans = writer.hasUnconfirmedPlans();
         const plans = hasUnconfirmedPlans
             ? []
-            : options.keyedServices().map(planService).filter(plan => plan !== undefined);
+            : options.keyedServices().map(name =>
+                failures.run("assignment", () => planService(name), { service: name })
+            ).filter(plan => plan !== undefined);
         const now = timers.now();
         services.forEach(({ load }) => load.decay(now - lastDecayAt));
         lastDecayAt = now;
@@ -288,19 +303,16 @@
                 sender.markTerminated(toOwner(upstream), "incarnation replaced")
             );
             if (!isCommitting && now >= nextCommitAt) {
-                void runCommit();
+                failures.watch("assignment", runCommit());
             }
             for (const [service, { leaseManager }] of services) {
-                if (leaderLease.canSendCommands(now)) {
-                    const leaseMilliseconds = leaderLease.keyLeaseMilliseconds(now);
-                    leaseManager.startDueCommands(now, leaseMilliseconds).forEach(command =>
-                        sender.send(service, leaseManager, command)
-                    );
-                }
-                const changes = leaseManager.drainChanges();
-                if (changes.length > 0) {
-                    options.broadcast(createRoutingMessage(service, changes));
-                }
+                failures.run("lease command", () => {
+                    if (leaderLease.canSendCommands(now)) {
+                        leaseManager.startDueCommands(now, leaderLease.keyLeaseMilliseconds(now))
+                            .forEach(command => sender.send(service, leaseManager, command));
+                    }
+                    broadcastChanges(options, service, leaseManager);
+                }, { service });
             }
         },
         onReport: report => {
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -8,6 +8,7 @@
     leaseClient: platform.LeaseClient;
     timers: foundation.TimerService;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Called once for each incarnation of an upstream that is known to have terminated. */
     onTerminated: (owner: assignment.Owner) => void;
     /** Whether the session has stopped, so that responses are ignored. */
@@ -78,7 +79,7 @@
             const pendingResponse = command.kind === assignment.CommandKind.grant
                 ? leaseClient.grant(owner, keys, command.leaseMilliseconds, command.handover)
                 : leaseClient.release(owner, keys);
-            void pendingResponse.then(response => {
+            const handledResponse = pendingResponse.then(response => {
                 if (options.isStopped()) {
                     return;
                 }
@@ -93,6 +94,8 @@
                     log.write("order", { kind, service, owner: name, first, last, token, result, reason });
                 }
             });
+            const fields = { service, owner: assignment.ownerName(owner), first, last };
+            options.failures.watch("lease command", handledResponse, fields);
         },
         markTerminated,
         isTerminated: owner => terminated.has(assignment.ownerName(owner)),
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -38,7 +38,7 @@
             needsRestart: needsRestart.join(","),
         });
     });
-    const instance = await entry.startEntry(settingsInForce, log);
+    const instance = await entry.startEntry(settingsInForce, log, foundation.createFailureBoundary(log));
     let isStopRequested = false;
     process.on("SIGTERM", () => {
         // The listener stays registered: without one, a second signal would terminate the process at once.
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -16,8 +16,6 @@
     eventLoopDelay: () => number;
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
-    /** Exceptions so far, by the part of the instance in which they were thrown. */
-    internalErrors: () => ReadonlyMap<string, number>;
 }
 
 /** Records requests in the metrics of an instance. */
@@ -37,6 +35,7 @@
  * @param host - IP address to listen on
  * @param gauges - values read each time the metrics are collected
  * @param log - receives an event if the port is unavailable; the instance then runs without metrics
+ * @param failures - records errors of the server, and counts the exceptions of the instance
  * @param owner - closes the server when disposed
  * @returns the metrics, to which finished requests are reported
  */
@@ -44,6 +43,7 @@
     host: string,
     gauges: MetricsGauges,
     log: foundation.EventLog,
+    failures: foundation.FailureBoundary,
     owner: foundation.Owner,
 ): Promise<EntryMetrics> => {
     const registry = new promClient.Registry();
@@ -122,7 +122,7 @@
         registers,
         collect: () => {
             internalErrors.reset();
-            for (const [part, count] of gauges.internalErrors()) {
+            for (const [part, count] of failures.counts()) {
                 internalErrors.inc({ part }, count);
             }
         },
@@ -133,17 +133,22 @@
             response.end();
             return;
         }
-        void registry.metrics().then(text => {
-            response.writeHead(200, { "content-type": registry.contentType });
+        const respond = (status: number, text: string): void => {
+            response.writeHead(status, { "content-type": registry.contentType });
             response.end(text);
+        };
+        const collected = registry.metrics().then(text => respond(200, text), error => {
+            failures.report("metrics", error);
+            respond(500, "");
         });
+        failures.watch("metrics", collected);
     });
     owner.onCleanup(() => {
         server.close();
         server.closeAllConnections();
     });
     try {
-        await foundation.listenOn(server, host, metricsPort);
+        await foundation.listenOn(server, host, metricsPort, error => failures.report("metrics", error));
     }
     catch (error) {
         log.write("metrics-unavailable", { port: metricsPort, reason: (error as Error).message });
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -22,6 +22,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
@@ -78,6 +79,16 @@
     longestLeaseMilliseconds: 0,
 });
 
+const callAtInterval = (
+    timers: foundation.TimerService,
+    intervalMilliseconds: number,
+    callback: () => void,
+    owner: foundation.Owner,
+): void => {
+    const subscription = timers.onInterval(intervalMilliseconds, callback);
+    owner.onCleanup(() => subscription.cancel());
+};
+
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 
 /** Creates a function that counts bytes exchanged with a failure domain. */
@@ -107,7 +118,7 @@
     options: OwnershipTaskOptions,
     owner: foundation.Owner,
 ): Promise<OwnershipTask> => {
-    const { settings, store, timers, log } = options;
+    const { settings, store, timers, log, failures } = options;
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const keyOwners = keyRouting.createKeyRouting();
     const sampler = keyRequestSampler.createKeyRequestSampler();
@@ -139,6 +150,7 @@
         delegate,
         onDelegates,
         log,
+        failures,
         onTransferred: addTraffic,
     }, owner);
 
@@ -154,6 +166,7 @@
         failureDomain,
         delegate,
         timers,
+        failures,
         onDelegates,
         onRouting: keyOwners.applyMessage,
         topics: options.topics,
@@ -210,6 +223,7 @@
             directory: options.directory,
             timers,
             log,
+            failures,
             record,
             snapshot: initial,
             previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
@@ -283,13 +297,9 @@
     };
 
     owner.onCleanup(() => link.close());
-    const callAtInterval = (interval: number, callback: () => void): void => {
-        const subscription = timers.onInterval(interval, callback);
-        owner.onCleanup(() => subscription.cancel());
-    };
-    callAtInterval(tickIntervalMilliseconds, tick);
-    callAtInterval(heartbeatIntervalMilliseconds, followers.sendHeartbeat);
-    callAtInterval(reportIntervalMilliseconds, sendReport);
+    callAtInterval(timers, tickIntervalMilliseconds, tick, owner);
+    callAtInterval(timers, heartbeatIntervalMilliseconds, followers.sendHeartbeat, owner);
+    callAtInterval(timers, reportIntervalMilliseconds, sendReport, owner);
 
     return {
         findOwner: keyOwners.findOwner,
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -13,6 +13,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Whether this instance leads, and so reads the topics for the other instances. */
     isLeading: () => boolean;
     /** Relays changed records of a topic to the followers. */
@@ -71,7 +72,7 @@
  * @returns the view, without a document or a known registry
  */
 export const createSiteView = (options: SiteViewOptions, owner: foundation.Owner): SiteView => {
-    const { store, directory, timers, random, log, isLeading } = options;
+    const { store, directory, timers, random, log, failures, isLeading } = options;
     let documentInForce: relay.DocumentInForce | undefined;
     let isRegistryKnown = false;
     let storeFailure: string | undefined;
@@ -135,18 +136,30 @@
         storeFailure = reason;
     };
 
+    /** Applies records one by one, so that one that throws does not affect those after it. */
+    const applyRecords = (
+        topic: platform.TopicName,
+        records: readonly platform.StoredRecord[],
+        apply: (record: platform.StoredRecord) => void,
+    ): void => {
+        for (const record of records) {
+            failures.run("topic record", () => apply(record), { topic, key: record.key, offset: record.offset });
+        }
+    };
+
     const waitForLeader = (): number => isLeading() ? 0 : initialWaitMilliseconds;
     const documentTaskOptions: topicTask.TopicTaskOptions = {
         store,
         topic: platform.Topic.documents,
         timers,
         random,
+        failures,
         maxAgeMilliseconds: () => isLeading() ? 0 : maxDocumentAgeMilliseconds,
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => isLeading() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
         onChanges: (records, end) => {
-            records.forEach(onDocument);
+            applyRecords(platform.Topic.documents, records, onDocument);
             options.relayRecords(platform.Topic.documents, records, end);
         },
         onContact: () => undefined,
@@ -157,12 +170,13 @@
         topic: platform.Topic.upstreams,
         timers,
         random,
+        failures,
         maxAgeMilliseconds: () => isLeading() ? leaderRegistryIntervalMilliseconds : maxRegistryAgeMilliseconds,
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => 0,
         fingerprintOf: upstreamFingerprint,
         onChanges: (records, end) => {
-            records.forEach(onUpstream);
+            applyRecords(platform.Topic.upstreams, records, onUpstream);
             options.relayRecords(platform.Topic.upstreams, records, end);
         },
         onContact,
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -15,6 +15,7 @@
     topic: platform.TopicName;
     timers: foundation.TimerService;
     random: foundation.Random;
+    failures: foundation.FailureBoundary;
     /** Age of the local state at which the store is read, in milliseconds; 0 reads again after each response. */
     maxAgeMilliseconds: () => number;
     /** Time at the start in which the store is not read, as a leader may send a snapshot, in milliseconds. */
@@ -76,9 +77,12 @@
  * @returns the task
  */
 export const startTopicTask = (options: TopicTaskOptions, owner: foundation.Owner): TopicTask => {
-    const { store, topic, timers } = options;
+    const { store, topic, timers, failures } = options;
     const backoff = foundation.createBackoff(minRetryMilliseconds, maxRetryMilliseconds, options.random);
-    const filter = changeFilter.createChangeFilter(options.fingerprintOf);
+    const fingerprintOf = (key: string, value: Buffer): string =>
+        failures.run("topic record", () => options.fingerprintOf(key, value), { topic, key })
+            ?? value.toString("base64");
+    const filter = changeFilter.createChangeFilter(fingerprintOf);
     const startedAt = timers.now();
     const newestRecords = new Map<string, platform.StoredRecord>();
     let offset: number | undefined;
@@ -95,7 +99,7 @@
             }
         }
         if (changes.length > 0) {
-            options.onChanges(changes, end);
+            failures.run("topic", () => options.onChanges(changes, end), { topic, end });
         }
     };
     const advance = (records: readonly platform.StoredRecord[], end: number): void => {
@@ -108,7 +112,7 @@
     const onContact = (updatedAt: number, source: TopicSourceValue): void => {
         lastUpdateAt = Math.max(lastUpdateAt, updatedAt);
         backoff.reset();
-        options.onContact(source);
+        failures.run("topic", () => options.onContact(source), { topic });
     };
 
     const readSnapshot = async (): Promise<void> => {
@@ -147,12 +151,12 @@
                 await (offset === undefined ? readSnapshot() : readNext(offset));
             }
             catch (error) {
-                options.onFailure((error as Error).message);
+                failures.run("topic", () => options.onFailure((error as Error).message), { topic });
                 await foundation.pause(timers, backoff.next());
             }
         }
     };
-    void run();
+    failures.watch("topic", run(), { topic });
     return {
         refresh: () => cancelRead(),
         onRelayed: ({ from, end, age, records }) => {
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -43,6 +43,7 @@
         failureDomain,
         delegate: createDelegate(identifier),
         timers,
+        failures: foundation.createTransparentFailureBoundary(),
         onRouting: () => undefined,
         topics: {
             positions: () => knownTopics.map(name => ({ topic: name, end: 5, age: 0 })),
@@ -106,6 +107,7 @@
                 ownDelegates = delegates;
             },
             log: { write: () => undefined, sample: () => undefined },
+            failures: foundation.createTransparentFailureBoundary(),
             onTransferred: (kind, failureDomain, { sentBytes, receivedBytes }) => {
                 const name = `${kind} ${failureDomain}`;
                 transferredBytes.set(name, (transferredBytes.get(name) ?? 0) + sentBytes + receivedBytes);
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -56,6 +56,7 @@
         topic: "keyed.op",
         timers,
         random: foundation.createRandom(1),
+        failures: foundation.createTransparentFailureBoundary(),
         maxAgeMilliseconds: () => maxAge,
         initialWaitMilliseconds: () => initialWait,
         waitMilliseconds: () => 2500,
@@ -254,3 +255,53 @@
         earl.expect(filter.replace([kept], 5)).toEqual([{ key: "gone", value: undefined, offset: 4 }]);
     });
 });
+
+test.describe("a topic whose records cannot be handled", () => {
+    test.it("is still followed: the records after one that throws are applied, and the store is read again", async () => {
+        const timers = foundation.createVirtualTimerService();
+        const owner = foundation.createOwner();
+        const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
+        const throwing = (): never => {
+            throw new Error("thrown by the test");
+        };
+        const applied: string[] = [];
+        const reads: number[] = [];
+        const batches = [[createRecord("odd", "1", 2), createRecord("sound", "1", 3)], [createRecord("next", "1", 4)]];
+        const store: platform.StoreClient = {
+            readSnapshot: () => Promise.resolve({ records: [createRecord("odd", "0", 0)], end: 2 }),
+            readFrom: (...[, offset]) => {
+                reads.push(offset);
+                const records = batches.shift();
+                return records === undefined
+                    ? Promise.reject(new Error("the store is down"))
+                    : Promise.resolve({ records, end: offset + records.length, isHistoryExpired: false });
+            },
+            append: () => Promise.reject(new Error("not used")),
+            close: () => undefined,
+        };
+        topicTask.startTopicTask({
+            store,
+            topic: "keyed.servers",
+            timers,
+            random: foundation.createRandom(1),
+            failures,
+            maxAgeMilliseconds: () => 0,
+            initialWaitMilliseconds: () => 0,
+            waitMilliseconds: () => 0,
+            fingerprintOf: key => key === "odd" ? throwing() : key,
+            onChanges: records => {
+                applied.push(...records.map(({ key, offset }) => `${key} ${offset}`));
+                throwing();
+            },
+            onContact: throwing,
+            onFailure: throwing,
+        }, owner);
+        await flush();
+        timers.advance(2000);
+        await flush();
+        earl.expect(applied).toEqual(["odd 0", "odd 2", "sound 3", "next 4"]);
+        earl.expect(reads.slice(0, 4)).toEqual([2, 4, 5, 5]);
+        earl.expect([...failures.counts().keys()].sort()).toEqual(["topic", "topic record"]);
+        await owner.dispose();
+    });
+});
--- a/packages/foundation/src/failureBoundary.ts
+++ b/packages/foundation/src/failureBoundary.ts
@@ -5,10 +5,12 @@
 export interface FailureBoundary {
     /** Records an exception; the fields tell which input it was thrown for. */
     report: (part: string, error: unknown, fields?: eventLog.EventFields) => void;
-    /** Runs an action and records its exception. */
-    run: (part: string, action: () => void, fields?: eventLog.EventFields) => void;
+    /** Runs an action and records its exception; returns its result, or undefined if it throws. */
+    run: <T>(part: string, action: () => T, fields?: eventLog.EventFields) => T | undefined;
     /** Records the rejection of a promise that nothing else waits for. */
     watch: (part: string, promise: Promise<unknown>, fields?: eventLog.EventFields) => void;
+    /** Counts an exception that cannot be written to the log. */
+    count: (part: string) => void;
     /** Number of exceptions so far, by part. */
     counts: () => ReadonlyMap<string, number>;
 }
@@ -38,8 +40,11 @@
  */
 export const createFailureBoundary = (log: eventLog.EventLog): FailureBoundary => {
     const counts = new Map<string, number>();
-    const report: FailureBoundary["report"] = (part, error, fields) => {
+    const count = (part: string): void => {
         counts.set(part, (counts.get(part) ?? 0) + 1);
+    };
+    const report: FailureBoundary["report"] = (part, error, fields) => {
+        count(part);
         try {
             log.write("internal-error", { ...fields, part, ...describe(error) });
         }
@@ -51,15 +56,32 @@
         report,
         run: (part, action, fields) => {
             try {
-                action();
+                return action();
             }
             catch (error) {
                 report(part, error, fields);
+                return undefined;
             }
         },
         watch: (part, promise, fields) => {
             promise.catch(error => report(part, error, fields));
         },
+        count,
         counts: () => counts,
     };
 };
+
+/**
+ * Creates a boundary for tests, which lets every exception pass.
+ *
+ * @returns the boundary
+ */
+export const createTransparentFailureBoundary = (): FailureBoundary => ({
+    report: (...[, error]) => {
+        throw error;
+    },
+    run: (...[, action]) => action(),
+    watch: () => undefined,
+    count: () => undefined,
+    counts: () => new Map(),
+});
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -9,7 +9,7 @@
 export type { EventFields, EventLog, EventSink } from "./eventLog";
 export { eventNames } from "./eventNames";
 export type { EventName } from "./eventNames";
-export { createFailureBoundary } from "./failureBoundary";
+export { createFailureBoundary, createTransparentFailureBoundary } from "./failureBoundary";
 export type { FailureBoundary } from "./failureBoundary";
 export { hashText, rendezvousOrder } from "./hashing";
 export { hopByHopHeaders } from "./hopByHopHeaders";
--- a/packages/foundation/src/sharedInterval.ts
+++ b/packages/foundation/src/sharedInterval.ts
@@ -26,15 +26,26 @@
             ticking = undefined;
         }
     };
+    /** Calls every callback, and throws the first exception after that. */
+    const callAll = (): void => {
+        const errors: unknown[] = [];
+        for (const { call } of [...callbacks]) {
+            try {
+                call();
+            }
+            catch (error) {
+                errors.push(error);
+            }
+        }
+        if (errors.length > 0) {
+            throw errors[0];
+        }
+    };
     return {
         add: callback => {
             const entry = { call: callback };
             callbacks.add(entry);
-            ticking ??= timers.onInterval(intervalMilliseconds, () => {
-                for (const { call } of [...callbacks]) {
-                    call();
-                }
-            });
+            ticking ??= timers.onInterval(intervalMilliseconds, callAll);
             return {
                 cancel: () => {
                     callbacks.delete(entry);
--- a/packages/foundation/src/timerService.ts
+++ b/packages/foundation/src/timerService.ts
@@ -29,20 +29,35 @@
         timers.onDelay(milliseconds, () => resolve());
     });
 
+/** Longest delay of the timers of Node.js, in milliseconds; a longer one would end at once. */
+const maxDelayMilliseconds = 2 ** 31 - 1;
+
 /**
  * Creates a timer service that uses the clocks of the process.
  *
+ * @param onFailure - called with the exception of a callback; without it, the exception is not caught
  * @returns a timer service in real time
  */
-export const createTimerService = (): TimerService => ({
-    now: () => performance.now(),
-    wallClock: () => Date.now(),
-    onDelay: (delayMilliseconds, callback) => {
-        const handle = setTimeout(callback, delayMilliseconds);
-        return { cancel: () => clearTimeout(handle) };
-    },
-    onInterval: (intervalMilliseconds, callback) => {
-        const handle = setInterval(callback, intervalMilliseconds);
-        return { cancel: () => clearInterval(handle) };
-    },
-});
+export const createTimerService = (onFailure?: (error: unknown) => void): TimerService => {
+    const guard = (callback: () => void): () => void =>
+        onFailure === undefined ? callback : () => {
+            try {
+                callback();
+            }
+            catch (error) {
+                onFailure(error);
+            }
+        };
+    return {
+        now: () => performance.now(),
+        wallClock: () => Date.now(),
+        onDelay: (delayMilliseconds, callback) => {
+            const handle = setTimeout(guard(callback), Math.min(delayMilliseconds, maxDelayMilliseconds));
+            return { cancel: () => clearTimeout(handle) };
+        },
+        onInterval: (intervalMilliseconds, callback) => {
+            const handle = setInterval(guard(callback), Math.min(intervalMilliseconds, maxDelayMilliseconds));
+            return { cancel: () => clearInterval(handle) };
+        },
+    };
+};
--- a/packages/foundation/src/trafficAccount.ts
+++ b/packages/foundation/src/trafficAccount.ts
@@ -86,9 +86,13 @@
  * @returns a function that returns the bytes since this call
  */
 export const startTransfer = (socket: net.Socket): () => Transfer => {
-    const { bytesWritten, bytesRead } = socket;
+    // A connection that is closed early has no number of bytes, contrary to its type.
+    const bytesWritten = (): number => (socket.bytesWritten as number | undefined) ?? 0;
+    const bytesRead = (): number => (socket.bytesRead as number | undefined) ?? 0;
+    const writtenBefore = bytesWritten();
+    const readBefore = bytesRead();
     return () => ({
-        sentBytes: socket.bytesWritten - bytesWritten,
-        receivedBytes: socket.bytesRead - bytesRead,
+        sentBytes: Math.max(0, bytesWritten() - writtenBefore),
+        receivedBytes: Math.max(0, bytesRead() - readBefore),
     });
 };
--- a/packages/protocol/src/routingConnection.ts
+++ b/packages/protocol/src/routingConnection.ts
@@ -9,6 +9,8 @@
     onMessage: (message: messages.RoutingMessage) => void;
     /** The connection was closed; `reason` is the code of the system error or a protocol error, if any. */
     onClose: (reason: string | undefined) => void;
+    /** Records exceptions of the handlers; one that is thrown for a message closes the connection. */
+    failures: foundation.FailureBoundary;
     /** Called with the bytes of messages; those that arrive together count for the first one's kind. */
     onTransferred?: (kind: string, transfer: foundation.Transfer) => void;
 }
@@ -42,7 +44,8 @@
     socket.on("error", error => {
         closeReason = (error as NodeJS.ErrnoException).code;
     });
-    socket.on("close", () => handlers.onClose(closeReason));
+    const { failures } = handlers;
+    socket.on("close", () => failures.run("peer connection", () => handlers.onClose(closeReason)));
     const fail = (reason: string): void => {
         closeReason = reason;
         socket.destroy();
@@ -60,9 +63,17 @@
                 fail(message.val);
                 return;
             }
-            handlers.onTransferred?.(message.val.kind, { sentBytes: 0, receivedBytes });
-            receivedBytes = 0;
-            handlers.onMessage(message.val);
+            try {
+                handlers.onTransferred?.(message.val.kind, { sentBytes: 0, receivedBytes });
+                receivedBytes = 0;
+                handlers.onMessage(message.val);
+            }
+            catch (error) {
+                const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+                failures.report("peer message", error, { peer, kind: message.val.kind });
+                fail("internal error");
+                return;
+            }
         }
     });
     return {
--- /dev/null
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -0,0 +1,62 @@
+/** Connections between instances whose messages cannot be handled. */
+import * as foundation from "@mulberryseam/foundation";
+import * as protocol from "@mulberryseam/protocol";
+import * as earl from "earl";
+import * as net from "node:net";
+import * as test from "node:test";
+
+const message: protocol.RoutingMessage = { kind: "notLeader" };
+const frame = protocol.encodeFrame(message);
+
+/** Connects two sockets and runs the protocol on one of them; returns the other one. */
+const connect = async (
+    handlers: protocol.RoutingConnectionHandlers,
+    owner: foundation.Owner,
+): Promise<net.Socket> => {
+    const server = net.createServer(socket => protocol.createRoutingConnection(socket, handlers));
+    await foundation.listenOn(server, "127.0.0.1", 0);
+    owner.onCleanup(() => {
+        server.close();
+    });
+    const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    owner.onCleanup(() => {
+        socket.destroy();
+    });
+    return socket;
+};
+
+test.describe("a routing connection", () => {
+    for (const part of ["onMessage", "onTransferred"]) {
+        test.it(`whose ${part} handler throws is closed, and the process and other connections go on`, async () => {
+            const owner = foundation.createOwner();
+            const events: foundation.EventFields[] = [];
+            const failures = foundation.createFailureBoundary({
+                write: (...[, fields = {}]) => events.push(fields),
+                sample: () => undefined,
+            });
+            let messageCount = 0;
+            const throwing = (): never => {
+                throw new Error("thrown by the test");
+            };
+            const handlers: protocol.RoutingConnectionHandlers = {
+                failures,
+                onMessage: () => messageCount += 1,
+                onClose: throwing,
+            };
+            const sound = await connect(handlers, owner);
+            const failing = await connect({ ...handlers, [part]: throwing }, owner);
+            const isClosed = new Promise(resolve => failing.once("close", resolve));
+            failing.write(Buffer.concat([frame, frame]));
+            await isClosed;
+            sound.write(frame);
+            while (messageCount === 0) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            earl.expect(events[0].part).toEqual("peer message");
+            earl.expect(events[0].kind).toEqual("notLeader");
+            earl.expect(failures.counts().get("peer message")).toEqual(1);
+            await owner.dispose();
+        });
+    }
+});
--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -8,6 +8,7 @@
     host: string;
     port: number;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     handle: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 }
 
@@ -70,7 +71,12 @@
         server.close();
         server.closeAllConnections();
     });
-    await foundation.listenOn(server, options.host, options.port);
+    await foundation.listenOn(
+        server,
+        options.host,
+        options.port,
+        error => options.failures.report("caller server", error),
+    );
     return {
         setLimits: limits => {
             headerLimitBytes = limits.maxHeaderBytes;
--- a/packages/relay/src/delegateServer.ts
+++ b/packages/relay/src/delegateServer.ts
@@ -6,6 +6,7 @@
 export interface DelegateServerOptions {
     host: string;
     port: number;
+    failures: foundation.FailureBoundary;
     handle: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 }
 
@@ -31,5 +32,10 @@
         server.close();
         server.closeAllConnections();
     });
-    await foundation.listenOn(server, options.host, options.port);
+    await foundation.listenOn(
+        server,
+        options.host,
+        options.port,
+        error => options.failures.report("delegate server", error),
+    );
 };
--- a/packages/relay/test/malformedMessages.test.ts
+++ b/packages/relay/test/malformedMessages.test.ts
@@ -96,7 +96,12 @@
     };
     test.it("is refused if no attempt was started", () =>
         withRelay(
-            { behaviours: [relayFixture.respondWith("done")], isKeyed: true, isOwnerKnown: throwing },
+            {
+                behaviours: [relayFixture.respondWith("done")],
+                isKeyed: true,
+                isOwnerKnown: throwing,
+                failingParts: ["request"],
+            },
             async fixture => {
                 const response = await fixture.sendRequest({ key: 1 });
                 earl.expect([response.status, response.headers["retry-after"] !== undefined]).toEqual([503, true]);
@@ -114,6 +119,7 @@
             behaviours: [relayFixture.refuseOnce("0,0,4")],
             isKeyed: true,
             isOwnerKnown: throwLater,
+            failingParts: ["request"],
         }, async fixture => {
             earl.expect((await fixture.sendRequest({ key: 1 })).status).toEqual(502);
             earl.expect(fixture.requestCounts()).toEqual([1]);
@@ -122,7 +128,11 @@
     });
 
     test.it("is answered 503 if it throws on its arrival", () =>
-        withRelay({ behaviours: [relayFixture.respondWith("done")], documentInForce: throwing }, async fixture => {
+        withRelay({
+            behaviours: [relayFixture.respondWith("done")],
+            documentInForce: throwing,
+            failingParts: ["request"],
+        }, async fixture => {
             earl.expect((await fixture.sendRequest()).status).toEqual(503);
         }));
 });
