Entry: go on after an exception that nothing has caught, and handle signals from the start

Callers saw every connection of an instance end when its standard output lost its reader (EPIPE is an `error` event that nothing listened for) or when an exception escaped; on-call engineers got a plain stack on standard error, without time or instance. SIGTERM while an instance started, and SIGHUP while it loaded, ended the process by the signal.

- Errors of the output are counted in `mulberryseam_internal_errors_total{part="output"}`, and the instance goes on.
- `uncaughtException` and `unhandledRejection` write a line of the log with the stack and flush it.
- The listeners of the signals are registered by the first module that is loaded.
A SIGTERM before the instance has started stops it as soon as it has.

--- a/packages/emulator/src/store.ts
+++ b/packages/emulator/src/store.ts
@@ -21,7 +21,7 @@
 export interface EmulatedStore {
     port: number;
     /** Appends a record on behalf of an operator or an upstream; an empty value deletes the key. */
-    put: (topic: string, key: string, value: string) => void;
+    put: (topic: string, key: string, value: string | Buffer) => void;
     setMode: (mode: StoreModeValue) => void;
     /** Discards the history of a topic but keeps the newest record of each key. */
     dropHistory: (topic: string) => void;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,13 +1,45 @@
 /** Main program of an entry instance: reads the settings, starts the instance and stops it on SIGTERM. */
+import * as processSignals from "./processSignals";
+
+// The signals come first, so that they are handled while the other modules load.
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as entry from "./entry";
 import * as inForce from "./settingsInForce";
 
+/** Exit code for an instance that could not start, or whose stop failed. */
+const failedExitCode = 1;
 /** Exit code for missing or invalid settings. */
 const invalidSettingsExitCode = 2;
 
-const run = async (): Promise<void> => {
+interface Output {
+    sink: foundation.BatchedSink;
+    log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
+}
+
+/** Creates the log on standard output. Without a reader or with a full disk, lines are lost and the instance goes on. */
+const createOutput = (instanceName: string): Output => {
+    const onOutputError = (): void => failures.count("output");
+    process.stdout.on("error", onOutputError);
+    process.stderr.on("error", onOutputError);
+    const sink = foundation.createBatchedSink({
+        write: lines => {
+            try {
+                process.stdout.write(lines);
+            }
+            catch {
+                onOutputError();
+            }
+        },
+        pendingBytes: () => process.stdout.writableLength,
+    }, foundation.createTimerService(onOutputError));
+    const log = foundation.createEventLog(instanceName, sink, Date.now);
+    const failures = foundation.createFailureBoundary(log);
+    return { sink, log, failures };
+};
+
+const readSettings = (): { path: string; settings: platform.InstanceSettings; } => {
     const path = process.env[platform.settingsVariable];
     if (path === undefined) {
         process.stderr.write(`mulberryseam: ${platform.settingsVariable} is not set\n`);
@@ -18,35 +50,60 @@
         process.stderr.write(`mulberryseam: ${settings.val}\n`);
         process.exit(invalidSettingsExitCode);
     }
-    const sink = foundation.createBatchedSink({
-        write: lines => process.stdout.write(lines),
-        pendingBytes: () => process.stdout.writableLength,
-    }, foundation.createTimerService());
+    return { path, settings: settings.val };
+};
+
+const run = async (): Promise<void> => {
+    const { path, settings } = readSettings();
+    const { sink, log, failures } = createOutput(settings.name);
+    const settingsInForce = inForce.createSettingsInForce(settings);
     process.on("exit", sink.flush);
-    const log = foundation.createEventLog(settings.val.name, sink, Date.now);
-    const settingsInForce = inForce.createSettingsInForce(settings.val);
-    process.on("SIGHUP", () => {
-        const reread = platform.readSettings(path);
-        if (reread.err) {
-            log.write("settings-reread", { valid: false, reason: reread.val });
+    let instance: entry.Entry | undefined = undefined;
+    const onUncaught = (part: string) => (error: unknown): void => {
+        failures.report(part, error);
+        sink.flush();
+        if (instance === undefined) {
+            process.exit(failedExitCode);
+        }
+    };
+    process.on("uncaughtException", onUncaught("uncaught exception"));
+    process.on("unhandledRejection", onUncaught("unhandled rejection"));
+
+    const reread = (): void => {
+        const next = platform.readSettings(path);
+        if (next.err) {
+            log.write("settings-reread", { valid: false, reason: next.val });
             return;
         }
-        const { applied, needsRestart } = settingsInForce.apply(reread.val);
+        const { applied, needsRestart } = settingsInForce.apply(next.val);
         log.write("settings-reread", {
             valid: true,
             applied: applied.join(","),
             needsRestart: needsRestart.join(","),
         });
-    });
-    const instance = await entry.startEntry(settingsInForce, log, foundation.createFailureBoundary(log));
+    };
     let isStopRequested = false;
-    process.on("SIGTERM", () => {
-        // The listener stays registered: without one, a second signal would terminate the process at once.
-        if (!isStopRequested) {
-            isStopRequested = true;
-            void instance.stop().then(() => process.exit(0));
+    let isStopping = false;
+    const stopIfRequested = (): void => {
+        if (!isStopRequested || isStopping || instance === undefined) {
+            return;
         }
+        isStopping = true;
+        const onFailure = (error: unknown): never => {
+            failures.report("stop", error);
+            return process.exit(failedExitCode);
+        };
+        failures.watch("stop", instance.stop().then(() => process.exit(0), onFailure));
+    };
+    processSignals.setSignalHandlers({
+        onStop: () => {
+            isStopRequested = true;
+            stopIfRequested();
+        },
+        onReload: () => failures.run("settings", reread),
     });
+    instance = await entry.startEntry(settingsInForce, log, failures);
+    stopIfRequested();
 };
 
 void run();
