--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -23,6 +23,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
@@ -64,6 +65,16 @@
 const minRetryMilliseconds = 150;
 const maxRetryMilliseconds = 1000;
 
+const callAtInterval = (
+    timers: foundation.TimerService,
+    intervalMilliseconds: number,
+    callback: () => void,
+    owner: foundation.Owner,
+): void => {
+    const subscription = timers.onInterval(intervalMilliseconds, callback);
+    owner.onCleanup(() => subscription.cancel());
+};
+
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 
 /** Creates a function that counts bytes exchanged with a failure domain. */
@@ -93,7 +104,7 @@
     options: OwnershipTaskOptions,
     owner: foundation.Owner,
 ): Promise<OwnershipTask> => {
-    const { settings, store, timers, log } = options;
+    const { settings, store, timers, log, failures } = options;
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const keyOwners = keyRouting.createKeyRouting();
     const sampler = keyRequestSampler.createKeyRequestSampler();
@@ -125,6 +136,7 @@
         delegate,
         onDelegates,
         log,
+        failures,
         onTransferred: addTraffic,
     }, owner);
 
@@ -140,6 +152,7 @@
         failureDomain,
         delegate,
         timers,
+        failures,
         onDelegates,
         onRouting: keyOwners.applyMessage,
         topics: options.topics,
@@ -188,6 +201,7 @@
             directory: options.directory,
             timers,
             log,
+            failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
@@ -257,13 +271,9 @@
     };
 
     owner.onCleanup(() => link.close());
-    const callAtInterval = (interval: number, callback: () => void): void => {
-        const subscription = timers.onInterval(interval, callback);
-        owner.onCleanup(() => subscription.cancel());
-    };
-    callAtInterval(tickIntervalMilliseconds, tick);
-    callAtInterval(heartbeatIntervalMilliseconds, followers.sendHeartbeat);
-    callAtInterval(reportIntervalMilliseconds, sendReport);
+    callAtInterval(timers, tickIntervalMilliseconds, tick, owner);
+    callAtInterval(timers, heartbeatIntervalMilliseconds, followers.sendHeartbeat, owner);
+    callAtInterval(timers, reportIntervalMilliseconds, sendReport, owner);
 
     return {
         findOwner: keyOwners.findOwner,
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -144,6 +144,7 @@
                 directory,
                 timers,
                 log: discardingLog,
+                failures: foundation.createTransparentFailureBoundary(),
                 maxLeaseMilliseconds,
                 keyedServices: () => ["records"],
                 broadcast: () => undefined,
