Registry: an entry does not prove that another upstream has ended

A registry entry at the address of an upstream, or one of the same upstream at another address, ended that upstream's leases: the leader granted its keys to others while it held them. The upstream also stayed out of the directory after the other entry had gone, because its own check-ins do not change.

The directory now keeps every entry and uses the one that started last at an address. Leases end by what upstreams answer: a command to an upstream whose address another process uses is answered 421 within a round trip, so keys of an upstream that was really replaced are granted as early as before.

--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -300,9 +300,6 @@
             if (isStopped) {
                 return;
             }
-            directory.consumeTerminated().forEach(upstream =>
-                sender.markTerminated(toOwner(upstream), "incarnation replaced")
-            );
             if (!isCommitting && now >= nextCommitAt) {
                 void runCommit();
             }
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -17,7 +17,6 @@
 /** Sends lease commands and tracks terminated owners. */
 export interface LeaseCommandSender {
     send: (service: string, leaseManager: assignment.LeaseManager, command: assignment.LeaseCommand) => void;
-    markTerminated: (owner: assignment.Owner, reason: string) => void;
     isTerminated: (owner: assignment.Owner) => boolean;
 }
 
@@ -94,7 +93,6 @@
                 }
             });
         },
-        markTerminated,
         isTerminated: owner => terminated.has(assignment.ownerName(owner)),
     };
 };
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -80,6 +80,32 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    test.it("does not take a registry entry at an upstream's address for the end of that upstream", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(8, noFaults);
+        await simulation.run(6000);
+        simulation.setOtherEntry(0, true);
+        simulation.setPartitioned(0, true);
+        await simulation.run(4500);
+        earl.expect(simulation.violations()).toEqual([]);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+        simulation.setPartitioned(0, false);
+        simulation.setOtherEntry(0, false);
+        simulation.requestKeys(0, 60_000);
+        await simulation.run(5000);
+        earl.expect(simulation.heldKeyCountOf(0) > 0).toEqual(true);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
+    test.it("grants an ended upstream's keys once another process at its address responds", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(9, noFaults);
+        await simulation.run(6000);
+        simulation.replaceUpstream(0);
+        await simulation.run(1000);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
     test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
         await simulation.run(6000);
@@ -111,6 +137,8 @@
                     () => simulation.setPartitioned(index, true),
                     () => simulation.setPartitioned(index, false),
                     () => simulation.restart(index),
+                    () => simulation.setOtherEntry(index, true),
+                    () => simulation.setOtherEntry(index, false),
                     () => simulation.setDraining(index, true),
                     () => simulation.setDraining(index, false),
                     () => simulation.requestKeys(random.below(60_000), 1 + random.below(300)),
@@ -135,6 +163,7 @@
             for (let index = 0; index < 4; index += 1) {
                 simulation.setPartitioned(index, false);
                 simulation.setDraining(index, false);
+                simulation.setOtherEntry(index, false);
             }
             simulation.setStoreUnavailable(false);
             faults.lateCommands = 0;
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -1,4 +1,8 @@
-/** Tracks registered upstreams, and keeps those whose entries expired only because the store was unreachable. */
+/**
+ * Tracks registered upstreams, and keeps those whose entries expired only because the store was unreachable. Of several upstreams
+ * that are registered at one address, only the one that started last is used. The registry proves no end of a process: an upstream
+ * that is not used runs on if the other entry is wrong, and is used again once that entry is gone.
+ */
 import * as documents from "./document";
 
 /** A registered upstream and when its state was first observed. */
@@ -10,7 +14,7 @@
     leavingSince: number | undefined;
 }
 
-/** The registered upstreams of a site. */
+/** The registered upstreams of a site. Entries that are not used because of a later one at their address are not returned. */
 export interface UpstreamDirectory {
     /** Adds or updates the entry of an upstream. */
     onEntry: (upstream: documents.Upstream, now: number) => void;
@@ -26,12 +30,6 @@
     findByService: (service: string) => readonly DirectoryEntry[];
     find: (identifier: string) => DirectoryEntry | undefined;
     all: () => Iterable<DirectoryEntry>;
-    /**
-     * Returns, once each, the incarnations that have certainly terminated and cannot receive lease commands: another
-     * upstream has their address, or a later incarnation runs at another address. An incarnation is not returned if a
-     * later one has the same identifier and address, because lease commands then reach the later one.
-     */
-    consumeTerminated: () => documents.Upstream[];
 }
 
 /** Time after the store's recovery in which upstreams renew expired entries, in milliseconds. */
@@ -39,6 +37,8 @@
 /** Time in which an upstream without an entry still serves requests that no other upstream can, in milliseconds. */
 const leavingRetentionMilliseconds = 1500;
 
+const addressOf = ({ host, port }: documents.Upstream): string => `${host}:${port}`;
+
 /**
  * Creates an upstream directory.
  *
@@ -46,18 +46,33 @@
  */
 export const createUpstreamDirectory = (): UpstreamDirectory => {
     const entries = new Map<string, DirectoryEntry>();
+    /** The entries without those that a later one at the same address replaces. */
+    const usedEntries = new Map<string, DirectoryEntry>();
     const entriesByService = new Map<string, DirectoryEntry[]>();
     /** Removal times, by identifier, of entries that may be renewed after the store's recovery. */
     const pendingRemovals = new Map<string, number>();
     /** Times, by identifier, at which upstreams without a registry entry are removed. */
     const leavingDeadlines = new Map<string, number>();
-    let terminated: documents.Upstream[] = [];
     let isStoreUnreachable = false;
     let storeRecoveredAt = -Infinity;
 
-    const rebuildServiceIndex = (): void => {
+    const rebuildIndexes = (): void => {
+        const latestStarts = new Map<string, number>();
+        for (const { upstream } of entries.values()) {
+            const { identifier, startedAt } = upstream;
+            if (!leavingDeadlines.has(identifier)) {
+                const address = addressOf(upstream);
+                latestStarts.set(address, Math.max(latestStarts.get(address) ?? startedAt, startedAt));
+            }
+        }
+        usedEntries.clear();
         entriesByService.clear();
-        for (const entry of entries.values()) {
+        for (const [identifier, entry] of entries) {
+            const latestStart = latestStarts.get(addressOf(entry.upstream));
+            if (latestStart !== undefined && latestStart > entry.upstream.startedAt) {
+                continue;
+            }
+            usedEntries.set(identifier, entry);
             const serviceEntries = entriesByService.get(entry.upstream.service) ?? [];
             serviceEntries.push(entry);
             entriesByService.set(entry.upstream.service, serviceEntries);
@@ -67,49 +82,26 @@
         entries.delete(identifier);
         pendingRemovals.delete(identifier);
         leavingDeadlines.delete(identifier);
-        rebuildServiceIndex();
+        rebuildIndexes();
     };
     const markLeaving = (identifier: string, now: number): void => {
         const entry = entries.get(identifier);
         if (entry !== undefined && !leavingDeadlines.has(identifier)) {
             entries.set(identifier, { ...entry, leavingSince: entry.leavingSince ?? now });
             leavingDeadlines.set(identifier, now + leavingRetentionMilliseconds);
-            rebuildServiceIndex();
-        }
-    };
-    /** Whether an entry was written late, after a later incarnation started with its identifier or at its address. */
-    const isOutdated = (upstream: documents.Upstream): boolean =>
-        [...entries.values()].some(({ upstream: other }) => {
-            const isSameIdentifierOrAddress = other.identifier === upstream.identifier
-                || (other.host === upstream.host && other.port === upstream.port);
-            return isSameIdentifierOrAddress && other.startedAt > upstream.startedAt;
-        });
-    const terminateOthersAtAddressOf = (upstream: documents.Upstream): void => {
-        for (const { upstream: other } of [...entries.values()]) {
-            const isSameAddress = other.host === upstream.host && other.port === upstream.port;
-            if (isSameAddress && other.identifier !== upstream.identifier) {
-                terminated.push(other);
-                remove(other.identifier);
-            }
+            rebuildIndexes();
         }
     };
     return {
         onEntry: (upstream, now) => {
-            if (isOutdated(upstream)) {
+            const existing = entries.get(upstream.identifier);
+            if (existing !== undefined && existing.upstream.startedAt > upstream.startedAt) {
+                // Written late, after a later incarnation had started.
                 return;
             }
-            const existing = entries.get(upstream.identifier);
             pendingRemovals.delete(upstream.identifier);
             leavingDeadlines.delete(upstream.identifier);
             const isSameIncarnation = existing !== undefined && existing.upstream.startedAt === upstream.startedAt;
-            const hasAddressChanged = existing !== undefined
-                && (existing.upstream.host !== upstream.host || existing.upstream.port !== upstream.port);
-            if (hasAddressChanged && !isSameIncarnation) {
-                terminated.push(existing.upstream);
-            }
-            if (!isSameIncarnation) {
-                terminateOthersAtAddressOf(upstream);
-            }
             entries.set(upstream.identifier, {
                 upstream,
                 firstSeenAt: isSameIncarnation ? existing.firstSeenAt : now,
@@ -117,7 +109,7 @@
                     ? (isSameIncarnation ? existing.leavingSince : undefined) ?? now
                     : undefined,
             });
-            rebuildServiceIndex();
+            rebuildIndexes();
         },
         onRemoval: (identifier, now) => {
             if (!entries.has(identifier)) {
@@ -155,12 +147,7 @@
             }
         },
         findByService: service => entriesByService.get(service) ?? [],
-        find: identifier => entries.get(identifier),
-        all: () => entries.values(),
-        consumeTerminated: () => {
-            const consumed = terminated;
-            terminated = [];
-            return consumed;
-        },
+        find: identifier => usedEntries.get(identifier),
+        all: () => usedEntries.values(),
     };
 };
