Registry: entries of services that the document does not name hide no upstream

An entry of another writer, of a service that nobody names, at the address of an upstream took that upstream out of use while the entry was there, and one under its identifier replaced its entry. Requests for the keys it owns were refused meanwhile.

Such entries are now set aside until a document names their service; upstreams of a service that a later document adds may register before. What was seen of them keeps its time, so an upstream that was seen draining is not used longer.

--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -53,6 +53,20 @@
 /** Age of the document topic at which an instance reads it itself, in milliseconds: two reads by the leader. */
 const maxDocumentAgeMilliseconds = 1300;
 
+/** Whether a document names a service; an entry of any other service may come from another writer. */
+const isNamedBy = (document: routing.RoutingDocument | undefined, service: string): boolean =>
+    document !== undefined
+    && (document.services.has(service)
+        || document.routes.some(({ destinations }) =>
+            destinations.some(destination => destination.service === service)
+        ));
+
+/** A registry entry of a service that the document does not name. */
+interface UnnamedEntry {
+    upstream: routing.Upstream;
+    seenAt: number;
+}
+
 /** Decodes registry entries; one that is compared and then applied is decoded once. */
 const createUpstreamParser = (): typeof platform.parseUpstream => {
     const results = new WeakMap<Buffer, ReturnType<typeof platform.parseUpstream>>();
@@ -77,6 +91,8 @@
     let storeFailure: string | undefined;
     const tasks = new Map<string, topicTask.TopicTask>();
     const parseUpstream = createUpstreamParser();
+    /** By identifier; used once a document names their service. */
+    const unnamedEntries = new Map<string, UnnamedEntry>();
 
     /** Registry entries are rewritten periodically; only fields that affect the choice of an upstream count as a change. */
     const upstreamFingerprint = (key: string, value: Buffer): string => {
@@ -98,11 +114,18 @@
             return;
         }
         documentInForce = { document, table: routing.createRouteTable(document.routes) };
+        for (const [identifier, { upstream, seenAt }] of unnamedEntries) {
+            if (isNamedBy(document, upstream.service)) {
+                unnamedEntries.delete(identifier);
+                directory.onEntry(upstream, seenAt);
+            }
+        }
         options.onDocument(document);
         log.write("document-in-force", { version: document.version, routes: document.routes.length });
     };
     const onUpstream = (record: platform.StoredRecord): void => {
         const now = timers.now();
+        unnamedEntries.delete(record.key);
         if (record.value === undefined) {
             directory.onRemoval(record.key, now);
             return;
@@ -112,6 +135,15 @@
             log.write("upstream-unreadable", { upstream: record.key, reason: parsed.val, offset: record.offset });
             return;
         }
+        const { service } = parsed.val;
+        if (!isNamedBy(documentInForce?.document, service)) {
+            unnamedEntries.set(record.key, { upstream: parsed.val, seenAt: now });
+            if (documentInForce !== undefined) {
+                const reason = `the document names no service ${service}`;
+                log.write("upstream-unreadable", { upstream: record.key, reason, offset: record.offset });
+            }
+            return;
+        }
         const previousLeavingSince = directory.find(record.key)?.leavingSince;
         directory.onEntry(parsed.val, now);
         if (previousLeavingSince === undefined && parsed.val.isDraining) {
