--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -18,7 +18,6 @@
 /** Sends lease commands and tracks terminated owners. */
 export interface LeaseCommandSender {
     send: (service: string, leaseManager: assignment.LeaseManager, command: assignment.LeaseCommand) => void;
-    markTerminated: (owner: assignment.Owner, reason: string) => void;
     isTerminated: (owner: assignment.Owner) => boolean;
 }
 
@@ -97,7 +96,6 @@
             const fields = { service, owner: assignment.ownerName(owner), first, last };
             options.failures.watch("lease command", handledResponse, fields);
         },
-        markTerminated,
         isTerminated: owner => terminated.has(assignment.ownerName(owner)),
     };
 };
