Believe a response only if it certainly belongs to the attempt

Callers were told "not run, try again" (503) for requests that an upstream had run, and such requests ran a second time: an upstream had sent an earlier refusal once more on a kept connection, where the response to the next request was expected. A response without an identifier was taken for the current one, and an identifier does not tell an earlier attempt from a repeated one on the same connection.

- A response belongs to an attempt if it echoes the request's identifier, or if the attempt's is the only request on its connection and was sent completely.
Everything else is `unknown`: 502, no other upstream for what may run once.
Requests without an identifier get a connection of their own.
- A connection remembers the requests that were refused on it (256, then it is closed).
They are sent again on a new connection, which is opened in that case only; on a queued attempt that gets such a connection nonetheless, a refusal is not believed.
- An instance's own responses to delegated requests echo the identifier too.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -2,8 +2,10 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as stream from "node:stream";
 import type * as requestBody from "./requestBody";
+import * as requestState from "./requestState";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
 
@@ -79,15 +81,21 @@
 const firstValue = (value: string | string[] | undefined): string | undefined =>
     Array.isArray(value) ? value[0] : value;
 
-/** Returns why a response cannot be forwarded, or undefined if it can. */
-const findResponseFault = (
+/**
+ * Whether a response certainly belongs to a request: it echoes the request's identifier, or answers the only request on its
+ * connection.
+ */
+const belongsTo = (
     response: http.IncomingMessage,
     requestIdentifier: string | undefined,
-): string | undefined => {
-    const echoedIdentifier = firstValue(response.headers[platform.HeaderName.requestIdentifier]);
-    if (requestIdentifier !== undefined && echoedIdentifier !== undefined && echoedIdentifier !== requestIdentifier) {
-        return "the response belongs to another request";
-    }
+    isOnlyRequest: boolean,
+): boolean => {
+    const echoedIdentifier = requestState.identifierOf(response);
+    return echoedIdentifier === undefined ? isOnlyRequest : echoedIdentifier === requestIdentifier;
+};
+
+/** Returns why a response cannot be forwarded, or undefined if it can. */
+const findResponseFault = (response: http.IncomingMessage): string | undefined => {
     const status = response.statusCode ?? 0;
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && response.headers[platform.HeaderName.signature] === undefined) {
@@ -131,7 +139,7 @@
             : [])
         : ["Transfer-Encoding", "chunked"];
     const request = http.request({
-        agent: connections.agent,
+        agent: connections.agentFor(options.requestIdentifier),
         host: options.host,
         port: options.port,
         method: options.method,
@@ -144,7 +152,10 @@
         ] as unknown as http.OutgoingHttpHeaders,
     });
     let isConnected = false;
+    let connection: net.Socket | undefined;
     let isNewConnection = false;
+    /** Whether a request with the same identifier was refused on the connection, where that refusal may arrive once more. */
+    let isRefusedConnection = false;
     let isFinished = false;
     const result = new Promise<AttemptResult>(resolve => {
         const finish = (attemptResult: AttemptResult): void => {
@@ -170,7 +181,10 @@
             }
         });
         request.on("socket", socket => {
+            connection = socket;
             endTransfer = foundation.startTransfer(socket);
+            isRefusedConnection = options.requestIdentifier !== undefined
+                && connections.hasRefused(socket, options.requestIdentifier);
             if (!socket.connecting) {
                 isConnected = true;
                 return;
@@ -221,7 +235,9 @@
             if (isCloseDelimited) {
                 destroyIfReset(response);
             }
-            const fault = findResponseFault(response, options.requestIdentifier);
+            const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
+                ? findResponseFault(response)
+                : "the response may belong to another request";
             if (fault !== undefined) {
                 response.on("error", () => undefined);
                 request.destroy();
@@ -255,6 +271,14 @@
                     response.socket.destroy();
                 }
                 if (isRefusal(response)) {
+                    if (isRefusedConnection) {
+                        connection?.destroy();
+                        fail("the refusal may be an earlier one");
+                        return;
+                    }
+                    if (options.requestIdentifier !== undefined && connection !== undefined) {
+                        connections.onRefusal(connection, options.requestIdentifier);
+                    }
                     const isMisdirected = response.statusCode === misdirectedStatus;
                     finish({
                         kind: "notRun",
--- a/packages/relay/src/delegatedRequest.ts
+++ b/packages/relay/src/delegatedRequest.ts
@@ -20,6 +20,23 @@
     documentVersion: number;
 }
 
+/**
+ * Returns the headers of an instance's own response to a delegated request: the reason, and the request's identifier, by which the
+ * delegating instance knows that the response belongs to the request.
+ *
+ * @param requestIdentifier - identifier of the request, if it has one
+ * @param reason - why the request failed
+ * @returns alternating names and values
+ */
+export const failureHeaders = (
+    requestIdentifier: string | undefined,
+    reason: requestState.FailureReasonValue,
+): string[] => [
+    failureHeader,
+    reason,
+    ...(requestIdentifier === undefined ? [] : ["Request-Id", requestIdentifier]),
+];
+
 const routeKinds: readonly string[] = Object.values(routing.RouteKind);
 const fieldCount = 7;
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -184,7 +184,8 @@
         if (parsed.err || key === undefined || !options.acceptsDelegated()) {
             const reason = requestState.FailureReason.notAccepted;
             request.resume();
-            responder.reply(response, 503, [delegatedRequest.failureHeader, reason], reason);
+            const identifier = requestState.identifierOf(request);
+            responder.reply(response, 503, delegatedRequest.failureHeaders(identifier, reason), reason);
             return;
         }
         const state = requestState.createRequestState({
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -81,6 +81,17 @@
 /** Time for a whole response to a caller that does not state how long it waits, in milliseconds. */
 const defaultCallerTimeoutMilliseconds = 60_000;
 
+/**
+ * Returns the request identifier of a message.
+ *
+ * @param message - a request or a response
+ * @returns the identifier, or undefined if there is none
+ */
+export const identifierOf = ({ headers }: http.IncomingMessage): string | undefined => {
+    const identifier = headers[platform.HeaderName.requestIdentifier];
+    return identifier === undefined || identifier.length === 0 ? undefined : String(identifier);
+};
+
 /**
  * Creates the state of a request before its first attempt.
  *
@@ -91,10 +102,9 @@
     const { request, route, arrivedAt } = arrived;
     const requested = Number(request.headers[platform.HeaderName.remainingMilliseconds]);
     const callerTimeout = Number.isFinite(requested) && requested > 0 ? requested : defaultCallerTimeoutMilliseconds;
-    const identifier = request.headers[platform.HeaderName.requestIdentifier];
     return {
         ...arrived,
-        requestIdentifier: Array.isArray(identifier) ? identifier[0] : identifier,
+        requestIdentifier: identifierOf(request),
         deadlineAt: arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds),
         callerDeadlineAt: arrivedAt + callerTimeout,
         triedUpstreams: new Set(),
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -123,7 +123,7 @@
         const retryAfter = admission.retryAfterMilliseconds(waitMilliseconds, remaining, random.fraction());
         const extraHeaders = [
             ...(status === 503 ? ["Retry-After", (retryAfter / 1000).toFixed(3)] : []),
-            ...(state.isDelegated ? [delegatedRequest.failureHeader, reason] : []),
+            ...(state.isDelegated ? delegatedRequest.failureHeaders(state.requestIdentifier, reason) : []),
         ];
         reply(state.response, status, extraHeaders, reason);
     };
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -5,6 +5,12 @@
 /** Keep-alive connections to one upstream. */
 export interface UpstreamConnections {
     agent: http.Agent;
+    /** Returns the agent for a request: it opens a connection if a response on an idle one could be that of an earlier request. */
+    agentFor: (requestIdentifier: string | undefined) => http.Agent;
+    /** Records that an upstream refused a request on a connection, where a response to it may arrive once more. */
+    onRefusal: (socket: net.Socket, requestIdentifier: string) => void;
+    /** Whether an upstream has refused a request with this identifier on a connection. */
+    hasRefused: (socket: net.Socket, requestIdentifier: string) => boolean;
     /** Whether an idle connection is open. */
     hasIdle: () => boolean;
     /** Adapts the idle timeout to the keep-alive timeout that the upstream announced, in milliseconds. */
@@ -20,6 +26,8 @@
  */
 const idleMarginMilliseconds = 1200;
 const minIdleMilliseconds = 300;
+/** Refused requests after which a connection is closed, as it remembers their identifiers. */
+const maxRefusalsPerConnection = 256;
 
 /**
  * Creates the connections to an upstream; none is open yet.
@@ -35,9 +43,16 @@
         maxSockets: maxConnections,
         maxFreeSockets: maxIdleConnections,
     });
+    const singleUseAgent = new http.Agent({ keepAlive: false, noDelay: true });
     let idleMilliseconds = defaultIdleMilliseconds;
+    const refusedIdentifiers = new WeakMap<net.Socket, Set<string>>();
+    const hasRefused = (socket: net.Socket, requestIdentifier: string): boolean =>
+        refusedIdentifiers.get(socket)?.has(requestIdentifier) === true;
     const unsolicitedDataListeners = new WeakMap<net.Socket, () => void>();
     const keepSocketAlive = (socket: net.Socket): boolean => {
+        if ((refusedIdentifiers.get(socket)?.size ?? 0) >= maxRefusalsPerConnection) {
+            return false;
+        }
         const onUnsolicitedData = (): void => {
             socket.destroy();
         };
@@ -65,10 +80,25 @@
     Object.assign(agent, { keepSocketAlive, reuseSocket });
     return {
         agent,
+        agentFor: requestIdentifier => {
+            const isAmbiguous = requestIdentifier === undefined
+                || Object.values(agent.freeSockets).some(sockets =>
+                    sockets?.some(socket => hasRefused(socket, requestIdentifier))
+                );
+            return isAmbiguous ? singleUseAgent : agent;
+        },
+        onRefusal: (socket, requestIdentifier) => {
+            const identifiers = refusedIdentifiers.get(socket) ?? new Set<string>();
+            refusedIdentifiers.set(socket, identifiers.add(requestIdentifier));
+        },
+        hasRefused,
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onKeepAliveTimeout: milliseconds => {
             idleMilliseconds = Math.max(minIdleMilliseconds, milliseconds - idleMarginMilliseconds);
         },
-        close: () => agent.destroy(),
+        close: () => {
+            agent.destroy();
+            singleUseAgent.destroy();
+        },
     };
 };
