Do not pass on a 408, 429 or 503 that does not say that a request to run once has not run

Callers take these statuses as a promise that the request has not run and never will. An upstream's response states that only as a refusal (Not-Executed, or 421). Without that the request may have run, but the status was forwarded. A caller whose request may run only once now gets 502, without the upstream's signature, as a signed failure must keep its status. Idempotent requests still get the upstream's response unchanged.

Evidence, outcomes.test.ts on the source before: 'is unknown after a status 503 that does not say ...': "The value [503, "signature"] is not equal to [502, undefined]"; the same for 408 and 429.

--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -1,5 +1,6 @@
 /** Responds to callers with an upstream's response or the reason for its absence, and logs the outcome. */
 import * as foundation from "@mulberryseam/foundation";
+import * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
 import * as stream from "node:stream";
 import * as admission from "./admission";
@@ -39,6 +40,12 @@
     forward: (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse) => void;
 }
 
+/**
+ * Statuses that tell a caller that its request has not run. An upstream's response that is no refusal does not state that, so it is
+ * not forwarded with such a status to a caller whose request may run only once.
+ */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /**
  * Creates the responder of an instance.
  *
@@ -163,6 +170,12 @@
     };
 
     const forward = (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse): void => {
+        if (state.route.kind !== routing.RouteKind.idempotent && notRunStatuses.has(upstreamResponse.status)) {
+            upstreamResponse.rest?.destroy();
+            state.mayHaveRun = true;
+            fail(state, requestState.FailureReason.lost, 0);
+            return;
+        }
         state.isFinished = true;
         recordOutcome(state, upstreamResponse.status, "");
         const { response } = state;
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -73,6 +73,31 @@
             }],
         }, async ({ sendRequest }) => earl.expect((await sendRequest()).status).toEqual(502)));
 
+    for (const status of [408, 429, 503]) {
+        const failWithout: relayFixture.Behaviour = (request, response) => {
+            response.writeHead(status, {
+                "request-id": request.headers["request-id"],
+                "response-signature": "signature",
+                "content-length": 6,
+            });
+            response.end("failed");
+        };
+
+        test.it(`is unknown after a status ${status} that does not say that a request to run once has not run`, () =>
+            withRelay({ behaviours: [failWithout, failWithout] }, async fixture => {
+                const response = await fixture.sendRequest({ body: Buffer.from("order") });
+                earl.expect([response.status, response.headers["response-signature"]]).toEqual([502, undefined]);
+                earl.expect(sum(fixture.requestCounts())).toEqual(1);
+            }));
+
+        test.it(`is a status ${status} of the upstream, unchanged, if the request is idempotent`, () =>
+            withRelay({ behaviours: [failWithout], kind: routing.RouteKind.idempotent }, async ({ sendRequest }) => {
+                const { status: received, headers, body } = await sendRequest();
+                earl.expect([received, headers["response-signature"], body.toString()])
+                    .toEqual([status, "signature", "failed"]);
+            }));
+    }
+
     test.it("is never a truncated response that looks complete", () =>
         withRelay({
             behaviours: [(request, response) => {
