Reject responses with transfer or content encodings that are not the upstream's body, and status 101

Callers got a 200 with the upstream's signature whose body was not the upstream's: a transfer encoding other than chunked was removed with the header, and its body forwarded as it came (such a body also ends with the connection, which was not checked for a reset); a success with a content encoding, which callers do not ask for, was forwarded; 101 was forwarded as a final response.

A response is rejected (502, outcome unknown) if its transfer encoding is not exactly chunked, if it is a success with a content encoding, or if its status is below 200.

Evidence, malformedResponses.test.ts on the source before: 'with another transfer encoding is no success' and seven others: "The value [200, "signature"] is not equal to [502, undefined]" (101 in place of 200 for 'that switches protocols'). The other 27 malformed heads and bodies (lengths, chunks, folded lines, line feeds, heads in heads) were rejected before.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -96,9 +96,19 @@
 
 /** Returns why a response cannot be forwarded, or undefined if it can. */
 const findResponseFault = (response: http.IncomingMessage): string | undefined => {
-    const status = response.statusCode ?? 0;
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && response.headers[platform.HeaderName.signature] === undefined) {
+    const { headers, statusCode: status = 0 } = response;
+    if (status < 200) {
+        return "no final response";
+    }
+    const transferEncoding = headers["transfer-encoding"];
+    if (transferEncoding !== undefined && transferEncoding.toLowerCase() !== "chunked") {
+        return "unsupported transfer encoding";
+    }
+    const isSuccess = status < 300;
+    if (isSuccess && (headers["content-encoding"] ?? "identity") !== "identity") {
+        return "successful response with an encoded body";
+    }
+    if (isSuccess && headers[platform.HeaderName.signature] === undefined) {
         return "successful response without a signature";
     }
     return undefined;
