--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -11,6 +11,7 @@
 export type { EventName } from "./eventNames";
 export { hashText, rendezvousOrder } from "./hashing";
 export { hopByHopHeaders } from "./hopByHopHeaders";
+export { closeOnUnsolicitedData, destroyIfReset } from "./httpConnections";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
 export type { Logger } from "./logging";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -120,21 +120,6 @@
 /** Whether a response ends with its head, whatever the head says. */
 const isBodiless = (method: string, status: number): boolean => method === "HEAD" || status === 204 || status === 304;
 
-/**
- * Destroys a response without a length if its connection was reset: the reset ends the connection like a regular end if it
- * arrives together with data. Only a connection that was not reset still has a peer address; Node.js keeps an address that
- * was read earlier.
- */
-const destroyIfReset = (response: http.IncomingMessage): void => {
-    const { socket } = response;
-    // The parser, which listens for the same event, would complete the response.
-    socket.prependOnceListener("end", () => {
-        if (socket.remoteAddress === undefined) {
-            response.destroy(new Error("the connection was reset"));
-        }
-    });
-};
-
 /**
  * Starts an attempt: sends the request to the upstream and reads its response.
  *
@@ -243,7 +228,7 @@
                 && response.headers["transfer-encoding"] === undefined
                 && !isBodiless(options.method, response.statusCode ?? 0);
             if (isCloseDelimited) {
-                destroyIfReset(response);
+                foundation.destroyIfReset(response);
             }
             const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
                 ? findResponseFault(response)
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -1,4 +1,5 @@
 /** Keep-alive connections to one upstream. The newest is reused first; one that gets unsolicited data is closed. */
+import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
@@ -48,36 +49,24 @@
     const refusedIdentifiers = new WeakMap<net.Socket, Set<string>>();
     const hasRefused = (socket: net.Socket, requestIdentifier: string): boolean =>
         refusedIdentifiers.get(socket)?.has(requestIdentifier) === true;
-    const unsolicitedDataListeners = new WeakMap<net.Socket, () => void>();
     const keepSocketAlive = (socket: net.Socket): boolean => {
-        if ((refusedIdentifiers.get(socket)?.size ?? 0) >= maxRefusalsPerConnection) {
-            return false;
-        }
-        const onUnsolicitedData = (): void => {
-            socket.destroy();
-        };
-        unsolicitedDataListeners.set(socket, onUnsolicitedData);
-        socket.on("data", onUnsolicitedData);
         socket.setKeepAlive(true, 1000);
         socket.setTimeout(idleMilliseconds);
         socket.unref();
-        return true;
+        return (refusedIdentifiers.get(socket)?.size ?? 0) < maxRefusalsPerConnection;
     };
+    const { reuseSocket: originalReuseSocket } = agent as unknown as {
+        reuseSocket: (...parameters: unknown[]) => void;
+    };
+    const agentReuseSocket = originalReuseSocket.bind(agent);
     const reuseSocket = (socket: net.Socket, request: http.ClientRequest): void => {
-        const onUnsolicitedData = unsolicitedDataListeners.get(socket);
-        if (onUnsolicitedData !== undefined) {
-            socket.off("data", onUnsolicitedData);
-        }
         socket.setTimeout(0);
         // Removes the agent's own listener, which it adds each time a connection becomes idle.
         agentReuseSocket(socket, request);
     };
-    const { reuseSocket: originalReuseSocket } = agent as unknown as {
-        reuseSocket: (...parameters: unknown[]) => void;
-    };
-    const agentReuseSocket = originalReuseSocket.bind(agent);
     // The agent's hooks for idle connections, which are typed to accept any stream.
     Object.assign(agent, { keepSocketAlive, reuseSocket });
+    foundation.closeOnUnsolicitedData(agent);
     return {
         agent,
         agentFor: requestIdentifier => {
