--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -13,6 +13,7 @@
 export type { FailureBoundary } from "./failureBoundary";
 export { hashText, rendezvousOrder } from "./hashing";
 export { hopByHopHeaders } from "./hopByHopHeaders";
+export { closeOnUnsolicitedData, destroyIfReset } from "./httpConnections";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
 export type { Logger } from "./logging";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -2,10 +2,12 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as stream from "node:stream";
 import * as tsResults from "ts-results";
 import * as messageValidity from "./messageValidity";
 import type * as requestBody from "./requestBody";
+import * as requestState from "./requestState";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
 import * as upstreamNotice from "./upstreamNotice";
@@ -89,21 +91,34 @@
 const firstValue = (value: string | string[] | undefined): string | undefined =>
     Array.isArray(value) ? value[0] : value;
 
-/** Returns why a response cannot be forwarded, or undefined if it can. */
-const findResponseFault = (
+/**
+ * Whether a response certainly belongs to a request: it echoes the request's identifier, or answers the only request on its
+ * connection.
+ */
+const belongsTo = (
     response: http.IncomingMessage,
     requestIdentifier: string | undefined,
-): string | undefined => {
-    const status = response.statusCode ?? 0;
-    if (status < minFinalStatus || status > maxFinalStatus || !messageValidity.areHeadersValid(response.rawHeaders)) {
+    isOnlyRequest: boolean,
+): boolean => {
+    const echoedIdentifier = requestState.identifierOf(response);
+    return echoedIdentifier === undefined ? isOnlyRequest : echoedIdentifier === requestIdentifier;
+};
+
+/** Returns why a response cannot be forwarded, or undefined if it can. */
+const findResponseFault = (response: http.IncomingMessage): string | undefined => {
+    const { headers, rawHeaders, statusCode: status = 0 } = response;
+    if (status < minFinalStatus || status > maxFinalStatus || !messageValidity.areHeadersValid(rawHeaders)) {
         return "the response is malformed";
     }
-    const echoedIdentifier = firstValue(response.headers[platform.HeaderName.requestIdentifier]);
-    if (requestIdentifier !== undefined && echoedIdentifier !== undefined && echoedIdentifier !== requestIdentifier) {
-        return "the response belongs to another request";
+    const transferEncoding = headers["transfer-encoding"];
+    if (transferEncoding !== undefined && transferEncoding.toLowerCase() !== "chunked") {
+        return "unsupported transfer encoding";
+    }
+    const isSuccess = status < 300;
+    if (isSuccess && (headers["content-encoding"] ?? "identity") !== "identity") {
+        return "successful response with an encoded body";
     }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && response.headers[platform.HeaderName.signature] === undefined) {
+    if (isSuccess && headers[platform.HeaderName.signature] === undefined) {
         return "successful response without a signature";
     }
     return undefined;
@@ -112,22 +127,26 @@
 const isRefusal = (response: http.IncomingMessage): boolean =>
     response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
-/** Whether a response ends with its head, whatever the head says. */
-const isBodiless = (method: string, status: number): boolean => method === "HEAD" || status === 204 || status === 304;
+/** Whether only the end of the connection marks the end of a response. */
+const endsWithConnection = ({ headers, statusCode = 0 }: http.IncomingMessage, method: string): boolean => {
+    const isBodiless = method === "HEAD" || statusCode === 204 || statusCode === 304;
+    return !isBodiless && headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+};
 
-/**
- * Destroys a response without a length if its connection was reset: the reset ends the connection like a regular end if it
- * arrives together with data. Only a connection that was not reset still has a peer address; Node.js keeps an address that
- * was read earlier.
- */
-const destroyIfReset = (response: http.IncomingMessage): void => {
-    const { socket } = response;
-    // The parser, which listens for the same event, would complete the response.
-    socket.prependOnceListener("end", () => {
-        if (socket.remoteAddress === undefined) {
-            response.destroy(new Error("the connection was reset"));
-        }
-    });
+/** Applies what the head of a response says of the upstream and the connection; returns the upstream's load. */
+const applyHead = (
+    response: http.IncomingMessage,
+    { connections, onNotice }: AttemptOptions,
+): upstreamHealth.LoadReport | undefined => {
+    const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
+    if (notice !== undefined) {
+        onNotice?.(notice);
+    }
+    const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")?.[1];
+    if (keepAliveSeconds !== undefined) {
+        connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
+    }
+    return platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
 };
 
 /** Opens the request of an attempt; the error is the reason why nothing can be sent. */
@@ -140,7 +159,7 @@
         : ["Transfer-Encoding", "chunked"];
     try {
         return tsResults.Ok(http.request({
-            agent: connections.agent,
+            agent: connections.agentFor(options.requestIdentifier),
             host: options.host,
             port: options.port,
             method: options.method,
@@ -192,7 +211,10 @@
     }
     const request = opened.val;
     let isConnected = false;
+    let connection: net.Socket | undefined;
     let isNewConnection = false;
+    /** Whether a request with the same identifier was refused on the connection, where that refusal may arrive once more. */
+    let isRefusedConnection = false;
     let isFinished = false;
     const result = new Promise<AttemptResult>(resolve => {
         const finish = (attemptResult: AttemptResult): void => {
@@ -233,7 +255,10 @@
         request.on(
             "socket",
             guard(socket => {
+                connection = socket;
                 endTransfer = foundation.startTransfer(socket);
+                isRefusedConnection = options.requestIdentifier !== undefined
+                    && connections.hasRefused(socket, options.requestIdentifier);
                 if (!socket.connecting) {
                     isConnected = true;
                     return;
@@ -282,25 +307,16 @@
             "response",
             guard(response => {
                 currentResponse = response;
-                const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
-                if (notice !== undefined) {
-                    options.onNotice?.(notice);
-                }
-                const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
-                const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
-                    ?.[1];
-                if (keepAliveSeconds !== undefined) {
-                    connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
-                }
+                const report = applyHead(response, options);
                 const isRequestUnfinished = !request.writableFinished;
                 const hasLength = response.headers["content-length"] !== undefined;
-                const isCloseDelimited = !hasLength
-                    && response.headers["transfer-encoding"] === undefined
-                    && !isBodiless(options.method, response.statusCode ?? 0);
+                const isCloseDelimited = endsWithConnection(response, options.method);
                 if (isCloseDelimited) {
-                    destroyIfReset(response);
+                    foundation.destroyIfReset(response);
                 }
-                const fault = findResponseFault(response, options.requestIdentifier);
+                const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
+                    ? findResponseFault(response)
+                    : "the response may belong to another request";
                 if (fault !== undefined) {
                     response.on("error", () => undefined);
                     request.destroy();
@@ -335,6 +351,14 @@
                         request.socket?.destroy();
                     }
                     if (isRefusal(response)) {
+                        if (isRefusedConnection) {
+                            connection?.destroy();
+                            fail("the refusal may be an earlier one");
+                            return;
+                        }
+                        if (options.requestIdentifier !== undefined && connection !== undefined) {
+                            connections.onRefusal(connection, options.requestIdentifier);
+                        }
                         const isMisdirected = response.statusCode === misdirectedStatus;
                         finish({
                             kind: "notRun",
