Relay: hold off the requests to an upstream that refuses with 503 and a time

An upstream that turned a request away with 503 and `Retry-After` got further requests from the same instance at once: retries, probes, and requests that waited for a connection. Callers waited for refusals that were already certain.

Cause: `Retry-After` of an upstream was ignored. `holdOff.ts` now keeps, per incarnation, until when nothing is sent, with or without `Not-Executed`. Held-off upstreams are left out before the fallback to avoided ones and before probes; attempts without a connection are cancelled, also those in the agent's queue, which used to end only when a connection became free. If every upstream holds off, or the key's owner does, the caller is refused at once and told to return when the first of them takes requests again, one caller after another. A delegate's own refusal is not an upstream's.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -111,6 +111,10 @@
         if (notice.isLeaving) {
             leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
         }
+        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+            const milliseconds = Math.round(notice.holdOffMilliseconds);
+            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+        }
     };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -31,6 +31,7 @@
     "store-regained",
     "traffic",
     "upstream-draining",
+    "upstream-held-off",
     "upstream-leaving",
     "upstream-unreadable",
 ] as const;
--- a/packages/relay/src/admission.ts
+++ b/packages/relay/src/admission.ts
@@ -25,6 +25,8 @@
 const maxWaitOfSlackRatio = 0.8;
 /** Ratio of their remaining time up to which callers honour `Retry-After`. */
 const maxWaitRatio = 0.3;
+/** Largest ratio of a wait by which it is shortened or extended at random. */
+const maxJitter = 0.25;
 /** Shortest wait that is worth another connection, in milliseconds. */
 const minWaitMilliseconds = 40;
 
@@ -73,14 +75,17 @@
  * @param waitMilliseconds - expected time until a slot is free
  * @param remainingMilliseconds - time until the caller's deadline
  * @param randomFraction - a random number from 0 to 1, the jitter that keeps callers from retrying at the same time
+ * @param isMinimum - whether a retry before the end of the wait is certain to be refused
  * @returns the delay in milliseconds
  */
 export const retryAfterMilliseconds = (
     waitMilliseconds: number,
     remainingMilliseconds: number,
     randomFraction: number,
+    isMinimum = false,
 ): number => {
     const maxMilliseconds = Math.max(minWaitMilliseconds, remainingMilliseconds * maxWaitRatio);
-    const jitteredMilliseconds = Math.max(minWaitMilliseconds, waitMilliseconds) * (0.75 + 0.5 * randomFraction);
+    const jitterFactor = (isMinimum ? 1 : 1 - maxJitter) + 2 * maxJitter * randomFraction;
+    const jitteredMilliseconds = Math.max(minWaitMilliseconds, waitMilliseconds) * jitterFactor;
     return Math.min(maxMilliseconds, jitteredMilliseconds);
 };
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -128,9 +128,11 @@
             "keep-alive",
         ] as unknown as http.OutgoingHttpHeaders,
     });
+    let hasSocket = false;
     let isConnected = false;
     let isNewConnection = false;
     let isFinished = false;
+    let abort: (reason: string) => void = () => undefined;
     const result = new Promise<AttemptResult>(resolve => {
         const finish = (attemptResult: AttemptResult): void => {
             isFinished = true;
@@ -147,14 +149,22 @@
                     : { kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined },
             );
         };
+        abort = reason => {
+            request.destroy(new Error(reason));
+            // Without a connection yet, the request would end only when one becomes free.
+            if (!hasSocket) {
+                fail(reason);
+            }
+        };
         const startedAt = timers.now();
         let endTransfer: (() => foundation.Transfer) | undefined;
         const connectTimeout = timers.onDelay(options.connectTimeoutMilliseconds, () => {
             if (!isConnected) {
-                request.destroy(new Error("connection timeout"));
+                abort("connection timeout");
             }
         });
         request.on("socket", socket => {
+            hasSocket = true;
             endTransfer = foundation.startTransfer(socket);
             if (!socket.connecting) {
                 isConnected = true;
@@ -192,7 +202,10 @@
         });
         request.on("response", response => {
             currentResponse = response;
-            const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
+            const notice = upstreamNotice.parseNotice(
+                response.statusCode ?? 0,
+                name => firstValue(response.headers[name]),
+            );
             if (notice !== undefined) {
                 options.onNotice?.(notice);
             }
@@ -291,7 +304,7 @@
         result,
         cancel: reason => {
             if (!isFinished) {
-                request.destroy(new Error(reason));
+                abort(reason);
             }
         },
         mayHaveBeenSent: () => isConnected,
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -10,7 +10,7 @@
 import * as silence from "./silence";
 import * as upstreamHealth from "./upstreamHealth";
 import type * as upstreamNotice from "./upstreamNotice";
-import type * as upstreamPool from "./upstreamPool";
+import * as upstreamPool from "./upstreamPool";
 
 /** Configures a sender of attempts. */
 export interface AttemptSenderOptions {
@@ -36,6 +36,9 @@
 const silenceReason = "the upstream is silent";
 
 const healthSignalOf = (result: attempts.AttemptResult): upstreamHealth.HealthSignalValue => {
+    if (result.kind === "notRun" && result.reason === upstreamPool.holdOffReason) {
+        return upstreamHealth.HealthSignal.none;
+    }
     if (result.kind === "unknown" && result.reason === silenceReason) {
         return upstreamHealth.HealthSignal.silent;
     }
@@ -129,12 +132,14 @@
                 options.traffic.add(foundation.TrafficPurpose.request, pool.reachOf(target), transfer),
         });
         state.currentAttempt = attempt;
+        target.openAttempts.add(attempt);
         // A request that may run only once is not sent again, so its response is waited for.
         const silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
             ? abortIfSilent(state, target, outstandingAttempt, attempt)
             : undefined;
         const result = await attempt.result;
         silenceCheck?.cancel();
+        target.openAttempts.delete(attempt);
         state.currentAttempt = undefined;
         if (result.kind === "unknown") {
             state.mayHaveRun = true;
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -124,8 +124,8 @@
     };
 
     /** Passes on the notice of an upstream, unless the response is the delegate's own. */
-    const applyNotice = ({ rawHeaders }: attempts.UpstreamResponse): void => {
-        const notice = upstreamNotice.parseNotice(name => headerValue(rawHeaders, name));
+    const applyNotice = ({ status, rawHeaders }: attempts.UpstreamResponse): void => {
+        const notice = upstreamNotice.parseNotice(status, name => headerValue(rawHeaders, name));
         const upstream = headerValue(rawHeaders, delegatedRequest.upstreamHeader);
         if (
             notice === undefined || upstream === undefined
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -18,6 +18,8 @@
 export type { DelegationResult, Delegator, DelegatorOptions } from "./delegator";
 export { createEventLoopDelay, isOverloaded } from "./eventLoopDelay";
 export type { EventLoopDelay } from "./eventLoopDelay";
+export { createHoldOffs } from "./holdOff";
+export type { HoldOffs } from "./holdOff";
 export { createRelay } from "./relay";
 export type { DocumentInForce, Relay, RelayOptions } from "./relay";
 export type { FinishedRequest } from "./responder";
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -77,7 +77,7 @@
         const waitUntil = ownerWaitUntil(state);
         for (;;) {
             const selected = select(state);
-            if (selected.kind === "chosen" || !selected.isTransient || state.isFinished || timers.now() >= waitUntil) {
+            if (selected.kind !== "none" || !selected.isTransient || state.isFinished || timers.now() >= waitUntil) {
                 return selected;
             }
             await foundation.pause(timers, ownerPollMilliseconds);
@@ -121,16 +121,32 @@
             && admission.isAdmissible(input);
     };
 
-    const canSendAgain = (state: requestState.RequestState): boolean => {
+    /** Returns what would be selected now, without recording it. */
+    const preselect = (state: requestState.RequestState): selection.Selection => {
         const { decision } = state;
         const selected = select(state);
         state.decision = decision;
+        return selected;
+    };
+
+    const canSendAgain = (state: requestState.RequestState): boolean => {
+        const selected = preselect(state);
         return selected.kind === "chosen" && state.attemptCount < maxAttempts
             && state.triedUpstreams.size < state.route.maxAttempts
             && retryBudgetOf(state.service).canAcquire(timers.now())
             && isAccepted(state, selected.target, toAdmissionInput(state, selected.choice));
     };
 
+    /** Refuses a request until its upstream takes requests again; callers return one after another. */
+    const refuseHeldOff = (
+        state: requestState.RequestState,
+        { target, choice, holdOffMilliseconds }: Extract<selection.Selection, { kind: "heldOff"; }>,
+    ): void => {
+        const limit = admission.queueLimit(toAdmissionInput(state, choice));
+        const retryMilliseconds = holdOffMilliseconds + target.window.bookRetry(limit, timers.now());
+        responder.fail(state, requestState.FailureReason.heldOff, retryMilliseconds);
+    };
+
     const sendAttempt = attemptSender.createAttemptSender({ ...options, canSendAgain });
 
     const serveByAttempts = async (
@@ -147,6 +163,10 @@
                 responder.fail(state, selected.reason, selected.waitMilliseconds);
                 return;
             }
+            if (selected.kind === "heldOff") {
+                refuseHeldOff(state, selected);
+                return;
+            }
             const { target, choice } = selected;
             const input = toAdmissionInput(state, choice);
             const limit = admission.queueLimit(input);
@@ -166,6 +186,11 @@
                 responder.forward(state, result.response);
                 return;
             }
+            const next = preselect(state);
+            if (next.kind === "heldOff") {
+                refuseHeldOff(state, next);
+                return;
+            }
             if (!canRetry(state, result, isWhole)) {
                 responder.fail(
                     state,
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -12,6 +12,7 @@
     noUpstream: "no upstream is ready",
     noOwner: "no upstream owns the key",
     deadlineUnreachable: "no answer is expected in time",
+    heldOff: "upstreams want no requests for a time",
     noConnection: "no connection to an upstream is free",
     overloaded: "the instance is behind with its work",
     refused: "upstreams refused it",
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -120,7 +120,12 @@
         const status = state.mayHaveRun ? (isTimeout ? 504 : 502) : 503;
         recordOutcome(state, status, reason);
         const remaining = state.deadlineAt - timers.now();
-        const retryAfter = admission.retryAfterMilliseconds(waitMilliseconds, remaining, random.fraction());
+        const retryAfter = admission.retryAfterMilliseconds(
+            waitMilliseconds,
+            remaining,
+            random.fraction(),
+            reason === requestState.FailureReason.heldOff,
+        );
         const extraHeaders = [
             ...(status === 503 ? ["Retry-After", (retryAfter / 1000).toFixed(3)] : []),
             ...(state.isDelegated ? [delegatedRequest.failureHeader, reason] : []),
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -8,6 +8,13 @@
 /** Result of a selection. */
 export type Selection =
     | { kind: "chosen"; target: upstreamPool.PooledUpstream; choice: upstreamCost.Choice; }
+    /** Every upstream that could serve the request holds requests off; `target` takes them first, after a time. */
+    | {
+        kind: "heldOff";
+        target: upstreamPool.PooledUpstream;
+        choice: upstreamCost.Choice;
+        holdOffMilliseconds: number;
+    }
     | { kind: "none"; reason: requestState.FailureReasonValue; waitMilliseconds: number; isTransient: boolean; };
 
 /** Configures a selector. */
@@ -43,6 +50,16 @@
 export const createSelector = (options: SelectorOptions): (state: requestState.RequestState) => Selection => {
     const { pool, random } = options;
 
+    const toHeldOff = (state: requestState.RequestState, target: upstreamPool.PooledUpstream): Selection => {
+        const candidate = pool.toCandidate(target, state.estimatedBytes);
+        return {
+            kind: "heldOff",
+            target,
+            choice: upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice,
+            holdOffMilliseconds: pool.holdOffMilliseconds(target.upstream),
+        };
+    };
+
     const selectOwner = (state: requestState.RequestState, key: number): Selection => {
         const route = options.findOwner(state.service, key);
         if (route !== undefined && pool.keepsKeysAfterLeaving(route.owner)) {
@@ -66,6 +83,9 @@
                 isTransient: true,
             };
         }
+        if (pool.holdOffMilliseconds(target.upstream) > 0) {
+            return toHeldOff(state, target);
+        }
         const candidate = pool.toCandidate(target, state.estimatedBytes);
         const chosen = upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice;
         state.decision = toDecision(chosen, route?.token);
@@ -82,6 +102,10 @@
 
     const selectAny = (state: requestState.RequestState): Selection => {
         const usable = pool.usable(state.service);
+        const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service) : undefined;
+        if (firstHeldOff !== undefined) {
+            return toHeldOff(state, firstHeldOff);
+        }
         const untried = usable.filter(target => !state.triedUpstreams.has(target.upstream.identifier));
         const available = (untried.length > 0 ? untried : usable).filter(target =>
             !pool.isConnectionUnavailable(target)
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -1,7 +1,9 @@
 /** The upstreams that an instance sends requests to, with the health of each and the connections to it. */
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
+import type * as attempts from "./attempt";
 import * as concurrencyWindow from "./concurrencyWindow";
+import * as holdOff from "./holdOff";
 import * as upstreamConnections from "./upstreamConnections";
 import * as upstreamCost from "./upstreamCost";
 import * as upstreamHealth from "./upstreamHealth";
@@ -12,6 +14,8 @@
     health: upstreamHealth.UpstreamHealth;
     connections: upstreamConnections.UpstreamConnections;
     window: concurrencyWindow.ConcurrencyWindow;
+    /** Attempts without a result. */
+    openAttempts: Set<attempts.Attempt>;
     region: string;
 }
 
@@ -35,8 +39,17 @@
 export interface UpstreamPool {
     /** Current time of the pool's clock, in milliseconds. */
     now: () => number;
-    /** Returns the upstreams of a service that can get new requests; avoided ones only if there are no others. */
+    /**
+     * Returns the upstreams of a service that can get new requests: avoided ones only if there are no others, and none that is
+     * leaving or holds requests off.
+     */
     usable: (service: string) => PooledUpstream[];
+    /** Holds off the requests to an upstream for a time, also those that wait for a connection. Returns whether it is longer than known. */
+    holdOff: (incarnation: routing.Incarnation, milliseconds: number) => boolean;
+    /** Returns the time until an upstream takes requests again, in milliseconds; 0 if it does so now. */
+    holdOffMilliseconds: (incarnation: routing.Incarnation) => number;
+    /** Returns the upstream that takes requests first if every upstream of a service holds them off; undefined otherwise. */
+    firstHeldOff: (service: string) => PooledUpstream | undefined;
     /** Finds an upstream that can still get requests for its keys. */
     find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
     /** Whether an upstream may get requests, as far as this instance knows. */
@@ -68,6 +81,8 @@
     collectServiceTimes: (services: readonly string[]) => [string, number][];
 }
 
+/** Why attempts without a connection end when their upstream wants no requests. */
+export const holdOffReason = "the upstream wants no requests";
 /** Service time assumed before the first response of any upstream of a service, in milliseconds. */
 export const assumedServiceMilliseconds = 120;
 /** Round-trip times to another region and within a region assumed before the first connection, in milliseconds. */
@@ -108,6 +123,7 @@
     /** Service time of the measured upstreams of each service, for those that are not measured. */
     const typicalServiceTimes = new Map<string, number>();
     const refusingServices = new Set<string>();
+    const holdOffs = holdOff.createHoldOffs();
     const ownRegion = regions[options.failureDomain];
     /** Returns this instance's portion of a ratio of the connections that one upstream of a service accepts. */
     const connectionPortion = (service: string, ratio: number): number =>
@@ -133,6 +149,7 @@
                 upstream.slots,
                 () => options.sharerCount(upstream.service),
             ),
+            openAttempts: new Set<attempts.Attempt>(),
             region: regions[upstream.failureDomain] ?? "",
         };
         pooledUpstreams.set(upstream.identifier, created);
@@ -171,16 +188,40 @@
         return entry?.upstream.startedAt === startedAt && entry.leavingSince !== undefined
             && now() - entry.leavingSince > options.leavingGraceMilliseconds();
     };
+    const holdOffMilliseconds = (incarnation: routing.Incarnation): number =>
+        holdOffs.remainingMilliseconds(incarnation, now());
+    const listReady = (service: string): PooledUpstream[] =>
+        directory.findByService(service)
+            .filter(entry => entry.leavingSince === undefined)
+            .map(entry => getOrCreate(entry.upstream));
     return {
         now,
-        mayReceive: incarnation => !hasLeft(incarnation),
+        mayReceive: incarnation => !hasLeft(incarnation) && holdOffMilliseconds(incarnation) === 0,
         keepsKeysAfterLeaving: incarnation => hasLeft(incarnation) && !directory.isStoreReachable(),
         usable: service => {
-            const ready = directory.findByService(service).filter(entry => entry.leavingSince === undefined);
-            const all = ready.map(entry => getOrCreate(entry.upstream));
+            const all = listReady(service).filter(pooled => holdOffMilliseconds(pooled.upstream) === 0);
             const responsive = all.filter(pooled => !pooled.health.isAvoided(now()));
             return responsive.length > 0 ? responsive : all;
         },
+        holdOff: (incarnation, milliseconds) => {
+            const isLonger = holdOffs.onRefusal(incarnation, milliseconds, now());
+            const pooled = pooledUpstreams.get(incarnation.identifier);
+            if (pooled?.upstream.startedAt === incarnation.startedAt) {
+                [...pooled.openAttempts].filter(attempt => !attempt.mayHaveBeenSent()).forEach(attempt =>
+                    attempt.cancel(holdOffReason)
+                );
+            }
+            return isLonger;
+        },
+        holdOffMilliseconds,
+        firstHeldOff: service => {
+            const ready = listReady(service).map(pooled => ({
+                pooled,
+                milliseconds: holdOffMilliseconds(pooled.upstream),
+            }));
+            const [first] = ready.sort((left, right) => left.milliseconds - right.milliseconds);
+            return first === undefined || first.milliseconds === 0 ? undefined : first.pooled;
+        },
         find: (identifier, startedAt) => {
             const entry = directory.find(identifier);
             if (entry === undefined || entry.upstream.startedAt !== startedAt) {
@@ -223,6 +264,7 @@
                 || (isQueueLong && !target.connections.hasIdle());
         },
         prune: () => {
+            holdOffs.prune(now());
             for (const [identifier, { connections, health }] of pooledUpstreams) {
                 if (directory.find(identifier) === undefined && health.outstandingCount() === 0) {
                     connections.close();
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -267,7 +267,17 @@
         });
     });
 
-    test.it("tells the delegating instance which upstream is leaving, and is not delegated to it later", async () => {
+    test.it("ends at the upstream when the caller leaves", async () => {
+        await withPair({ secondBehaviour: () => undefined }, async ({ first, second }) => {
+            await first.sendAndDisconnect(100, 8);
+            await virtualTime.waitUntil(() => second.abortedCounts()[0] === 1);
+            earl.expect(second.openRequestCount()).toEqual(0);
+        });
+    });
+});
+
+test.describe("what an upstream says of itself in the response to a delegated request", () => {
+    test.it("that it is leaving, reaches the delegating instance, which delegates no more requests to it", async () => {
         const secondBehaviour: relayFixture.Behaviour = (request, response) => {
             response.writeHead(200, {
                 "request-id": request.headers["request-id"],
@@ -294,11 +304,22 @@
         });
     });
 
-    test.it("ends at the upstream when the caller leaves", async () => {
-        await withPair({ secondBehaviour: () => undefined }, async ({ first, second }) => {
-            await first.sendAndDisconnect(100, 8);
-            await virtualTime.waitUntil(() => second.abortedCounts()[0] === 1);
-            earl.expect(second.openRequestCount()).toEqual(0);
+    test.it("that it wants none for a time, holds off the requests of the delegate only", async () => {
+        const secondBehaviour: relayFixture.Behaviour = (request, response) => {
+            response.writeHead(503, {
+                "request-id": request.headers["request-id"],
+                "not-executed": "1",
+                "retry-after": "60",
+                "content-length": 0,
+            });
+            response.end();
+        };
+        await withPair({ secondBehaviour }, async ({ first, second }) => {
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect(second.requestCounts()).toEqual([1]);
+            await second.dispose();
+            earl.expect((await first.sendRequest({ key: 8 })).body.toString()).toEqual("first");
         });
     });
 });
