Leader: move the keys of an upstream that announces that it is leaving

Callers with keys of such an upstream were refused once its time for requests was over: the leader did not know of the announcement unless its own instance had got one, so the keys stayed with the upstream until the registry or its end said so.

Followers now report the leaving upstreams at once and with each report (field `leaving`, optional: instances that do not know it ignore it), so a new leader learns of them too. The leader also reads the announcement in the responses to its own lease commands. It marks the incarnation as leaving, which excludes it from the candidates, and plans at once; a plan requested during a commit is no longer forgotten. The keys are released with their handover while the upstream still serves.

Evidence: with both sources of knowledge disabled, entry/test/ownership.test.ts "moves the keys of an upstream that is leaving" failed for both: 16384 is not equal to 0.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -60,6 +60,7 @@
     );
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     let isIsolated = false;
@@ -87,6 +88,7 @@
         random,
         log,
         keyedServices,
+        leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
@@ -106,7 +108,6 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
-    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const onNotice: relay.NoticeHandler = (incarnation, notice) => {
         if (notice.isLeaving) {
             leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -9,6 +9,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as leaseCommandSender from "./leaseCommandSender";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as ownershipReader from "./ownershipReader";
 import * as ownershipWriter from "./ownershipWriter";
 
@@ -17,6 +18,7 @@
     store: platform.StoreClient;
     leaseClient: platform.LeaseClient;
     directory: routing.UpstreamDirectory;
+    leaving: leavingUpstreams.LeavingUpstreams;
     timers: foundation.TimerService;
     log: foundation.EventLog;
     /** This instance's leader record, as appended to the topic. */
@@ -40,6 +42,8 @@
     /** Runs all work that is due; called every few tens of milliseconds. */
     tick: () => void;
     onReport: (report: protocol.FollowerReport) => void;
+    /** Plans the assignment anew at the next {@link LeaderSession.tick}. */
+    planNow: () => void;
     /** Messages with the routing of every key, sent to a follower when it joins. */
     routingMessages: () => protocol.RoutingMessage[];
     /** Resigns leadership, so that a successor need not wait for the leader lease to expire. */
@@ -111,6 +115,22 @@
     };
 };
 
+/** Records the requested keys and the service times that a follower reports. */
+const recordLoad = (
+    { samples, speeds }: protocol.FollowerReport,
+    services: ReadonlyMap<string, KeyedService>,
+    serviceTimes: Map<string, number>,
+): void => {
+    for (const { service, keys, weight } of samples) {
+        const keyedService = services.get(service);
+        keys.forEach(key => keyedService?.load.add(key, weight));
+    }
+    for (const [identifier, milliseconds] of speeds) {
+        const previous = serviceTimes.get(identifier) ?? milliseconds;
+        serviceTimes.set(identifier, previous + (milliseconds - previous) * serviceTimeSmoothing);
+    }
+};
+
 /**
  * Starts a leader session.
  *
@@ -158,6 +178,7 @@
             services.forEach(({ leaseManager }) => leaseManager.onOwnerTerminated(owner));
             nextCommitAt = timers.now();
         },
+        onLeaving: owner => options.leaving.learn(owner, leavingUpstreams.LeavingSource.command),
         isStopped: () => isStopped,
     });
     const writer = ownershipWriter.createOwnershipWriter({
@@ -262,10 +283,13 @@
 
     const runCommit = async (): Promise<void> => {
         isCommitting = true;
+        nextCommitAt = Infinity;
         try {
             await commit();
             const needsImmediateCommit = writer.needsRead() || writer.hasUnconfirmedPlans();
-            nextCommitAt = timers.now() + (needsImmediateCommit ? 0 : rebalanceIntervalMilliseconds);
+            const delayMilliseconds = needsImmediateCommit ? 0 : rebalanceIntervalMilliseconds;
+            // Another commit may have been requested meanwhile.
+            nextCommitAt = Math.min(nextCommitAt, timers.now() + delayMilliseconds);
         }
         catch (error) {
             log.write("ownership-read-failed", { reason: (error as Error).message });
@@ -303,15 +327,12 @@
                 }
             }
         },
+        planNow: () => {
+            nextCommitAt = timers.now();
+        },
         onReport: report => {
-            for (const { service, keys, weight } of report.samples) {
-                const keyedService = services.get(service);
-                keys.forEach(key => keyedService?.load.add(key, weight));
-            }
-            for (const [identifier, milliseconds] of report.speeds) {
-                const previous = serviceTimes.get(identifier) ?? milliseconds;
-                serviceTimes.set(identifier, previous + (milliseconds - previous) * serviceTimeSmoothing);
-            }
+            options.leaving.learnReported(report);
+            recordLoad(report, services, serviceTimes);
         },
         routingMessages: () =>
             [...services].map(([service, { leaseManager }]) => createRoutingMessage(service, leaseManager.routing())),
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -10,6 +10,8 @@
     log: foundation.EventLog;
     /** Called once for each incarnation of an upstream that is known to have terminated. */
     onTerminated: (owner: assignment.Owner) => void;
+    /** Called for each response in which an upstream announces that it is leaving. */
+    onLeaving: (owner: assignment.Owner) => void;
     /** Whether the session has stopped, so that responses are ignored. */
     isStopped: () => boolean;
 }
@@ -83,6 +85,9 @@
                     return;
                 }
                 detectTermination(owner, response);
+                if (response.isLeaving) {
+                    options.onLeaving(owner);
+                }
                 leaseManager.onOutcome(command, outcomes[response.result], response.handover, timers.now());
                 if (
                     command.kind === assignment.CommandKind.release || response.result !== platform.CommandResult.done
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -10,6 +10,7 @@
 import * as keyRouting from "./keyRouting";
 import * as leaderLink from "./leaderLink";
 import * as leaderSession from "./leaderSession";
+import type * as leavingUpstreams from "./leavingUpstreams";
 import type * as ownershipReader from "./ownershipReader";
 import * as ownershipWatch from "./ownershipWatch";
 import type * as topicExchange from "./topicExchange";
@@ -19,6 +20,7 @@
     settings: platform.InstanceSettings;
     store: platform.StoreClient;
     directory: routing.UpstreamDirectory;
+    leaving: leavingUpstreams.LeavingUpstreams;
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
@@ -96,6 +98,25 @@
         addTraffic(foundation.TrafficPurpose.leaseCommand, failureDomain, transfer);
     });
 
+const collectReport = (
+    { leaving, keyedServices, collectServiceTimes }: OwnershipTaskOptions,
+    sampler: keyRequestSampler.KeyRequestSampler,
+): protocol.FollowerReport => {
+    const leavingUpstreams = leaving.collectReport(keyedServices());
+    const report = sampler.collectReport(collectServiceTimes());
+    return leavingUpstreams.length > 0 ? { ...report, leaving: leavingUpstreams } : report;
+};
+
+const callAtInterval = (
+    timers: foundation.TimerService,
+    owner: foundation.Owner,
+    milliseconds: number,
+    callback: () => void,
+): void => {
+    const subscription = timers.onInterval(milliseconds, callback);
+    owner.onCleanup(() => subscription.cancel());
+};
+
 /**
  * Starts the ownership task.
  *
@@ -208,6 +229,7 @@
             store,
             leaseClient,
             directory: options.directory,
+            leaving: options.leaving,
             timers,
             log,
             record,
@@ -273,23 +295,19 @@
     };
 
     const sendReport = (): void => {
-        const report = sampler.collectReport(options.collectServiceTimes());
-        if (session !== undefined) {
-            session.onReport(report);
-        }
-        else {
-            link.send(report);
-        }
+        const send = session === undefined ? link.send : session.onReport;
+        send(collectReport(options, sampler));
     };
+    // The leader moves the keys of a leaving upstream while it still serves them.
+    options.leaving.onLearned(() => {
+        sendReport();
+        session?.planNow();
+    });
 
     owner.onCleanup(() => link.close());
-    const callAtInterval = (interval: number, callback: () => void): void => {
-        const subscription = timers.onInterval(interval, callback);
-        owner.onCleanup(() => subscription.cancel());
-    };
-    callAtInterval(tickIntervalMilliseconds, tick);
-    callAtInterval(heartbeatIntervalMilliseconds, followers.sendHeartbeat);
-    callAtInterval(reportIntervalMilliseconds, sendReport);
+    callAtInterval(timers, owner, tickIntervalMilliseconds, tick);
+    callAtInterval(timers, owner, heartbeatIntervalMilliseconds, followers.sendHeartbeat);
+    callAtInterval(timers, owner, reportIntervalMilliseconds, sendReport);
 
     return {
         findOwner: keyOwners.findOwner,
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -72,7 +72,9 @@
     const records = [{ key: "upstream-1", value: Buffer.from("entry"), offset: 6 }];
     let confirmationAge = 0;
     const transferredBytes = new Map<string, number>();
+    const reports: protocol.FollowerReport[] = [];
     const session = {
+        onReport: (report: protocol.FollowerReport) => reports.push(report),
         term: 1,
         acknowledgedRecordNumber: () => 1,
         confirmationAge: () => confirmationAge,
@@ -160,6 +162,17 @@
         });
     });
 
+    test.it("report the upstreams that are leaving to the leader", async () => {
+        await withLeader(async ({ join }) => {
+            const { link } = join("first", "north-a");
+            await waitFor(() => link.isLeaderHealthy());
+            const leaving = [{ identifier: "upstream-1", startedAt: 1786661537573, age: 120 }];
+            link.send({ kind: "report", samples: [], speeds: [], leaving });
+            await waitFor(() => reports.length === 1);
+            earl.expect(reports[0].leaving).toEqual(leaving);
+        });
+    });
+
     test.it("know how long ago the store responded to the leader, however often they hear from it", async () => {
         await withLeader(async ({ join }) => {
             const { link } = join("first", "north-a");
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -80,6 +80,25 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    const announcements: [string, (simulation: ownershipSimulation.OwnershipSimulation) => void][] = [
+        ["a follower", simulation => simulation.reportLeaving(0)],
+        ["the response to a lease command", simulation => simulation.announceLeaving(0)],
+    ];
+    for (const [source, announce] of announcements) {
+        test.it(`moves the keys of an upstream that is leaving according to ${source}, before the registry says so`, async () => {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
+            await simulation.run(6000);
+            earl.expect(simulation.heldKeyCountOf(0) > 0).toEqual(true);
+            announce(simulation);
+            await simulation.run(assignment.renewalIntervalMilliseconds + 1000);
+            earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            await simulation.run(2000);
+            earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+            earl.expect(simulation.violations()).toEqual([]);
+        });
+    }
+
     for (let seed = firstSeed; seed < firstSeed + runCount; seed += 1) {
         test.it(`never has two owners for a key under random faults, seed ${seed}`, async () => {
             // In every second run, a leader's successor knows the last record only from a slow read.
--- a/packages/entry/test/wholePath.test.ts
+++ b/packages/entry/test/wholePath.test.ts
@@ -110,7 +110,53 @@
         }),
     );
 
+/** Default of the platform's drain time, in milliseconds. */
+const drainMilliseconds = 2500;
+
 test.describe("two instances on the platform", () => {
+    test.it("move the keys of an upstream that announces that it is leaving, and then send it no request", async () => {
+        const owner = foundation.createOwner();
+        const store = await emulator.startEmulatedStore(owner);
+        const arrivals: emulator.EmulatedArrival[] = [];
+        const upstreams = [
+            await emulator.startEmulatedUpstream("upstream-1", owner, { onArrival: arrival => arrivals.push(arrival) }),
+            await emulator.startEmulatedUpstream("upstream-2", owner),
+        ];
+        store.put("keyed.op", "config", JSON.stringify(document));
+        upstreams.forEach(upstream => register(store, upstream));
+        const hosts = ["127.0.0.1", "127.0.0.2"];
+        const [peerPort] = await site.reservePorts(1);
+        const instances = await Promise.all(hosts.map(host => startInstance(host, peerPort, store.port)));
+        try {
+            const keys = [0, 300, 20_000, 45_000, 65_535];
+            const areKeysServed = async (): Promise<boolean> => {
+                const statuses = await Promise.all(
+                    instances.flatMap((instance, index) => keys.map(key => requestKey(hosts[index], instance, key))),
+                );
+                return statuses.every(status => status === 200);
+            };
+            await waitUntil(areKeysServed);
+            earl.expect(keys.some(key => upstreams[0].ownsKey(key))).toEqual(true);
+
+            upstreams[0].setMode(emulator.UpstreamMode.leaving);
+            await waitUntil(async () => await areKeysServed() && keys.every(key => upstreams[1].ownsKey(key)));
+            const announcements = arrivals.filter(arrival => arrival.isLeaving).map(arrival => arrival.answeredAt ?? 0);
+            // The leader may also have learned of it before any request did.
+            const announcedAt = Math.min(performance.now(), ...announcements);
+            await waitUntil(async () => {
+                await areKeysServed();
+                return performance.now() > announcedAt + drainMilliseconds + 1000;
+            });
+            earl.expect(await areKeysServed()).toEqual(true);
+            const late = arrivals.filter(({ arrivedAt }) => arrivedAt > announcedAt + drainMilliseconds);
+            earl.expect(late.length).toEqual(0);
+        }
+        finally {
+            instances.forEach(instance => instance.process.kill("SIGKILL"));
+            await owner.dispose();
+        }
+    });
+
     test.it("own every key exactly once, serve every key after each loss, and stop on SIGTERM", async () => {
         const owner = foundation.createOwner();
         const store = await emulator.startEmulatedStore(owner);
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -66,6 +66,7 @@
     "members",
     "delegate",
     "content",
+    "leaving",
 ] as const;
 
 const codec = new cbor.Encoder({
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -34,6 +34,8 @@
     port: zod.int(),
 });
 
+const leavingUpstreamSchema = zod.object({ identifier: zod.string(), startedAt: zod.number(), age: zod.number() });
+
 const topicPositionSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
 
 const delegateSchema = zod.object({ identifier: zod.string(), host: zod.string(), port: zod.int() });
@@ -103,6 +105,8 @@
         samples: zod.array(zod.object({ service: zod.string(), keys: zod.array(zod.int()), weight: zod.number() })),
         /** Service time of each upstream measured since the last report, in milliseconds. */
         speeds: zod.array(zod.tuple([zod.string(), zod.number()])),
+        /** Registered upstreams that have announced that they are leaving, and how long ago this became known, in milliseconds. */
+        leaving: zod.array(leavingUpstreamSchema).optional(),
     }),
     zod.object({ kind: zod.literal(RoutingMessageKind.resigned) }),
     /** The instances of the follower's failure domain that accept requests of each other; sent after each change. */
--- a/packages/protocol/test/protocol.test.ts
+++ b/packages/protocol/test/protocol.test.ts
@@ -55,6 +55,18 @@
         socket.on("close", () => resolve(responses));
     });
 
+test.describe("a routing message", () => {
+    test.it("is accepted without fields that were added later, and with fields that are not known yet", () => {
+        const report = { kind: "report", samples: [], speeds: [] };
+        earl.expect(protocol.parseRoutingMessage(report).unwrap()).toEqual(
+            { kind: "report", samples: [], speeds: [] },
+        );
+        // A field name that an instance does not know yet is decoded as its number.
+        const [frame] = protocol.createFrameDecoder().push(protocol.encodeFrame({ ...report, 9999: [1] })).unwrap();
+        earl.expect(protocol.parseRoutingMessage(frame).ok).toEqual(true);
+    });
+});
+
 test.describe("frames", () => {
     test.it("are decoded from chunks of any size", () => {
         const property = fastCheck.property(
