--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -55,6 +55,37 @@
     });
 });
 
+test.describe("a pool", () => {
+    test.it("cancels the attempts without a connection to an upstream that wants no requests, and no others", () => {
+        const directory = routing.createUpstreamDirectory();
+        directory.onEntry(relayFixture.createUpstream("a", 1, 1), 0);
+        const pool = relay.createUpstreamPool({
+            directory,
+            now: () => 0,
+            failureDomain: "north-a",
+            regions: { "north-a": "north" },
+            connectionLimit: () => 100,
+            sharerCount: () => 1,
+            leavingGraceMilliseconds: () => 1500,
+        });
+        const cancelled: string[] = [];
+        const createAttempt = (name: string, mayHaveBeenSent: boolean): relay.Attempt => ({
+            result: new Promise(() => undefined),
+            cancel: () => cancelled.push(name),
+            mayHaveBeenSent: () => mayHaveBeenSent,
+        });
+        const [pooled] = pool.usable("orders");
+        pooled.openAttempts.add(createAttempt("connecting", false)).add(createAttempt("sent", true));
+        earl.expect(pool.holdOff({ identifier: "a", startedAt: 0 }, 1000)).toEqual(true);
+        earl.expect(cancelled).toEqual([]);
+        earl.expect(pool.holdOff({ identifier: "a", startedAt: 1 }, 1000)).toEqual(true);
+        earl.expect(cancelled).toEqual(["connecting"]);
+        earl.expect(pool.usable("orders")).toEqual([]);
+        earl.expect(pool.firstHeldOff("orders")?.upstream.identifier).toEqual("a");
+        earl.expect(pool.mayReceive({ identifier: "a", startedAt: 1 })).toEqual(false);
+    });
+});
+
 test.describe("a refused caller", () => {
     test.it("is not told to return before an upstream takes requests", () => {
         for (const fraction of [0, 0.5, 1]) {
