--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -62,6 +62,7 @@
     );
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     let isIsolated = false;
@@ -91,6 +92,7 @@
         log,
         failures,
         keyedServices,
+        leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
@@ -110,11 +112,14 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
-    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const onNotice: relay.NoticeHandler = (incarnation, notice) => {
         if (notice.isLeaving) {
             leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
         }
+        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+            const milliseconds = Math.round(notice.holdOffMilliseconds);
+            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+        }
     };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
