Soak: improper input and series of planned operations

The faults of the incident were out of the soak's reach: its upstreams sent only proper responses, its registry held only proper entries, its links never refused, and its callers waited for every response. New kinds of faults, in schedules with random numbers of their own so that earlier seeds keep theirs: odd registry entries, malformed responses, links that refuse, unusual callers, and series of documents, settings files and signals. New checks: a request that was passed on gets a response, runs only at services that a version names, and is not rejected as wrong when every version allows it.

They are listed as regressions; the short runs of the tests leave the kinds of improper input out until these are fixed.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -2,6 +2,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as malformedAnswers from "./malformedAnswers";
 
 /** How an emulated upstream handles requests; it obeys lease commands in every mode. */
 export const UpstreamMode = {
@@ -10,6 +11,8 @@
     silent: "silent",
     /** Executes nothing and sends bytes without end. */
     endless: "endless",
+    /** Executes requests, and sends some of the responses malformed. */
+    malformed: "malformed",
 } as const;
 
 /** A value of {@link UpstreamMode}. */
@@ -43,6 +46,8 @@
     serviceTimeMilliseconds?: () => number;
     /** Called when the execution of a request starts. */
     onExecution?: (execution: EmulatedExecution) => void;
+    /** Chooses the responses that are malformed. */
+    random?: foundation.Random;
 }
 
 interface HeldRange {
@@ -80,6 +85,8 @@
 ): Promise<EmulatedUpstream> => {
     let heldRanges: HeldRange[] = [];
     const appliedCommands: HeldRange[] = [];
+    const lastIdentifiers = new WeakMap<net.Socket, string>();
+    const random = options.random ?? foundation.createRandom(0);
     let executionCount = 0;
     let mode: UpstreamModeValue = UpstreamMode.serving;
     const ownsKey = (key: number): boolean =>
@@ -97,8 +104,18 @@
         headers: http.OutgoingHttpHeaders,
         text = "",
     ): void => {
-        response.writeHead(status, { ...headers, "content-length": text.length });
-        response.end(text);
+        const socket = response.socket ?? undefined;
+        const send = (): void => {
+            response.writeHead(status, { ...headers, "content-length": text.length });
+            response.end(text);
+        };
+        if (mode !== UpstreamMode.malformed || socket === undefined || socket.destroyed) {
+            send();
+            return;
+        }
+        const earlierIdentifier = lastIdentifiers.get(socket);
+        lastIdentifiers.set(socket, String(headers["request-id"]));
+        malformedAnswers.sendMalformedAnswer(socket, { status, headers, text, earlierIdentifier, send }, random);
     };
     const sendEndlessly = (response: http.ServerResponse, headers: http.OutgoingHttpHeaders): void => {
         response.writeHead(200, headers);
@@ -126,7 +143,11 @@
         request.on("data", chunk => chunks.push(chunk as Buffer));
         request.on("end", () => {
             const targetInstance = request.headers["target-instance"];
-            const commonHeaders = { "request-id": request.headers["request-id"], "server-load": "0,0,4" };
+            const echoedIdentifier = request.headers["request-id"];
+            const commonHeaders = {
+                ...(echoedIdentifier === undefined ? {} : { "request-id": echoedIdentifier }),
+                "server-load": "0,0,4",
+            };
             if (targetInstance !== undefined && targetInstance !== identifier) {
                 sendResponse(response, misdirectedStatus, commonHeaders);
                 return;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,11 +1,14 @@
 /** Simulated callers that send requests at a constant rate and reuse open connections until the instance's process exits. */
 import type * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
+import * as documents from "./documents";
 import type * as invariantChecker from "./invariantChecker";
 
 /** Configures the callers. */
 export interface CallersOptions {
     random: foundation.Random;
+    /** Chooses the requests on routes that only some versions of the document have. */
+    additionalRandom: foundation.Random;
     /** Returns the names and addresses of the instances that currently accept callers. */
     instances: () => readonly { name: string; host: string; port: number; }[];
     requestsPerSecond: number;
@@ -17,12 +20,16 @@
 export interface Callers {
     /** Returns the records of completed requests, including failed ones. */
     records: () => readonly invariantChecker.CallerRecord[];
+    /** Adds the record of a request that was sent on a connection of its own. */
+    addRecord: (record: invariantChecker.CallerRecord) => void;
     /** Stops sending and waits for all pending requests to complete. */
     stop: () => Promise<void>;
 }
 
 /** Fraction of requests sent as POST; the others are GET requests with a key. */
 const postRatio = 0.4;
+/** Requests on routes that only some versions of the document have, as a fraction of the others. */
+const additionalRatio = 0.1;
 const deadlineMilliseconds = 1500;
 /** Socket timeout of a caller, in milliseconds; longer than any wait that the product's guarantees permit. */
 const maxWaitMilliseconds = 8000;
@@ -37,13 +44,13 @@
  * @returns the handle that exposes the records and stops the callers
  */
 export const startCallers = (options: CallersOptions): Callers => {
-    const { random, now } = options;
+    const { now } = options;
     const records: invariantChecker.CallerRecord[] = [];
     const pendingRequests = new Set<Promise<void>>();
     const agent = new http.Agent({ keepAlive: true });
     let requestCount = 0;
 
-    const sendRequest = (): Promise<void> =>
+    const sendRequest = (random: foundation.Random, choosePath: (isPost: boolean) => string): Promise<void> =>
         new Promise(resolve => {
             const instances = options.instances();
             const instance = instances[random.below(Math.max(1, instances.length))];
@@ -56,10 +63,13 @@
             const record: invariantChecker.CallerRecord = {
                 identifier: `request-${requestCount}`,
                 method: isPost ? "POST" : "GET",
+                path: choosePath(isPost),
                 instance: instance.name,
                 sentAt: now(),
                 endedAt: 0,
                 status: 0,
+                hasResponse: false,
+                isUnusual: false,
                 echoedIdentifier: undefined,
                 isSigned: false,
                 body: "",
@@ -76,7 +86,7 @@
                 host: instance.host,
                 port: instance.port,
                 method: record.method,
-                path: isPost ? "/orders/1" : "/records/1",
+                path: record.path,
                 headers: {
                     "host": "site.example",
                     "request-id": record.identifier,
@@ -84,6 +94,7 @@
                     ...(isPost ? { "content-length": 5 } : { "shard-key": random.below(options.keyCount) }),
                 },
             }, response => {
+                record.hasResponse = true;
                 response.on("data", chunk => {
                     record.body += String(chunk);
                 });
@@ -102,15 +113,29 @@
             request.end(isPost ? "order" : undefined);
         });
 
-    const timer = setInterval(() => {
-        const pendingRequest = sendRequest();
+    const { keyed, unkeyed, additionalKeyed } = documents.ServiceName;
+    const choosePermanentPath = (isPost: boolean): string => `/${isPost ? unkeyed : keyed}/1`;
+    const chooseAdditionalPath = (): string =>
+        options.additionalRandom.below(2) === 0
+            ? `/${additionalKeyed}/1`
+            : `${documents.additionalPrefix(options.additionalRandom.below(documents.additionalRouteCount))}1`;
+    const trackRequest = (pendingRequest: Promise<void>): void => {
         pendingRequests.add(pendingRequest);
         void pendingRequest.then(() => pendingRequests.delete(pendingRequest));
+    };
+    const timer = setInterval(() => {
+        trackRequest(sendRequest(options.random, choosePermanentPath));
+        if (options.additionalRandom.fraction() < additionalRatio) {
+            trackRequest(sendRequest(options.additionalRandom, chooseAdditionalPath));
+        }
     }, 1000 / options.requestsPerSecond);
 
     return {
         /** Returns the records of completed requests, including failed ones. */
         records: () => records,
+        addRecord: record => {
+            records.push(record);
+        },
         stop: async () => {
             clearInterval(timer);
             await Promise.all(pendingRequests);
--- /dev/null
+++ b/packages/soak/src/documents.ts
@@ -0,0 +1,135 @@
+/** Creates the versions of the routing document that operators publish during a run. */
+import type * as foundation from "@mulberryseam/foundation";
+
+/** What a version has besides the routes that every version has. */
+export interface DocumentShape {
+    /** Numbers of additional routes, which lead to the service without keys. */
+    additionalRoutes: readonly number[];
+    /** Whether the additional services are known and have routes. */
+    hasAdditionalServices: boolean;
+    /** Weight of the additional service in the split of the route of orders; 0 for no split. */
+    additionalWeight: number;
+    /** How much shorter than the longest the timeouts are, in milliseconds. */
+    timeoutReductionMilliseconds: number;
+}
+
+/** Names of services. */
+export const ServiceName = {
+    keyed: "records",
+    unkeyed: "orders",
+    /** Services that only some versions know. */
+    additionalKeyed: "ledgers",
+    additionalUnkeyed: "parcels",
+} as const;
+
+/** A value of {@link ServiceName}. */
+export type ServiceNameValue = typeof ServiceName[keyof typeof ServiceName];
+
+/** Maximum timeout of a route, in milliseconds. */
+export const timeoutMilliseconds = 1200;
+/** Number of routes that versions may have in addition. */
+export const additionalRouteCount = 8;
+const maxTimeoutReductionMilliseconds = 400;
+const maxWeight = 4;
+
+/** The shape of a version that only has the routes that every version has. */
+export const plainShape: DocumentShape = {
+    additionalRoutes: [],
+    hasAdditionalServices: false,
+    additionalWeight: 0,
+    timeoutReductionMilliseconds: 0,
+};
+
+/**
+ * Creates a random shape.
+ *
+ * @param random - source of randomness
+ * @returns the shape
+ */
+export const createShape = (random: foundation.Random): DocumentShape => {
+    const hasAdditionalServices = random.below(2) === 0;
+    return {
+        additionalRoutes: Array.from({ length: additionalRouteCount }, (...[, index]) => index)
+            .filter(() => random.below(2) === 0),
+        hasAdditionalServices,
+        additionalWeight: hasAdditionalServices ? random.below(maxWeight) : 0,
+        timeoutReductionMilliseconds: random.below(maxTimeoutReductionMilliseconds),
+    };
+};
+
+/** Path prefix of an additional route. */
+export const additionalPrefix = (index: number): string => `/additional-${index}/`;
+
+/** Services that may run a request to a path, in any version. */
+export const allowedServices = (requestPath: string): readonly ServiceNameValue[] => {
+    const { keyed, unkeyed, additionalKeyed, additionalUnkeyed } = ServiceName;
+    if (requestPath.startsWith(`/${keyed}/`)) {
+        return [keyed];
+    }
+    if (requestPath.startsWith(`/${additionalKeyed}/`)) {
+        return [additionalKeyed];
+    }
+    return requestPath.startsWith(`/${unkeyed}/`) ? [unkeyed, additionalUnkeyed] : [unkeyed];
+};
+
+/** Returns whether every version has a route for a path. */
+export const isPermanentPath = (requestPath: string): boolean =>
+    [ServiceName.keyed, ServiceName.unkeyed].some(service => requestPath.startsWith(`/${service}/`));
+
+const createService = (name: ServiceNameValue, isKeyed: boolean): object => ({
+    resourceType: "services",
+    metadata: { name },
+    spec: { maxConnections: 100, ...(isKeyed ? { sharded: true } : {}) },
+});
+
+/**
+ * Creates a version of the document.
+ *
+ * @param version - number of the version
+ * @param shape - its additional routes and services
+ * @returns the value of the record
+ */
+export const createDocument = (version: number, shape: DocumentShape): string => {
+    // Timeouts of consecutive versions differ by less than 10 ms, which callers do not notice.
+    const timeout = `${timeoutMilliseconds - version % 10 - shape.timeoutReductionMilliseconds}ms`;
+    const createRoute = (name: string, pathPrefix: string, routeType: string, destination: object): object => ({
+        resourceType: "routes",
+        metadata: { name },
+        spec: {
+            host: "site.example",
+            pathPrefix,
+            routeType,
+            timeout,
+            targetLatency: "500ms",
+            priority: 0,
+            maxAttempts: 2,
+            ...destination,
+        },
+    });
+    const { keyed, unkeyed, additionalKeyed, additionalUnkeyed } = ServiceName;
+    const orderDestination = shape.additionalWeight === 0 ? { service: unkeyed } : {
+        trafficSplit: [
+            { service: unkeyed, weight: 1 },
+            { service: additionalUnkeyed, weight: shape.additionalWeight },
+        ],
+    };
+    return JSON.stringify({
+        version: `r${version}`,
+        resources: [
+            createRoute("lookup", `/${keyed}/`, "safe", { service: keyed }),
+            createRoute("order", `/${unkeyed}/`, "unsafe", orderDestination),
+            ...shape.additionalRoutes.map(index =>
+                createRoute(`additional-${index}`, additionalPrefix(index), "safe", { service: unkeyed })
+            ),
+            createService(keyed, true),
+            createService(unkeyed, false),
+            ...(shape.hasAdditionalServices
+                ? [
+                    createRoute("ledger", `/${additionalKeyed}/`, "safe", { service: additionalKeyed }),
+                    createService(additionalKeyed, true),
+                    createService(additionalUnkeyed, false),
+                ]
+                : []),
+        ],
+    });
+};
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -23,6 +23,13 @@
     instanceStopped: "instanceStopped",
     settingsReread: "settingsReread",
     documentChanged: "documentChanged",
+    registryOddEntry: "registryOddEntry",
+    upstreamMalformed: "upstreamMalformed",
+    upstreamLinkRefused: "upstreamLinkRefused",
+    documentStorm: "documentStorm",
+    settingsRereadStorm: "settingsRereadStorm",
+    instanceSignalSeries: "instanceSignalSeries",
+    callersUnusual: "callersUnusual",
 } as const;
 
 /** A value of {@link FaultKind}. */
@@ -35,8 +42,22 @@
     FaultKind.documentChanged,
 ];
 
-/** Faults of upstreams that are scheduled apart, so that earlier seeds keep their other faults. */
+/** Faults that are scheduled apart, each group on its own, so that earlier seeds keep their other faults. */
 const upstreamModeKinds: readonly FaultKindValue[] = [FaultKind.upstreamSilent, FaultKind.upstreamEndless];
+/** Input that is not proper, from upstreams, from other writers of the registry and from callers. */
+export const oddInputKinds: readonly FaultKindValue[] = [
+    FaultKind.registryOddEntry,
+    FaultKind.upstreamMalformed,
+    FaultKind.upstreamLinkRefused,
+    FaultKind.callersUnusual,
+];
+/** Planned operations in quick succession. */
+export const seriesKinds: readonly FaultKindValue[] = [
+    FaultKind.documentStorm,
+    FaultKind.settingsRereadStorm,
+    FaultKind.instanceSignalSeries,
+];
+const separateKinds: readonly FaultKindValue[] = [...upstreamModeKinds, ...oddInputKinds, ...seriesKinds];
 
 /** A scheduled fault. */
 export interface Fault {
@@ -63,8 +84,12 @@
 /** Mean time between the starts of consecutive faults, in milliseconds. */
 const meanGapMilliseconds = 900;
 const meanUpstreamModeGapMilliseconds = 2000;
-/** Distinguishes the random numbers of these faults from those of the others. */
+const meanOddInputGapMilliseconds = 800;
+const meanSeriesGapMilliseconds = 2500;
+/** Distinguish the random numbers of these faults from those of the others. */
 const upstreamModeSeedOffset = 500_000;
+const oddInputSeedOffset = 600_000;
+const seriesSeedOffset = 700_000;
 
 const createFaults = (
     random: foundation.Random,
@@ -97,21 +122,18 @@
  * @returns the faults in order of their start
  */
 export const createSchedule = (seed: number, faultPeriodMilliseconds: number): Schedule => {
-    const random = foundation.createRandom(seed);
-    if (seed % plannedSeedInterval === 0) {
-        const faults = createFaults(random, plannedFaultKinds, faultPeriodMilliseconds, meanGapMilliseconds);
-        return { faults, isPlanned: true };
-    }
-    const kinds = Object.values(FaultKind).filter(kind => !upstreamModeKinds.includes(kind));
+    const createGroup = (seedOffset: number, kinds: readonly FaultKindValue[], gapMilliseconds: number): Fault[] =>
+        createFaults(foundation.createRandom(seed + seedOffset), kinds, faultPeriodMilliseconds, gapMilliseconds);
+    const isPlanned = seed % plannedSeedInterval === 0;
+    const kinds = Object.values(FaultKind).filter(kind => !separateKinds.includes(kind));
     const faults = [
-        ...createFaults(random, kinds, faultPeriodMilliseconds, meanGapMilliseconds),
-        ...createFaults(
-            foundation.createRandom(seed + upstreamModeSeedOffset),
-            upstreamModeKinds,
-            faultPeriodMilliseconds,
-            meanUpstreamModeGapMilliseconds,
-        ),
+        ...createGroup(0, isPlanned ? plannedFaultKinds : kinds, meanGapMilliseconds),
+        ...createGroup(seriesSeedOffset, seriesKinds, meanSeriesGapMilliseconds),
+        ...(isPlanned ? [] : [
+            ...createGroup(upstreamModeSeedOffset, upstreamModeKinds, meanUpstreamModeGapMilliseconds),
+            ...createGroup(oddInputSeedOffset, oddInputKinds, meanOddInputGapMilliseconds),
+        ]),
     ];
     faults.sort((left, right) => left.startMilliseconds - right.startMilliseconds);
-    return { faults, isPlanned: false };
+    return { faults, isPlanned };
 };
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,10 +1,12 @@
 /** Randomized soak test with fault injection that runs the real programs as separate processes on loopback. */
-export { createSchedule, FaultKind } from "./faults";
+export { createDocument, createShape, plainShape } from "./documents";
+export { createSchedule, FaultKind, oddInputKinds, seriesKinds } from "./faults";
 export type { Fault, FaultKindValue, Schedule } from "./faults";
 export { startInstance } from "./instances";
 export type { InstanceOptions, SoakInstance } from "./instances";
 export { checkInvariants } from "./invariantChecker";
 export type { CallerRecord, ExecutionRecord, Observations } from "./invariantChecker";
+export { createOddEntry } from "./oddEntries";
 export { startSite } from "./site";
 export type { Site, SiteOptions } from "./site";
 export { runSoak } from "./soakRun";
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -19,6 +19,19 @@
     logFile: string;
 }
 
+/** What a settings file holds. */
+export const SettingsContent = {
+    original: "original",
+    /** Settings that differ in what a running process applies and in what needs a restart. */
+    changed: "changed",
+    invalid: "invalid",
+    truncated: "truncated",
+    missing: "missing",
+} as const;
+
+/** A value of {@link SettingsContent}. */
+export type SettingsContentValue = typeof SettingsContent[keyof typeof SettingsContent];
+
 /** An instance under test; its process restarts whenever it exits. */
 export interface SoakInstance {
     name: string;
@@ -28,8 +41,10 @@
     /** Network link from the instance to the store, subject to fault injection. */
     storeLink: standins.LinkStandIn;
     isRunning: () => boolean;
-    /** Sends a signal to the process if it is running. */
+    /** Sends a signal to the process if it is running and, in the case of SIGHUP, handles the signal already. */
     signal: (signal: NodeJS.Signals) => void;
+    /** Replaces the settings file of the running process and sends it SIGHUP; a process that starts has its original file. */
+    changeSettings: (content: SettingsContentValue) => void;
     /** Sets the delay before the next restart, in milliseconds; later restarts use the default delay. */
     setRestartDelay: (milliseconds: number) => void;
     /** Returns one line for each process that ended although the soak had sent no signal that ends it. */
@@ -43,6 +58,22 @@
 const maxErrorOutputLength = 2000;
 const terminatingSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
 
+/**
+ * Returns whether a process handles a signal: until the program has registered its listeners, SIGHUP ends the process, as it does
+ * every program.
+ */
+const handlesSignal = (processIdentifier: number, signal: NodeJS.Signals): boolean => {
+    try {
+        const status = fs.readFileSync(`/proc/${processIdentifier}/status`, "utf8");
+        const handledSignals = BigInt(`0x${/^SigCgt:\s*(\w+)$/m.exec(status)?.[1] ?? "0"}`);
+        return (handledSignals >> BigInt(os.constants.signals[signal] - 1) & 1n) === 1n;
+    }
+    catch {
+        // The process has ended.
+        return false;
+    }
+};
+
 /** The end of a process. */
 interface ProcessEnd {
     /** Exit status; undefined if a signal ended the process. */
@@ -51,6 +82,9 @@
     requestedBy: NodeJS.Signals | undefined;
 }
 
+const toOneLine = (text: string): string =>
+    text.split("\n").map(line => line.trim()).filter(line => line !== "").join(" | ");
+
 const endedByItself = ({ status, requestedBy }: ProcessEnd): boolean =>
     requestedBy === undefined || (status !== undefined && status !== 0);
 
@@ -72,19 +106,31 @@
     const [callerPort, readinessPort] = await site.reservePorts(2, host);
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-"));
     const settingsPath = path.join(folder, "settings.json");
-    fs.writeFileSync(
-        settingsPath,
-        JSON.stringify({
-            nodeName: name,
-            ip: host,
-            zone: "north-a",
-            zones: { "north-a": "north" },
-            internalPorts: [options.peerPort, options.peerPort + 10],
-            listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
-            bounds: {},
-            platform: { address: `127.0.0.1:${storeLink.port}` },
-        }),
-    );
+    const settings = {
+        nodeName: name,
+        ip: host,
+        zone: "north-a",
+        zones: { "north-a": "north" },
+        internalPorts: [options.peerPort, options.peerPort + 10],
+        listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
+        bounds: {},
+        platform: { address: `127.0.0.1:${storeLink.port}` },
+    };
+    const writeSettings = (content: SettingsContentValue): void => {
+        const text = JSON.stringify(settings);
+        const writers: Record<SettingsContentValue, () => void> = {
+            original: () => fs.writeFileSync(settingsPath, text),
+            changed: () =>
+                fs.writeFileSync(
+                    settingsPath,
+                    JSON.stringify({ ...settings, zone: "south-a", bounds: { drain: "3s", retryBudgetSlack: 40 } }),
+                ),
+            invalid: () => fs.writeFileSync(settingsPath, JSON.stringify({ ...settings, internalPorts: "none" })),
+            truncated: () => fs.writeFileSync(settingsPath, text.slice(0, text.length / 2)),
+            missing: () => fs.rmSync(settingsPath, { force: true }),
+        };
+        writers[content]();
+    };
     let child: childProcess.ChildProcess | undefined;
     let restartDelayMilliseconds = defaultRestartDelayMilliseconds;
     let isTerminated = false;
@@ -94,6 +140,7 @@
     const ownEnds: string[] = [];
     const logDescriptor = fs.openSync(options.logFile, "a");
     const spawnProcess = (): void => {
+        writeSettings(SettingsContent.original);
         const spawned = childProcess.spawn(process.execPath, options.programArguments, {
             env: { ...process.env, MULBERRYSEAM_SETTINGS: settingsPath },
             stdio: ["ignore", logDescriptor, "pipe"],
@@ -113,7 +160,7 @@
             if (endedByItself(end)) {
                 void lastProcessClosed.then(() => {
                     ownEnds.push(
-                        `${name} ended by itself: ${signal ?? `exit status ${status}`}, ${errorOutput.trim()}`,
+                        `${name} ended by itself: ${signal ?? `exit status ${status}`}, ${toOneLine(errorOutput)}`,
                     );
                 });
             }
@@ -122,7 +169,11 @@
         lastProcessClosed = new Promise(resolve => spawned.once("close", () => resolve()));
     };
     spawnProcess();
+    const isHandled = (signal: NodeJS.Signals): boolean => child?.pid !== undefined && handlesSignal(child.pid, signal);
     const sendSignal = (signal: NodeJS.Signals): void => {
+        if (signal === "SIGHUP" && !isHandled(signal)) {
+            return;
+        }
         const isSent = child?.kill(signal) ?? false;
         if (isSent && terminatingSignals.includes(signal)) {
             requestedBy ??= signal;
@@ -143,6 +194,12 @@
         storeLink,
         isRunning: () => child !== undefined,
         signal: sendSignal,
+        changeSettings: content => {
+            if (isHandled("SIGHUP")) {
+                writeSettings(content);
+                sendSignal("SIGHUP");
+            }
+        },
         setRestartDelay: milliseconds => {
             restartDelayMilliseconds = milliseconds;
         },
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -1,14 +1,21 @@
 /** Checks the product's guarantees against the requests and executions that callers and upstreams recorded. */
 
+import * as documents from "./documents";
+
 /** A request as recorded by its caller. */
 export interface CallerRecord {
     identifier: string;
     method: string;
+    path: string;
     instance: string;
     sentAt: number;
     endedAt: number;
     /** Status of the response; 0 if the connection closed before the response was complete. */
     status: number;
+    /** Whether the head of a response arrived. */
+    hasResponse: boolean;
+    /** Whether the caller left without waiting for the response, or did not send a proper request. */
+    isUnusual: boolean;
     echoedIdentifier: string | undefined;
     isSigned: boolean;
     body: string;
@@ -19,6 +26,7 @@
     identifier: string;
     method: string;
     upstream: string;
+    service: documents.ServiceNameValue;
 }
 
 /** Everything recorded during a soak run. */
@@ -83,6 +91,31 @@
     ];
 };
 
+/** Checks that each request ran only at services to which a version of the document sends it. */
+const checkRouting = ({ callers, executions }: Observations): string[] => {
+    const pathsByIdentifier = new Map(callers.map(record => [record.identifier, record.path]));
+    return executions.filter(({ identifier, service }) => {
+        const path = pathsByIdentifier.get(identifier);
+        return path !== undefined && !documents.allowedServices(path).includes(service);
+    }).map(({ identifier, service }) => `${identifier}: executed by ${service}, to which no version sends it`);
+};
+
+/** Checks that requests that every version allows are not rejected as if they were wrong. */
+const checkRejections = ({ callers }: Observations): string[] =>
+    callers.filter(({ status, path, isUnusual }) =>
+        status >= 400 && status < 500 && !notExecutedStatuses.includes(status) && documents.isPermanentPath(path)
+        && !isUnusual
+    ).map(({ identifier, status }) => `${identifier}: rejected with ${status} although every version allows it`);
+
+/** Checks that a request that was passed on gets a response, unless its instance was disturbed. */
+const checkLostRequests = ({ callers, executions, wasDisrupted }: Observations): string[] => {
+    const executedIdentifiers = new Set(executions.map(execution => execution.identifier));
+    return callers.filter(record =>
+        record.status === 0 && !record.hasResponse && !record.isUnusual && executedIdentifiers.has(record.identifier)
+        && !wasDisrupted(record)
+    ).map(({ identifier, instance }) => `${identifier}: ${instance} closed the connection without a response`);
+};
+
 const checkTiming = (observations: Observations): string[] => {
     const { timeoutMilliseconds } = observations;
     if (timeoutMilliseconds === undefined) {
@@ -90,9 +123,11 @@
     }
     const overdue = observations.callers.filter(record =>
         record.endedAt - record.sentAt > timeoutMilliseconds + timeoutToleranceMilliseconds
-        && !observations.wasDisrupted(record)
+        && !observations.wasDisrupted(record) && !record.isUnusual
+    );
+    const sentAfterRecovery = observations.callers.filter(record =>
+        record.sentAt >= observations.recoveredAt && documents.isPermanentPath(record.path) && !record.isUnusual
     );
-    const sentAfterRecovery = observations.callers.filter(record => record.sentAt >= observations.recoveredAt);
     const served = sentAfterRecovery.filter(isSuccess).length;
     return [
         ...overdue.map(({ identifier, sentAt, endedAt }) =>
@@ -109,8 +144,9 @@
         return [];
     }
     const executedIdentifiers = new Set(executions.map(execution => execution.identifier));
-    return callers.filter(record => record.status === 0 && executedIdentifiers.has(record.identifier))
-        .map(record => `${record.identifier}: interrupted by a planned operation`);
+    return callers.filter(record =>
+        record.status === 0 && !record.isUnusual && executedIdentifiers.has(record.identifier)
+    ).map(record => `${record.identifier}: interrupted by a planned operation`);
 };
 
 /**
@@ -124,6 +160,9 @@
     ...observations.ownershipViolations,
     ...checkResponses(observations),
     ...checkExecutions(observations),
+    ...checkRouting(observations),
+    ...checkRejections(observations),
+    ...checkLostRequests(observations),
     ...checkPlannedFaults(observations),
     ...checkTiming(observations),
 ];
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -13,11 +13,13 @@
     upstreams: number;
     rate: number;
     beside: number;
+    kinds: string;
     folder: string;
     regressions: boolean;
 }
 
 const programArguments = ["target/entry.cjs"];
+const maxReportedViolations = 20;
 const interruptedExitCode = 130;
 /** First port of the protocol between instances. Each parallel run has its own ports and addresses. */
 const firstPeerPort = 17_300;
@@ -33,6 +35,7 @@
         programArguments,
         logFile,
         checksTiming: true,
+        kinds: options.kinds === "" ? undefined : options.kinds.split(","),
         networkPrefix: `127.1.${workerIndex + 1}`,
         peerPort: firstPeerPort + workerIndex * 20,
     });
@@ -43,7 +46,8 @@
             hasPassed ? "kept" : "BROKEN"
         }, served ${result.servedCount} of ${result.requestCount}; ${kinds}\n`,
     );
-    result.violations.slice(0, 10).forEach(violation => process.stdout.write(`    ${violation}\n`));
+    const violations = [...new Set(result.violations)];
+    violations.slice(0, maxReportedViolations).forEach(violation => process.stdout.write(`    ${violation}\n`));
     if (hasPassed) {
         fs.rmSync(logFile);
     }
@@ -85,6 +89,9 @@
     .option("--upstreams <number>", "Upstreams of each service", { default: 4 })
     .option("--rate <number>", "Requests per second", { default: 80 })
     .option("--beside <number>", "Number of parallel runs", { default: 3 })
+    .option("--kinds <names>", "Inject only these kinds of the faults of a schedule, separated by commas", {
+        default: "",
+    })
     .option("--folder <path>", "Folder that keeps the logs of failed runs", { default: "soak-logs" })
     .action(run);
 commandLine.help();
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -10,4 +10,14 @@
         cause:
             "An upstream sent a signed response without end, which was streamed until the caller's own deadline, past the route's timeout.",
     },
+    {
+        seed: 101,
+        cause:
+            "Header names with a space, from a caller or an upstream, and a keep-alive timeout beyond any number ended the process.",
+    },
+    {
+        seed: 102,
+        cause:
+            "An upstream that refused connections, or an odd registry entry at its address, lost its keys to another while it held them.",
+    },
 ];
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -2,11 +2,14 @@
 import * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
 import * as standins from "@mulberryseam/standins";
+import * as documents from "./documents";
 import * as instances from "./instances";
 import type * as invariantChecker from "./invariantChecker";
+import * as oddEntries from "./oddEntries";
 
 /** An upstream and the emulated network link through which instances connect to it. */
 export interface SoakUpstream {
+    service: documents.ServiceNameValue;
     link: standins.LinkStandIn;
     /** Stops the upstream and starts a new incarnation with the same name at another address. */
     restart: () => Promise<void>;
@@ -22,8 +25,10 @@
     executions: invariantChecker.ExecutionRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
-    /** Publishes a new version of the document with a slightly different timeout. */
-    changeDocument: () => void;
+    /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
+    changeDocument: (shape?: documents.DocumentShape) => void;
+    /** Puts an odd entry into the registry, and returns the function that removes it. */
+    putOddEntry: (index: number) => () => void;
 }
 
 /** Configures a site. */
@@ -38,54 +43,26 @@
     random: foundation.Random;
 }
 
-/** Maximum timeout of a route, in milliseconds. */
-export const timeoutMilliseconds = 1200;
-const keyedService = "records";
-const unkeyedService = "orders";
 const heartbeatIntervalMilliseconds = 800;
 const maxServiceTimeMilliseconds = 60;
-
-const createRoute = (name: string, service: string, routeType: string, routeTimeoutMilliseconds: number): object => ({
-    resourceType: "routes",
-    metadata: { name },
-    spec: {
-        host: "site.example",
-        pathPrefix: `/${service}/`,
-        routeType,
-        timeout: `${routeTimeoutMilliseconds}ms`,
-        targetLatency: "500ms",
-        priority: 0,
-        maxAttempts: 2,
-        service,
-    },
-});
-
-const createDocument = (version: number): string =>
-    JSON.stringify({
-        version: `r${version}`,
-        resources: [
-            // The timeout differs by less than 10 ms between versions, which callers do not notice.
-            createRoute("lookup", keyedService, "safe", timeoutMilliseconds - version % 10),
-            createRoute("order", unkeyedService, "unsafe", timeoutMilliseconds - version % 10),
-            {
-                resourceType: "services",
-                metadata: { name: keyedService },
-                spec: { maxConnections: 100, sharded: true },
-            },
-            { resourceType: "services", metadata: { name: unkeyedService }, spec: { maxConnections: 100 } },
-        ],
-    });
+/** Number of upstreams of each service that only some versions of the document know. */
+const additionalUpstreams = 2;
+const documentsTopic = "keyed.op";
+const upstreamsTopic = "keyed.servers";
+/** Distinguishes the random numbers of malformed answers from those of service times. */
+const malformedSeed = 7;
 
 const startUpstream = async (
     site: Site,
-    service: string,
+    service: documents.ServiceNameValue,
     name: string,
     random: foundation.Random,
     keyedUpstreams: Set<emulator.EmulatedUpstream>,
     owner: foundation.Owner,
 ): Promise<SoakUpstream> => {
+    const malformedRandom = foundation.createRandom(malformedSeed);
     const onExecution = ({ upstream, requestIdentifier, method, key }: emulator.EmulatedExecution): void => {
-        site.executions.push({ identifier: requestIdentifier, method, upstream: upstream.identifier });
+        site.executions.push({ identifier: requestIdentifier, method, upstream: upstream.identifier, service });
         if (key === undefined) {
             return;
         }
@@ -99,16 +76,18 @@
     };
     const serviceTimeMilliseconds = (): number => random.below(maxServiceTimeMilliseconds);
     const startIncarnation = async () => {
-        const upstream = await emulator.startEmulatedUpstream(name, owner, { serviceTimeMilliseconds, onExecution });
+        const upstream = await emulator.startEmulatedUpstream(name, owner, {
+            serviceTimeMilliseconds,
+            onExecution,
+            random: malformedRandom,
+        });
         const link = await standins.createLinkStandIn({
             port: 0,
             targetHost: "127.0.0.1",
             targetPort: upstream.port,
             delayMilliseconds: 1,
         }, owner);
-        if (service === keyedService) {
-            keyedUpstreams.add(upstream);
-        }
+        keyedUpstreams.add(upstream);
         return { upstream, link };
     };
     let incarnation = await startIncarnation();
@@ -116,7 +95,7 @@
     const publishHeartbeat = (): void => {
         sequence += 1;
         site.store.put(
-            "keyed.servers",
+            upstreamsTopic,
             name,
             JSON.stringify({
                 service,
@@ -143,6 +122,7 @@
     };
     let lastRestart = Promise.resolve();
     const soakUpstream: SoakUpstream = {
+        service,
         link: incarnation.link,
         restart: () => {
             // Overlapping restarts run one after the other; otherwise both would start an incarnation.
@@ -164,24 +144,43 @@
 export const startSite = async (options: SiteOptions, owner: foundation.Owner): Promise<Site> => {
     const store = await emulator.startEmulatedStore(owner);
     let version = 1;
+    let shape = documents.plainShape;
+    const publishDocument = (): void => store.put(documentsTopic, "config", documents.createDocument(version, shape));
     const site: Site = {
         store,
         instances: [],
         upstreams: [],
         executions: [],
         ownershipViolations: [],
-        changeDocument: () => {
+        changeDocument: newShape => {
             version += 1;
-            store.put("keyed.op", "config", createDocument(version));
+            shape = newShape ?? shape;
+            publishDocument();
+        },
+        putOddEntry: index => {
+            const { link, service } = site.upstreams[index % site.upstreams.length];
+            const { key, value } = oddEntries.createOddEntry(index, `127.0.0.1:${link.port}`, service);
+            store.put(upstreamsTopic, key, value);
+            return () => store.put(upstreamsTopic, key, "");
         },
     };
-    store.put("keyed.op", "config", createDocument(version));
-    const keyedUpstreams = new Set<emulator.EmulatedUpstream>();
-    for (const service of [keyedService, unkeyedService]) {
-        for (let index = 1; index <= options.upstreamsPerService; index += 1) {
+    publishDocument();
+    const startUpstreams = async (service: documents.ServiceNameValue, count: number): Promise<SoakUpstream[]> => {
+        const upstreams: SoakUpstream[] = [];
+        const upstreamsOfService = new Set<emulator.EmulatedUpstream>();
+        for (let index = 1; index <= count; index += 1) {
             const name = `${service}-${index}`;
-            site.upstreams.push(await startUpstream(site, service, name, options.random, keyedUpstreams, owner));
+            upstreams.push(await startUpstream(site, service, name, options.random, upstreamsOfService, owner));
         }
+        return upstreams;
+    };
+    const { keyed, unkeyed, additionalKeyed, additionalUnkeyed } = documents.ServiceName;
+    for (const service of [keyed, unkeyed]) {
+        site.upstreams.push(...await startUpstreams(service, options.upstreamsPerService));
+    }
+    // These are no targets of faults.
+    for (const service of [additionalKeyed, additionalUnkeyed]) {
+        await startUpstreams(service, additionalUpstreams);
     }
     for (let index = 1; index <= options.instances; index += 1) {
         site.instances.push(
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -1,11 +1,13 @@
 /** Executes a soak run: starts a site and callers, injects the faults of a seed and checks the invariants. */
-import * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import * as callers from "./callers";
+import * as documents from "./documents";
 import * as faults from "./faults";
+import * as injections from "./injections";
 import * as invariantChecker from "./invariantChecker";
 import * as sites from "./site";
+import * as unusualCallers from "./unusualCallers";
 
 /** Configures a soak run. */
 export interface SoakOptions {
@@ -23,6 +25,8 @@
     /** First three octets of the instances' IPv4 addresses. */
     networkPrefix: string;
     peerPort: number;
+    /** Kinds of faults that are injected, out of those of the schedule; all of them by default. */
+    kinds?: readonly string[];
 }
 
 /** Result of a soak run. */
@@ -52,6 +56,8 @@
 const postRecoveryMilliseconds = 2000;
 /** Time to wait for late executions of requests that were reported as not executed, in milliseconds. */
 const settleMilliseconds = 1500;
+/** Distinguishes the random numbers of requests on additional routes from those of the others. */
+const additionalSeedOffset = 800_000;
 const pollIntervalMilliseconds = 50;
 
 const timers = foundation.createTimerService();
@@ -79,69 +85,6 @@
     }
 };
 
-/** Injects a fault and returns the function that reverts it. */
-const injectFault = (site: sites.Site, fault: faults.Fault): () => void => {
-    const { store } = site;
-    const instance = site.instances[fault.targetIndex % site.instances.length];
-    const upstream = site.upstreams[fault.targetIndex % site.upstreams.length];
-    const { link } = upstream;
-    const createModeSetter = (mode: emulator.StoreModeValue) => (): void => store.setMode(mode);
-    const injectStoreMode = (mode: emulator.StoreModeValue): () => void => {
-        store.setMode(mode);
-        return createModeSetter(emulator.StoreMode.serving);
-    };
-    const injectCut = (targetLink: typeof link, forward: boolean, backward: boolean): () => void => {
-        targetLink.setInterrupted({ forward, backward });
-        return () => targetLink.setInterrupted({ forward: false, backward: false });
-    };
-    const injectDelay = (targetLink: typeof link): () => void => {
-        targetLink.setDelay(Math.min(fault.durationMilliseconds / 4, 400));
-        return () => targetLink.setDelay(1);
-    };
-    const injectSignal = (signal: NodeJS.Signals, targetInstance = instance): () => void => {
-        targetInstance.setRestartDelay(fault.durationMilliseconds);
-        targetInstance.signal(signal);
-        return () => undefined;
-    };
-    const injectOnce = (action: () => void): () => void => {
-        action();
-        return () => undefined;
-    };
-    const injectUpstreamMode = (mode: emulator.UpstreamModeValue): () => void => {
-        upstream.setMode(mode);
-        return () => upstream.setMode(emulator.UpstreamMode.serving);
-    };
-    const injections: Record<faults.FaultKindValue, () => () => void> = {
-        storeBusy: () => injectStoreMode(emulator.StoreMode.busy),
-        storeLosing: () => injectStoreMode(emulator.StoreMode.losing),
-        storeSilent: () => injectStoreMode(emulator.StoreMode.silent),
-        storeForgetting: () =>
-            injectOnce(() => ["keyed.op", "keyed.servers", "keyed.ownership"].forEach(store.dropHistory)),
-        storeLinkCut: () => injectCut(instance.storeLink, true, true),
-        storeLinkCutOneWay: () =>
-            injectCut(instance.storeLink, fault.targetIndex % 2 === 0, fault.targetIndex % 2 === 1),
-        storeLinkDelayed: () => injectDelay(instance.storeLink),
-        storeLinkReset: () => injectOnce(() => instance.storeLink.reset()),
-        upstreamLinkCut: () => injectCut(link, true, true),
-        upstreamLinkDelayed: () => injectDelay(link),
-        upstreamLinkReset: () => injectOnce(() => link.reset()),
-        upstreamRestarted: () => injectOnce(() => void upstream.restart()),
-        upstreamSilent: () => injectUpstreamMode(emulator.UpstreamMode.silent),
-        upstreamEndless: () => injectUpstreamMode(emulator.UpstreamMode.endless),
-        instanceKilled: () => injectSignal("SIGKILL"),
-        instancePaused: () => {
-            instance.signal("SIGSTOP");
-            return () => instance.signal("SIGCONT");
-        },
-        everyInstanceKilled: () =>
-            injectOnce(() => site.instances.forEach(eachInstance => injectSignal("SIGKILL", eachInstance))),
-        instanceStopped: () => injectSignal("SIGTERM"),
-        settingsReread: () => injectOnce(() => instance.signal("SIGHUP")),
-        documentChanged: () => injectOnce(site.changeDocument),
-    };
-    return injections[fault.kind]();
-};
-
 /** Returns the instances affected by a fault and the time spans in which their callers may wait beyond the route's timeout. */
 const listDisruptions = (site: sites.Site, fault: faults.Fault, startedAt: number): Disruption[] => {
     const from = startedAt + fault.startMilliseconds;
@@ -153,21 +96,31 @@
     return affectsInstances ? names.map(instance => ({ instance, from, until })) : [];
 };
 
-const injectFaults = async (site: sites.Site, schedule: faults.Schedule, startedAt: number): Promise<void> => {
+const injectFaults = async (
+    site: sites.Site,
+    schedule: faults.Schedule,
+    startedAt: number,
+    startUnusualCallers: injections.InjectionOptions["startUnusualCallers"],
+): Promise<void> => {
     const reverts: Promise<void>[] = [];
     for (const fault of schedule.faults) {
         await pause(Math.max(0, startedAt + fault.startMilliseconds - performance.now()));
-        const revert = injectFault(site, fault);
+        const revert = injections.injectFault({ site, fault, startUnusualCallers });
         reverts.push(pause(fault.durationMilliseconds).then(revert));
     }
     await Promise.all(reverts);
 };
 
 const runOnSite = async (options: SoakOptions, site: sites.Site): Promise<SoakResult> => {
-    const schedule = faults.createSchedule(options.seed, options.faultPeriodMilliseconds);
+    const wholeSchedule = faults.createSchedule(options.seed, options.faultPeriodMilliseconds);
+    const schedule = {
+        ...wholeSchedule,
+        faults: wholeSchedule.faults.filter(({ kind }) => options.kinds?.includes(kind) ?? true),
+    };
     await waitUntilReady(site);
     const activeCallers = callers.startCallers({
         random: foundation.createRandom(options.seed + 1),
+        additionalRandom: foundation.createRandom(options.seed + additionalSeedOffset),
         instances: () =>
             site.instances.filter(instance => instance.isRunning()).map(({ name, host, callerPort: port }) => ({
                 name,
@@ -179,7 +132,14 @@
         now: () => performance.now(),
     });
     const startedAt = performance.now();
-    await injectFaults(site, schedule, startedAt);
+    await injectFaults(site, schedule, startedAt, (instance, fault) =>
+        unusualCallers.startUnusualCallers({
+            target: { name: instance.name, host: instance.host, port: instance.callerPort },
+            random: foundation.createRandom(fault.targetIndex),
+            prefix: `unusual-${fault.startMilliseconds}`,
+            now: () => performance.now(),
+            addRecord: activeCallers.addRecord,
+        }));
     const recoveredAt = performance.now() + (options.checksTiming ? recoveryMilliseconds : 0);
     await pause((options.checksTiming ? recoveryMilliseconds : 0) + postRecoveryMilliseconds);
     await activeCallers.stop();
@@ -193,14 +153,15 @@
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         isPlanned: schedule.isPlanned,
         recoveredAt,
-        timeoutMilliseconds: options.checksTiming ? sites.timeoutMilliseconds : undefined,
+        timeoutMilliseconds: options.checksTiming ? documents.timeoutMilliseconds : undefined,
         wasDisrupted: ({ instance, sentAt, endedAt }) =>
             disruptions.some(disruption =>
                 disruption.instance === instance && disruption.from <= endedAt && disruption.until >= sentAt
             ),
     });
-    const servedCount = records.filter(record => record.status === 200).length;
-    return { seed: options.seed, faults: schedule.faults, requestCount: records.length, servedCount, violations };
+    const usualRecords = records.filter(record => !record.isUnusual);
+    const servedCount = usualRecords.filter(record => record.status === 200).length;
+    return { seed: options.seed, faults: schedule.faults, requestCount: usualRecords.length, servedCount, violations };
 };
 
 /**
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -10,10 +10,13 @@
 const createRecord = (changes: Partial<soak.CallerRecord> = {}): soak.CallerRecord => ({
     identifier: "a",
     method: "POST",
+    path: "/orders/1",
     instance: "entry-1",
     sentAt: 1000,
     endedAt: 1100,
     status: 200,
+    hasResponse: true,
+    isUnusual: false,
     echoedIdentifier: "a",
     isSigned: true,
     body: "answer to a",
@@ -24,6 +27,7 @@
     identifier: "a",
     method: "POST",
     upstream: "orders-1",
+    service: "orders",
     ...changes,
 });
 
@@ -119,6 +123,40 @@
 
 const waitUntilEnded = (instance: soak.SoakInstance): Promise<void> => waitUntil(() => !instance.isRunning());
 
+test.describe("soak invariant checks of paths and connections", () => {
+    test.it("report a request that ran at a service to which no version sends it", () => {
+        earl.expect(countViolations({ executions: [createExecution({ service: "parcels" })] })).toEqual(0);
+        earl.expect(countViolations({ executions: [createExecution({ service: "records" })] })).toEqual(1);
+    });
+
+    test.it("report a rejection as wrong only where every version allows the request", () => {
+        const rejected = createRecord({ status: 404 });
+        const countRejections = (changes: Partial<soak.CallerRecord>): number =>
+            countViolations({ callers: [{ ...rejected, ...changes }], executions: [], recoveredAt: 2000 });
+        earl.expect(countRejections({})).toEqual(1);
+        earl.expect(countRejections({ path: "/additional-1/1" })).toEqual(0);
+        earl.expect(countRejections({ isUnusual: true })).toEqual(0);
+        earl.expect(countRejections({ status: 429 })).toEqual(0);
+    });
+
+    test.it("report a connection closed without a response to a request that ran", () => {
+        const countLost = (
+            changes: Partial<soak.CallerRecord>,
+            observations: Partial<soak.Observations> = {},
+        ): number =>
+            countViolations({
+                callers: [createRecord({ status: 0, hasResponse: false, ...changes })],
+                recoveredAt: 2000,
+                ...observations,
+            });
+        earl.expect(countLost({})).toEqual(1);
+        earl.expect(countLost({ hasResponse: true })).toEqual(0);
+        earl.expect(countLost({ isUnusual: true })).toEqual(0);
+        earl.expect(countLost({}, { executions: [] })).toEqual(0);
+        earl.expect(countLost({}, { wasDisrupted: () => true })).toEqual(0);
+    });
+});
+
 test.describe("instances of a soak run", () => {
     test.it("report a process that ends by itself with its status and last error output", async () => {
         const ends = await runProgram("setTimeout(() => { throw new Error('broken record'); }, 10)", waitUntilEnded);
@@ -195,6 +233,17 @@
         earl.expect(countModes(10)).toEqual(0);
     });
 
+    test.it("have separate random numbers for separate groups of faults", () => {
+        const kinds = soak.createSchedule(7, 10_000).faults.map(fault => fault.kind);
+        for (const kind of [...soak.oddInputKinds, ...soak.seriesKinds]) {
+            earl.expect(soak.createSchedule(8, 60_000).faults.some(fault => fault.kind === kind)).toEqual(true);
+        }
+        earl.expect(kinds.filter(kind => kind.startsWith("store")).length > 0).toEqual(true);
+        const plannedKinds = soak.createSchedule(10, 60_000).faults.map(fault => fault.kind);
+        earl.expect(plannedKinds.some(kind => soak.seriesKinds.includes(kind))).toEqual(true);
+        earl.expect(plannedKinds.some(kind => soak.oddInputKinds.includes(kind))).toEqual(false);
+    });
+
     for (const seed of [3, 5]) {
         test.it(`keep every guarantee under the faults of seed ${seed}`, async () => {
             const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-test-"));
@@ -209,6 +258,7 @@
                 checksTiming: false,
                 networkPrefix: `127.2.${seed}`,
                 peerPort: 17_700 + seed * 20,
+                kinds: Object.values(soak.FaultKind).filter(kind => !soak.oddInputKinds.includes(kind)),
             });
             fs.rmSync(folder, { recursive: true });
             earl.expect(result.violations).toEqual([]);
