Log what a version changed and tell how a process ended

After a process ended by itself, its log did not tell which process had written a line, what the newest version of the document had changed, or that the process had not been stopped. The start line now has the process id and the versions of the program and of Node, the stop line its signal, and a version in force what it added, removed and changed, its source and the maximum age of its record. Metrics have the start time of the process and the open connections of callers. explain-request names processes that started again without a stop, also for a request without any line, and OPERATIONS.md shows the way from a lost request to the end of its process.

--- a/packages/cli/src/commandLine.ts
+++ b/packages/cli/src/commandLine.ts
@@ -1,5 +1,6 @@
 /** Parses the command line and runs the selected command. */
 import * as configuration from "@mulberryseam/configuration";
+import * as foundation from "@mulberryseam/foundation";
 import * as cac from "cac";
 import * as commandOutput from "./commandOutput";
 import * as configurationFiles from "./configurationFiles";
@@ -9,9 +10,6 @@
 import * as serveCommand from "./serveCommand";
 import * as timelineCommands from "./timelineCommands";
 
-/** Version of the program. */
-export const programVersion = "0.1.0";
-
 interface CommonOptions {
     json?: boolean;
 }
@@ -130,7 +128,7 @@
         .option("--json", "Print JSON")
         .action((options: CommonOptions) =>
             setAction(options, async output => {
-                output.result({ version: programVersion }, programVersion);
+                output.result({ version: foundation.programVersion }, foundation.programVersion);
                 return exitCode.ExitCode.success;
             })
         );
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,8 +11,12 @@
 
 /** A running instance. */
 export interface Entry {
-    /** Stops the instance; requests in flight may finish until shortly before the platform terminates the process. */
-    stop: () => Promise<void>;
+    /**
+     * Stops the instance; requests in flight may finish until shortly before the platform terminates the process.
+     *
+     * @param signal - the signal that asks for the stop
+     */
+    stop: (signal: NodeJS.Signals) => Promise<void>;
 }
 
 const housekeepingIntervalMilliseconds = 200;
@@ -143,6 +147,7 @@
         settings.host,
         {
             openRequests: requestRelay.openRequestCount,
+            callerConnections: () => callerServer.connectionCount(),
             documentVersion: () => view.documentInForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
@@ -203,12 +208,18 @@
         }
     });
     owner.onCleanup(() => trafficReports.cancel());
-    log.write("started", { callers: settings.callerAddress.port, readiness: settings.readinessAddress.port });
+    log.write("started", {
+        callers: settings.callerAddress.port,
+        readiness: settings.readinessAddress.port,
+        process: process.pid,
+        program: foundation.programVersion,
+        node: process.version,
+    });
 
-    const stop = async (): Promise<void> => {
+    const stop = async (signal: NodeJS.Signals): Promise<void> => {
         const startedAt = timers.now();
         isStopping = true;
-        log.write("stopping", { open: requestRelay.openRequestCount() });
+        log.write("stopping", { signal, open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
         await ownership.resign();
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -44,7 +44,7 @@
         // The listener stays registered: without one, a second signal would terminate the process at once.
         if (!isStopRequested) {
             isStopRequested = true;
-            void instance.stop().then(() => process.exit(0));
+            void instance.stop("SIGTERM").then(() => process.exit(0));
         }
     });
 };
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -7,6 +7,8 @@
 /** Values that are read each time the metrics are collected. */
 export interface MetricsGauges {
     openRequests: () => number;
+    /** Open connections of callers. */
+    callerConnections: () => number;
     documentVersion: () => number;
     isLeading: () => boolean;
     upstreams: () => number;
@@ -74,6 +76,12 @@
         });
     };
     addGauge("mulberryseam_open_requests", "Requests that have not ended.", gauges.openRequests);
+    addGauge("mulberryseam_caller_connections", "Open connections of callers.", gauges.callerConnections);
+    addGauge(
+        "mulberryseam_start_time_seconds",
+        "Start of the process, in seconds since the epoch; it rises when the process starts again.",
+        () => performance.timeOrigin / 1000,
+    );
     addGauge(
         "mulberryseam_document_version",
         "Version of the document in force; 0 before any.",
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -3,6 +3,7 @@
 import * as platform from "@mulberryseam/platform";
 import type * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
+import * as documentEvent from "./documentEvent";
 import type * as topicExchange from "./topicExchange";
 import * as topicTask from "./topicTask";
 
@@ -84,7 +85,7 @@
         return parsed.ok ? JSON.stringify({ ...parsed.val, warmupMilliseconds: 0 }) : value.toString("base64");
     };
 
-    const onDocument = (record: platform.StoredRecord): void => {
+    const onDocument = (record: platform.StoredRecord, origin: topicTask.ChangeOrigin): void => {
         if (record.key !== platform.documentKey || record.value === undefined) {
             return;
         }
@@ -97,9 +98,10 @@
         if (documentInForce !== undefined && document.version <= documentInForce.document.version) {
             return;
         }
+        const previous = documentInForce?.document;
         documentInForce = { document, table: routing.createRouteTable(document.routes) };
         options.onDocument(document);
-        log.write("document-in-force", { version: document.version, routes: document.routes.length });
+        log.write("document-in-force", documentEvent.describeDocument(previous, document, origin));
     };
     const onUpstream = (record: platform.StoredRecord): void => {
         const now = timers.now();
@@ -145,8 +147,8 @@
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => isLeading() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
-        onChanges: (records, end) => {
-            records.forEach(onDocument);
+        onChanges: (records, end, origin) => {
+            records.forEach(record => onDocument(record, origin));
             options.relayRecords(platform.Topic.documents, records, end);
         },
         onContact: () => undefined,
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -9,6 +9,13 @@
 /** One of {@link TopicSource}. */
 export type TopicSourceValue = typeof TopicSource[keyof typeof TopicSource];
 
+/** Where a change of a topic came from. */
+export interface ChangeOrigin {
+    source: TopicSourceValue;
+    /** Time since the state before the change was last confirmed, so that the change is not older; Infinity at the start. */
+    maxAgeMilliseconds: number;
+}
+
 /** Configures how a topic is followed. */
 export interface TopicTaskOptions {
     store: platform.StoreClient;
@@ -24,7 +31,7 @@
     /** Returns the same text for equivalent values. */
     fingerprintOf: (key: string, value: Buffer) => string;
     /** Called with the records that change the state, in topic order. */
-    onChanges: (records: readonly platform.StoredRecord[], end: number) => void;
+    onChanges: (records: readonly platform.StoredRecord[], end: number, origin: ChangeOrigin) => void;
     /** Called when the state is confirmed to be current, after `onChanges` for the same update. */
     onContact: (source: TopicSourceValue) => void;
     onFailure: (reason: string) => void;
@@ -85,7 +92,11 @@
     let lastUpdateAt = -Infinity;
     let cancelRead = (): void => undefined;
 
-    const notifyChanges = (changes: readonly platform.StoredRecord[], end: number): void => {
+    const notifyChanges = (
+        changes: readonly platform.StoredRecord[],
+        end: number,
+        source: TopicSourceValue,
+    ): void => {
         for (const change of changes) {
             if (change.value === undefined) {
                 newestRecords.delete(change.key);
@@ -95,15 +106,15 @@
             }
         }
         if (changes.length > 0) {
-            options.onChanges(changes, end);
+            options.onChanges(changes, end, { source, maxAgeMilliseconds: timers.now() - lastUpdateAt });
         }
     };
-    const advance = (records: readonly platform.StoredRecord[], end: number): void => {
+    const advance = (records: readonly platform.StoredRecord[], end: number, source: TopicSourceValue): void => {
         const knownOffset = offset ?? 0;
         // The leader may have relayed some of these records while the read was in flight.
         const changes = filter.apply(records.filter(record => record.offset >= knownOffset));
         offset = Math.max(knownOffset, end);
-        notifyChanges(changes, offset);
+        notifyChanges(changes, offset, source);
     };
     const onContact = (updatedAt: number, source: TopicSourceValue): void => {
         lastUpdateAt = Math.max(lastUpdateAt, updatedAt);
@@ -114,7 +125,7 @@
     const readSnapshot = async (): Promise<void> => {
         const { records, end } = await store.readSnapshot(topic);
         offset = end;
-        notifyChanges(filter.replace(records, end), end);
+        notifyChanges(filter.replace(records, end), end, TopicSource.store);
         onContact(timers.now(), TopicSource.store);
     };
     const readNext = async (from: number): Promise<void> => {
@@ -131,7 +142,7 @@
             offset = undefined;
             return;
         }
-        advance(response.records, response.end);
+        advance(response.records, response.end, TopicSource.store);
         onContact(timers.now(), TopicSource.store);
     };
     const run = async (): Promise<void> => {
@@ -159,7 +170,7 @@
             if (offset === undefined || from > offset || end < offset) {
                 return;
             }
-            advance(records, end);
+            advance(records, end, TopicSource.leader);
             // The heartbeats of a leader that cannot reach the store do not confirm the state.
             if (age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
@@ -170,7 +181,7 @@
                 return;
             }
             offset = end;
-            notifyChanges(filter.replace(records, end), end);
+            notifyChanges(filter.replace(records, end), end, TopicSource.leader);
             if (age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
             }
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -25,6 +25,7 @@
     /** Offsets of all reads. */
     reads: number[];
     changes: platform.StoredRecord[];
+    origins: topicTask.ChangeOrigin[];
     failures: string[];
     contacts: topicTask.TopicSourceValue[];
     timers: foundation.VirtualTimerService;
@@ -40,6 +41,7 @@
     const owner = foundation.createOwner();
     const reads: number[] = [];
     const changes: platform.StoredRecord[] = [];
+    const origins: topicTask.ChangeOrigin[] = [];
     const failures: string[] = [];
     const contacts: topicTask.TopicSourceValue[] = [];
     const store: platform.StoreClient = {
@@ -60,11 +62,14 @@
         initialWaitMilliseconds: () => initialWait,
         waitMilliseconds: () => 2500,
         fingerprintOf: (...[, value]) => value.toString(),
-        onChanges: records => changes.push(...records),
+        onChanges: (records, ...[, origin]) => {
+            changes.push(...records);
+            origins.push(origin);
+        },
         onContact: source => contacts.push(source),
         onFailure: reason => failures.push(reason),
     }, owner);
-    return { task, reads, changes, failures, contacts, timers, owner };
+    return { task, reads, changes, origins, failures, contacts, timers, owner };
 };
 
 const advance = async (fixture: Fixture): Promise<void> => {
@@ -208,6 +213,18 @@
         await fixture.owner.dispose();
     });
 
+    test.it("tells the source of a change and how old it is at most", async () => {
+        const fixture = createFixture(neverResolves, 800);
+        await advance(fixture);
+        fixture.task.onRelayed({ from: 7, end: 9, age: 100, records: [createRecord("config", "next", 8)] });
+        fixture.task.onRelayed({ from: 9, end: 10, age: 0, records: [createRecord("config", "later", 9)] });
+        earl.expect(fixture.origins).toEqual([
+            { source: "leader", maxAgeMilliseconds: 300 },
+            { source: "leader", maxAgeMilliseconds: 100 },
+        ]);
+        await fixture.owner.dispose();
+    });
+
     test.it("does not revert to older records that the leader relays late", async () => {
         const draining = createRecord("upstream", "draining", 8);
         const fixture = createFixture(
--- a/packages/explain/src/timeline.ts
+++ b/packages/explain/src/timeline.ts
@@ -1,6 +1,7 @@
 /** Selects the logged events that concern one request or one key, and orders them by time. */
 import type * as logLine from "./logLine";
 import * as outcome from "./outcome";
+import * as processEnds from "./processEnds";
 
 /** Events about one request or key, with a summary. */
 export interface Timeline {
@@ -13,12 +14,17 @@
 /** Time before and after a request in which related events are included, in milliseconds. */
 const contextMilliseconds = 3000;
 
+/** Ends of processes that are listed when no line has the identifier of a request. */
+const maxProcessEnds = 20;
+
 /** Events that affect all requests of an instance. */
 const instanceEvents: ReadonlySet<string> = new Set([
     "started",
     "stopping",
     "stopped",
     "document-in-force",
+    "internal-error",
+    "settings-reread",
     "isolated",
     "isolation-ended",
     "store-lost",
@@ -52,8 +58,12 @@
     const outcomes = requestLines.filter(isOutcome);
     if (requestLines.length === 0) {
         const conclusion =
-            "No line has this identifier: the request never arrived, or it got a response and was not sampled.";
-        return { lines: [], conclusions: [conclusion] };
+            "No line has this identifier: the request never arrived, it got a response and was not sampled, or its process ended before it.";
+        const ends = processEnds.findProcessEnds(lines).slice(0, maxProcessEnds);
+        return {
+            lines: [],
+            conclusions: [conclusion, ...ends.map(processEnds.describeProcessEnd)],
+        };
     }
     const startTime = timeOf(requestLines[0]) - contextMilliseconds;
     const endTime = timeOf(requestLines[requestLines.length - 1]) + contextMilliseconds;
@@ -72,12 +82,16 @@
         return isAboutUpstream || isAboutOwner || isAboutKey || isAboutLeader
             || (instances.has(line.instance) && instanceEvents.has(line.event));
     };
+    const ends = processEnds.findProcessEnds(lines).filter(end =>
+        instances.has(end.instance) && processEnds.mayHaveEndedIn(end, startTime, endTime)
+    );
+    const endLines = ends.flatMap(({ last, lastError, started }) => [last, started, ...(lastError ? [lastError] : [])]);
     const relatedLines = lines.filter(line =>
         line.request === undefined && timeOf(line) >= startTime && timeOf(line) <= endTime && isRelated(line)
     );
     return {
-        lines: sortByTime([...requestLines, ...relatedLines]),
-        conclusions: outcomes.map(outcome.describeOutcome),
+        lines: sortByTime([...new Set([...requestLines, ...relatedLines, ...endLines])]),
+        conclusions: [...outcomes.map(outcome.describeOutcome), ...ends.map(processEnds.describeProcessEnd)],
     };
 };
 
--- a/packages/explain/test/explain.test.ts
+++ b/packages/explain/test/explain.test.ts
@@ -91,6 +91,56 @@
     });
 });
 
+test.describe("processes that ended without a stop", () => {
+    const started = (second: number): string => createLine(second, "entry-1", "started", { process: second });
+    const attempt = createLine(5, "entry-1", "attempt-failed", { request: "a", upstream: "u-1", result: "unknown" });
+
+    test.it("are shown for a request whose instance started again without a stop", () => {
+        const logs = createLogs(
+            started(1),
+            attempt,
+            createLine(6, "entry-1", "traffic", { purpose: "callers" }),
+            started(14),
+            createLine(13, "entry-2", "started", {}),
+        );
+        const timeline = explain.createRequestTimeline(logs, "a");
+        earl.expect(timeline.lines.map(line => line.event)).toEqual(["attempt-failed", "traffic", "started"]);
+        earl.expect(timeline.conclusions).toEqual([
+            "entry-1 started again at 2026-01-01T00:00:14.000Z without a stop before: its process ended by itself or was "
+            + "killed after its last line (traffic) at 2026-01-01T00:00:06.000Z. Requests that were open then have no "
+            + "further line.",
+        ]);
+    });
+
+    test.it("are not shown for a request whose instance was stopped, or ended long after it", () => {
+        const stopped = createLogs(
+            started(1),
+            attempt,
+            createLine(6, "entry-1", "stopping", { signal: "SIGTERM" }),
+            createLine(9, "entry-1", "stopped", {}),
+            started(10),
+        );
+        earl.expect(explain.createRequestTimeline(stopped, "a").conclusions).toEqual([]);
+        const later = createLogs(started(1), attempt, createLine(30, "entry-1", "traffic", {}), started(31));
+        earl.expect(explain.createRequestTimeline(later, "a").conclusions).toEqual([]);
+    });
+
+    test.it("are listed with their last internal error when no line has the identifier of a request", () => {
+        const error = { message: "invalid token" };
+        const logs = createLogs(
+            started(1),
+            createLine(5, "entry-1", "internal-error" as foundation.EventName, error),
+            started(14),
+        );
+        const timeline = explain.createRequestTimeline(logs, "lost");
+        earl.expect(timeline.lines).toEqual([]);
+        earl.expect(timeline.conclusions.length).toEqual(2);
+        earl.expect(timeline.conclusions[1]).toEqual(
+            earl.expect.includes("last internal error, at 2026-01-01T00:00:05.000Z, was: invalid token."),
+        );
+    });
+});
+
 test.describe("operations documentation", () => {
     test.it("documents every event", () => {
         const page = fs.readFileSync(path.resolve(__dirname, "../../../docs/OPERATIONS.md"), "utf8");
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -16,6 +16,7 @@
 export type { Logger } from "./logging";
 export { createMetrics, createSilentMetrics } from "./metrics";
 export type { Metrics, MetricsOptions } from "./metrics";
+export { programVersion } from "./programVersion";
 export { createRandom } from "./random";
 export type { Random } from "./random";
 export { createSharedInterval } from "./sharedInterval";
--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -14,6 +14,7 @@
 /** HTTP server for callers. */
 export interface CallerServer {
     setLimits: (limits: routing.CallerLimits) => void;
+    connectionCount: () => number;
     /** Stops accepting connections. */
     stopListening: () => void;
     /** Closes connections without a request in progress. */
@@ -56,6 +57,13 @@
         }
         options.handle(request, response);
     });
+    let connectionCount = 0;
+    server.on("connection", socket => {
+        connectionCount += 1;
+        socket.once("close", () => {
+            connectionCount -= 1;
+        });
+    });
     server.on("clientError", (error, socket) => {
         const { code } = error as NodeJS.ErrnoException;
         if (code === "ECONNRESET" || !socket.writable) {
@@ -77,6 +85,7 @@
             server.headersTimeout = limits.headerTimeoutMilliseconds;
             server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
         },
+        connectionCount: () => connectionCount,
         stopListening: () => server.close(),
         closeIdleConnections: () => server.closeIdleConnections(),
     };
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -4,6 +4,7 @@
 import * as standins from "@mulberryseam/standins";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 
@@ -169,9 +170,9 @@
         lastProcessClosed = new Promise(resolve => spawned.once("close", () => resolve()));
     };
     spawnProcess();
-    const isHandled = (signal: NodeJS.Signals): boolean => child?.pid !== undefined && handlesSignal(child.pid, signal);
     const sendSignal = (signal: NodeJS.Signals): void => {
-        if (signal === "SIGHUP" && !isHandled(signal)) {
+        const isIgnored = signal === "SIGHUP" && !(child?.pid !== undefined && handlesSignal(child.pid, signal));
+        if (isIgnored) {
             return;
         }
         const isSent = child?.kill(signal) ?? false;
@@ -195,10 +196,16 @@
         isRunning: () => child !== undefined,
         signal: sendSignal,
         changeSettings: content => {
-            if (isHandled("SIGHUP")) {
-                writeSettings(content);
-                sendSignal("SIGHUP");
-            }
+            const running = child;
+            // A process that listens has read its settings; one that starts writes the file again.
+            const socket = net.connect({ host, port: readinessPort }, () => {
+                socket.destroy();
+                if (child === running && running !== undefined) {
+                    writeSettings(content);
+                    sendSignal("SIGHUP");
+                }
+            });
+            socket.on("error", () => undefined);
         },
         setRestartDelay: milliseconds => {
             restartDelayMilliseconds = milliseconds;
