Soak: upstreams that announce that they leave or ask for no requests

Neither announcement was known to the soak. An upstream that leaves says so in each response, with or without its registry entry, and serves on for longer than the drain time; a busy one refuses with the time for which it wants nothing. The checks join what upstreams received with what callers sent through which instance: no request that was sent later than the drain time after its instance had passed the announcement on, and at most two requests in the time asked for after half a second.

--- a/packages/soak/src/documents.ts
+++ b/packages/soak/src/documents.ts
@@ -25,6 +25,10 @@
 /** A value of {@link ServiceName}. */
 export type ServiceNameValue = typeof ServiceName[keyof typeof ServiceName];
 
+/** Returns whether requests to a service have a key. */
+export const isKeyedService = (service: ServiceNameValue): boolean =>
+    service === ServiceName.keyed || service === ServiceName.additionalKeyed;
+
 /** Maximum timeout of a route, in milliseconds. */
 export const timeoutMilliseconds = 1200;
 /** Number of routes that versions may have in addition. */
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -30,6 +30,8 @@
     settingsRereadStorm: "settingsRereadStorm",
     instanceSignalSeries: "instanceSignalSeries",
     callersUnusual: "callersUnusual",
+    upstreamLeaving: "upstreamLeaving",
+    upstreamBusy: "upstreamBusy",
 } as const;
 
 /** A value of {@link FaultKind}. */
@@ -57,7 +59,14 @@
     FaultKind.settingsRereadStorm,
     FaultKind.instanceSignalSeries,
 ];
-const separateKinds: readonly FaultKindValue[] = [...upstreamModeKinds, ...oddInputKinds, ...seriesKinds];
+/** Upstreams that ask for no further requests. */
+export const withdrawalKinds: readonly FaultKindValue[] = [FaultKind.upstreamLeaving, FaultKind.upstreamBusy];
+const separateKinds: readonly FaultKindValue[] = [
+    ...upstreamModeKinds,
+    ...oddInputKinds,
+    ...seriesKinds,
+    ...withdrawalKinds,
+];
 
 /** A scheduled fault. */
 export interface Fault {
@@ -85,11 +94,13 @@
 const meanGapMilliseconds = 900;
 const meanUpstreamModeGapMilliseconds = 2000;
 const meanOddInputGapMilliseconds = 800;
+const meanWithdrawalGapMilliseconds = 2500;
 const meanSeriesGapMilliseconds = 2500;
 /** Distinguish the random numbers of these faults from those of the others. */
 const upstreamModeSeedOffset = 500_000;
 const oddInputSeedOffset = 600_000;
 const seriesSeedOffset = 700_000;
+const withdrawalSeedOffset = 900_000;
 
 const createFaults = (
     random: foundation.Random,
@@ -132,6 +143,7 @@
         ...(isPlanned ? [] : [
             ...createGroup(upstreamModeSeedOffset, upstreamModeKinds, meanUpstreamModeGapMilliseconds),
             ...createGroup(oddInputSeedOffset, oddInputKinds, meanOddInputGapMilliseconds),
+            ...createGroup(withdrawalSeedOffset, withdrawalKinds, meanWithdrawalGapMilliseconds),
         ]),
     ];
     faults.sort((left, right) => left.startMilliseconds - right.startMilliseconds);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,6 @@
 /** Randomized soak test with fault injection that runs the real programs as separate processes on loopback. */
 export { createDocument, createShape, plainShape } from "./documents";
-export { createSchedule, FaultKind, oddInputKinds, seriesKinds } from "./faults";
+export { createSchedule, FaultKind, oddInputKinds, seriesKinds, withdrawalKinds } from "./faults";
 export type { Fault, FaultKindValue, Schedule } from "./faults";
 export { startInstance } from "./instances";
 export type { InstanceOptions, SoakInstance } from "./instances";
@@ -11,3 +11,4 @@
 export type { Site, SiteOptions } from "./site";
 export { runSoak } from "./soakRun";
 export type { SoakOptions, SoakResult } from "./soakRun";
+export type { ArrivalRecord } from "./upstreamChecker";
--- a/packages/soak/src/injections.ts
+++ b/packages/soak/src/injections.ts
@@ -30,6 +30,8 @@
 /** Interval between the signals to a process that starts, in milliseconds. */
 const startSignalIntervalMilliseconds = 10;
 const maxStormSteps = 8;
+/** How long an upstream still serves after its announcement, besides the duration of the fault, in milliseconds. */
+const leavingMilliseconds = 3000;
 
 /** Calls an action repeatedly until a number of calls is reached or the returned function is called. */
 const repeat = (count: number, intervalMilliseconds: number, action: (index: number) => void): () => void => {
@@ -51,7 +53,7 @@
  * @param options - the site and the fault
  * @returns the function that reverts the fault
  */
-export const injectFault = ({ site, fault, startUnusualCallers }: InjectionOptions): () => void => {
+export const injectFault = ({ site, fault, startUnusualCallers }: InjectionOptions): () => void | Promise<void> => {
     const { store } = site;
     const instance = site.instances[fault.targetIndex % site.instances.length];
     const upstream = site.upstreams[fault.targetIndex % site.upstreams.length];
@@ -129,7 +131,14 @@
             stopRereads();
         };
     };
-    const injections: Record<faults.FaultKindValue, () => () => void> = {
+    const injectLeaving = (): () => Promise<void> => {
+        upstream.announceLeaving(fault.targetIndex % 2 === 0);
+        return async () => {
+            await new Promise(resolve => setTimeout(resolve, leavingMilliseconds));
+            await upstream.restart();
+        };
+    };
+    const injections: Record<faults.FaultKindValue, () => () => void | Promise<void>> = {
         storeBusy: () => injectStoreMode(emulator.StoreMode.busy),
         storeLosing: () => injectStoreMode(emulator.StoreMode.losing),
         storeSilent: () => injectStoreMode(emulator.StoreMode.silent),
@@ -165,6 +174,8 @@
         documentStorm: injectDocuments,
         settingsRereadStorm: injectSettings,
         instanceSignalSeries: injectSignalSeries,
+        upstreamLeaving: injectLeaving,
+        upstreamBusy: () => injectUpstreamMode(emulator.UpstreamMode.busy),
         callersUnusual: () => startUnusualCallers(instance, fault),
     };
     return injections[fault.kind]();
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -1,6 +1,7 @@
 /** Checks the product's guarantees against the requests and executions that callers and upstreams recorded. */
 
 import * as documents from "./documents";
+import * as upstreamChecker from "./upstreamChecker";
 
 /** A request as recorded by its caller. */
 export interface CallerRecord {
@@ -33,6 +34,8 @@
 export interface Observations {
     callers: readonly CallerRecord[];
     executions: readonly ExecutionRecord[];
+    /** Requests that reached upstreams without keys, in order. Keyed ones may have come through a second instance. */
+    arrivals: readonly upstreamChecker.ArrivalRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: readonly string[];
     /** Descriptions of processes that ended although nothing had asked them to. */
@@ -44,7 +47,9 @@
     /** Maximum timeout of a route, in milliseconds; undefined disables the timing checks. */
     timeoutMilliseconds: number | undefined;
     /** Whether the request's instance was paused, killed or stopped while the request was in flight. */
-    wasDisrupted: (record: CallerRecord) => boolean;
+    wasDisrupted: (span: Pick<CallerRecord, "instance" | "sentAt" | "endedAt">) => boolean;
+    /** Whether responses of an upstream may have been lost or delayed. */
+    wasLinkDisturbed: (upstream: string, from: number, until: number) => boolean;
 }
 
 /** Response statuses that guarantee that the request was not executed and never will be. */
@@ -164,5 +169,7 @@
     ...checkRejections(observations),
     ...checkLostRequests(observations),
     ...checkPlannedFaults(observations),
+    ...upstreamChecker.checkLeavingUpstreams(observations),
+    ...upstreamChecker.checkBusyUpstreams(observations),
     ...checkTiming(observations),
 ];
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -20,4 +20,9 @@
         cause:
             "An upstream that refused connections, or an odd registry entry at its address, lost its keys to another while it held them.",
     },
+    {
+        seed: 103,
+        cause:
+            "An upstream that announced in its responses that it was leaving received requests after the drain time; a caller's malformed header ended the process.",
+    },
 ];
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -9,12 +9,15 @@
 
 /** An upstream and the emulated network link through which instances connect to it. */
 export interface SoakUpstream {
+    name: string;
     service: documents.ServiceNameValue;
     link: standins.LinkStandIn;
     /** Stops the upstream and starts a new incarnation with the same name at another address. */
     restart: () => Promise<void>;
     /** Sets the mode of the running incarnation; a new one serves. */
     setMode: (mode: emulator.UpstreamModeValue) => void;
+    /** Lets the running incarnation announce in its responses that it leaves, until it is restarted. */
+    announceLeaving: (isRegistered: boolean) => void;
 }
 
 /** A running site. */
@@ -23,6 +26,8 @@
     instances: instances.SoakInstance[];
     upstreams: SoakUpstream[];
     executions: invariantChecker.ExecutionRecord[];
+    /** Requests that reached upstreams without keys; completed when they are answered. */
+    arrivals: emulator.EmulatedArrival[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
     /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
@@ -47,6 +52,7 @@
 const maxServiceTimeMilliseconds = 60;
 /** Number of upstreams of each service that only some versions of the document know. */
 const additionalUpstreams = 2;
+const busyHeaders = { "not-executed": "1", "retry-after": "2" };
 const documentsTopic = "keyed.op";
 const upstreamsTopic = "keyed.servers";
 /** Distinguishes the random numbers of malformed answers from those of service times. */
@@ -80,6 +86,8 @@
             serviceTimeMilliseconds,
             onExecution,
             random: malformedRandom,
+            busyHeaders,
+            onArrival: arrival => documents.isKeyedService(service) || site.arrivals.push(arrival),
         });
         const link = await standins.createLinkStandIn({
             port: 0,
@@ -92,6 +100,8 @@
     };
     let incarnation = await startIncarnation();
     let sequence = 0;
+    /** An upstream that is leaving does not return to another mode. */
+    let leaving = { isLeaving: false, isRegistered: false };
     const publishHeartbeat = (): void => {
         sequence += 1;
         site.store.put(
@@ -102,7 +112,7 @@
                 address: `127.0.0.1:${incarnation.link.port}`,
                 zone: "north-a",
                 slots: 4,
-                state: "ready",
+                state: leaving.isRegistered ? "draining" : "ready",
                 warmupLeft: "0ms",
                 sequence,
                 born: incarnation.upstream.startedAt,
@@ -118,10 +128,12 @@
         await incarnation.upstream.stop();
         incarnation = await startIncarnation();
         soakUpstream.link = incarnation.link;
+        leaving = { isLeaving: false, isRegistered: false };
         publishHeartbeat();
     };
     let lastRestart = Promise.resolve();
     const soakUpstream: SoakUpstream = {
+        name,
         service,
         link: incarnation.link,
         restart: () => {
@@ -129,7 +141,12 @@
             lastRestart = lastRestart.then(restart);
             return lastRestart;
         },
-        setMode: mode => incarnation.upstream.setMode(mode),
+        setMode: mode => leaving.isLeaving || incarnation.upstream.setMode(mode),
+        announceLeaving: isRegistered => {
+            leaving = { isLeaving: true, isRegistered };
+            incarnation.upstream.setMode(emulator.UpstreamMode.leaving);
+            publishHeartbeat();
+        },
     };
     return soakUpstream;
 };
@@ -151,6 +168,7 @@
         instances: [],
         upstreams: [],
         executions: [],
+        arrivals: [],
         ownershipViolations: [],
         changeDocument: newShape => {
             version += 1;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -145,15 +145,30 @@
     await activeCallers.stop();
     await pause(settleMilliseconds);
     const disruptions = schedule.faults.flatMap(fault => listDisruptions(site, fault, startedAt));
+    const linkDisturbances = schedule.faults.filter(fault => fault.kind.startsWith("upstreamLink")).map(fault => ({
+        upstream: site.upstreams[fault.targetIndex % site.upstreams.length].name,
+        from: startedAt + fault.startMilliseconds,
+        until: startedAt + fault.startMilliseconds + fault.durationMilliseconds + settleMilliseconds,
+    }));
     const records = activeCallers.records();
     const violations = invariantChecker.checkInvariants({
         callers: records,
         executions: site.executions,
+        arrivals: site.arrivals.map(({ upstream, requestIdentifier: identifier, ...arrival }) => ({
+            ...arrival,
+            identifier,
+            upstream: `${upstream.identifier}@${upstream.startedAt}`,
+        })),
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         isPlanned: schedule.isPlanned,
         recoveredAt,
         timeoutMilliseconds: options.checksTiming ? documents.timeoutMilliseconds : undefined,
+        wasLinkDisturbed: (upstream, from, until) =>
+            linkDisturbances.some(disturbance =>
+                upstream.startsWith(`${disturbance.upstream}@`) && disturbance.from <= until
+                && disturbance.until >= from
+            ),
         wasDisrupted: ({ instance, sentAt, endedAt }) =>
             disruptions.some(disruption =>
                 disruption.instance === instance && disruption.from <= endedAt && disruption.until >= sentAt
--- /dev/null
+++ b/packages/soak/src/upstreamChecker.ts
@@ -0,0 +1,83 @@
+/** Checks that instances respect what upstreams ask for: no requests after they have left, or while they are busy. */
+import type * as invariantChecker from "./invariantChecker";
+
+/** A request as an upstream received it, with its response. */
+export interface ArrivalRecord {
+    identifier: string;
+    /** Name and start of the upstream. */
+    upstream: string;
+    arrivedAt: number;
+    /** Undefined if it was not answered. */
+    answeredAt: number | undefined;
+    status: number;
+    /** Whether the response announced that the upstream is leaving. */
+    isLeaving: boolean;
+    /** Time for which the response asked for no further requests, in milliseconds; 0 if it did not. */
+    retryAfterMilliseconds: number;
+}
+
+/** An arrival with the record of its caller. */
+interface AttributedArrival extends ArrivalRecord {
+    caller: invariantChecker.CallerRecord;
+}
+
+/** Time after an announcement in which requests may still reach an upstream that leaves, in milliseconds. */
+export const drainMilliseconds = 2500;
+/** Time that an instance has to act on the response of a busy upstream, in milliseconds. */
+const busyToleranceMilliseconds = 500;
+/** Requests that may reach a busy upstream from one instance after that time. */
+const maxBusyArrivals = 2;
+
+/** Groups the arrivals by instance and upstream. Requests that were not sent by a known instance are left out. */
+const groupArrivals = ({ arrivals, callers }: invariantChecker.Observations): AttributedArrival[][] => {
+    const callersByIdentifier = new Map(callers.map(record => [record.identifier, record]));
+    const groups = new Map<string, AttributedArrival[]>();
+    for (const arrival of arrivals) {
+        const caller = callersByIdentifier.get(arrival.identifier);
+        if (caller !== undefined) {
+            const name = `${caller.instance} ${arrival.upstream}`;
+            groups.set(name, [...groups.get(name) ?? [], { ...arrival, caller }]);
+        }
+    }
+    return [...groups.values()];
+};
+
+/**
+ * Checks that an instance that has passed on the announcement of an upstream that leaves sends it no request that a caller sent later
+ * than the drain time after it.
+ */
+export const checkLeavingUpstreams = (observations: invariantChecker.Observations): string[] =>
+    groupArrivals(observations).flatMap(group => {
+        const announcedAt = group
+            .filter(({ isLeaving, caller, status }) => isLeaving && caller.hasResponse && caller.status === status)
+            .reduce((earliest, { caller }) => Math.min(earliest, caller.endedAt), Infinity);
+        return group.filter(({ caller }) =>
+            caller.sentAt > announcedAt + drainMilliseconds
+            && !observations.wasDisrupted({ ...caller, sentAt: announcedAt })
+        ).map(({ identifier, upstream, caller }) =>
+            `${identifier}: ${caller.instance} sent it to ${upstream} ${
+                Math.round(caller.sentAt - announcedAt)
+            } ms after passing on that it leaves`
+        );
+    });
+
+/** Checks that an instance that was refused with a time to wait sends at most two requests in the rest of that time. */
+export const checkBusyUpstreams = (observations: invariantChecker.Observations): string[] => {
+    if (observations.timeoutMilliseconds === undefined) {
+        return [];
+    }
+    return groupArrivals(observations).flatMap(group =>
+        group.flatMap(({ answeredAt = Infinity, retryAfterMilliseconds, upstream, caller }) => {
+            const endsAt = answeredAt + retryAfterMilliseconds;
+            const isExcused = retryAfterMilliseconds === 0
+                || observations.wasLinkDisturbed(upstream, answeredAt, endsAt)
+                || observations.wasDisrupted({ ...caller, sentAt: answeredAt, endedAt: endsAt });
+            const late = group.filter(({ arrivedAt }) =>
+                arrivedAt > answeredAt + busyToleranceMilliseconds && arrivedAt < endsAt
+            );
+            return isExcused || late.length <= maxBusyArrivals
+                ? []
+                : [`${late.length} requests of ${caller.instance} reached ${upstream}, which had asked for none`];
+        })
+    );
+};
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -34,12 +34,14 @@
 const createObservations = (changes: Partial<soak.Observations> = {}): soak.Observations => ({
     callers: [createRecord()],
     executions: [createExecution()],
+    arrivals: [],
     ownershipViolations: [],
     ownEnds: [],
     isPlanned: false,
     recoveredAt: 0,
     timeoutMilliseconds: 1200,
     wasDisrupted: () => false,
+    wasLinkDisturbed: () => false,
     ...changes,
 });
 
@@ -157,6 +159,68 @@
     });
 });
 
+test.describe("soak checks of upstreams that ask for no requests", () => {
+    const createArrival = (identifier: string, changes: Partial<soak.ArrivalRecord> = {}): soak.ArrivalRecord => ({
+        identifier,
+        upstream: "orders-1@1",
+        arrivedAt: 0,
+        answeredAt: 0,
+        status: 200,
+        isLeaving: false,
+        retryAfterMilliseconds: 0,
+        ...changes,
+    });
+    const createCaller = (identifier: string, sentAt: number, changes: Partial<soak.CallerRecord> = {}) =>
+        createRecord({
+            identifier,
+            echoedIdentifier: identifier,
+            body: `answer to ${identifier}`,
+            sentAt,
+            endedAt: sentAt + 10,
+            ...changes,
+        });
+    const countLate = (sentAt: number, changes: Partial<soak.Observations> = {}, arrival = {}): number =>
+        countViolations({
+            callers: [createCaller("first", 1000), createCaller("second", sentAt)],
+            executions: [],
+            arrivals: [createArrival("first", { isLeaving: true }), createArrival("second", arrival)],
+            ...changes,
+        });
+
+    test.it("report a request sent to an upstream later than the drain time after its announcement was passed on", () => {
+        earl.expect(countLate(3500)).toEqual(0);
+        earl.expect(countLate(3520)).toEqual(1);
+        earl.expect(countLate(3520, {}, { upstream: "orders-1@2" })).toEqual(0);
+        earl.expect(countLate(3520, { wasDisrupted: () => true })).toEqual(0);
+        const otherInstance = [createCaller("first", 1000, { instance: "entry-2" }), createCaller("second", 3520)];
+        earl.expect(countLate(3520, { callers: otherInstance })).toEqual(0);
+        const notPassedOn = [createCaller("first", 1000, { status: 504 }), createCaller("second", 3520)];
+        earl.expect(countLate(3520, { callers: notPassedOn, recoveredAt: 5000 })).toEqual(0);
+    });
+
+    test.it("report more than two requests to an upstream that asked for none, after half a second", () => {
+        const countBusy = (arrivalTimes: readonly number[], changes: Partial<soak.Observations> = {}): number =>
+            countViolations({
+                callers: [
+                    createCaller("first", 0, { status: 503, hasResponse: true }),
+                    ...arrivalTimes.map(arrivedAt => createCaller(`at ${arrivedAt}`, arrivedAt)),
+                ],
+                executions: [],
+                arrivals: [
+                    createArrival("first", { status: 503, answeredAt: 0, retryAfterMilliseconds: 2000 }),
+                    ...arrivalTimes.map(arrivedAt => createArrival(`at ${arrivedAt}`, { arrivedAt })),
+                ],
+                recoveredAt: 5000,
+                ...changes,
+            });
+        earl.expect(countBusy([10, 20, 499, 600, 700, 2100])).toEqual(0);
+        earl.expect(countBusy([600, 700, 800])).toEqual(1);
+        earl.expect(countBusy([600, 700, 800], { wasLinkDisturbed: () => true })).toEqual(0);
+        earl.expect(countBusy([600, 700, 800], { wasDisrupted: () => true })).toEqual(0);
+        earl.expect(countBusy([600, 700, 800], { timeoutMilliseconds: undefined })).toEqual(0);
+    });
+});
+
 test.describe("instances of a soak run", () => {
     test.it("report a process that ends by itself with its status and last error output", async () => {
         const ends = await runProgram("setTimeout(() => { throw new Error('broken record'); }, 10)", waitUntilEnded);
@@ -258,7 +322,9 @@
                 checksTiming: false,
                 networkPrefix: `127.2.${seed}`,
                 peerPort: 17_700 + seed * 20,
-                kinds: Object.values(soak.FaultKind).filter(kind => !soak.oddInputKinds.includes(kind)),
+                kinds: Object.values(soak.FaultKind).filter(kind =>
+                    ![...soak.oddInputKinds, ...soak.withdrawalKinds].includes(kind)
+                ),
             });
             fs.rmSync(folder, { recursive: true });
             earl.expect(result.violations).toEqual([]);
