Soak: one exit listener for all instances

A run with 24 instances and 24 upstreams a service printed MaxListenersExceededWarning, as each instance added a listener to the process.

--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -75,6 +75,10 @@
     }
 };
 
+/** Kill the processes that are left when the soak ends. */
+const killProcesses = new Set<() => void>();
+process.on("exit", () => killProcesses.forEach(killProcess => killProcess()));
+
 /** The end of a process. */
 interface ProcessEnd {
     /** Exit status; undefined if a signal ended the process. */
@@ -181,9 +185,9 @@
         }
     };
     const killProcess = (): void => sendSignal("SIGKILL");
-    process.on("exit", killProcess);
+    killProcesses.add(killProcess);
     owner.onCleanup(() => {
-        process.off("exit", killProcess);
+        killProcesses.delete(killProcess);
         fs.closeSync(logDescriptor);
         fs.rmSync(folder, { recursive: true });
     });
