--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -2,6 +2,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as malformedAnswers from "./malformedAnswers";
 
 /** How an emulated upstream handles requests; it obeys lease commands in every mode. */
 export const UpstreamMode = {
@@ -10,6 +11,8 @@
     silent: "silent",
     /** Executes nothing and sends bytes without end. */
     endless: "endless",
+    /** Executes requests, and sends some of the responses malformed. */
+    malformed: "malformed",
     /** Executes requests, and announces in every response that it is leaving. */
     leaving: "leaving",
     /** Refuses every request with status 503 and the headers of {@link EmulatedUpstreamOptions.busyHeaders}. */
@@ -64,6 +67,8 @@
     serviceTimeMilliseconds?: () => number;
     /** Called when the execution of a request starts. */
     onExecution?: (execution: EmulatedExecution) => void;
+    /** Chooses the responses that are malformed. */
+    random?: foundation.Random;
     /** Called when a request of a caller arrives; the record is completed once the response is sent. */
     onArrival?: (arrival: EmulatedArrival) => void;
     /** Headers of the responses in busy mode; by default the request was not executed, and may be repeated after 1 s. */
@@ -107,6 +112,8 @@
 ): Promise<EmulatedUpstream> => {
     let heldRanges: HeldRange[] = [];
     const appliedCommands: HeldRange[] = [];
+    const lastIdentifiers = new WeakMap<net.Socket, string>();
+    const random = options.random ?? foundation.createRandom(0);
     /** Requests of callers, by their responses. */
     const arrivals = new WeakMap<http.ServerResponse, EmulatedArrival>();
     let executionCount = 0;
@@ -127,7 +134,7 @@
         text = "",
     ): void => {
         const isLeaving = mode === UpstreamMode.leaving;
-        const leavingHeaders = isLeaving ? { "server-leaving": "1" } : {};
+        const sentHeaders = { ...headers, ...(isLeaving ? { "server-leaving": "1" } : {}) };
         const retryAfterMilliseconds = Number(headers["retry-after"] ?? 0) * 1000;
         Object.assign(arrivals.get(response) ?? {}, {
             answeredAt: performance.now(),
@@ -135,8 +142,19 @@
             isLeaving,
             retryAfterMilliseconds,
         });
-        response.writeHead(status, { ...headers, ...leavingHeaders, "content-length": text.length });
-        response.end(text);
+        const send = (): void => {
+            response.writeHead(status, { ...sentHeaders, "content-length": text.length });
+            response.end(text);
+        };
+        const socket = response.socket ?? undefined;
+        if (mode !== UpstreamMode.malformed || socket === undefined || socket.destroyed) {
+            send();
+            return;
+        }
+        const earlierIdentifier = lastIdentifiers.get(socket);
+        lastIdentifiers.set(socket, String(headers["request-id"]));
+        const answer = { status, headers: sentHeaders, text, earlierIdentifier, send };
+        malformedAnswers.sendMalformedAnswer(socket, answer, random);
     };
     const recordArrival = (request: http.IncomingMessage, response: http.ServerResponse): void => {
         const arrival: EmulatedArrival = {
@@ -177,7 +195,11 @@
         request.on("data", chunk => chunks.push(chunk as Buffer));
         request.on("end", () => {
             const targetInstance = request.headers["target-instance"];
-            const commonHeaders = { "request-id": request.headers["request-id"], "server-load": "0,0,4" };
+            const echoedIdentifier = request.headers["request-id"];
+            const commonHeaders = {
+                ...(echoedIdentifier === undefined ? {} : { "request-id": echoedIdentifier }),
+                "server-load": "0,0,4",
+            };
             if (targetInstance !== undefined && targetInstance !== identifier) {
                 sendResponse(response, misdirectedStatus, commonHeaders);
                 return;
