Relay: bound the numbers of upstreams and callers before they reach timers and estimates

Callers saw their connections end when an upstream announced an idle timeout of some hundred digits: Infinity made socket.setTimeout() throw while the connection was given back, which ended the process. A load of 1e308 made the estimates of an upstream NaN, and every later request to it was refused with 503. A caller that announced to wait for very long got a large response cut off, as a delay above 2^31 - 1 ms ends after 1 ms. A cost that is no number made the split of a route throw.

--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -82,6 +82,8 @@
 export const typicalBytes = 1200;
 /** Time for a whole response to a caller that does not state how long it waits, in milliseconds. */
 const defaultCallerTimeoutMilliseconds = 60_000;
+/** Longest time that a caller is taken to wait, in milliseconds: a day. */
+const maxCallerTimeoutMilliseconds = 86_400_000;
 
 /**
  * Creates the state of a request before its first attempt.
@@ -92,7 +94,9 @@
 export const createRequestState = (arrived: ArrivedRequest): RequestState => {
     const { request, route, arrivedAt } = arrived;
     const requested = Number(request.headers[platform.HeaderName.remainingMilliseconds]);
-    const callerTimeout = Number.isFinite(requested) && requested > 0 ? requested : defaultCallerTimeoutMilliseconds;
+    const callerTimeout = Number.isFinite(requested) && requested > 0
+        ? Math.min(requested, maxCallerTimeoutMilliseconds)
+        : defaultCallerTimeoutMilliseconds;
     const identifier = request.headers[platform.HeaderName.requestIdentifier];
     return {
         ...arrived,
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -57,7 +57,15 @@
             };
         }
         const candidate = pool.toCandidate(target, state.estimatedBytes);
-        const chosen = upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice;
+        const chosen = upstreamCost.chooseUpstream([candidate], 0);
+        if (chosen === undefined) {
+            return {
+                kind: "none",
+                reason: requestState.FailureReason.noOwner,
+                waitMilliseconds: defaultRetryAfterMilliseconds,
+                isTransient: false,
+            };
+        }
         state.decision = toDecision(chosen, route?.token);
         if (pool.isConnectionUnavailable(target)) {
             return {
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -20,6 +20,8 @@
  */
 const idleMarginMilliseconds = 1200;
 const minIdleMilliseconds = 300;
+/** Longest idle timeout, in milliseconds, whatever an upstream announces: sockets refuse timeouts without a bound. */
+const maxIdleMilliseconds = 600_000;
 
 /**
  * Creates the connections to an upstream; none is open yet.
@@ -67,7 +69,8 @@
         agent,
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onKeepAliveTimeout: milliseconds => {
-            idleMilliseconds = Math.max(minIdleMilliseconds, milliseconds - idleMarginMilliseconds);
+            const announced = milliseconds - idleMarginMilliseconds;
+            idleMilliseconds = Math.min(maxIdleMilliseconds, Math.max(minIdleMilliseconds, announced));
         },
         close: () => agent.destroy(),
     };
--- a/packages/relay/src/upstreamCost.ts
+++ b/packages/relay/src/upstreamCost.ts
@@ -60,12 +60,13 @@
  * @returns the choice, or undefined without candidates
  */
 export const chooseUpstream = (candidates: readonly Candidate[], randomFraction: number): Choice | undefined => {
-    const costs = candidates.map(candidate =>
-        estimateResponseTime(candidate) + candidate.failureRatio * failureCostMilliseconds
-        + candidate.pathCostMilliseconds
-        // An upstream slows down slightly with its load, long before all slots are in use.
-        + candidate.queueLength / candidate.slots * toleranceMilliseconds
-    );
+    const costs = candidates.map(candidate => {
+        const cost = estimateResponseTime(candidate) + candidate.failureRatio * failureCostMilliseconds
+            + candidate.pathCostMilliseconds
+            // An upstream slows down slightly with its load, long before all slots are in use.
+            + candidate.queueLength / candidate.slots * toleranceMilliseconds;
+        return Number.isNaN(cost) ? Infinity : cost;
+    });
     const minCost = Math.min(...costs);
     const equivalent = candidates.filter((candidate, index) =>
         candidate !== undefined && costs[index] <= minCost + toleranceMilliseconds
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -38,7 +38,7 @@
             credits[index] += destination.weight / totalWeight;
         });
         const scores = credits.map((credit, index) => credit - costWeight * costOf(destinations[index].service));
-        const selected = scores.indexOf(Math.max(...scores));
+        const selected = scores.reduce((best, score, index) => score > scores[best] ? index : best, 0);
         credits[selected] -= 1;
         return destinations[selected].service;
     };
