Peers: bound the numbers of their messages, and do not stop following over a bad leader record

Callers saw old routing and upstreams at an instance that no longer followed a leader: a leader record with a port out of range made net.connect() throw at each step, so that no later leader was followed. Keys, weights, service times and ports of messages were not bounded, and NaN or a negative key would spoil the load and the routing of all keys.

Messages with such numbers are refused, which closes their connection; a record that cannot be connected to is recorded and the next one is followed; ages are finite. Records of the ownership topic are still decoded as before: without the last leader or assignment, a new leader would not wait for the leases that they stand for.

--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -145,7 +145,11 @@
 
     const connect = (leader: assignment.LeaderRecord): void => {
         lastConnectAt = timers.now();
-        const socket = net.connect({ host: leader.host, port: leader.port });
+        const { host, port } = leader;
+        const socket = options.failures.run("leader record", () => net.connect({ host, port }), { host, port });
+        if (socket === undefined) {
+            return;
+        }
         const topicEnds = new Map<string, number>();
         const connection = protocol.createRoutingConnection(socket, {
             failures: options.failures,
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -69,6 +69,9 @@
 /** Maximum pause between checks whether a read is due, in milliseconds. */
 const checkIntervalMilliseconds = 100;
 
+/** Age of a state that was never confirmed, in milliseconds. */
+const maxAgeMilliseconds = 1e9;
+
 /**
  * Follows a topic until the owner is disposed of.
  *
@@ -87,6 +90,8 @@
     const newestRecords = new Map<string, platform.StoredRecord>();
     let offset: number | undefined;
     let lastUpdateAt = -Infinity;
+    /** Messages to other instances contain finite numbers only. */
+    const age = (): number => Math.min(maxAgeMilliseconds, timers.now() - lastUpdateAt);
     let cancelRead = (): void => undefined;
 
     const notifyChanges = (changes: readonly platform.StoredRecord[], end: number): void => {
@@ -182,7 +187,7 @@
         snapshot: () =>
             offset === undefined
                 ? undefined
-                : { records: [...newestRecords.values()], end: offset, age: timers.now() - lastUpdateAt },
-        position: () => offset === undefined ? undefined : { end: offset, age: timers.now() - lastUpdateAt },
+                : { records: [...newestRecords.values()], end: offset, age: age() },
+        position: () => offset === undefined ? undefined : { end: offset, age: age() },
     };
 };
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -4,6 +4,7 @@
 import type * as protocol from "@mulberryseam/protocol";
 import * as siteModule from "@mulberryseam/site";
 import * as earl from "earl";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as followerServer from "../src/followerServer";
 import * as leaderLink from "../src/leaderLink";
@@ -30,6 +31,37 @@
     }
 };
 
+const createLeaderRecord = (port: number): assignment.LeaderRecord => ({
+    identifier: "leader",
+    host,
+    port,
+    term: 1,
+    beat: 0,
+    isResigned: false,
+    longestLeaseMilliseconds: 0,
+});
+
+const createLink = (
+    timers: foundation.TimerService,
+    failures: foundation.FailureBoundary,
+): leaderLink.LeaderLink =>
+    leaderLink.createLeaderLink({
+        identifier: "follower",
+        failureDomain: "north-a",
+        delegate: createDelegate("follower"),
+        timers,
+        failures,
+        onRouting: () => undefined,
+        topics: {
+            positions: () => [],
+            snapshot: () => undefined,
+            onRelayed: () => undefined,
+            onSnapshot: () => undefined,
+        },
+        onDelegates: () => undefined,
+        onLeaderLost: () => undefined,
+    });
+
 const createFollower = (
     timers: foundation.TimerService,
     port: number,
@@ -56,16 +88,7 @@
         },
         onLeaderLost: () => undefined,
     });
-    const leader: assignment.LeaderRecord = {
-        identifier: "leader",
-        host,
-        port,
-        term: 1,
-        beat: 0,
-        isResigned: false,
-        longestLeaseMilliseconds: 0,
-    };
-    link.follow(leader);
+    link.follow(createLeaderRecord(port));
     return Object.assign(follower, { link });
 };
 
@@ -177,3 +200,22 @@
         });
     });
 });
+
+test.describe("a follower", () => {
+    test.it("does not throw for a leader record with a port out of range, and follows the next leader", async () => {
+        const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
+        const link = createLink(foundation.createTimerService(), failures);
+        const server = net.createServer();
+        const isFollowed = new Promise(resolve => server.once("connection", resolve));
+        await foundation.listenOn(server, host, 0);
+        const { port } = server.address() as net.AddressInfo;
+        const record = createLeaderRecord(80_800);
+        link.follow(record);
+        earl.expect([...failures.counts()]).toEqual([["leader record", 1]]);
+        const following = setInterval(() => link.follow({ ...record, identifier: "next", port }), 20);
+        await isFollowed;
+        clearInterval(following);
+        link.close();
+        server.close();
+    });
+});
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -228,6 +228,16 @@
     });
 });
 
+test.describe("a topic that was never confirmed", () => {
+    test.it("has a finite age, which other instances accept in a heartbeat", async () => {
+        const { task, owner } = createFixture(neverResolves, 1000, 10_000);
+        task.onSnapshot({ records: [nextRecord], end: 8, age: 5000 });
+        earl.expect(Number.isFinite(task.position()?.age)).toEqual(true);
+        earl.expect(Number.isFinite(task.snapshot()?.age)).toEqual(true);
+        await owner.dispose();
+    });
+});
+
 test.describe("filtering unchanged records", () => {
     const createFilter = (): changeFilter.ChangeFilter =>
         changeFilter.createChangeFilter((...[, value]) => value.toString().split(" ")[0]);
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -19,9 +19,15 @@
     stopping: "stopping",
 } as const;
 
+const keySchema = zod.int().min(0).max(65_535);
+const portSchema = zod.int().min(1).max(65_535);
+/** Limit of times, weights and counts, far above those of any instance. */
+const maxNumber = 1e12;
+const numberSchema = zod.number().min(0).max(maxNumber);
+
 const changeSchema = zod.object({
-    first: zod.int(),
-    last: zod.int(),
+    first: keySchema,
+    last: keySchema,
     token: zod.int(),
     /** Index in the list of owners; -1 while no upstream may serve the keys. */
     owner: zod.int(),
@@ -36,7 +42,7 @@
 
 const topicPositionSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
 
-const delegateSchema = zod.object({ identifier: zod.string(), host: zod.string(), port: zod.int() });
+const delegateSchema = zod.object({ identifier: zod.string(), host: zod.ipv4(), port: portSchema });
 
 /** Schema of a record of a topic of the store. */
 export const topicRecordSchema = zod.object({
@@ -69,7 +75,7 @@
         /** Time since the store last confirmed the leadership, in milliseconds. */
         proofAge: zod.number(),
         /** Number of instances connected to the leader, including the leader itself. */
-        instances: zod.int(),
+        instances: zod.int().min(0).max(maxNumber),
         /** End of the leader's last read of each topic of the store, and the age of that read in milliseconds. */
         topics: zod.array(topicPositionSchema),
     }),
@@ -100,9 +106,9 @@
     zod.object({
         kind: zod.literal(RoutingMessageKind.report),
         /** Keys of sampled requests, with repetitions, and the number of requests that each sample represents. */
-        samples: zod.array(zod.object({ service: zod.string(), keys: zod.array(zod.int()), weight: zod.number() })),
+        samples: zod.array(zod.object({ service: zod.string(), keys: zod.array(keySchema), weight: numberSchema })),
         /** Service time of each upstream measured since the last report, in milliseconds. */
-        speeds: zod.array(zod.tuple([zod.string(), zod.number()])),
+        speeds: zod.array(zod.tuple([zod.string(), numberSchema.min(1)])),
     }),
     zod.object({ kind: zod.literal(RoutingMessageKind.resigned) }),
     /** The instances of the follower's failure domain that accept requests of each other; sent after each change. */
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -60,3 +60,30 @@
         });
     }
 });
+
+test.describe("a routing message with numbers out of range", () => {
+    const delegate = { identifier: "a", host: "127.0.0.1", port: 7201 };
+    const report = { kind: "report", samples: [], speeds: [] };
+    const routing = { kind: "routing", service: "records", owners: [], changes: [] };
+    const change = { first: 0, last: 65_535, token: 1, owner: -1 };
+    const isAccepted = (message: object): boolean => protocol.parseRoutingMessage(message).ok;
+
+    test.it("is rejected", () => {
+        const sound: object[] = [
+            { kind: "delegates", members: [delegate] },
+            { ...report, samples: [{ service: "records", keys: [0, 65_535], weight: 2 }], speeds: [["a", 12]] },
+            { ...routing, changes: [change] },
+        ];
+        const odd: object[] = [
+            ...[0, -1, 80_800, 1.5, NaN].map(port => ({ kind: "delegates", members: [{ ...delegate, port }] })),
+            ...["", "999.0.0.1", "a.example"].map(host => ({ kind: "delegates", members: [{ ...delegate, host }] })),
+            ...[-1, 65_536, NaN].map(key => ({ ...report, samples: [{ service: "records", keys: [key], weight: 1 }] })),
+            ...[-1, NaN, Infinity, 1e300].map(weight => ({ ...report, samples: [{ service: "a", keys: [], weight }] })),
+            ...[0, -1, NaN, Infinity, 1e300].map(speed => ({ ...report, speeds: [["a", speed]] })),
+            ...[-1, 65_536, 1e300].map(first => ({ ...routing, changes: [{ ...change, first }] })),
+            ...[-1, 65_536, 1e300].map(last => ({ ...routing, changes: [{ ...change, last }] })),
+        ];
+        earl.expect(sound.filter(message => !isAccepted(message))).toEqual([]);
+        earl.expect(odd.filter(isAccepted)).toEqual([]);
+    });
+});
