Leases: refused connections do not prove that an upstream has ended

The leader took two refused connections 250 ms apart for the end of an upstream and granted its keys to others at once. A cut path between the leader and an upstream may refuse connections while the upstream serves other instances: for up to 2.8 s both ran requests on the same keys. The upstream also got no keys from that leader after the cut.

A refusal now proves only that this command was not delivered: it prolongs no lease, also if its keys are reassigned before the refusal arrives, so the keys are free as soon as the leases that did arrive have run out. Refused releases count like refused grants when an owner is judged unresponsive. Only the answer of another process at the address (421) still ends leases early.

--- a/packages/assignment/src/leaseCommands.ts
+++ b/packages/assignment/src/leaseCommands.ts
@@ -17,12 +17,16 @@
     handover: string | undefined;
 }
 
-/** Outcomes of a lease command; `fenced` means that the owner has seen a higher token. */
+/**
+ * Outcomes of a lease command; `fenced` means that the owner has seen a higher token, and `undelivered` that the command has
+ * certainly not reached the owner, which may still run.
+ */
 export const CommandOutcome = {
     done: "done",
     fenced: "fenced",
     refused: "refused",
     unanswered: "unanswered",
+    undelivered: "undelivered",
 } as const;
 
 /** One of {@link CommandOutcome}. */
--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -76,6 +76,7 @@
     let leases: rangeLease.RangeLease[] = [];
     let leaseByFirstKey = new Map<number, rangeLease.RangeLease>();
     let changes: RoutingChange[] = [];
+    const pendingGrants = new WeakMap<leaseCommands.LeaseCommand, rangeLease.PendingGrant>();
     const terminated = new Set<string>();
     const ownerTracker = unresponsiveOwners.createUnresponsiveOwners();
 
@@ -104,15 +105,15 @@
         outcome: leaseCommands.CommandOutcomeValue,
         now: number,
     ): void => {
-        if (outcome === leaseCommands.CommandOutcome.unanswered) {
-            lease.leaseUntil = Math.max(lease.leaseUntil, lease.pendingLeaseUntil);
+        if (
+            outcome === leaseCommands.CommandOutcome.unanswered
+            || outcome === leaseCommands.CommandOutcome.undelivered
+        ) {
             ownerTracker.onUnanswered(command.owner, now);
-            lease.pendingLeaseUntil = -Infinity;
             lease.dueAt = now + grantRetryMilliseconds;
             return;
         }
         ownerTracker.onResponse(command.owner);
-        lease.pendingLeaseUntil = -Infinity;
         const isDone = outcome === leaseCommands.CommandOutcome.done;
         if (isDone) {
             lease.leaseUntil = Math.max(
@@ -190,13 +191,18 @@
                 }
                 const grant = rangeLease.startGrant(lease, now, leaseMilliseconds, hasTerminated);
                 if (grant !== undefined) {
-                    commands.push(grant);
+                    pendingGrants.set(grant.command, grant.pending);
+                    commands.push(grant.command);
                     countGrant(name);
                 }
             }
             return commands;
         },
         onOutcome: (command, outcome, handover, now) => {
+            const pending = pendingGrants.get(command);
+            if (pending !== undefined) {
+                rangeLease.resolvePendingGrant(pending, command, outcome, now);
+            }
             const lease = findByCommand(command);
             if (lease === undefined) {
                 return;
@@ -218,6 +224,9 @@
                 lease.dueAt = -Infinity;
                 return;
             }
+            if (outcome === leaseCommands.CommandOutcome.undelivered) {
+                ownerTracker.onUnanswered(command.owner, now);
+            }
             lease.dueAt = now + releaseRetryMilliseconds;
         },
         onOwnerTerminated: owner => {
--- a/packages/assignment/src/rangeLease.ts
+++ b/packages/assignment/src/rangeLease.ts
@@ -9,13 +9,21 @@
 /** Factor by which an upstream's slow clock may prolong a lease. */
 export const clockDriftFactor = 1.02;
 
+/** A grant whose outcome may be unknown. */
+export interface PendingGrant {
+    /** Time by which a lease that the grant may have started has expired; -Infinity if it certainly started none. */
+    leaseUntil: number;
+}
+
 /** A key range and the leases on it. */
 export interface RangeLease {
     range: keyRange.KeyRange;
-    /** Time by which the owner's leases have expired, apart from one granted by the command in flight. */
+    /** Time by which the owner's leases have expired, apart from those of pending grants. */
     leaseUntil: number;
-    /** Time by which the previous owner's lease has expired. */
+    pendingGrants: readonly PendingGrant[];
+    /** Time by which the previous owner's leases have expired, apart from those of pending grants. */
     previousLeaseUntil: number;
+    previousPendingGrants: readonly PendingGrant[];
     /** Whether the previous owner no longer holds the range. */
     isReleased: boolean;
     /** Whether requests are routed to the owner; set by an acknowledged grant and kept when its ranges are merged. */
@@ -24,8 +32,6 @@
     isInFlight: boolean;
     /** Duration of the lease in the last grant, in milliseconds. */
     grantedLeaseMilliseconds: number;
-    /** Time by which a lease granted by the command in flight has expired. */
-    pendingLeaseUntil: number;
     /** Whether an assignment that changes the range is pending; no first grant is sent meanwhile. */
     isBlocked: boolean;
     /** Whether the owner has seen a higher token, so that the range needs a new token. */
@@ -36,8 +42,15 @@
     handover: string | undefined;
 }
 
-/** Returns the time by which the owner's leases have expired, including one granted by the command in flight. */
-export const leaseExpiry = (lease: RangeLease): number => Math.max(lease.leaseUntil, lease.pendingLeaseUntil);
+const latestExpiry = (leaseUntil: number, pendingGrants: readonly PendingGrant[]): number =>
+    Math.max(leaseUntil, ...pendingGrants.map(grant => grant.leaseUntil));
+
+/** Returns the time by which the owner's leases have expired, including those of pending grants. */
+export const leaseExpiry = ({ leaseUntil, pendingGrants }: RangeLease): number =>
+    latestExpiry(leaseUntil, pendingGrants);
+
+const previousLeaseExpiry = ({ previousLeaseUntil, previousPendingGrants }: RangeLease): number =>
+    latestExpiry(previousLeaseUntil, previousPendingGrants);
 
 /** Whether a grant is due. A longer lease than the last is granted at once: the store may be unreachable for long. */
 export const isGrantDue = (lease: RangeLease, now: number, leaseMilliseconds: number): boolean =>
@@ -57,23 +70,38 @@
     hasTerminated: (owner: keyRange.Owner) => boolean;
 }
 
-const leaseExpiryOf = (owner: keyRange.Owner | undefined, previous: PreviousLeases): number => {
+/** Leases of one owner on the keys of a range. */
+interface OwnerLeases {
+    leaseUntil: number;
+    pendingGrants: readonly PendingGrant[];
+}
+
+const noLeases: OwnerLeases = { leaseUntil: -Infinity, pendingGrants: [] };
+
+const leasesOf = (owner: keyRange.Owner | undefined, previous: PreviousLeases): OwnerLeases => {
     if (owner === undefined || previous.hasTerminated(owner)) {
-        return -Infinity;
+        return noLeases;
     }
+    const unknownLeases = { leaseUntil: previous.unknownLeaseUntil, pendingGrants: [] };
     if (previous.leases.length === 0) {
-        return previous.unknownLeaseUntil;
+        return unknownLeases;
     }
-    const expiries = previous.leases.map(lease => {
+    const ownerLeases = previous.leases.map((lease): OwnerLeases => {
         if (keyRange.isSameOwner(lease.range.owner, owner)) {
-            return leaseExpiry(lease);
+            return lease;
         }
         if (keyRange.isSameOwner(lease.range.previousOwner, owner)) {
-            return lease.isReleased ? -Infinity : lease.previousLeaseUntil;
+            const { previousLeaseUntil, previousPendingGrants } = lease;
+            return lease.isReleased
+                ? noLeases
+                : { leaseUntil: previousLeaseUntil, pendingGrants: previousPendingGrants };
         }
-        return previous.unknownLeaseUntil;
+        return unknownLeases;
     });
-    return Math.max(...expiries);
+    return {
+        leaseUntil: Math.max(...ownerLeases.map(({ leaseUntil }) => leaseUntil)),
+        pendingGrants: [...new Set(ownerLeases.flatMap(({ pendingGrants }) => pendingGrants))],
+    };
 };
 
 /**
@@ -92,29 +120,29 @@
         const isReleased = existing.isReleased || range.previousOwner === undefined;
         // A response to a command for other keys is ignored, but the lease that it may have granted still counts.
         const hasSameKeys = existing.range.first === range.first && existing.range.last === range.last;
-        const leaseUntil = Math.max(existing.leaseUntil, hasSameKeys ? -Infinity : existing.pendingLeaseUntil);
         return {
             ...existing,
             range,
             isReleased,
-            leaseUntil,
             isBlocked: false,
             isInFlight: existing.isInFlight && hasSameKeys,
         };
     }
-    const previousLeaseUntil = leaseExpiryOf(range.previousOwner, previous);
+    const ownLeases = leasesOf(range.owner, previous);
+    const previousOwnerLeases = leasesOf(range.previousOwner, previous);
     // Merged ranges of one owner stay routed to it while the new range is being granted.
     const isMerged = leases.length > 1 && range.previousOwner === undefined
         && leases.every(lease => lease.isGranted && keyRange.isSameOwner(lease.range.owner, range.owner));
     return {
         range,
-        leaseUntil: leaseExpiryOf(range.owner, previous),
-        previousLeaseUntil,
-        isReleased: previousLeaseUntil === -Infinity,
+        leaseUntil: ownLeases.leaseUntil,
+        pendingGrants: ownLeases.pendingGrants,
+        previousLeaseUntil: previousOwnerLeases.leaseUntil,
+        previousPendingGrants: previousOwnerLeases.pendingGrants,
+        isReleased: latestExpiry(previousOwnerLeases.leaseUntil, previousOwnerLeases.pendingGrants) === -Infinity,
         isGranted: isMerged,
         isInFlight: false,
         grantedLeaseMilliseconds: 0,
-        pendingLeaseUntil: -Infinity,
         isBlocked: false,
         isFenced: false,
         dueAt: -Infinity,
@@ -137,7 +165,7 @@
     hasTerminated: (owner: keyRange.Owner) => boolean,
 ): leaseCommands.LeaseCommand | undefined => {
     const { previousOwner } = lease.range;
-    if (previousOwner === undefined || hasTerminated(previousOwner) || now >= lease.previousLeaseUntil) {
+    if (previousOwner === undefined || hasTerminated(previousOwner) || now >= previousLeaseExpiry(lease)) {
         lease.isReleased = true;
         lease.isInFlight = false;
         lease.dueAt = -Infinity;
@@ -150,6 +178,12 @@
     return leaseCommands.createReleaseCommand(lease.range, previousOwner);
 };
 
+/** A grant to send, and the lease that it may start. */
+export interface StartedGrant {
+    command: leaseCommands.LeaseCommand;
+    pending: PendingGrant;
+}
+
 /**
  * Returns the grant that is due to a range's owner and marks it as in flight.
  *
@@ -157,14 +191,14 @@
  * @param now - current time
  * @param leaseMilliseconds - duration of the lease to grant
  * @param hasTerminated - whether an owner's process has terminated
- * @returns the command, or undefined if none is due
+ * @returns the grant, or undefined if none is due
  */
 export const startGrant = (
     lease: RangeLease,
     now: number,
     leaseMilliseconds: number,
     hasTerminated: (owner: keyRange.Owner) => boolean,
-): leaseCommands.LeaseCommand | undefined => {
+): StartedGrant | undefined => {
     const { owner, first, last, token } = lease.range;
     const isFirstGrant = leaseExpiry(lease) <= now;
     const canGrant = isGrantDue(lease, now, leaseMilliseconds) && !lease.isFenced && !(lease.isBlocked && isFirstGrant);
@@ -173,15 +207,35 @@
     }
     lease.isInFlight = true;
     lease.grantedLeaseMilliseconds = leaseMilliseconds;
-    lease.pendingLeaseUntil = now + commandTimeoutMilliseconds + maxDeliveryAfterResetMilliseconds
+    const leaseUntil = now + commandTimeoutMilliseconds + maxDeliveryAfterResetMilliseconds
         + leaseMilliseconds * clockDriftFactor;
-    return {
-        kind: leaseCommands.CommandKind.grant,
-        owner,
-        first,
-        last,
-        token,
-        leaseMilliseconds,
-        handover: lease.handover,
-    };
+    const pending = { leaseUntil };
+    lease.pendingGrants = [...lease.pendingGrants.filter(grant => grant.leaseUntil > now), pending];
+    const { handover } = lease;
+    const { grant } = leaseCommands.CommandKind;
+    return { command: { kind: grant, owner, first, last, token, leaseMilliseconds, handover }, pending };
+};
+
+/**
+ * Applies the outcome of a grant to the lease that it may have started, also if its keys have been reassigned since. Without a response
+ * the lease may run.
+ *
+ * @param pending - the lease, updated in place
+ * @param command - the grant
+ * @param outcome - outcome of the grant
+ * @param now - current time
+ */
+export const resolvePendingGrant = (
+    pending: PendingGrant,
+    command: leaseCommands.LeaseCommand,
+    outcome: leaseCommands.CommandOutcomeValue,
+    now: number,
+): void => {
+    const { done, unanswered } = leaseCommands.CommandOutcome;
+    if (outcome === done) {
+        pending.leaseUntil = Math.min(pending.leaseUntil, now + command.leaseMilliseconds * clockDriftFactor);
+    }
+    else if (outcome !== unanswered) {
+        pending.leaseUntil = -Infinity;
+    }
 };
--- a/packages/assignment/test/leaseManager.test.ts
+++ b/packages/assignment/test/leaseManager.test.ts
@@ -124,6 +124,31 @@
         earl.expect(manager.startDueCommands(until + 200, lease).some(due => due.owner === second)).toEqual(true);
     });
 
+    test.it("waits only for the earlier leases of an owner that refuses connections, as its renewals are not delivered", () => {
+        const manager = createManagerWithGrant(first);
+        for (let now = 1520; now < 2500; now += 20) {
+            for (const command of manager.startDueCommands(now, lease)) {
+                manager.onOutcome(command, assignment.CommandOutcome.undelivered, undefined, now + 1);
+            }
+        }
+        earl.expect(manager.unresponsiveSince(first, 2500)).toEqual(1521);
+        manager.setAssignment(createAssignment([0, second, 2, first]), -Infinity);
+        const granted: number[] = [];
+        for (let now = 2500; now < 6000; now += 20) {
+            for (const command of manager.startDueCommands(now, lease)) {
+                if (command.kind === assignment.CommandKind.grant) {
+                    granted.push(now);
+                }
+                else {
+                    manager.onOutcome(command, assignment.CommandOutcome.undelivered, undefined, now + 1);
+                }
+            }
+        }
+        earl.expect(granted[0] >= 10 + lease * 1.02).toEqual(true);
+        earl.expect(granted[0] < 10 + lease * 1.02 + 40).toEqual(true);
+        earl.expect(manager.unresponsiveSince(first, 5000)).toEqual(1521);
+    });
+
     test.it("grants keys to the next owner at once if the previous owner's process has terminated", () => {
         const manager = createManagerWithGrant(first);
         manager.onOwnerTerminated(first);
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -20,15 +20,12 @@
     isTerminated: (owner: assignment.Owner) => boolean;
 }
 
-/** Time over which connections must be refused before an upstream counts as terminated, in milliseconds. */
-const refusalWindowMilliseconds = 250;
-
 const outcomes: Record<platform.CommandResponse["result"], assignment.CommandOutcomeValue> = {
     done: assignment.CommandOutcome.done,
     fenced: assignment.CommandOutcome.fenced,
     refused: assignment.CommandOutcome.refused,
     replaced: assignment.CommandOutcome.refused,
-    notListening: assignment.CommandOutcome.unanswered,
+    notListening: assignment.CommandOutcome.undelivered,
     unknown: assignment.CommandOutcome.unanswered,
 };
 
@@ -40,7 +37,6 @@
  */
 export const createLeaseCommandSender = (options: LeaseCommandSenderOptions): LeaseCommandSender => {
     const { leaseClient, timers, log } = options;
-    const firstRefusals = new Map<string, number>();
     const terminated = new Set<string>();
 
     const markTerminated = (owner: assignment.Owner, reason: string): void => {
@@ -52,24 +48,6 @@
         }
     };
 
-    const detectTermination = (owner: assignment.Owner, response: platform.CommandResponse): void => {
-        const name = assignment.ownerName(owner);
-        if (response.result === platform.CommandResult.done) {
-            firstRefusals.delete(name);
-        }
-        else if (response.result === platform.CommandResult.replaced) {
-            markTerminated(owner, response.reason);
-        }
-        else if (response.result === platform.CommandResult.notListening) {
-            const now = timers.now();
-            const firstRefusalAt = firstRefusals.get(name) ?? now;
-            firstRefusals.set(name, firstRefusalAt);
-            if (now - firstRefusalAt >= refusalWindowMilliseconds) {
-                markTerminated(owner, response.reason);
-            }
-        }
-    };
-
     return {
         send: (service, leaseManager, command) => {
             const { owner, first, last, token } = command;
@@ -81,7 +59,9 @@
                 if (options.isStopped()) {
                     return;
                 }
-                detectTermination(owner, response);
+                if (response.result === platform.CommandResult.replaced) {
+                    markTerminated(owner, response.reason);
+                }
                 leaseManager.onOutcome(command, outcomes[response.result], response.handover, timers.now());
                 if (
                     command.kind === assignment.CommandKind.release || response.result !== platform.CommandResult.done
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -9,6 +9,8 @@
 const noFaults: simulationFaults.SimulationFaults = { lateCommands: 0, lostCommands: 0, lostAppends: 0, slowReads: 0 };
 const everyKey = assignment.keyCount;
 /** Maximum lease on a slow clock, plus the leader lease and the time for commands in flight, in milliseconds. */
+/** Longest time for which a normal lease runs on a slow clock after the last renewal has arrived, in milliseconds. */
+const leaseEndMilliseconds = assignment.normalKeyLeaseMilliseconds * 1.02 + 30;
 const settledMilliseconds = 14_000;
 
 const runCount = Number(process.env.INTERLEAVINGS_RUNS ?? 12);
@@ -106,6 +108,38 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    for (const isOnlyFromLeader of [true, false]) {
+        const instances = isOnlyFromLeader ? "the leader" : "all instances";
+        test.it(`does not take connections that a cut path from ${instances} refuses for the end of an upstream`, async () => {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(10, noFaults);
+            await simulation.run(6000);
+            simulation.refuseConnections(0, isOnlyFromLeader);
+            await simulation.run(leaseEndMilliseconds);
+            earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+            await simulation.run(100);
+            earl.expect(simulation.violations()).toEqual([]);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            simulation.setPartitioned(0, false);
+            simulation.requestKeys(0, 60_000);
+            await simulation.run(8000);
+            earl.expect(simulation.heldKeyCountOf(0) > 0).toEqual(true);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            earl.expect(simulation.violations()).toEqual([]);
+        });
+    }
+
+    test.it("grants the keys of an upstream that refuses connections as soon as its last lease has ended", async () => {
+        for (let seed = 1; seed <= 8; seed += 1) {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(seed, noFaults);
+            await simulation.run(6000 + seed * 200);
+            simulation.crash(0);
+            // A grant that is in flight as the upstream ends may have arrived until its timeout.
+            await simulation.run(leaseEndMilliseconds + assignment.commandTimeoutMilliseconds + 200);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            earl.expect(simulation.violations()).toEqual([]);
+        }
+    });
+
     test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
         await simulation.run(6000);
@@ -136,6 +170,7 @@
                 const actions: (() => void | Promise<void>)[] = [
                     () => simulation.setPartitioned(index, true),
                     () => simulation.setPartitioned(index, false),
+                    () => simulation.refuseConnections(index, random.fraction() < 0.5),
                     () => simulation.restart(index),
                     () => simulation.setOtherEntry(index, true),
                     () => simulation.setOtherEntry(index, false),
