Leases: count an unanswered grant from the end of its connection

A lease that an unanswered grant may have started was counted from a fixed 700 ms after the tick that sent it. A process that is behind with its work sends later than its tick and notices the timeout later, so the lease could outlast the wait and two upstreams hold the same keys for some 100 ms. On the other hand, keys of an upstream that reset its connections waited up to 700 ms longer than needed.

The wait now counts from when the connection had ended, plus the time for what is on its way; until then the presumed time holds.

--- a/packages/assignment/src/rangeLease.ts
+++ b/packages/assignment/src/rangeLease.ts
@@ -217,8 +217,8 @@
 };
 
 /**
- * Applies the outcome of a grant to the lease that it may have started, also if its keys have been reassigned since. Without a response
- * the lease may run.
+ * Applies the outcome of a grant to the lease that it may have started, also if its keys have been reassigned since. A grant without a
+ * response may have arrived until shortly after the end of its connection, which a busy process may notice late.
  *
  * @param pending - the lease, updated in place
  * @param command - the grant
@@ -232,10 +232,9 @@
     now: number,
 ): void => {
     const { done, unanswered } = leaseCommands.CommandOutcome;
-    if (outcome === done) {
-        pending.leaseUntil = Math.min(pending.leaseUntil, now + command.leaseMilliseconds * clockDriftFactor);
-    }
-    else if (outcome !== unanswered) {
-        pending.leaseUntil = -Infinity;
-    }
+    const arrivedBy: Partial<Record<leaseCommands.CommandOutcomeValue, number>> = {
+        [done]: now,
+        [unanswered]: now + maxDeliveryAfterResetMilliseconds,
+    };
+    pending.leaseUntil = (arrivedBy[outcome] ?? -Infinity) + command.leaseMilliseconds * clockDriftFactor;
 };
