Leases: the answer of another process ends only leases at its address

An owner was taken for ended by its identifier and start time alone. If the registry named a wrong address for it, the answer of the process there ended the leases that the upstream holds at its true address, and the stored assignment kept only one of the two addresses.

Evidence: "keeps the leases of an owner when only another address of it has proved wrong" fails on the unchanged source (a grant to the next owner instead of a release).

--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -3,7 +3,7 @@
 export type { BalanceInput, Candidate } from "./balance";
 export { createKeyLoad } from "./keyLoad";
 export type { KeyLoad } from "./keyLoad";
-export { createEmptyAssignment, isSameOwner, keyCount, ownerName } from "./keyRange";
+export { createEmptyAssignment, isSameOwner, keyCount, ownerName, ownerNameWithAddress } from "./keyRange";
 export type { KeyRange, Owner, ServiceAssignment } from "./keyRange";
 export {
     createLeaderLease,
--- a/packages/assignment/src/keyRange.ts
+++ b/packages/assignment/src/keyRange.ts
@@ -51,6 +51,15 @@
  */
 export const ownerName = (owner: Owner): string => `${owner.identifier}@${owner.startedAt}`;
 
+/**
+ * Returns the unique name of an incarnation of an upstream at an address. The registry may be wrong about the address, and another
+ * process there proves nothing about the upstream elsewhere.
+ *
+ * @param owner - the owner
+ * @returns the name, as `IDENTIFIER@STARTEDAT/HOST:PORT`
+ */
+export const ownerNameWithAddress = (owner: Owner): string => `${ownerName(owner)}/${owner.host}:${owner.port}`;
+
 /**
  * Creates an assignment in which no key has an owner.
  *
--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -32,7 +32,7 @@
         handover: string | undefined,
         now: number,
     ) => void;
-    /** Records that an owner's process has terminated, so that it holds no keys. */
+    /** Records that an owner's process at this address has terminated, so that it holds no keys. */
     onOwnerTerminated: (owner: keyRange.Owner) => void;
     /** Whether a range's previous owner may still hold it. */
     isMoving: (range: keyRange.KeyRange) => boolean;
@@ -66,6 +66,13 @@
 /** Maximum grants in flight to one owner: the number of connections to it, so that no grant waits to be sent. */
 export const maxGrantsPerOwner = 8;
 
+const routingOf = ({ range, isGranted }: rangeLease.RangeLease): RoutingChange => ({
+    first: range.first,
+    last: range.last,
+    owner: isGranted ? range.owner : undefined,
+    token: range.token,
+});
+
 /**
  * Creates a lease manager.
  *
@@ -80,14 +87,7 @@
     const terminated = new Set<string>();
     const ownerTracker = unresponsiveOwners.createUnresponsiveOwners();
 
-    const hasTerminated = (owner: keyRange.Owner): boolean => terminated.has(keyRange.ownerName(owner));
-
-    const routingOf = ({ range, isGranted }: rangeLease.RangeLease): RoutingChange => ({
-        first: range.first,
-        last: range.last,
-        owner: isGranted ? range.owner : undefined,
-        token: range.token,
-    });
+    const hasTerminated = (owner: keyRange.Owner): boolean => terminated.has(keyRange.ownerNameWithAddress(owner));
 
     const findByBounds = (first: number, last: number): rangeLease.RangeLease | undefined => {
         const lease = leaseByFirstKey.get(first);
@@ -230,8 +230,12 @@
             lease.dueAt = now + releaseRetryMilliseconds;
         },
         onOwnerTerminated: owner => {
-            terminated.add(keyRange.ownerName(owner));
-            for (const lease of leases.filter(one => one.isGranted && keyRange.isSameOwner(one.range.owner, owner))) {
+            terminated.add(keyRange.ownerNameWithAddress(owner));
+            for (
+                const lease of leases.filter(({ range, isGranted }) =>
+                    isGranted && range.owner !== undefined && hasTerminated(range.owner)
+                )
+            ) {
                 lease.isGranted = false;
                 lease.leaseUntil = -Infinity;
                 changes.push(routingOf(lease));
--- a/packages/assignment/src/records.ts
+++ b/packages/assignment/src/records.ts
@@ -101,7 +101,7 @@
         if (owner === undefined) {
             return -1;
         }
-        const name = keyRange.ownerName(owner);
+        const name = keyRange.ownerNameWithAddress(owner);
         const existingIndex = indexByName.get(name);
         if (existingIndex !== undefined) {
             return existingIndex;
--- a/packages/assignment/test/leaseManager.test.ts
+++ b/packages/assignment/test/leaseManager.test.ts
@@ -155,6 +155,15 @@
         earl.expect(grant.owner).toEqual(second);
     });
 
+    test.it("keeps the leases of an owner when only another address of it has proved wrong", () => {
+        const manager = createManagerWithGrant(first);
+        manager.onOwnerTerminated({ ...first, port: 2 });
+        manager.setAssignment(createAssignment([0, second, 2, first]), -Infinity);
+        earl.expect(manager.startDueCommands(20, lease).map(({ kind }) => kind)).toEqual([
+            assignment.CommandKind.release,
+        ]);
+    });
+
     test.it("waits for leases that a previous leader may have granted", () => {
         const manager = assignment.createLeaseManager();
         manager.setAssignment(createAssignment([0, second, 2, first]), 13_000);
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -40,10 +40,10 @@
     const terminated = new Set<string>();
 
     const markTerminated = (owner: assignment.Owner, reason: string): void => {
-        const name = assignment.ownerName(owner);
+        const name = assignment.ownerNameWithAddress(owner);
         if (!terminated.has(name)) {
             terminated.add(name);
-            log.write("owner-ended", { owner: name, reason });
+            log.write("owner-ended", { owner: assignment.ownerName(owner), reason });
             options.onTerminated(owner);
         }
     };
@@ -73,6 +73,6 @@
                 }
             });
         },
-        isTerminated: owner => terminated.has(assignment.ownerName(owner)),
+        isTerminated: owner => terminated.has(assignment.ownerNameWithAddress(owner)),
     };
 };
