--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -32,7 +32,7 @@
         handover: string | undefined,
         now: number,
     ) => void;
-    /** Records that an owner's process has terminated, so that it holds no keys. */
+    /** Records that an owner's process at this address has terminated, so that it holds no keys. */
     onOwnerTerminated: (owner: keyRange.Owner) => void;
     /** Whether a range's previous owner may still hold it. */
     isMoving: (range: keyRange.KeyRange) => boolean;
@@ -66,6 +66,13 @@
 /** Maximum grants in flight to one owner: the number of connections to it, so that no grant waits to be sent. */
 export const maxGrantsPerOwner = 8;
 
+const routingOf = ({ range, isGranted }: rangeLease.RangeLease): RoutingChange => ({
+    first: range.first,
+    last: range.last,
+    owner: isGranted ? range.owner : undefined,
+    token: range.token,
+});
+
 /**
  * Creates a lease manager.
  *
@@ -76,17 +83,11 @@
     let leases: rangeLease.RangeLease[] = [];
     let leaseByFirstKey = new Map<number, rangeLease.RangeLease>();
     let changes: RoutingChange[] = [];
+    const pendingGrants = new WeakMap<leaseCommands.LeaseCommand, rangeLease.PendingGrant>();
     const terminated = new Set<string>();
     const ownerTracker = unresponsiveOwners.createUnresponsiveOwners();
 
-    const hasTerminated = (owner: keyRange.Owner): boolean => terminated.has(keyRange.ownerName(owner));
-
-    const routingOf = ({ range, isGranted }: rangeLease.RangeLease): RoutingChange => ({
-        first: range.first,
-        last: range.last,
-        owner: isGranted ? range.owner : undefined,
-        token: range.token,
-    });
+    const hasTerminated = (owner: keyRange.Owner): boolean => terminated.has(keyRange.ownerNameWithAddress(owner));
 
     const findByBounds = (first: number, last: number): rangeLease.RangeLease | undefined => {
         const lease = leaseByFirstKey.get(first);
@@ -104,15 +105,15 @@
         outcome: leaseCommands.CommandOutcomeValue,
         now: number,
     ): void => {
-        if (outcome === leaseCommands.CommandOutcome.unanswered) {
-            lease.leaseUntil = Math.max(lease.leaseUntil, lease.pendingLeaseUntil);
+        if (
+            outcome === leaseCommands.CommandOutcome.unanswered
+            || outcome === leaseCommands.CommandOutcome.undelivered
+        ) {
             ownerTracker.onUnanswered(command.owner, now);
-            lease.pendingLeaseUntil = -Infinity;
             lease.dueAt = now + grantRetryMilliseconds;
             return;
         }
         ownerTracker.onResponse(command.owner);
-        lease.pendingLeaseUntil = -Infinity;
         const isDone = outcome === leaseCommands.CommandOutcome.done;
         if (isDone) {
             lease.leaseUntil = Math.max(
@@ -190,13 +191,18 @@
                 }
                 const grant = rangeLease.startGrant(lease, now, leaseMilliseconds, hasTerminated);
                 if (grant !== undefined) {
-                    commands.push(grant);
+                    pendingGrants.set(grant.command, grant.pending);
+                    commands.push(grant.command);
                     countGrant(name);
                 }
             }
             return commands;
         },
         onOutcome: (command, outcome, handover, now) => {
+            const pending = pendingGrants.get(command);
+            if (pending !== undefined) {
+                rangeLease.resolvePendingGrant(pending, command, outcome, now);
+            }
             const lease = findByCommand(command);
             if (lease === undefined) {
                 return;
@@ -218,11 +224,18 @@
                 lease.dueAt = -Infinity;
                 return;
             }
+            if (outcome === leaseCommands.CommandOutcome.undelivered) {
+                ownerTracker.onUnanswered(command.owner, now);
+            }
             lease.dueAt = now + releaseRetryMilliseconds;
         },
         onOwnerTerminated: owner => {
-            terminated.add(keyRange.ownerName(owner));
-            for (const lease of leases.filter(one => one.isGranted && keyRange.isSameOwner(one.range.owner, owner))) {
+            terminated.add(keyRange.ownerNameWithAddress(owner));
+            for (
+                const lease of leases.filter(({ range, isGranted }) =>
+                    isGranted && range.owner !== undefined && hasTerminated(range.owner)
+                )
+            ) {
                 lease.isGranted = false;
                 lease.leaseUntil = -Infinity;
                 changes.push(routingOf(lease));
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -23,15 +23,12 @@
     isTerminated: (owner: assignment.Owner) => boolean;
 }
 
-/** Time over which connections must be refused before an upstream counts as terminated, in milliseconds. */
-const refusalWindowMilliseconds = 250;
-
 const outcomes: Record<platform.CommandResponse["result"], assignment.CommandOutcomeValue> = {
     done: assignment.CommandOutcome.done,
     fenced: assignment.CommandOutcome.fenced,
     refused: assignment.CommandOutcome.refused,
     replaced: assignment.CommandOutcome.refused,
-    notListening: assignment.CommandOutcome.unanswered,
+    notListening: assignment.CommandOutcome.undelivered,
     unknown: assignment.CommandOutcome.unanswered,
 };
 
@@ -43,36 +40,17 @@
  */
 export const createLeaseCommandSender = (options: LeaseCommandSenderOptions): LeaseCommandSender => {
     const { leaseClient, timers, log } = options;
-    const firstRefusals = new Map<string, number>();
     const terminated = new Set<string>();
 
     const markTerminated = (owner: assignment.Owner, reason: string): void => {
-        const name = assignment.ownerName(owner);
+        const name = assignment.ownerNameWithAddress(owner);
         if (!terminated.has(name)) {
             terminated.add(name);
-            log.write("owner-ended", { owner: name, reason });
+            log.write("owner-ended", { owner: assignment.ownerName(owner), reason });
             options.onTerminated(owner);
         }
     };
 
-    const detectTermination = (owner: assignment.Owner, response: platform.CommandResponse): void => {
-        const name = assignment.ownerName(owner);
-        if (response.result === platform.CommandResult.done) {
-            firstRefusals.delete(name);
-        }
-        else if (response.result === platform.CommandResult.replaced) {
-            markTerminated(owner, response.reason);
-        }
-        else if (response.result === platform.CommandResult.notListening) {
-            const now = timers.now();
-            const firstRefusalAt = firstRefusals.get(name) ?? now;
-            firstRefusals.set(name, firstRefusalAt);
-            if (now - firstRefusalAt >= refusalWindowMilliseconds) {
-                markTerminated(owner, response.reason);
-            }
-        }
-    };
-
     return {
         send: (service, leaseManager, command) => {
             const { owner, first, last, token } = command;
@@ -84,7 +62,9 @@
                 if (options.isStopped()) {
                     return;
                 }
-                detectTermination(owner, response);
+                if (response.result === platform.CommandResult.replaced) {
+                    markTerminated(owner, response.reason);
+                }
                 if (response.isLeaving) {
                     options.onLeaving(owner);
                 }
@@ -101,6 +81,6 @@
             const fields = { service, owner: assignment.ownerName(owner), first, last };
             options.failures.watch("lease command", handledResponse, fields);
         },
-        isTerminated: owner => terminated.has(assignment.ownerName(owner)),
+        isTerminated: owner => terminated.has(assignment.ownerNameWithAddress(owner)),
     };
 };
