--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
@@ -61,6 +62,7 @@
     );
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     let isIsolated = false;
@@ -90,6 +92,7 @@
         log,
         failures,
         keyedServices,
+        leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
@@ -109,6 +112,15 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
+    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
+        if (notice.isLeaving) {
+            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+        }
+        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+            const milliseconds = Math.round(notice.holdOffMilliseconds);
+            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+        }
+    };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
@@ -121,6 +133,8 @@
             now: timers.now,
         }),
         findOwner: ownership.findOwner,
+        mayReceive: pool.mayReceive,
+        onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
     const requestRelay = relay.createRelay({
@@ -133,6 +147,7 @@
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
+        onNotice,
         delegator,
         acceptsDelegated: () => !isIsolated,
         retryBudget: {
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -11,6 +11,8 @@
     failures: foundation.FailureBoundary;
     /** Called once for each incarnation of an upstream that is known to have terminated. */
     onTerminated: (owner: assignment.Owner) => void;
+    /** Called for each response in which an upstream announces that it is leaving. */
+    onLeaving: (owner: assignment.Owner) => void;
     /** Whether the session has stopped, so that responses are ignored. */
     isStopped: () => boolean;
 }
@@ -18,7 +20,6 @@
 /** Sends lease commands and tracks terminated owners. */
 export interface LeaseCommandSender {
     send: (service: string, leaseManager: assignment.LeaseManager, command: assignment.LeaseCommand) => void;
-    markTerminated: (owner: assignment.Owner, reason: string) => void;
     isTerminated: (owner: assignment.Owner) => boolean;
 }
 
@@ -84,6 +85,9 @@
                     return;
                 }
                 detectTermination(owner, response);
+                if (response.isLeaving) {
+                    options.onLeaving(owner);
+                }
                 leaseManager.onOutcome(command, outcomes[response.result], response.handover, timers.now());
                 if (
                     command.kind === assignment.CommandKind.release || response.result !== platform.CommandResult.done
@@ -97,7 +101,6 @@
             const fields = { service, owner: assignment.ownerName(owner), first, last };
             options.failures.watch("lease command", handledResponse, fields);
         },
-        markTerminated,
         isTerminated: owner => terminated.has(assignment.ownerName(owner)),
     };
 };
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -40,6 +40,8 @@
     port: zod.int(),
 });
 
+const leavingUpstreamSchema = zod.object({ identifier: zod.string(), startedAt: zod.number(), age: numberSchema });
+
 const topicPositionSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
 
 const delegateSchema = zod.object({ identifier: zod.string(), host: zod.ipv4(), port: portSchema });
@@ -109,6 +111,8 @@
         samples: zod.array(zod.object({ service: zod.string(), keys: zod.array(keySchema), weight: numberSchema })),
         /** Service time of each upstream measured since the last report, in milliseconds. */
         speeds: zod.array(zod.tuple([zod.string(), numberSchema.min(1)])),
+        /** Registered upstreams that have announced that they are leaving, and how long ago this became known, in milliseconds. */
+        leaving: zod.array(leavingUpstreamSchema).optional(),
     }),
     zod.object({ kind: zod.literal(RoutingMessageKind.resigned) }),
     /** The instances of the follower's failure domain that accept requests of each other; sent after each change. */
