--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,8 +12,12 @@
 
 /** A running instance. */
 export interface Entry {
-    /** Stops the instance; requests in flight may finish until shortly before the platform terminates the process. */
-    stop: () => Promise<void>;
+    /**
+     * Stops the instance; requests in flight may finish until shortly before the platform terminates the process.
+     *
+     * @param signal - the signal that asks for the stop
+     */
+    stop: (signal: NodeJS.Signals) => Promise<void>;
 }
 
 const housekeepingIntervalMilliseconds = 200;
@@ -37,6 +41,25 @@
 /** Portion of the drain time reserved for calls to the registry and the upstream, in milliseconds. */
 const drainMarginMilliseconds = 350;
 
+/** Answers the platform's readiness checks until the owner is disposed. */
+const startReadinessServer = async (
+    address: platform.Address,
+    isReady: () => boolean,
+    failures: foundation.FailureBoundary,
+    owner: foundation.Owner,
+): Promise<void> => {
+    const server = http.createServer((request, response) => {
+        const status = request.url === platform.readinessPath && isReady() ? 200 : 503;
+        response.writeHead(status, { "content-length": 0 });
+        response.end();
+    });
+    owner.onCleanup(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
+};
+
 /**
  * Starts an instance.
  *
@@ -164,6 +187,7 @@
         settings.host,
         {
             openRequests: requestRelay.openRequestCount,
+            callerConnections: () => callerServer.connectionCount(),
             documentVersion: () => view.documentInForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
@@ -202,23 +226,10 @@
         }
     };
 
-    const readinessServer = http.createServer((request, response) => {
-        const isReady = !isStopping && !isIsolated && view.documentInForce() !== undefined && view.isRegistryKnown()
-            && ownership.isReady();
-        const status = request.url === platform.readinessPath && isReady ? 200 : 503;
-        response.writeHead(status, { "content-length": 0 });
-        response.end();
-    });
-    owner.onCleanup(() => {
-        readinessServer.close();
-        readinessServer.closeAllConnections();
-    });
-    await foundation.listenOn(
-        readinessServer,
-        settings.readinessAddress.host,
-        settings.readinessAddress.port,
-        error => failures.report("readiness server", error),
-    );
+    const isReady = (): boolean =>
+        !isStopping && !isIsolated && view.documentInForce() !== undefined && view.isRegistryKnown()
+        && ownership.isReady();
+    await startReadinessServer(settings.readinessAddress, isReady, failures, owner);
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -232,12 +243,18 @@
         }
     });
     owner.onCleanup(() => trafficReports.cancel());
-    log.write("started", { callers: settings.callerAddress.port, readiness: settings.readinessAddress.port });
+    log.write("started", {
+        callers: settings.callerAddress.port,
+        readiness: settings.readinessAddress.port,
+        process: process.pid,
+        program: foundation.programVersion,
+        node: process.version,
+    });
 
-    const stop = async (): Promise<void> => {
+    const stop = async (signal: NodeJS.Signals): Promise<void> => {
         const startedAt = timers.now();
         isStopping = true;
-        log.write("stopping", { open: requestRelay.openRequestCount() });
+        log.write("stopping", { signal, open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
         await ownership.resign().catch(error => failures.report("stop", error));
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -73,6 +73,7 @@
             { kind: "delegates", members: [delegate] },
             { ...report, samples: [{ service: "records", keys: [0, 65_535], weight: 2 }], speeds: [["a", 12]] },
             { ...routing, changes: [change] },
+            { ...report, leaving: [{ identifier: "a", startedAt: Date.now(), age: 12 }] },
         ];
         const odd: object[] = [
             ...[0, -1, 80_800, 1.5, NaN].map(port => ({ kind: "delegates", members: [{ ...delegate, port }] })),
