--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -40,7 +40,7 @@
     port: zod.int(),
 });
 
-const leavingUpstreamSchema = zod.object({ identifier: zod.string(), startedAt: numberSchema, age: numberSchema });
+const leavingUpstreamSchema = zod.object({ identifier: zod.string(), startedAt: zod.number(), age: numberSchema });
 
 const topicPositionSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
 
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -27,10 +27,10 @@
  */
 const idleMarginMilliseconds = 1200;
 const minIdleMilliseconds = 300;
-/** Refused requests after which a connection is closed, as it remembers their identifiers. */
-const maxRefusalsPerConnection = 256;
 /** Longest idle timeout, in milliseconds, whatever an upstream announces: sockets refuse timeouts without a bound. */
 const maxIdleMilliseconds = 600_000;
+/** Refused requests after which a connection is closed, as it remembers their identifiers. */
+const maxRefusalsPerConnection = 256;
 
 /**
  * Creates the connections to an upstream; none is open yet.
