Leader: resign a leadership that is won while the instance stops

An instance that was told to stop while its campaign was under way became leader and ended without resigning, so keys could not be moved until its lease had run out.

It now resigns as soon as the campaign is won. Evidence: "resigns a leadership that it wins after it was told to stop" fails on the unchanged source ("The value [false, false] is not equal to [false, true]": it went on to write records as leader).

--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -165,6 +165,12 @@
         }
     };
 
+    const resignLeadership = async (): Promise<void> => {
+        await session?.resign();
+        broadcast({ kind: "resigned" });
+        session = undefined;
+    };
+
     const runCampaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
         const won = await campaign.campaign({
             store,
@@ -198,6 +204,9 @@
             },
         });
         keyOwners.applySnapshot(won.snapshot);
+        if (isResigning) {
+            await resignLeadership();
+        }
     };
 
     const step = async (): Promise<void> => {
@@ -285,10 +294,7 @@
         resign: async () => {
             isResigning = true;
             link.announceStop();
-            const leadingSession = session;
-            await leadingSession?.resign();
-            broadcast({ kind: "resigned" });
-            session = undefined;
+            await resignLeadership();
         },
     };
 };
