Ownership simulation: upstreams that crash or are replaced in the random interleavings

Random interleavings now also contain upstreams that refuse connections because they ended, and upstreams whose address another process uses.

--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -172,6 +172,8 @@
                     () => simulation.setPartitioned(index, false),
                     () => simulation.refuseConnections(index, random.fraction() < 0.5),
                     () => simulation.restart(index),
+                    () => simulation.crash(index),
+                    () => simulation.replaceUpstream(index),
                     () => simulation.setOtherEntry(index, true),
                     () => simulation.setOtherEntry(index, false),
                     () => simulation.setDraining(index, true),
@@ -199,6 +201,7 @@
                 simulation.setPartitioned(index, false);
                 simulation.setDraining(index, false);
                 simulation.setOtherEntry(index, false);
+                simulation.restartIfEnded(index);
             }
             simulation.setStoreUnavailable(false);
             faults.lateCommands = 0;
