--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
@@ -41,14 +42,16 @@
  *
  * @param settingsInForce - settings of the instance
  * @param log - receives the events of the instance
+ * @param failures - records exceptions, which do not end the instance
  * @returns the instance, once it listens for callers and readiness checks
  */
 export const startEntry = async (
     settingsInForce: inForce.SettingsInForce,
     log: foundation.EventLog,
+    failures: foundation.FailureBoundary,
 ): Promise<Entry> => {
     const settings = settingsInForce.current();
-    const timers = foundation.createTimerService();
+    const timers = foundation.createTimerService(error => failures.report("timer", error));
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
     const { host: storeHost, port: storePort } = settings.storeAddress;
@@ -68,6 +71,7 @@
         timers,
         random,
         log,
+        failures,
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
@@ -85,6 +89,7 @@
         timers,
         random,
         log,
+        failures,
         keyedServices,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
@@ -105,17 +110,26 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
+    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
+        if (notice.isLeaving) {
+            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+        }
+    };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
         log,
         traffic,
+        failures,
         delegates: relay.createDelegatePool({
             ownIdentifier: ownership.identifier,
             delegates: ownership.delegates,
             now: timers.now,
         }),
         findOwner: ownership.findOwner,
+        mayReceive: pool.mayReceive,
+        onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
     const requestRelay = relay.createRelay({
@@ -124,9 +138,11 @@
         log,
         pool,
         traffic,
+        failures,
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
+        onNotice,
         delegator,
         acceptsDelegated: () => !isIsolated,
         retryBudget: {
@@ -151,18 +167,21 @@
             traffic: traffic.totals,
         },
         log,
+        failures,
         owner,
     );
     const callerServer = await relay.startCallerServer({
         host: settings.callerAddress.host,
         port: settings.callerAddress.port,
         log,
+        failures,
         handle: requestRelay.handle,
     }, owner);
 
     await relay.startDelegateServer({
         host: settings.host,
         port: settings.delegatePort,
+        failures,
         handle: requestRelay.handleDelegated,
     }, owner);
 
@@ -189,7 +208,12 @@
         readinessServer.close();
         readinessServer.closeAllConnections();
     });
-    await foundation.listenOn(readinessServer, settings.readinessAddress.host, settings.readinessAddress.port);
+    await foundation.listenOn(
+        readinessServer,
+        settings.readinessAddress.host,
+        settings.readinessAddress.port,
+        error => failures.report("readiness server", error),
+    );
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -211,7 +235,7 @@
         log.write("stopping", { open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
-        await ownership.resign();
+        await ownership.resign().catch(error => failures.report("stop", error));
         await foundation.pause(timers, deregistrationMilliseconds);
         callerServer.stopListening();
         while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -4,10 +4,13 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as stream from "node:stream";
+import * as tsResults from "ts-results";
+import * as messageValidity from "./messageValidity";
 import type * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
+import * as upstreamNotice from "./upstreamNotice";
 
 /** A response from an upstream. */
 export interface UpstreamResponse {
@@ -56,6 +59,10 @@
     onConnected: (milliseconds: number) => void;
     /** Called with the bytes of the attempt once it has ended. */
     onTransferred: (transfer: foundation.Transfer) => void;
+    /** Records exceptions of the attempt's handlers. */
+    failures: foundation.FailureBoundary;
+    /** Called with the notice in the head of a response, before the result is known. */
+    onNotice?: (notice: upstreamNotice.UpstreamNotice) => void;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
 }
@@ -76,6 +83,9 @@
 const maxInterimResponses = 16;
 
 const misdirectedStatus = 421;
+/** Range of the status codes of final responses. */
+const minFinalStatus = 200;
+const maxFinalStatus = 599;
 const keepAliveTimeoutPattern = /timeout=(\d+)/;
 
 const firstValue = (value: string | string[] | undefined): string | undefined =>
@@ -97,8 +107,8 @@
 /** Returns why a response cannot be forwarded, or undefined if it can. */
 const findResponseFault = (response: http.IncomingMessage): string | undefined => {
     const { headers, statusCode: status = 0 } = response;
-    if (status < 200) {
-        return "no final response";
+    if (status < minFinalStatus || status > maxFinalStatus || !messageValidity.areHeadersValid(response.rawHeaders)) {
+        return "the response is malformed";
     }
     const transferEncoding = headers["transfer-encoding"];
     if (transferEncoding !== undefined && transferEncoding.toLowerCase() !== "chunked") {
@@ -117,9 +127,67 @@
 const isRefusal = (response: http.IncomingMessage): boolean =>
     response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
+const readKeepAliveTimeout = (
+    response: http.IncomingMessage,
+    connections: upstreamConnections.UpstreamConnections,
+): void => {
+    const seconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")?.[1];
+    if (seconds !== undefined) {
+        connections.onKeepAliveTimeout(Number(seconds) * 1000);
+    }
+};
+
 /** Whether a response ends with its head, whatever the head says. */
 const isBodiless = (method: string, status: number): boolean => method === "HEAD" || status === 204 || status === 304;
 
+/** Opens the request of an attempt; the error is the reason why nothing can be sent. */
+const openRequest = (options: AttemptOptions): tsResults.Result<http.ClientRequest, string> => {
+    const { connections, body } = options;
+    const framingHeaders = body.kind === "whole"
+        ? (body.bytes.length > 0 || options.method === "POST" || options.method === "PUT"
+            ? ["Content-Length", String(body.bytes.length)]
+            : [])
+        : ["Transfer-Encoding", "chunked"];
+    try {
+        return tsResults.Ok(http.request({
+            agent: connections.agentFor(options.requestIdentifier),
+            host: options.host,
+            port: options.port,
+            method: options.method,
+            path: options.path,
+            headers: [
+                ...options.headers,
+                ...framingHeaders,
+                "Connection",
+                "keep-alive",
+            ] as unknown as http.OutgoingHttpHeaders,
+        }));
+    }
+    catch (error) {
+        return tsResults.Err((error as Error).message);
+    }
+};
+
+/** Returns an attempt of which nothing was sent. */
+const createUnsentAttempt = (reason: string): Attempt => ({
+    result: Promise.resolve({ kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined }),
+    cancel: () => undefined,
+    mayHaveBeenSent: () => false,
+});
+
+const sendBody = (request: http.ClientRequest, body: AttemptOptions["body"]): void => {
+    if (body.kind === "whole") {
+        request.end(body.bytes);
+        return;
+    }
+    request.write(body.start);
+    stream.pipeline(body.rest, request, error => {
+        if (error) {
+            request.destroy(error);
+        }
+    });
+};
+
 /**
  * Starts an attempt: sends the request to the upstream and reads its response.
  *
@@ -127,30 +195,15 @@
  * @returns the attempt
  */
 export const startAttempt = (options: AttemptOptions): Attempt => {
-    const { timers, connections, body } = options;
-    const framingHeaders = body.kind === "whole"
-        ? (body.bytes.length > 0 || options.method === "POST" || options.method === "PUT"
-            ? ["Content-Length", String(body.bytes.length)]
-            : [])
-        : ["Transfer-Encoding", "chunked"];
-    const request = http.request({
-        agent: connections.agentFor(options.requestIdentifier),
-        host: options.host,
-        port: options.port,
-        method: options.method,
-        path: options.path,
-        headers: [
-            ...options.headers,
-            ...framingHeaders,
-            "Connection",
-            "keep-alive",
-        ] as unknown as http.OutgoingHttpHeaders,
-    });
+    const { timers, connections, failures } = options;
+    const opened = openRequest(options);
+    if (opened.err) {
+        return createUnsentAttempt(opened.val);
+    }
+    const request = opened.val;
     let isConnected = false;
     let connection: net.Socket | undefined;
     let isNewConnection = false;
-    /** Whether a request with the same identifier was refused on the connection, where that refusal may arrive once more. */
-    let isRefusedConnection = false;
     let isFinished = false;
     const result = new Promise<AttemptResult>(resolve => {
         const finish = (attemptResult: AttemptResult): void => {
@@ -168,6 +221,19 @@
                     : { kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined },
             );
         };
+        /** Ends the attempt if a handler throws, so that it always has a result. */
+        const guard =
+            <Parameters extends unknown[]>(handler: (...parameters: Parameters) => void) =>
+            (...parameters: Parameters): void => {
+                try {
+                    handler(...parameters);
+                }
+                catch (error) {
+                    failures.report("attempt", error, { request: options.requestIdentifier, host: options.host });
+                    request.destroy();
+                    fail("internal error");
+                }
+            };
         const startedAt = timers.now();
         let endTransfer: (() => foundation.Transfer) | undefined;
         const connectTimeout = timers.onDelay(options.connectTimeoutMilliseconds, () => {
@@ -175,21 +241,25 @@
                 request.destroy(new Error("connection timeout"));
             }
         });
-        request.on("socket", socket => {
-            connection = socket;
-            endTransfer = foundation.startTransfer(socket);
-            isRefusedConnection = options.requestIdentifier !== undefined
-                && connections.hasRefused(socket, options.requestIdentifier);
-            if (!socket.connecting) {
-                isConnected = true;
-                return;
-            }
-            isNewConnection = true;
-            socket.once("connect", () => {
-                isConnected = true;
-                options.onConnected(timers.now() - startedAt);
-            });
-        });
+        request.on(
+            "socket",
+            guard(socket => {
+                connection = socket;
+                endTransfer = foundation.startTransfer(socket);
+                if (!socket.connecting) {
+                    isConnected = true;
+                    return;
+                }
+                isNewConnection = true;
+                socket.once(
+                    "connect",
+                    guard(() => {
+                        isConnected = true;
+                        options.onConnected(timers.now() - startedAt);
+                    }),
+                );
+            }),
+        );
         let currentResponse: http.IncomingMessage | undefined;
         request.on("error", error => {
             // Bytes behind a complete response end the connection, not the response.
@@ -200,127 +270,126 @@
             // Without a length, a reset connection would end the streamed rest as if it were complete.
             currentResponse?.destroy(error);
         });
-        request.on("close", () => {
-            if (endTransfer !== undefined) {
-                options.onTransferred(endTransfer());
-            }
-            fail("the connection was closed");
-        });
+        request.on(
+            "close",
+            guard(() => {
+                if (endTransfer !== undefined) {
+                    options.onTransferred(endTransfer());
+                }
+                fail("the connection was closed");
+            }),
+        );
         let interimResponses = 0;
-        request.on("information", () => {
-            interimResponses += 1;
-            options.onInterim?.();
-            if (options.onInterim === undefined && interimResponses > maxInterimResponses) {
-                request.destroy(new Error("too many interim responses"));
-            }
-        });
-        request.on("response", response => {
-            currentResponse = response;
-            const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
-            const keepAliveSeconds = keepAliveTimeoutPattern.exec(firstValue(response.headers["keep-alive"]) ?? "")
-                ?.[1];
-            if (keepAliveSeconds !== undefined) {
-                connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
-            }
-            const isRequestUnfinished = !request.writableFinished;
-            const hasLength = response.headers["content-length"] !== undefined;
-            const isCloseDelimited = !hasLength
-                && response.headers["transfer-encoding"] === undefined
-                && !isBodiless(options.method, response.statusCode ?? 0);
-            if (isCloseDelimited) {
-                foundation.destroyIfReset(response);
-            }
-            const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
-                ? findResponseFault(response)
-                : "the response may belong to another request";
-            if (fault !== undefined) {
-                response.on("error", () => undefined);
-                request.destroy();
-                fail(fault);
-                return;
-            }
-            const chunks: Buffer[] = [];
-            let size = 0;
-            const onData = (chunk: Buffer): void => {
-                chunks.push(chunk);
-                size += chunk.length;
-                if (size <= maxBufferedBytes) {
-                    return;
+        request.on(
+            "information",
+            guard(() => {
+                interimResponses += 1;
+                options.onInterim?.();
+                if (options.onInterim === undefined && interimResponses > maxInterimResponses) {
+                    request.destroy(new Error("too many interim responses"));
                 }
-                if (response.headers[platform.HeaderName.signature] === undefined) {
-                    // Only signed responses are this large; a refusal must be complete to be believed.
-                    request.destroy();
-                    fail("large response without a signature");
-                    return;
+            }),
+        );
+        request.on(
+            "response",
+            guard(response => {
+                currentResponse = response;
+                const notice = upstreamNotice.parseNotice(name => firstValue(response.headers[name]));
+                if (notice !== undefined) {
+                    options.onNotice?.(notice);
                 }
-                response.pause();
-                response.off("data", onData);
-                finishResponse(response);
-            };
-            const finishResponse = (rest: http.IncomingMessage | undefined): void => {
-                if (isFinished) {
-                    return;
+                const report = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
+                readKeepAliveTimeout(response, connections);
+                const isRequestUnfinished = !request.writableFinished;
+                const hasLength = response.headers["content-length"] !== undefined;
+                const isCloseDelimited = !hasLength
+                    && response.headers["transfer-encoding"] === undefined
+                    && !isBodiless(options.method, response.statusCode ?? 0);
+                if (isCloseDelimited) {
+                    foundation.destroyIfReset(response);
                 }
-                if (isRequestUnfinished) {
-                    // The upstream still expects the rest of the body on this connection.
-                    response.socket.destroy();
+                const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
+                    ? findResponseFault(response)
+                    : "the response may belong to another request";
+                if (fault !== undefined) {
+                    response.on("error", () => undefined);
+                    request.destroy();
+                    fail(fault);
+                    return;
                 }
-                if (isRefusal(response)) {
-                    if (isRefusedConnection) {
-                        connection?.destroy();
-                        fail("the refusal may be an earlier one");
+                const chunks: Buffer[] = [];
+                let size = 0;
+                const onData = guard((chunk: Buffer): void => {
+                    chunks.push(chunk);
+                    size += chunk.length;
+                    if (size <= maxBufferedBytes) {
+                        return;
+                    }
+                    if (response.headers[platform.HeaderName.signature] === undefined) {
+                        // Only signed responses are this large; a refusal must be complete to be believed.
+                        request.destroy();
+                        fail("large response without a signature");
                         return;
                     }
-                    if (options.requestIdentifier !== undefined && connection !== undefined) {
-                        connections.onRefusal(connection, options.requestIdentifier);
+                    response.pause();
+                    response.off("data", onData);
+                    finishResponse(response);
+                });
+                const finishResponse = (rest: http.IncomingMessage | undefined): void => {
+                    if (isFinished) {
+                        return;
+                    }
+                    if (isRequestUnfinished) {
+                        // The upstream still expects the rest of the body on this connection.
+                        // Not the response's socket, which Node.js has detached if the request was finished meanwhile.
+                        request.socket?.destroy();
+                    }
+                    if (isRefusal(response)) {
+                        if (!connections.onRefusal(connection, options.requestIdentifier)) {
+                            fail("the refusal may be an earlier one");
+                            return;
+                        }
+                        const isMisdirected = response.statusCode === misdirectedStatus;
+                        finish({
+                            kind: "notRun",
+                            reason: `status ${response.statusCode}`,
+                            isRefused: true,
+                            isMisdirected,
+                            report,
+                        });
+                        return;
                     }
-                    const isMisdirected = response.statusCode === misdirectedStatus;
+                    const { rawHeaders, statusCode = 0 } = response;
                     finish({
-                        kind: "notRun",
-                        reason: `status ${response.statusCode}`,
-                        isRefused: true,
-                        isMisdirected,
+                        kind: "answered",
+                        response: {
+                            status: statusCode,
+                            rawHeaders,
+                            body: Buffer.concat(chunks),
+                            isCloseDelimited,
+                            hasLength,
+                            rest,
+                        },
                         report,
                     });
-                    return;
-                }
-                const { rawHeaders, statusCode = 0 } = response;
-                finish({
-                    kind: "answered",
-                    response: {
-                        status: statusCode,
-                        rawHeaders,
-                        body: Buffer.concat(chunks),
-                        isCloseDelimited,
-                        hasLength,
-                        rest,
-                    },
-                    report,
-                });
-            };
-            response.on("data", onData);
-            response.on("end", () => {
-                if (response.complete) {
-                    finishResponse(undefined);
-                }
-                else {
-                    fail("the response was interrupted");
-                }
-            });
-            response.on("error", error => fail(error.message));
-        });
+                };
+                response.on("data", onData);
+                response.on(
+                    "end",
+                    guard(() => {
+                        if (response.complete) {
+                            finishResponse(undefined);
+                        }
+                        else {
+                            fail("the response was interrupted");
+                        }
+                    }),
+                );
+                response.on("error", error => fail(error.message));
+            }),
+        );
     });
-    if (body.kind === "whole") {
-        request.end(body.bytes);
-    }
-    else {
-        request.write(body.start);
-        stream.pipeline(body.rest, request, error => {
-            if (error) {
-                request.destroy(error);
-            }
-        });
-    }
+    sendBody(request, options.body);
     return {
         result,
         cancel: reason => {
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -24,6 +24,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     eventLoopDelay: eventLoopDelay.EventLoopDelay;
     /** Whether responses tell callers to open their next connection elsewhere. */
     shouldCloseConnections: () => boolean;
@@ -53,12 +54,12 @@
  * @returns the responder
  */
 export const createResponder = (options: ResponderOptions): Responder => {
-    const { timers, log, random } = options;
+    const { timers, log, random, failures } = options;
 
     const responseHeaders = (extraHeaders: string[]): string[] =>
         options.shouldCloseConnections() ? [...extraHeaders, "Connection", "close"] : extraHeaders;
 
-    const recordOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
+    const writeOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
         const durationMilliseconds = timers.now() - state.arrivedAt;
         const { decision } = state;
         const rounded = (value: number | undefined): number | undefined =>
@@ -105,6 +106,11 @@
         });
     };
 
+    const recordOutcome: Responder["recordOutcome"] = (state, status, reason) =>
+        failures.run("request outcome", () => writeOutcome(state, status, reason), {
+            request: state.requestIdentifier,
+        });
+
     const reply = (response: http.ServerResponse, status: number, extraHeaders: string[], text: string): void => {
         if (response.headersSent || response.destroyed) {
             return;
@@ -169,7 +175,10 @@
         });
     };
 
-    const forward = (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse): void => {
+    const forwardResponse = (
+        state: requestState.RequestState,
+        upstreamResponse: attempts.UpstreamResponse,
+    ): void => {
         if (state.route.kind !== routing.RouteKind.idempotent && notRunStatuses.has(upstreamResponse.status)) {
             upstreamResponse.rest?.destroy();
             state.mayHaveRun = true;
@@ -181,7 +190,14 @@
         const { response } = state;
         const forwardedHeaders = headers.forwardedHeaders(upstreamResponse.rawHeaders, [
             delegatedRequest.failureHeader,
+            delegatedRequest.upstreamHeader,
         ]);
+        if (state.isDelegated && state.notifiedBy !== undefined) {
+            forwardedHeaders.push(
+                delegatedRequest.upstreamHeader,
+                delegatedRequest.encodeUpstream(state.notifiedBy),
+            );
+        }
         if (response.destroyed) {
             upstreamResponse.rest?.destroy();
             return;
@@ -214,5 +230,15 @@
         forwardRest(state, upstreamResponse);
     };
 
+    const forward: Responder["forward"] = (state, upstreamResponse) => {
+        try {
+            forwardResponse(state, upstreamResponse);
+        }
+        catch (error) {
+            upstreamResponse.rest?.destroy();
+            throw error;
+        }
+    };
+
     return { recordOutcome, reply, fail, forward };
 };
