Do not believe a refusal that is too large to be complete, if it is signed

A refusal over 256 KB with a signature counted as complete before its end, and its connection stayed paused until the upstream closed it. It is handled like one without a signature now: disconnected, outcome unknown.

Evidence, endlessBytes.test.ts on the source before: 'in a signed refusal is disconnected, and the outcome is unknown': "The value 503 is not equal to 502". cutResponses.test.ts now also cuts responses that are streamed; none looked complete before.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -325,10 +325,10 @@
                     if (size <= maxBufferedBytes) {
                         return;
                     }
-                    if (response.headers[platform.HeaderName.signature] === undefined) {
+                    if (response.headers[platform.HeaderName.signature] === undefined || isRefusal(response)) {
                         // Only signed responses are this large; a refusal must be complete to be believed.
                         request.destroy();
-                        fail("large response without a signature");
+                        fail("large refusal, or large response without a signature");
                         return;
                     }
                     response.pause();
--- a/packages/relay/test/cutResponses.test.ts
+++ b/packages/relay/test/cutResponses.test.ts
@@ -100,4 +100,32 @@
             });
         }
     }
+
+    const largeBody = "x".repeat(400_000);
+    const largeFramings: [string, string][] = [
+        ["with a length", `${statusLine}${identity}Content-Length: ${largeBody.length}\r\n\r\n${largeBody}`],
+        [
+            "in chunks",
+            `${statusLine}${identity}Transfer-Encoding: chunked\r\n\r\n${
+                largeBody.length.toString(16)
+            }\r\n${largeBody}\r\n0\r\n\r\n`,
+        ],
+    ];
+    for (const [name, text] of largeFramings) {
+        for (const end of ["end", "reset"] as const) {
+            const endConnection = end === "end" ? relayFixture.endConnection : relayFixture.resetConnection;
+            test.it(`while it is streamed ${name}, by ${end} of its connection, is never complete`, () => {
+                let missingBytes = 1;
+                const behaviour: relayFixture.Behaviour = ({ socket }) => {
+                    socket.write(text.slice(0, text.length - missingBytes), () => endConnection(socket));
+                };
+                return relayFixture.withRelay({ behaviours: [behaviour] }, async ({ sendRequest }) => {
+                    for (missingBytes = 1; missingBytes <= 100_000; missingBytes *= 3) {
+                        const { status, isComplete } = await sendRequest({ body: order });
+                        earl.expect(status === 502 || (status === 200 && !isComplete)).toEqual(true);
+                    }
+                });
+            });
+        }
+    }
 });
--- a/packages/relay/test/endlessBytes.test.ts
+++ b/packages/relay/test/endlessBytes.test.ts
@@ -64,6 +64,11 @@
         ["a failure without a signature", { start: head("500 Error"), repeated: filler }, 502],
         ["chunks of a failure without a signature", { start: head("500 Error", chunked), repeated: chunk }, 502],
         ["a refusal", { start: head("503 Full", chunked, "Not-Executed: 1"), repeated: chunk }, 502],
+        [
+            "a signed refusal",
+            { start: head("503 Full", chunked, "Not-Executed: 1", signature), repeated: chunk },
+            502,
+        ],
         ["a chunk extension", { start: head("200 OK", signature, chunked), repeated: `1;${filler}` }, 502],
         [
             "trailers",
