Test that a caller gets the response that arrives before its body was sent

An upstream may respond before it has read a long body. The caller gets that response, and the connection, on which the rest of the body is due, is not used again; a refusal without an identifier is not believed then.

--- a/packages/relay/test/earlyResponses.test.ts
+++ b/packages/relay/test/earlyResponses.test.ts
@@ -1,55 +1,69 @@
-/** Responses that an upstream sends before it has read the whole request. */
+/** Upstreams that respond before they have read the whole body of a request. */
 import * as foundation from "@mulberryseam/foundation";
 import * as earl from "earl";
 import * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
 
-/** More than the sockets of both sides hold, in bytes, so that the request is unfinished until the upstream reads it. */
-const bodyBytes = 24 * 1024 * 1024;
-const readMilliseconds = 20;
+/** More than the relay holds and the sockets buffer, so that it is streamed while the response arrives. */
+const upload = Buffer.alloc(12 * 1024 * 1024, "u");
+const repetitions = 10;
 
-/** Starts an upstream that sends the head of its response, reads the rest of the request, and sends the body of its response. */
-const startEarlyUpstream = async (head: string, owner: foundation.Owner): Promise<number> => {
+/** Starts an upstream that responds to a head at once, and then reads on. */
+const startEarlyUpstream = async (
+    owner: foundation.Owner,
+    respond: (identifier: string) => string,
+): Promise<number> => {
+    const sockets = new Set<net.Socket>();
     const server = net.createServer(socket => {
-        let receivedBytes = 0;
-        let requestBytes: number | undefined;
+        sockets.add(socket);
         socket.on("error", () => undefined);
-        socket.on("data", chunk => {
-            if (requestBytes === undefined) {
-                const text = chunk.toString("latin1");
-                requestBytes = bodyBytes + text.indexOf("\r\n\r\n") + 4;
-                const identifier = /^request-id: *(.*)\r$/im.exec(text)?.[1];
-                socket.pause();
-                socket.write(`HTTP/1.1 ${head}\r\nRequest-Id: ${identifier}\r\nContent-Length: 2\r\n\r\n`);
-                setTimeout(() => socket.resume(), readMilliseconds);
-            }
-            receivedBytes += chunk.length;
-            if (receivedBytes >= requestBytes) {
-                setTimeout(() => socket.write("ok"), readMilliseconds);
+        let hasResponded = false;
+        socket.on("data", data => {
+            if (!hasResponded) {
+                hasResponded = true;
+                socket.write(respond(/request-id: (\S+)/i.exec(data.toString("latin1"))?.[1] ?? ""));
             }
         });
     });
+    await foundation.listenOn(server, "127.0.0.1", 0);
     owner.onCleanup(() => {
         server.close();
+        sockets.forEach(socket => socket.destroy());
     });
-    await foundation.listenOn(server, "127.0.0.1", 0);
     return (server.address() as net.AddressInfo).port;
 };
 
-test.describe("an upstream that responds early and then reads the rest of the request", () => {
-    const cases: [string, string, number][] = [
-        ["a success", "200 OK\r\nResponse-Signature: signature", 200],
-        ["a refusal", "503 Full\r\nNot-Executed: 1", 503],
+test.describe("a response that arrives before the body of its request was sent", () => {
+    const responses: [string, number, (identifier: string) => string][] = [
+        [
+            "success",
+            200,
+            id => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\ndone`,
+        ],
+        ["failure", 500, id => `HTTP/1.1 500 Error\r\nRequest-Id: ${id}\r\nContent-Length: 4\r\n\r\nfail`],
+        [
+            "refusal",
+            503,
+            id => `HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`,
+        ],
+        [
+            "refusal without an identifier",
+            502,
+            () => "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        ],
     ];
-    for (const [name, head, status] of cases) {
-        test.it(`does not end the process of the relay with ${name}`, async () => {
+    for (const [kind, status, respond] of responses) {
+        test.it(`is a ${kind} that the caller gets as status ${status}`, async () => {
             const owner = foundation.createOwner();
-            const port = await startEarlyUpstream(head, owner);
-            await relayFixture.withRelay({ behaviours: [], maxBodyBytes: bodyBytes }, async fixture => {
-                fixture.directory.onEntry(relayFixture.createUpstream("early", port, 1), 0);
-                const response = await fixture.sendRequest({ body: Buffer.alloc(bodyBytes) });
-                earl.expect(response.status).toEqual(status);
+            const options = { behaviours: [], maxBodyBytes: 2 * upload.length, timeoutMilliseconds: 10_000 };
+            await relayFixture.withRelay(options, async ({ directory, sendRequest }) => {
+                const port = await startEarlyUpstream(owner, respond);
+                directory.onEntry(relayFixture.createUpstream("early", port, 1), 0);
+                for (let iteration = 0; iteration < repetitions; iteration += 1) {
+                    const response = await sendRequest({ body: upload, deadlineMilliseconds: 10_000 });
+                    earl.expect([response.status, response.isComplete]).toEqual([status, true]);
+                }
             });
             await owner.dispose();
         });
