Do not forward a success whose signature is not forwarded

An upstream's Connection header that names Response-Signature made the relay remove it, and the caller got a 200 without a signature. Such a response now counts as one without a signature.

Evidence, malformedResponses.test.ts on the source before: 'with a signature for the connection only is no success': "The value [200, undefined] is not equal to [502, undefined]".

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -118,7 +118,11 @@
     if (isSuccess && (headers["content-encoding"] ?? "identity") !== "identity") {
         return "successful response with an encoded body";
     }
-    if (isSuccess && headers[platform.HeaderName.signature] === undefined) {
+    // A header that the connection header names is not forwarded.
+    const unforwarded = (headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
+    const isSigned = headers[platform.HeaderName.signature] !== undefined
+        && !unforwarded.includes(platform.HeaderName.signature);
+    if (isSuccess && !isSigned) {
         return "successful response without a signature";
     }
     return undefined;
--- a/packages/relay/test/malformedResponses.test.ts
+++ b/packages/relay/test/malformedResponses.test.ts
@@ -51,6 +51,10 @@
         ["of another protocol", head("Content-Length: 4").replace("HTTP/1.1", "RTSP/1.0") + "done"],
         ["of another version", head("Content-Length: 4").replace("HTTP/1.1", "HTTP/3.0") + "done"],
         ["with an encoded body", `${head("Content-Encoding: identity, gzip", "Content-Length: 4")}done`],
+        [
+            "with a signature for the connection only",
+            `${head("Connection: Response-Signature", "Content-Length: 4")}done`,
+        ],
         ["that switches protocols", head().replace("200 OK", "101 Switching Protocols") + "done"],
         ["of interim responses only", head().replace("200 OK", "103 Early Hints")],
         ["with two identifiers", `${head("Request-Id: request-1", "Content-Length: 4")}done`],
