--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -81,7 +81,9 @@
         earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
         earl.expect(simulation.violations()).toEqual([]);
     });
+});
 
+test.describe("sole ownership without proof that an upstream or a leader has ended", () => {
     test.it("does not take a registry entry at an upstream's address for the end of that upstream", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(8, noFaults);
         await simulation.run(6000);
--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -5,6 +5,7 @@
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as test from "node:test";
+import * as leavingUpstreams from "../src/leavingUpstreams";
 import * as ownershipTask from "../src/ownershipTask";
 
 const host = "127.0.0.1";
@@ -53,13 +54,17 @@
         },
         close: () => undefined,
     };
+    const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
+    const directory = routing.createUpstreamDirectory();
     const task = await ownershipTask.startOwnershipTask({
         settings,
         store,
-        directory: routing.createUpstreamDirectory(),
+        directory,
+        leaving: leavingUpstreams.createLeavingUpstreams({ directory, timers, log }),
         timers,
         random: foundation.createRandom(1),
-        log: { write: () => undefined, sample: () => undefined },
+        log,
+        failures: foundation.createTransparentFailureBoundary(),
         keyedServices: () => [],
         collectServiceTimes: () => [],
         topics: {
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -118,7 +118,11 @@
     if (isSuccess && (headers["content-encoding"] ?? "identity") !== "identity") {
         return "successful response with an encoded body";
     }
-    if (isSuccess && headers[platform.HeaderName.signature] === undefined) {
+    // A header that the connection header names is not forwarded.
+    const unforwarded = (headers.connection ?? "").toLowerCase().split(",").map(name => name.trim());
+    const isSigned = headers[platform.HeaderName.signature] !== undefined
+        && !unforwarded.includes(platform.HeaderName.signature);
+    if (isSuccess && !isSigned) {
         return "successful response without a signature";
     }
     return undefined;
@@ -203,9 +207,9 @@
         if (size <= maxBufferedBytes) {
             return;
         }
-        if (response.headers[platform.HeaderName.signature] === undefined) {
+        if (response.headers[platform.HeaderName.signature] === undefined || isRefusal(response)) {
             // Only signed responses are this large; a refusal must be complete to be believed.
-            onFault("large response without a signature");
+            onFault("large refusal, or large response without a signature");
             return;
         }
         response.pause();
@@ -263,8 +267,6 @@
     let isConnected = false;
     let connection: net.Socket | undefined;
     let isNewConnection = false;
-    /** Whether a request with the same identifier was refused on the connection, where that refusal may arrive once more. */
-    let isRefusedConnection = false;
     let isFinished = false;
     let abort: (reason: string) => void = () => undefined;
     const result = new Promise<AttemptResult>(resolve => {
@@ -313,8 +315,6 @@
             guard(socket => {
                 connection = socket;
                 endTransfer = foundation.startTransfer(socket);
-                isRefusedConnection = options.requestIdentifier !== undefined
-                    && connections.hasRefused(socket, options.requestIdentifier);
                 if (!socket.connecting) {
                     isConnected = true;
                     return;
@@ -389,14 +389,10 @@
                         request.socket?.destroy();
                     }
                     if (isRefusal(response)) {
-                        if (isRefusedConnection) {
-                            connection?.destroy();
+                        if (!connections.onRefusal(connection, options.requestIdentifier)) {
                             fail("the refusal may be an earlier one");
                             return;
                         }
-                        if (options.requestIdentifier !== undefined && connection !== undefined) {
-                            connections.onRefusal(connection, options.requestIdentifier);
-                        }
                         const isMisdirected = response.statusCode === misdirectedStatus;
                         finish({
                             kind: "notRun",
--- a/packages/relay/src/requestExceptions.ts
+++ b/packages/relay/src/requestExceptions.ts
@@ -35,8 +35,8 @@
  * @returns the functions that end requests
  */
 export const createRequestExceptions = ({ failures, responder }: RequestExceptionsOptions): RequestExceptions => {
-    const failureHeaders = (isDelegated: boolean): string[] =>
-        isDelegated ? [delegatedRequest.failureHeader, reason] : [];
+    const failureHeaders = (isDelegated: boolean, requestIdentifier: string | undefined): string[] =>
+        isDelegated ? delegatedRequest.failureHeaders(requestIdentifier, reason) : [];
     return {
         end: (state, error) => {
             const { response, currentAttempt } = state;
@@ -50,7 +50,7 @@
                 responder.fail(state, reason, selection.defaultRetryAfterMilliseconds);
             }
             else if (!response.headersSent) {
-                responder.reply(response, 502, failureHeaders(state.isDelegated), reason);
+                responder.reply(response, 502, failureHeaders(state.isDelegated, state.requestIdentifier), reason);
             }
             else if (!response.writableEnded) {
                 // A response that is cut off must not look complete.
@@ -68,7 +68,7 @@
             responder.reply(response, 503, [
                 "Retry-After",
                 (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3),
-                ...failureHeaders(isDelegated),
+                ...failureHeaders(isDelegated, requestState.identifierOf(request)),
             ], reason);
         },
     };
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -8,10 +8,11 @@
     agent: http.Agent;
     /** Returns the agent for a request: it opens a connection if a response on an idle one could be that of an earlier request. */
     agentFor: (requestIdentifier: string | undefined) => http.Agent;
-    /** Records that an upstream refused a request on a connection, where a response to it may arrive once more. */
-    onRefusal: (socket: net.Socket, requestIdentifier: string) => void;
-    /** Whether an upstream has refused a request with this identifier on a connection. */
-    hasRefused: (socket: net.Socket, requestIdentifier: string) => boolean;
+    /**
+     * Records the refusal of a request. Returns false, and closes the connection, if a request with the same identifier was refused on
+     * it before: that refusal may have arrived once more.
+     */
+    onRefusal: (socket: net.Socket | undefined, requestIdentifier: string | undefined) => boolean;
     /** Whether an idle connection is open. */
     hasIdle: () => boolean;
     /** Adapts the idle timeout to the keep-alive timeout that the upstream announced, in milliseconds. */
@@ -79,10 +80,17 @@
             return isAmbiguous ? singleUseAgent : agent;
         },
         onRefusal: (socket, requestIdentifier) => {
+            if (socket === undefined || requestIdentifier === undefined) {
+                return true;
+            }
+            if (hasRefused(socket, requestIdentifier)) {
+                socket.destroy();
+                return false;
+            }
             const identifiers = refusedIdentifiers.get(socket) ?? new Set<string>();
             refusedIdentifiers.set(socket, identifiers.add(requestIdentifier));
+            return true;
         },
-        hasRefused,
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onKeepAliveTimeout: milliseconds => {
             const announced = milliseconds - idleMarginMilliseconds;
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -130,6 +130,7 @@
 
     test.it("may have run if it waited for a connection on which it was refused", async () => {
         const timers = foundation.createTimerService();
+        const failures = foundation.createTransparentFailureBoundary();
         const behaviour = refuseFirst([]);
         const server = http.createServer((request, response) => {
             request.resume();
@@ -140,6 +141,7 @@
         const attempt = (): relay.Attempt =>
             relay.startAttempt({
                 timers,
+                failures,
                 connections,
                 host: "127.0.0.1",
                 port: (server.address() as net.AddressInfo).port,
@@ -150,7 +152,6 @@
                 body: { kind: "whole", bytes: order },
                 connectTimeoutMilliseconds: 1000,
                 onConnected: () => undefined,
-                failures: foundation.createTransparentFailureBoundary(),
                 onTransferred: () => undefined,
             });
         const results = await Promise.all([attempt().result, attempt().result]);
