Leader: report leaving upstreams only while the registry calls them ready; hold-offs without a string per lookup

Every follower repeated each announcement with every report, two and a half times a second, also after the registry had told the leader the same. The report now leaves those out. Hold-offs are looked up for every upstream of a service at each selection, so they are found by identifier instead of a name built for the purpose.

--- a/packages/entry/src/leavingUpstreams.ts
+++ b/packages/entry/src/leavingUpstreams.ts
@@ -29,7 +29,7 @@
     learn: (incarnation: routing.Incarnation, source: Exclude<LeavingSourceValue, "report">) => void;
     /** Records the announcements that another instance has got. */
     learnReported: (report: protocol.FollowerReport) => void;
-    /** Returns the registered upstreams of services that are leaving, as reported to the leader. */
+    /** Returns the leaving upstreams of services that the registry still calls ready, as reported to the leader. */
     collectReport: (services: readonly string[]) => NonNullable<protocol.FollowerReport["leaving"]>;
     /** Sets the function called when another upstream is known to be leaving. */
     onLearned: (callback: () => void) => void;
@@ -57,7 +57,10 @@
             ),
         collectReport: services =>
             directory.announcedLeaving()
-                .filter(({ identifier }) => services.includes(directory.find(identifier)?.upstream.service ?? ""))
+                .filter(({ identifier }) => {
+                    const upstream = directory.find(identifier)?.upstream;
+                    return upstream?.isDraining === false && services.includes(upstream.service);
+                })
                 .map(({ identifier, startedAt, since }) => ({ identifier, startedAt, age: timers.now() - since })),
         onLearned: callback => {
             onLearned = callback;
--- a/packages/relay/src/holdOff.ts
+++ b/packages/relay/src/holdOff.ts
@@ -11,7 +11,10 @@
     prune: (now: number) => void;
 }
 
-const nameOf = ({ identifier, startedAt }: routing.Incarnation): string => `${identifier}@${startedAt}`;
+interface HoldOff {
+    startedAt: number;
+    endsAt: number;
+}
 
 /**
  * Creates the hold-offs of an instance.
@@ -19,23 +22,28 @@
  * @returns the hold-offs; every upstream takes requests
  */
 export const createHoldOffs = (): HoldOffs => {
-    const endTimes = new Map<string, number>();
+    /** Hold-offs of the newest incarnations, by identifier. */
+    const holdOffs = new Map<string, HoldOff>();
     return {
-        onRefusal: (incarnation, milliseconds, now) => {
-            const name = nameOf(incarnation);
+        onRefusal: ({ identifier, startedAt }, milliseconds, now) => {
+            const known = holdOffs.get(identifier);
+            const isOutdated = known !== undefined && known.startedAt > startedAt;
+            const knownEndsAt = known?.startedAt === startedAt ? known.endsAt : -Infinity;
             const endsAt = now + milliseconds;
-            const isLonger = endsAt > Math.max(now, endTimes.get(name) ?? -Infinity);
+            const isLonger = !isOutdated && endsAt > Math.max(now, knownEndsAt);
             if (isLonger) {
-                endTimes.set(name, endsAt);
+                holdOffs.set(identifier, { startedAt, endsAt });
             }
             return isLonger;
         },
-        remainingMilliseconds: (incarnation, now) =>
-            Math.max(0, (endTimes.get(nameOf(incarnation)) ?? -Infinity) - now),
+        remainingMilliseconds: ({ identifier, startedAt }, now) => {
+            const known = holdOffs.get(identifier);
+            return known?.startedAt === startedAt ? Math.max(0, known.endsAt - now) : 0;
+        },
         prune: now => {
-            for (const [name, endsAt] of endTimes) {
+            for (const [identifier, { endsAt }] of holdOffs) {
                 if (endsAt <= now) {
-                    endTimes.delete(name);
+                    holdOffs.delete(identifier);
                 }
             }
         },
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -42,6 +42,7 @@
         earl.expect(holdOffs.onRefusal(upstream, 200, 500)).toEqual(false);
         earl.expect(holdOffs.remainingMilliseconds(upstream, 600)).toEqual(400);
         earl.expect(holdOffs.remainingMilliseconds({ ...upstream, startedAt: 2 }, 600)).toEqual(0);
+        earl.expect(holdOffs.onRefusal({ ...upstream, startedAt: 0 }, 5000, 600)).toEqual(false);
         holdOffs.prune(999);
         earl.expect(holdOffs.remainingMilliseconds(upstream, 999)).toEqual(1);
         earl.expect(holdOffs.remainingMilliseconds(upstream, 1000)).toEqual(0);
