Explain requests that were refused because upstreams hold them off

`explain-request` only repeated the reason, and `request-failed` named no upstream. The selection now records the upstream that takes requests first, and the outcome has a sentence that names it.

Evidence, on the unchanged source: explain.test.ts "includes the refusal after which" failed, as the conclusion began with "The request failed".

--- a/packages/explain/src/outcome.ts
+++ b/packages/explain/src/outcome.ts
@@ -18,6 +18,10 @@
     "no answer is expected in time": line =>
         `Rejected immediately: ${format(line.upstream)} had ${format(line.queue)} requests and an expected wait of `
         + `${format(line.expectedWait)} ms; its last load report was ${format(line.reportAge)} ms old.`,
+    "upstreams want no requests for a time": line =>
+        `Rejected immediately: ${
+            format(line.upstream)
+        }, the first to take requests again, had asked for none for a time.`,
     "no connection to an upstream is free": line =>
         `${format(line.upstream)} had no free connection for this instance while it had ${
             format(line.queue)
--- a/packages/explain/test/explain.test.ts
+++ b/packages/explain/test/explain.test.ts
@@ -28,6 +28,19 @@
         ]);
     });
 
+    test.it("includes the refusal after which an upstream wanted no requests", () => {
+        const reason = "upstreams want no requests for a time";
+        const logs = createLogs(
+            createLine(4, "entry-1", "upstream-held-off", { upstream: "u-1", milliseconds: 2000 }),
+            createLine(5, "entry-1", "request-failed", { ...failedRequest, reason, upstream: "u-1" }),
+        );
+        const timeline = explain.createRequestTimeline(logs, "a");
+        earl.expect(timeline.lines.map(line => line.event)).toEqual(["upstream-held-off", "request-failed"]);
+        earl.expect(timeline.conclusions).toEqual([
+            "Rejected immediately: u-1, the first to take requests again, had asked for none for a time.",
+        ]);
+    });
+
     test.it("does not include events of unnamed upstreams when the request was sent to none", () => {
         const logs = createLogs(
             createLine(5, "entry-1", "request-failed", { ...failedRequest, reason: "no upstream is ready" }),
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -50,14 +50,16 @@
 export const createSelector = (options: SelectorOptions): (state: requestState.RequestState) => Selection => {
     const { pool, random } = options;
 
-    const toHeldOff = (state: requestState.RequestState, target: upstreamPool.PooledUpstream): Selection => {
+    const toHeldOff = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        token: number | undefined,
+    ): Selection => {
         const candidate = pool.toCandidate(target, state.estimatedBytes);
-        return {
-            kind: "heldOff",
-            target,
-            choice: upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice,
-            holdOffMilliseconds: pool.holdOffMilliseconds(target.upstream),
-        };
+        const choice = upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice;
+        state.decision = toDecision(choice, token);
+        const holdOffMilliseconds = pool.holdOffMilliseconds(target.upstream);
+        return { kind: "heldOff", target, choice, holdOffMilliseconds };
     };
 
     const selectOwner = (state: requestState.RequestState, key: number): Selection => {
@@ -84,7 +86,7 @@
             };
         }
         if (pool.holdOffMilliseconds(target.upstream) > 0) {
-            return toHeldOff(state, target);
+            return toHeldOff(state, target, route?.token);
         }
         const candidate = pool.toCandidate(target, state.estimatedBytes);
         const chosen = upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice;
@@ -104,7 +106,7 @@
         const usable = pool.usable(state.service);
         const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service) : undefined;
         if (firstHeldOff !== undefined) {
-            return toHeldOff(state, firstHeldOff);
+            return toHeldOff(state, firstHeldOff, undefined);
         }
         const untried = usable.filter(target => !state.triedUpstreams.has(target.upstream.identifier));
         const available = (untried.length > 0 ? untried : usable).filter(target =>
