--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -42,14 +42,16 @@
  *
  * @param settingsInForce - settings of the instance
  * @param log - receives the events of the instance
+ * @param failures - records exceptions, which do not end the instance
  * @returns the instance, once it listens for callers and readiness checks
  */
 export const startEntry = async (
     settingsInForce: inForce.SettingsInForce,
     log: foundation.EventLog,
+    failures: foundation.FailureBoundary,
 ): Promise<Entry> => {
     const settings = settingsInForce.current();
-    const timers = foundation.createTimerService();
+    const timers = foundation.createTimerService(error => failures.report("timer", error));
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
     const { host: storeHost, port: storePort } = settings.storeAddress;
@@ -70,6 +72,7 @@
         timers,
         random,
         log,
+        failures,
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
@@ -87,6 +90,7 @@
         timers,
         random,
         log,
+        failures,
         keyedServices,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
@@ -122,6 +126,7 @@
         timers,
         log,
         traffic,
+        failures,
         delegates: relay.createDelegatePool({
             ownIdentifier: ownership.identifier,
             delegates: ownership.delegates,
@@ -138,6 +143,7 @@
         log,
         pool,
         traffic,
+        failures,
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
@@ -166,18 +172,21 @@
             traffic: traffic.totals,
         },
         log,
+        failures,
         owner,
     );
     const callerServer = await relay.startCallerServer({
         host: settings.callerAddress.host,
         port: settings.callerAddress.port,
         log,
+        failures,
         handle: requestRelay.handle,
     }, owner);
 
     await relay.startDelegateServer({
         host: settings.host,
         port: settings.delegatePort,
+        failures,
         handle: requestRelay.handleDelegated,
     }, owner);
 
@@ -204,7 +213,12 @@
         readinessServer.close();
         readinessServer.closeAllConnections();
     });
-    await foundation.listenOn(readinessServer, settings.readinessAddress.host, settings.readinessAddress.port);
+    await foundation.listenOn(
+        readinessServer,
+        settings.readinessAddress.host,
+        settings.readinessAddress.port,
+        error => failures.report("readiness server", error),
+    );
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -226,7 +240,7 @@
         log.write("stopping", { open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
-        await ownership.resign();
+        await ownership.resign().catch(error => failures.report("stop", error));
         await foundation.pause(timers, deregistrationMilliseconds);
         callerServer.stopListening();
         while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -5,6 +5,7 @@
 import * as protocol from "@mulberryseam/protocol";
 import type * as routing from "@mulberryseam/routing";
 import * as crypto from "node:crypto";
+import * as campaign from "./campaign";
 import * as followerServer from "./followerServer";
 import * as keyRequestSampler from "./keyRequestSampler";
 import * as keyRouting from "./keyRouting";
@@ -24,6 +25,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
@@ -65,20 +67,15 @@
 const minRetryMilliseconds = 150;
 const maxRetryMilliseconds = 1000;
 
-/** Creates the first record of a term. */
-const createLeaderRecord = (
-    identifier: string,
-    { host, peerPort }: platform.InstanceSettings,
-    term: number,
-): assignment.LeaderRecord => ({
-    identifier,
-    host,
-    port: peerPort,
-    term,
-    beat: 0,
-    isResigned: false,
-    longestLeaseMilliseconds: 0,
-});
+const callAtInterval = (
+    timers: foundation.TimerService,
+    intervalMilliseconds: number,
+    callback: () => void,
+    owner: foundation.Owner,
+): void => {
+    const subscription = timers.onInterval(intervalMilliseconds, callback);
+    owner.onCleanup(() => subscription.cancel());
+};
 
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 
@@ -107,16 +104,6 @@
     return leavingUpstreams.length > 0 ? { ...report, leaving: leavingUpstreams } : report;
 };
 
-const callAtInterval = (
-    timers: foundation.TimerService,
-    owner: foundation.Owner,
-    milliseconds: number,
-    callback: () => void,
-): void => {
-    const subscription = timers.onInterval(milliseconds, callback);
-    owner.onCleanup(() => subscription.cancel());
-};
-
 /**
  * Starts the ownership task.
  *
@@ -128,7 +115,7 @@
     options: OwnershipTaskOptions,
     owner: foundation.Owner,
 ): Promise<OwnershipTask> => {
-    const { settings, store, timers, log } = options;
+    const { settings, store, timers, log, failures } = options;
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const keyOwners = keyRouting.createKeyRouting();
     const sampler = keyRequestSampler.createKeyRequestSampler();
@@ -160,6 +147,7 @@
         delegate,
         onDelegates,
         log,
+        failures,
         onTransferred: addTraffic,
     }, owner);
 
@@ -175,6 +163,7 @@
         failureDomain,
         delegate,
         timers,
+        failures,
         onDelegates,
         onRouting: keyOwners.applyMessage,
         topics: options.topics,
@@ -200,42 +189,31 @@
         }
     };
 
-    const campaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
-        const record = createLeaderRecord(identifier, settings, (stored.leader?.term ?? 0) + 1);
-        // A leader record with the host of this instance was written by an earlier process of it.
-        const hasTerminated = link.terminatedLeader() === stored.leader?.identifier
-            || stored.leader?.host === settings.host;
-        const previousLeader: assignment.PreviousLeader = {
-            record: stored.leader,
-            recordSeenAt: watch.unchangedSince(),
-            terminatedBy: hasTerminated ? timers.now() : undefined,
-        };
-        const response = await store.append(platform.Topic.ownership, stored.end, [
-            { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
-        ]);
-        if (response.result !== platform.AppendResult.appended) {
-            log.write("campaign-failed", { term: record.term, result: response.result, reason: response.reason });
-            await readSnapshot();
-            // An append without a response may still have taken effect.
-            if (watch.snapshot()?.leader?.identifier !== identifier) {
-                return;
-            }
+    const runCampaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
+        const won = await campaign.campaign({
+            store,
+            timers,
+            log,
+            watch,
+            readSnapshot,
+            identifier,
+            host: settings.host,
+            port: settings.peerPort,
+            maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
+        }, stored);
+        if (won === undefined) {
+            return;
         }
-        const initial = { ...(watch.snapshot() ?? stored), leader: record };
-        initial.end = response.result === platform.AppendResult.appended ? response.end : initial.end;
-        log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: initial.end });
         link.close();
         session = leaderSession.createLeaderSession({
+            ...won,
             store,
             leaseClient,
             directory: options.directory,
             leaving: options.leaving,
             timers,
             log,
-            record,
-            snapshot: initial,
-            previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
-            previousLeasesUntil: assignment.previousLeasesEndAt(previousLeader, settings.maxLeaseMilliseconds),
+            failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
@@ -245,7 +223,7 @@
                 followers.disconnectAll();
             },
         });
-        keyOwners.applySnapshot(initial);
+        keyOwners.applySnapshot(won.snapshot);
     };
 
     const step = async (): Promise<void> => {
@@ -254,7 +232,7 @@
             now: timers.now(),
             ...watch.leadershipState(),
             isReceivingUpdates: link.isLeaderHealthy(),
-            hasLeaderTerminated: link.terminatedLeader() === (known?.leader?.identifier ?? ""),
+            isLeaderUnavailable: link.unavailableLeader() === (known?.leader?.identifier ?? ""),
             host: settings.host,
             instanceCount: link.instanceCount(),
             readPhase,
@@ -270,7 +248,7 @@
             await readSnapshot();
         }
         else if (nextStep === assignment.LeadershipStep.campaign && known !== undefined && !isResigning) {
-            await campaign(known);
+            await runCampaign(known);
         }
         const leader = watch.snapshot()?.leader;
         if (leader !== undefined && leader.identifier !== identifier && !leader.isResigned && session === undefined) {
@@ -305,9 +283,9 @@
     });
 
     owner.onCleanup(() => link.close());
-    callAtInterval(timers, owner, tickIntervalMilliseconds, tick);
-    callAtInterval(timers, owner, heartbeatIntervalMilliseconds, followers.sendHeartbeat);
-    callAtInterval(timers, owner, reportIntervalMilliseconds, sendReport);
+    callAtInterval(timers, tickIntervalMilliseconds, tick, owner);
+    callAtInterval(timers, heartbeatIntervalMilliseconds, followers.sendHeartbeat, owner);
+    callAtInterval(timers, reportIntervalMilliseconds, sendReport, owner);
 
     return {
         findOwner: keyOwners.findOwner,
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -13,6 +13,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Whether this instance leads, and so reads the topics for the other instances. */
     isLeading: () => boolean;
     /** Relays changed records of a topic to the followers. */
@@ -53,6 +54,20 @@
 /** Age of the document topic at which an instance reads it itself, in milliseconds: two reads by the leader. */
 const maxDocumentAgeMilliseconds = 1300;
 
+/** Whether a document names a service; an entry of any other service may come from another writer. */
+const isNamedBy = (document: routing.RoutingDocument | undefined, service: string): boolean =>
+    document !== undefined
+    && (document.services.has(service)
+        || document.routes.some(({ destinations }) =>
+            destinations.some(destination => destination.service === service)
+        ));
+
+/** A registry entry of a service that the document does not name. */
+interface UnnamedEntry {
+    upstream: routing.Upstream;
+    seenAt: number;
+}
+
 /** Decodes registry entries; one that is compared and then applied is decoded once. */
 const createUpstreamParser = (): typeof platform.parseUpstream => {
     const results = new WeakMap<Buffer, ReturnType<typeof platform.parseUpstream>>();
@@ -71,12 +86,14 @@
  * @returns the view, without a document or a known registry
  */
 export const createSiteView = (options: SiteViewOptions, owner: foundation.Owner): SiteView => {
-    const { store, directory, timers, random, log, isLeading } = options;
+    const { store, directory, timers, random, log, failures, isLeading } = options;
     let documentInForce: relay.DocumentInForce | undefined;
     let isRegistryKnown = false;
     let storeFailure: string | undefined;
     const tasks = new Map<string, topicTask.TopicTask>();
     const parseUpstream = createUpstreamParser();
+    /** By identifier; used once a document names their service. */
+    const unnamedEntries = new Map<string, UnnamedEntry>();
 
     /** Registry entries are rewritten periodically; only fields that affect the choice of an upstream count as a change. */
     const upstreamFingerprint = (key: string, value: Buffer): string => {
@@ -98,11 +115,18 @@
             return;
         }
         documentInForce = { document, table: routing.createRouteTable(document.routes) };
+        for (const [identifier, { upstream, seenAt }] of unnamedEntries) {
+            if (isNamedBy(document, upstream.service)) {
+                unnamedEntries.delete(identifier);
+                directory.onEntry(upstream, seenAt);
+            }
+        }
         options.onDocument(document);
         log.write("document-in-force", { version: document.version, routes: document.routes.length });
     };
     const onUpstream = (record: platform.StoredRecord): void => {
         const now = timers.now();
+        unnamedEntries.delete(record.key);
         if (record.value === undefined) {
             directory.onRemoval(record.key, now);
             return;
@@ -112,6 +136,15 @@
             log.write("upstream-unreadable", { upstream: record.key, reason: parsed.val, offset: record.offset });
             return;
         }
+        const { service } = parsed.val;
+        if (!isNamedBy(documentInForce?.document, service)) {
+            unnamedEntries.set(record.key, { upstream: parsed.val, seenAt: now });
+            if (documentInForce !== undefined) {
+                const reason = `the document names no service ${service}`;
+                log.write("upstream-unreadable", { upstream: record.key, reason, offset: record.offset });
+            }
+            return;
+        }
         const previousLeavingSince = directory.find(record.key)?.leavingSince;
         directory.onEntry(parsed.val, now);
         if (previousLeavingSince === undefined && parsed.val.isDraining) {
@@ -135,18 +168,30 @@
         storeFailure = reason;
     };
 
+    /** Applies records one by one, so that one that throws does not affect those after it. */
+    const applyRecords = (
+        topic: platform.TopicName,
+        records: readonly platform.StoredRecord[],
+        apply: (record: platform.StoredRecord) => void,
+    ): void => {
+        for (const record of records) {
+            failures.run("topic record", () => apply(record), { topic, key: record.key, offset: record.offset });
+        }
+    };
+
     const waitForLeader = (): number => isLeading() ? 0 : initialWaitMilliseconds;
     const documentTaskOptions: topicTask.TopicTaskOptions = {
         store,
         topic: platform.Topic.documents,
         timers,
         random,
+        failures,
         maxAgeMilliseconds: () => isLeading() ? 0 : maxDocumentAgeMilliseconds,
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => isLeading() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
         onChanges: (records, end) => {
-            records.forEach(onDocument);
+            applyRecords(platform.Topic.documents, records, onDocument);
             options.relayRecords(platform.Topic.documents, records, end);
         },
         onContact: () => undefined,
@@ -157,12 +202,13 @@
         topic: platform.Topic.upstreams,
         timers,
         random,
+        failures,
         maxAgeMilliseconds: () => isLeading() ? leaderRegistryIntervalMilliseconds : maxRegistryAgeMilliseconds,
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => 0,
         fingerprintOf: upstreamFingerprint,
         onChanges: (records, end) => {
-            records.forEach(onUpstream);
+            applyRecords(platform.Topic.upstreams, records, onUpstream);
             options.relayRecords(platform.Topic.upstreams, records, end);
         },
         onContact,
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -80,6 +80,49 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    test.it("does not take a registry entry at an upstream's address for the end of that upstream", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(8, noFaults);
+        await simulation.run(6000);
+        simulation.setOtherEntry(0, true);
+        simulation.setPartitioned(0, true);
+        await simulation.run(4500);
+        earl.expect(simulation.violations()).toEqual([]);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+        simulation.setPartitioned(0, false);
+        simulation.setOtherEntry(0, false);
+        simulation.requestKeys(0, 60_000);
+        await simulation.run(5000);
+        earl.expect(simulation.heldKeyCountOf(0) > 0).toEqual(true);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
+    test.it("grants an ended upstream's keys once another process at its address responds", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(9, noFaults);
+        await simulation.run(6000);
+        simulation.replaceUpstream(0);
+        await simulation.run(1000);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
+    test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
+        await simulation.run(6000);
+        simulation.setStoreUnavailable(true);
+        await simulation.run(1800);
+        simulation.setPartitioned(0, true);
+        simulation.setStoreUnavailable(false);
+        await simulation.replaceLeader(false);
+        for (let resignations = 0; resignations < 3; resignations += 1) {
+            await simulation.run(700);
+            await simulation.resignLeader();
+        }
+        await simulation.run(settledMilliseconds);
+        earl.expect(simulation.violations()).toEqual([]);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+    });
+
     const announcements: [string, (simulation: ownershipSimulation.OwnershipSimulation) => void][] = [
         ["a follower", simulation => simulation.reportLeaving(0)],
         ["the response to a lease command", simulation => simulation.announceLeaving(0)],
@@ -113,6 +156,8 @@
                     () => simulation.setPartitioned(index, true),
                     () => simulation.setPartitioned(index, false),
                     () => simulation.restart(index),
+                    () => simulation.setOtherEntry(index, true),
+                    () => simulation.setOtherEntry(index, false),
                     () => simulation.setDraining(index, true),
                     () => simulation.setDraining(index, false),
                     () => simulation.requestKeys(random.below(60_000), 1 + random.below(300)),
@@ -122,6 +167,13 @@
                         simulation.setStoreUnavailable(false);
                         await simulation.replaceLeader(random.fraction() < 0.5);
                     },
+                    async () => {
+                        simulation.setStoreUnavailable(false);
+                        for (let resignations = random.below(4); resignations >= 0; resignations -= 1) {
+                            await simulation.resignLeader();
+                            await simulation.run(random.below(900));
+                        }
+                    },
                 ];
                 await actions[random.below(actions.length)]();
                 await simulation.run(random.below(2500));
@@ -130,6 +182,7 @@
             for (let index = 0; index < 4; index += 1) {
                 simulation.setPartitioned(index, false);
                 simulation.setDraining(index, false);
+                simulation.setOtherEntry(index, false);
             }
             simulation.setStoreUnavailable(false);
             faults.lateCommands = 0;
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -18,6 +18,7 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
     onNotice: upstreamNotice.NoticeHandler;
     /** Whether a request that has been sent could be sent again now. */
     canSendAgain: (state: requestState.RequestState) => boolean;
@@ -121,6 +122,7 @@
                 upstream.identifier,
             ],
             requestIdentifier: state.requestIdentifier,
+            failures: options.failures,
             body,
             connectTimeoutMilliseconds: pool.connectTimeoutMilliseconds(target),
             onConnected: milliseconds => pool.onConnected(target, milliseconds),
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -17,6 +17,7 @@
     log: foundation.EventLog;
     delegates: delegatePool.DelegatePool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     /** Whether an upstream may get requests as far as this instance knows, which may know more of it than a delegate. */
     mayReceive: (incarnation: routing.Incarnation) => boolean;
@@ -168,6 +169,7 @@
                 delegatedRequest.encodeDelegation(state, now),
             ],
             requestIdentifier: state.requestIdentifier,
+            failures: options.failures,
             body,
             connectTimeoutMilliseconds,
             onConnected: () => undefined,
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -1,10 +1,17 @@
 /** Keep-alive connections to one upstream. The newest is reused first; one that gets unsolicited data is closed. */
+import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
 
 /** Keep-alive connections to one upstream. */
 export interface UpstreamConnections {
     agent: http.Agent;
+    /** Returns the agent for a request: it opens a connection if a response on an idle one could be that of an earlier request. */
+    agentFor: (requestIdentifier: string | undefined) => http.Agent;
+    /** Records that an upstream refused a request on a connection, where a response to it may arrive once more. */
+    onRefusal: (socket: net.Socket, requestIdentifier: string) => void;
+    /** Whether an upstream has refused a request with this identifier on a connection. */
+    hasRefused: (socket: net.Socket, requestIdentifier: string) => boolean;
     /** Whether an idle connection is open. */
     hasIdle: () => boolean;
     /** Adapts the idle timeout to the keep-alive timeout that the upstream announced, in milliseconds. */
@@ -20,6 +27,8 @@
  */
 const idleMarginMilliseconds = 1200;
 const minIdleMilliseconds = 300;
+/** Refused requests after which a connection is closed, as it remembers their identifiers. */
+const maxRefusalsPerConnection = 256;
 
 /**
  * Creates the connections to an upstream; none is open yet.
@@ -35,40 +44,50 @@
         maxSockets: maxConnections,
         maxFreeSockets: maxIdleConnections,
     });
+    const singleUseAgent = new http.Agent({ keepAlive: false, noDelay: true });
     let idleMilliseconds = defaultIdleMilliseconds;
-    const unsolicitedDataListeners = new WeakMap<net.Socket, () => void>();
+    const refusedIdentifiers = new WeakMap<net.Socket, Set<string>>();
+    const hasRefused = (socket: net.Socket, requestIdentifier: string): boolean =>
+        refusedIdentifiers.get(socket)?.has(requestIdentifier) === true;
     const keepSocketAlive = (socket: net.Socket): boolean => {
-        const onUnsolicitedData = (): void => {
-            socket.destroy();
-        };
-        unsolicitedDataListeners.set(socket, onUnsolicitedData);
-        socket.on("data", onUnsolicitedData);
         socket.setKeepAlive(true, 1000);
         socket.setTimeout(idleMilliseconds);
         socket.unref();
-        return true;
+        return (refusedIdentifiers.get(socket)?.size ?? 0) < maxRefusalsPerConnection;
     };
+    const { reuseSocket: originalReuseSocket } = agent as unknown as {
+        reuseSocket: (...parameters: unknown[]) => void;
+    };
+    const agentReuseSocket = originalReuseSocket.bind(agent);
     const reuseSocket = (socket: net.Socket, request: http.ClientRequest): void => {
-        const onUnsolicitedData = unsolicitedDataListeners.get(socket);
-        if (onUnsolicitedData !== undefined) {
-            socket.off("data", onUnsolicitedData);
-        }
         socket.setTimeout(0);
         // Removes the agent's own listener, which it adds each time a connection becomes idle.
         agentReuseSocket(socket, request);
     };
-    const { reuseSocket: originalReuseSocket } = agent as unknown as {
-        reuseSocket: (...parameters: unknown[]) => void;
-    };
-    const agentReuseSocket = originalReuseSocket.bind(agent);
     // The agent's hooks for idle connections, which are typed to accept any stream.
     Object.assign(agent, { keepSocketAlive, reuseSocket });
+    foundation.closeOnUnsolicitedData(agent);
     return {
         agent,
+        agentFor: requestIdentifier => {
+            const isAmbiguous = requestIdentifier === undefined
+                || Object.values(agent.freeSockets).some(sockets =>
+                    sockets?.some(socket => hasRefused(socket, requestIdentifier))
+                );
+            return isAmbiguous ? singleUseAgent : agent;
+        },
+        onRefusal: (socket, requestIdentifier) => {
+            const identifiers = refusedIdentifiers.get(socket) ?? new Set<string>();
+            refusedIdentifiers.set(socket, identifiers.add(requestIdentifier));
+        },
+        hasRefused,
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onKeepAliveTimeout: milliseconds => {
             idleMilliseconds = Math.max(minIdleMilliseconds, milliseconds - idleMarginMilliseconds);
         },
-        close: () => agent.destroy(),
+        close: () => {
+            agent.destroy();
+            singleUseAgent.destroy();
+        },
     };
 };
