--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -93,7 +93,7 @@
             failures.report("stop", error);
             return process.exit(failedExitCode);
         };
-        failures.watch("stop", instance.stop().then(() => process.exit(0), onFailure));
+        failures.watch("stop", instance.stop("SIGTERM").then(() => process.exit(0), onFailure));
     };
     processSignals.setSignalHandlers({
         onStop: () => {
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -10,10 +10,13 @@
 const createRecord = (changes: Partial<soak.CallerRecord> = {}): soak.CallerRecord => ({
     identifier: "a",
     method: "POST",
+    path: "/orders/1",
     instance: "entry-1",
     sentAt: 1000,
     endedAt: 1100,
     status: 200,
+    hasResponse: true,
+    isUnusual: false,
     echoedIdentifier: "a",
     isSigned: true,
     body: "answer to a",
@@ -24,18 +27,21 @@
     identifier: "a",
     method: "POST",
     upstream: "orders-1",
+    service: "orders",
     ...changes,
 });
 
 const createObservations = (changes: Partial<soak.Observations> = {}): soak.Observations => ({
     callers: [createRecord()],
     executions: [createExecution()],
+    arrivals: [],
     ownershipViolations: [],
     ownEnds: [],
     isPlanned: false,
     recoveredAt: 0,
     timeoutMilliseconds: 1200,
     wasDisrupted: () => false,
+    wasLinkDisturbed: () => false,
     ...changes,
 });
 
@@ -119,6 +125,102 @@
 
 const waitUntilEnded = (instance: soak.SoakInstance): Promise<void> => waitUntil(() => !instance.isRunning());
 
+test.describe("soak invariant checks of paths and connections", () => {
+    test.it("report a request that ran at a service to which no version sends it", () => {
+        earl.expect(countViolations({ executions: [createExecution({ service: "parcels" })] })).toEqual(0);
+        earl.expect(countViolations({ executions: [createExecution({ service: "records" })] })).toEqual(1);
+    });
+
+    test.it("report a rejection as wrong only where every version allows the request", () => {
+        const rejected = createRecord({ status: 404 });
+        const countRejections = (changes: Partial<soak.CallerRecord>): number =>
+            countViolations({ callers: [{ ...rejected, ...changes }], executions: [], recoveredAt: 2000 });
+        earl.expect(countRejections({})).toEqual(1);
+        earl.expect(countRejections({ path: "/additional-1/1" })).toEqual(0);
+        earl.expect(countRejections({ isUnusual: true })).toEqual(0);
+        earl.expect(countRejections({ status: 429 })).toEqual(0);
+    });
+
+    test.it("report a connection closed without a response to a request that ran", () => {
+        const countLost = (
+            changes: Partial<soak.CallerRecord>,
+            observations: Partial<soak.Observations> = {},
+        ): number =>
+            countViolations({
+                callers: [createRecord({ status: 0, hasResponse: false, ...changes })],
+                recoveredAt: 2000,
+                ...observations,
+            });
+        earl.expect(countLost({})).toEqual(1);
+        earl.expect(countLost({ hasResponse: true })).toEqual(0);
+        earl.expect(countLost({ isUnusual: true })).toEqual(0);
+        earl.expect(countLost({}, { executions: [] })).toEqual(0);
+        earl.expect(countLost({}, { wasDisrupted: () => true })).toEqual(0);
+    });
+});
+
+test.describe("soak checks of upstreams that ask for no requests", () => {
+    const createArrival = (identifier: string, changes: Partial<soak.ArrivalRecord> = {}): soak.ArrivalRecord => ({
+        identifier,
+        upstream: "orders-1@1",
+        arrivedAt: 0,
+        answeredAt: 0,
+        status: 200,
+        isLeaving: false,
+        retryAfterMilliseconds: 0,
+        ...changes,
+    });
+    const createCaller = (identifier: string, sentAt: number, changes: Partial<soak.CallerRecord> = {}) =>
+        createRecord({
+            identifier,
+            echoedIdentifier: identifier,
+            body: `answer to ${identifier}`,
+            sentAt,
+            endedAt: sentAt + 10,
+            ...changes,
+        });
+    const countLate = (sentAt: number, changes: Partial<soak.Observations> = {}, arrival = {}): number =>
+        countViolations({
+            callers: [createCaller("first", 1000), createCaller("second", sentAt)],
+            executions: [],
+            arrivals: [createArrival("first", { isLeaving: true }), createArrival("second", arrival)],
+            ...changes,
+        });
+
+    test.it("report a request sent to an upstream later than the drain time after its announcement was passed on", () => {
+        earl.expect(countLate(3500)).toEqual(0);
+        earl.expect(countLate(3520)).toEqual(1);
+        earl.expect(countLate(3520, {}, { upstream: "orders-1@2" })).toEqual(0);
+        earl.expect(countLate(3520, { wasDisrupted: () => true })).toEqual(0);
+        const otherInstance = [createCaller("first", 1000, { instance: "entry-2" }), createCaller("second", 3520)];
+        earl.expect(countLate(3520, { callers: otherInstance })).toEqual(0);
+        const notPassedOn = [createCaller("first", 1000, { status: 504 }), createCaller("second", 3520)];
+        earl.expect(countLate(3520, { callers: notPassedOn, recoveredAt: 5000 })).toEqual(0);
+    });
+
+    test.it("report more than two requests to an upstream that asked for none, after half a second", () => {
+        const countBusy = (arrivalTimes: readonly number[], changes: Partial<soak.Observations> = {}): number =>
+            countViolations({
+                callers: [
+                    createCaller("first", 0, { status: 503, hasResponse: true }),
+                    ...arrivalTimes.map(arrivedAt => createCaller(`at ${arrivedAt}`, arrivedAt)),
+                ],
+                executions: [],
+                arrivals: [
+                    createArrival("first", { status: 503, answeredAt: 0, retryAfterMilliseconds: 2000 }),
+                    ...arrivalTimes.map(arrivedAt => createArrival(`at ${arrivedAt}`, { arrivedAt })),
+                ],
+                recoveredAt: 5000,
+                ...changes,
+            });
+        earl.expect(countBusy([10, 20, 499, 600, 700, 2100])).toEqual(0);
+        earl.expect(countBusy([600, 700, 800])).toEqual(1);
+        earl.expect(countBusy([600, 700, 800], { wasLinkDisturbed: () => true })).toEqual(0);
+        earl.expect(countBusy([600, 700, 800], { wasDisrupted: () => true })).toEqual(0);
+        earl.expect(countBusy([600, 700, 800], { timeoutMilliseconds: undefined })).toEqual(0);
+    });
+});
+
 test.describe("instances of a soak run", () => {
     test.it("report a process that ends by itself with its status and last error output", async () => {
         const ends = await runProgram("setTimeout(() => { throw new Error('broken record'); }, 10)", waitUntilEnded);
@@ -195,6 +297,17 @@
         earl.expect(countModes(10)).toEqual(0);
     });
 
+    test.it("have separate random numbers for separate groups of faults", () => {
+        const kinds = soak.createSchedule(7, 10_000).faults.map(fault => fault.kind);
+        for (const kind of [...soak.oddInputKinds, ...soak.seriesKinds]) {
+            earl.expect(soak.createSchedule(8, 60_000).faults.some(fault => fault.kind === kind)).toEqual(true);
+        }
+        earl.expect(kinds.filter(kind => kind.startsWith("store")).length > 0).toEqual(true);
+        const plannedKinds = soak.createSchedule(10, 60_000).faults.map(fault => fault.kind);
+        earl.expect(plannedKinds.some(kind => soak.seriesKinds.includes(kind))).toEqual(true);
+        earl.expect(plannedKinds.some(kind => soak.oddInputKinds.includes(kind))).toEqual(false);
+    });
+
     for (const seed of [3, 5]) {
         test.it(`keep every guarantee under the faults of seed ${seed}`, async () => {
             const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-test-"));
@@ -209,6 +322,9 @@
                 checksTiming: false,
                 networkPrefix: `127.2.${seed}`,
                 peerPort: 17_700 + seed * 20,
+                kinds: Object.values(soak.FaultKind).filter(kind =>
+                    ![...soak.oddInputKinds, ...soak.withdrawalKinds].includes(kind)
+                ),
             });
             fs.rmSync(folder, { recursive: true });
             earl.expect(result.violations).toEqual([]);
