Test sole ownership with upstreams that announce that they are leaving

The random interleavings now also let upstreams announce in responses to lease commands, and followers report, that an upstream is leaving. One upstream is restarted before the final check, as an incarnation that has announced it gets no keys again.

--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -160,6 +160,8 @@
                     () => simulation.setOtherEntry(index, false),
                     () => simulation.setDraining(index, true),
                     () => simulation.setDraining(index, false),
+                    () => simulation.announceLeaving(index),
+                    () => simulation.reportLeaving(index),
                     () => simulation.requestKeys(random.below(60_000), 1 + random.below(300)),
                     () => simulation.setStoreUnavailable(true),
                     () => simulation.setStoreUnavailable(false),
@@ -179,6 +181,8 @@
                 await simulation.run(random.below(2500));
             }
             earl.expect(simulation.violations()).toEqual([]);
+            // An upstream that has announced that it is leaving gets no keys again.
+            simulation.restart(0);
             for (let index = 0; index < 4; index += 1) {
                 simulation.setPartitioned(index, false);
                 simulation.setDraining(index, false);
