--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -68,7 +68,11 @@
     const failedSeeds: number[] = [];
     const runWorker = async (workerIndex: number): Promise<void> => {
         for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-            if (!await runSeed(options, seed, workerIndex)) {
+            const hasPassed = await runSeed(options, seed, workerIndex).catch((error: Error) => {
+                process.stdout.write(`seed ${seed}: BROKEN, ${error.message}\n`);
+                return false;
+            });
+            if (!hasPassed) {
                 failedSeeds.push(seed);
             }
         }
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -78,7 +78,8 @@
     for (const { name, host, readinessPort } of site.instances) {
         while (!await isReady(host, readinessPort)) {
             if (performance.now() > deadline) {
-                throw new Error(`${name} did not become ready`);
+                const ends = site.instances.flatMap(instance => instance.ownEnds());
+                throw new Error([`${name} did not become ready`, ...ends].join("; "));
             }
             await pause(pollIntervalMilliseconds);
         }
