--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
@@ -40,19 +41,29 @@
 /** Portion of the drain time reserved for calls to the registry and the upstream, in milliseconds. */
 const drainMarginMilliseconds = 350;
 
+const describeStart = (settings: platform.InstanceSettings): foundation.EventFields => ({
+    callers: settings.callerAddress.port,
+    readiness: settings.readinessAddress.port,
+    process: process.pid,
+    program: foundation.programVersion,
+    node: process.version,
+});
+
 /**
  * Starts an instance.
  *
  * @param settingsInForce - settings of the instance
  * @param log - receives the events of the instance
+ * @param failures - records exceptions, which do not end the instance
  * @returns the instance, once it listens for callers and readiness checks
  */
 export const startEntry = async (
     settingsInForce: inForce.SettingsInForce,
     log: foundation.EventLog,
+    failures: foundation.FailureBoundary,
 ): Promise<Entry> => {
     const settings = settingsInForce.current();
-    const timers = foundation.createTimerService();
+    const timers = foundation.createTimerService(error => failures.report("timer", error));
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
     const { host: storeHost, port: storePort } = settings.storeAddress;
@@ -63,6 +74,7 @@
     );
     owner.onCleanup(() => store.close());
     const directory = routing.createUpstreamDirectory();
+    const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     let isIsolated = false;
@@ -72,6 +84,7 @@
         timers,
         random,
         log,
+        failures,
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
@@ -89,7 +102,9 @@
         timers,
         random,
         log,
+        failures,
         keyedServices,
+        leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
@@ -109,17 +124,29 @@
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
     });
+    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
+        if (notice.isLeaving) {
+            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+        }
+        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+            const milliseconds = Math.round(notice.holdOffMilliseconds);
+            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+        }
+    };
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
         log,
         traffic,
+        failures,
         delegates: relay.createDelegatePool({
             ownIdentifier: ownership.identifier,
             delegates: ownership.delegates,
             now: timers.now,
         }),
         findOwner: ownership.findOwner,
+        mayReceive: pool.mayReceive,
+        onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
     const requestRelay = relay.createRelay({
@@ -128,9 +155,11 @@
         log,
         pool,
         traffic,
+        failures,
         documentInForce: view.documentInForce,
         findOwner: ownership.findOwner,
         onKeyRequested: ownership.onKeyRequest,
+        onNotice,
         delegator,
         acceptsDelegated: () => !isIsolated,
         retryBudget: {
@@ -156,18 +185,21 @@
             traffic: traffic.totals,
         },
         log,
+        failures,
         owner,
     );
     const callerServer = await relay.startCallerServer({
         host: settings.callerAddress.host,
         port: settings.callerAddress.port,
         log,
+        failures,
         handle: requestRelay.handle,
     }, owner);
 
     await relay.startDelegateServer({
         host: settings.host,
         port: settings.delegatePort,
+        failures,
         handle: requestRelay.handleDelegated,
     }, owner);
 
@@ -194,7 +226,12 @@
         readinessServer.close();
         readinessServer.closeAllConnections();
     });
-    await foundation.listenOn(readinessServer, settings.readinessAddress.host, settings.readinessAddress.port);
+    await foundation.listenOn(
+        readinessServer,
+        settings.readinessAddress.host,
+        settings.readinessAddress.port,
+        error => failures.report("readiness server", error),
+    );
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -208,13 +245,7 @@
         }
     });
     owner.onCleanup(() => trafficReports.cancel());
-    log.write("started", {
-        callers: settings.callerAddress.port,
-        readiness: settings.readinessAddress.port,
-        process: process.pid,
-        program: foundation.programVersion,
-        node: process.version,
-    });
+    log.write("started", describeStart(settings));
 
     const stop = async (signal: NodeJS.Signals): Promise<void> => {
         const startedAt = timers.now();
@@ -222,7 +253,7 @@
         log.write("stopping", { signal, open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
         requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
-        await ownership.resign();
+        await ownership.resign().catch(error => failures.report("stop", error));
         await foundation.pause(timers, deregistrationMilliseconds);
         callerServer.stopListening();
         while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -8,7 +8,9 @@
 import * as protocol from "@mulberryseam/protocol";
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
+import type * as campaign from "./campaign";
 import * as leaseCommandSender from "./leaseCommandSender";
+import * as leavingUpstreams from "./leavingUpstreams";
 import * as ownershipReader from "./ownershipReader";
 import * as ownershipWriter from "./ownershipWriter";
 
@@ -17,15 +19,16 @@
     store: platform.StoreClient;
     leaseClient: platform.LeaseClient;
     directory: routing.UpstreamDirectory;
+    leaving: leavingUpstreams.LeavingUpstreams;
     timers: foundation.TimerService;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** This instance's leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
     snapshot: ownershipReader.OwnershipSnapshot;
-    /** Time by which every lease that a previous leader may have granted has expired. */
-    previousLeasesUntil: number;
-    /** Time until which a previous leader may send lease commands. */
-    previousCommandsUntil: number;
+    previousLeaders: assignment.PreviousLeaderTimes;
+    /** The append of the record. */
+    confirmation: campaign.LeadershipConfirmation;
     maxLeaseMilliseconds: number;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
@@ -40,6 +43,8 @@
     /** Runs all work that is due; called every few tens of milliseconds. */
     tick: () => void;
     onReport: (report: protocol.FollowerReport) => void;
+    /** Plans the assignment anew at the next {@link LeaderSession.tick}. */
+    planNow: () => void;
     /** Messages with the routing of every key, sent to a follower when it joins. */
     routingMessages: () => protocol.RoutingMessage[];
     /** Resigns leadership, so that a successor need not wait for the leader lease to expire. */
@@ -111,6 +116,62 @@
     };
 };
 
+/** Returns a service's leases and load, which are created on first use. */
+const findOrCreate = (services: Map<string, KeyedService>, name: string): KeyedService => {
+    const existing = services.get(name);
+    if (existing !== undefined) {
+        return existing;
+    }
+    const created = { leaseManager: assignment.createLeaseManager(), load: assignment.createKeyLoad() };
+    services.set(name, created);
+    return created;
+};
+
+const applySnapshot = (
+    services: Map<string, KeyedService>,
+    snapshot: ownershipReader.OwnershipSnapshot,
+    previousLeasesUntil: number,
+): void => {
+    for (const [name, stored] of snapshot.assignments) {
+        findOrCreate(services, name).leaseManager.setAssignment(stored, previousLeasesUntil);
+    }
+};
+
+const setPendingPlans = (
+    services: Map<string, KeyedService>,
+    plans: readonly assignment.ServiceAssignment[],
+): void =>
+    services.forEach(({ leaseManager }, name) =>
+        leaseManager.setPendingAssignment(plans.find(plan => plan.service === name))
+    );
+
+const broadcastChanges = (
+    { broadcast }: LeaderSessionOptions,
+    service: string,
+    leaseManager: assignment.LeaseManager,
+): void => {
+    const changes = leaseManager.drainChanges();
+    if (changes.length > 0) {
+        broadcast(createRoutingMessage(service, changes));
+    }
+};
+
+/** Records the requested keys and the service times that a follower reports. */
+const recordLoad = (
+    { samples, speeds }: protocol.FollowerReport,
+    services: ReadonlyMap<string, KeyedService>,
+    serviceTimes: Map<string, number>,
+): void => {
+    for (const { service, keys, weight } of samples) {
+        const keyedService = services.get(service);
+        keys.forEach(key => keyedService?.load.add(key, weight));
+    }
+    for (const [identifier, milliseconds] of speeds) {
+        const previous = serviceTimes.get(identifier) ?? milliseconds;
+        serviceTimes.set(identifier, previous + (milliseconds - previous) * serviceTimeSmoothing);
+    }
+};
+
 /**
  * Starts a leader session.
  *
@@ -118,12 +179,12 @@
  * @returns the session; the caller drives it by {@link LeaderSession.tick}
  */
 export const createLeaderSession = (options: LeaderSessionOptions): LeaderSession => {
-    const { directory, timers, log } = options;
+    const { directory, timers, log, failures } = options;
     const leaderLease = assignment.createLeaderLease(options.maxLeaseMilliseconds);
     const services = new Map<string, KeyedService>();
     const serviceTimes = new Map<string, number>();
     const startedAt = timers.now();
-    let confirmedAt = startedAt;
+    let confirmedAt = options.confirmation.sentAt;
     let isCommitting = false;
     let isStopped = false;
     let nextCommitAt = startedAt;
@@ -134,30 +195,16 @@
         confirmedAt = sentAt;
         leaderLease.onConfirmation(sentAt);
     };
-    const createService = (name: string): KeyedService => {
-        const created = { leaseManager: assignment.createLeaseManager(), load: assignment.createKeyLoad() };
-        services.set(name, created);
-        return created;
-    };
-    const applySnapshot = (snapshot: ownershipReader.OwnershipSnapshot, previousLeasesUntil: number): void => {
-        for (const [name, stored] of snapshot.assignments) {
-            const { leaseManager } = services.get(name) ?? createService(name);
-            leaseManager.setAssignment(stored, previousLeasesUntil);
-        }
-    };
-    const setPendingPlans = (plans: readonly assignment.ServiceAssignment[]): void =>
-        services.forEach(({ leaseManager }, name) =>
-            leaseManager.setPendingAssignment(plans.find(plan => plan.service === name))
-        );
-
     const sender = leaseCommandSender.createLeaseCommandSender({
         leaseClient: options.leaseClient,
         timers,
         log,
+        failures,
         onTerminated: owner => {
             services.forEach(({ leaseManager }) => leaseManager.onOwnerTerminated(owner));
             nextCommitAt = timers.now();
         },
+        onLeaving: owner => options.leaving.learn(owner, leavingUpstreams.LeavingSource.command),
         isStopped: () => isStopped,
     });
     const writer = ownershipWriter.createOwnershipWriter({
@@ -165,11 +212,13 @@
         timers,
         log,
         record: options.record,
+        previousLeaders: options.previousLeaders,
         end: options.snapshot.end,
+        lastAppendAt: options.confirmation.sentAt,
         onLeadershipConfirmed,
         onSnapshot: snapshot => {
-            applySnapshot(snapshot, -Infinity);
-            setPendingPlans(unconfirmedPlans);
+            applySnapshot(services, snapshot, -Infinity);
+            setPendingPlans(services, unconfirmedPlans);
         },
         onSuperseded: newTerm => {
             isStopped = true;
@@ -202,13 +251,13 @@
      */
     const canMove = (leaseManager: assignment.LeaseManager, range: assignment.KeyRange): boolean => {
         const now = timers.now();
-        const canPreviousLeaderRenew = now < options.previousCommandsUntil && range.owner !== undefined
+        const canPreviousLeaderRenew = now < options.previousLeaders.previousCommandsUntil && range.owner !== undefined
             && !sender.isTerminated(range.owner);
         return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
     };
 
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
-        const keyedService = services.get(name) ?? createService(name);
+        const keyedService = findOrCreate(services, name);
         const { leaseManager, load } = keyedService;
         const settledAssignment = leaseManager.settledAssignment();
         if (settledAssignment === undefined && timers.now() - startedAt < initialAssignmentDelayMilliseconds) {
@@ -234,7 +283,9 @@
         const hasUnconfirmedPlans = writer.hasUnconfirmedPlans();
         const plans = hasUnconfirmedPlans
             ? []
-            : options.keyedServices().map(planService).filter(plan => plan !== undefined);
+            : options.keyedServices().map(name =>
+                failures.run("assignment", () => planService(name), { service: name })
+            ).filter(plan => plan !== undefined);
         const now = timers.now();
         services.forEach(({ load }) => load.decay(now - lastDecayAt));
         lastDecayAt = now;
@@ -244,11 +295,11 @@
         }
         if (!hasUnconfirmedPlans) {
             unconfirmedPlans = plans;
-            setPendingPlans(plans);
+            setPendingPlans(services, plans);
         }
-        if (await writer.append(plans, false, 0)) {
+        if (await writer.append(plans, false, options.maxLeaseMilliseconds)) {
             unconfirmedPlans = [];
-            setPendingPlans([]);
+            setPendingPlans(services, []);
             for (const plan of plans) {
                 services.get(plan.service)?.leaseManager.setAssignment(plan, -Infinity);
                 log.write("assignment", {
@@ -262,10 +313,13 @@
 
     const runCommit = async (): Promise<void> => {
         isCommitting = true;
+        nextCommitAt = Infinity;
         try {
             await commit();
             const needsImmediateCommit = writer.needsRead() || writer.hasUnconfirmedPlans();
-            nextCommitAt = timers.now() + (needsImmediateCommit ? 0 : rebalanceIntervalMilliseconds);
+            const delayMilliseconds = needsImmediateCommit ? 0 : rebalanceIntervalMilliseconds;
+            // Another commit may have been requested meanwhile.
+            nextCommitAt = Math.min(nextCommitAt, timers.now() + delayMilliseconds);
         }
         catch (error) {
             log.write("ownership-read-failed", { reason: (error as Error).message });
@@ -274,8 +328,9 @@
         isCommitting = false;
     };
 
-    applySnapshot(options.snapshot, options.previousLeasesUntil);
-    onLeadershipConfirmed(startedAt);
+    applySnapshot(services, options.snapshot, options.previousLeaders.previousLeasesUntil);
+    leaderLease.detectSuspension(options.confirmation.sentAt, options.confirmation.wallClock);
+    onLeadershipConfirmed(options.confirmation.sentAt);
 
     return {
         tick: () => {
@@ -284,34 +339,25 @@
             if (isStopped) {
                 return;
             }
-            directory.consumeTerminated().forEach(upstream =>
-                sender.markTerminated(toOwner(upstream), "incarnation replaced")
-            );
             if (!isCommitting && now >= nextCommitAt) {
-                void runCommit();
+                failures.watch("assignment", runCommit());
             }
             for (const [service, { leaseManager }] of services) {
-                if (leaderLease.canSendCommands(now)) {
-                    const leaseMilliseconds = leaderLease.keyLeaseMilliseconds(now);
-                    leaseManager.startDueCommands(now, leaseMilliseconds).forEach(command =>
-                        sender.send(service, leaseManager, command)
-                    );
-                }
-                const changes = leaseManager.drainChanges();
-                if (changes.length > 0) {
-                    options.broadcast(createRoutingMessage(service, changes));
-                }
+                failures.run("lease command", () => {
+                    if (leaderLease.canSendCommands(now)) {
+                        leaseManager.startDueCommands(now, leaderLease.keyLeaseMilliseconds(now))
+                            .forEach(command => sender.send(service, leaseManager, command));
+                    }
+                    broadcastChanges(options, service, leaseManager);
+                }, { service });
             }
         },
+        planNow: () => {
+            nextCommitAt = timers.now();
+        },
         onReport: report => {
-            for (const { service, keys, weight } of report.samples) {
-                const keyedService = services.get(service);
-                keys.forEach(key => keyedService?.load.add(key, weight));
-            }
-            for (const [identifier, milliseconds] of report.speeds) {
-                const previous = serviceTimes.get(identifier) ?? milliseconds;
-                serviceTimes.set(identifier, previous + (milliseconds - previous) * serviceTimeSmoothing);
-            }
+            options.leaving.learnReported(report);
+            recordLoad(report, services, serviceTimes);
         },
         routingMessages: () =>
             [...services].map(([service, { leaseManager }]) => createRoutingMessage(service, leaseManager.routing())),
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -5,11 +5,13 @@
 import * as protocol from "@mulberryseam/protocol";
 import type * as routing from "@mulberryseam/routing";
 import * as crypto from "node:crypto";
+import * as campaign from "./campaign";
 import * as followerServer from "./followerServer";
 import * as keyRequestSampler from "./keyRequestSampler";
 import * as keyRouting from "./keyRouting";
 import * as leaderLink from "./leaderLink";
 import * as leaderSession from "./leaderSession";
+import type * as leavingUpstreams from "./leavingUpstreams";
 import type * as ownershipReader from "./ownershipReader";
 import * as ownershipWatch from "./ownershipWatch";
 import type * as topicExchange from "./topicExchange";
@@ -19,9 +21,11 @@
     settings: platform.InstanceSettings;
     store: platform.StoreClient;
     directory: routing.UpstreamDirectory;
+    leaving: leavingUpstreams.LeavingUpstreams;
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
@@ -63,20 +67,15 @@
 const minRetryMilliseconds = 150;
 const maxRetryMilliseconds = 1000;
 
-/** Creates the first record of a term. */
-const createLeaderRecord = (
-    identifier: string,
-    { host, peerPort }: platform.InstanceSettings,
-    term: number,
-): assignment.LeaderRecord => ({
-    identifier,
-    host,
-    port: peerPort,
-    term,
-    beat: 0,
-    isResigned: false,
-    longestLeaseMilliseconds: 0,
-});
+const callAtInterval = (
+    timers: foundation.TimerService,
+    intervalMilliseconds: number,
+    callback: () => void,
+    owner: foundation.Owner,
+): void => {
+    const subscription = timers.onInterval(intervalMilliseconds, callback);
+    owner.onCleanup(() => subscription.cancel());
+};
 
 type TrafficCounter = (purpose: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 
@@ -96,6 +95,15 @@
         addTraffic(foundation.TrafficPurpose.leaseCommand, failureDomain, transfer);
     });
 
+const collectReport = (
+    { leaving, keyedServices, collectServiceTimes }: OwnershipTaskOptions,
+    sampler: keyRequestSampler.KeyRequestSampler,
+): protocol.FollowerReport => {
+    const leavingUpstreams = leaving.collectReport(keyedServices());
+    const report = sampler.collectReport(collectServiceTimes());
+    return leavingUpstreams.length > 0 ? { ...report, leaving: leavingUpstreams } : report;
+};
+
 /**
  * Starts the ownership task.
  *
@@ -107,7 +115,7 @@
     options: OwnershipTaskOptions,
     owner: foundation.Owner,
 ): Promise<OwnershipTask> => {
-    const { settings, store, timers, log } = options;
+    const { settings, store, timers, log, failures } = options;
     const identifier = `${settings.name}/${crypto.randomUUID().slice(0, 8)}`;
     const keyOwners = keyRouting.createKeyRouting();
     const sampler = keyRequestSampler.createKeyRequestSampler();
@@ -139,6 +147,7 @@
         delegate,
         onDelegates,
         log,
+        failures,
         onTransferred: addTraffic,
     }, owner);
 
@@ -154,6 +163,7 @@
         failureDomain,
         delegate,
         timers,
+        failures,
         onDelegates,
         onRouting: keyOwners.applyMessage,
         topics: options.topics,
@@ -179,41 +189,31 @@
         }
     };
 
-    const campaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
-        const record = createLeaderRecord(identifier, settings, (stored.leader?.term ?? 0) + 1);
-        // A leader record with the host of this instance was written by an earlier process of it.
-        const hasTerminated = link.terminatedLeader() === stored.leader?.identifier
-            || stored.leader?.host === settings.host;
-        const previousLeader: assignment.PreviousLeader = {
-            record: stored.leader,
-            recordSeenAt: watch.unchangedSince(),
-            terminatedBy: hasTerminated ? timers.now() : undefined,
-        };
-        const response = await store.append(platform.Topic.ownership, stored.end, [
-            { key: assignment.leaderKey, value: assignment.encodeLeader(record) },
-        ]);
-        if (response.result !== platform.AppendResult.appended) {
-            log.write("campaign-failed", { term: record.term, result: response.result, reason: response.reason });
-            await readSnapshot();
-            // An append without a response may still have taken effect.
-            if (watch.snapshot()?.leader?.identifier !== identifier) {
-                return;
-            }
+    const runCampaign = async (stored: ownershipReader.OwnershipSnapshot): Promise<void> => {
+        const won = await campaign.campaign({
+            store,
+            timers,
+            log,
+            watch,
+            readSnapshot,
+            identifier,
+            host: settings.host,
+            port: settings.peerPort,
+            maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
+        }, stored);
+        if (won === undefined) {
+            return;
         }
-        const initial = { ...(watch.snapshot() ?? stored), leader: record };
-        initial.end = response.result === platform.AppendResult.appended ? response.end : initial.end;
-        log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: initial.end });
         link.close();
         session = leaderSession.createLeaderSession({
+            ...won,
             store,
             leaseClient,
             directory: options.directory,
+            leaving: options.leaving,
             timers,
             log,
-            record,
-            snapshot: initial,
-            previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
-            previousLeasesUntil: assignment.previousLeasesEndAt(previousLeader, settings.maxLeaseMilliseconds),
+            failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             broadcast,
@@ -223,7 +223,7 @@
                 followers.disconnectAll();
             },
         });
-        keyOwners.applySnapshot(initial);
+        keyOwners.applySnapshot(won.snapshot);
     };
 
     const step = async (): Promise<void> => {
@@ -232,7 +232,7 @@
             now: timers.now(),
             ...watch.leadershipState(),
             isReceivingUpdates: link.isLeaderHealthy(),
-            hasLeaderTerminated: link.terminatedLeader() === (known?.leader?.identifier ?? ""),
+            isLeaderUnavailable: link.unavailableLeader() === (known?.leader?.identifier ?? ""),
             host: settings.host,
             instanceCount: link.instanceCount(),
             readPhase,
@@ -248,7 +248,7 @@
             await readSnapshot();
         }
         else if (nextStep === assignment.LeadershipStep.campaign && known !== undefined && !isResigning) {
-            await campaign(known);
+            await runCampaign(known);
         }
         const leader = watch.snapshot()?.leader;
         if (leader !== undefined && leader.identifier !== identifier && !leader.isResigned && session === undefined) {
@@ -273,23 +273,19 @@
     };
 
     const sendReport = (): void => {
-        const report = sampler.collectReport(options.collectServiceTimes());
-        if (session !== undefined) {
-            session.onReport(report);
-        }
-        else {
-            link.send(report);
-        }
+        const send = session === undefined ? link.send : session.onReport;
+        send(collectReport(options, sampler));
     };
+    // The leader moves the keys of a leaving upstream while it still serves them.
+    options.leaving.onLearned(() => {
+        sendReport();
+        session?.planNow();
+    });
 
     owner.onCleanup(() => link.close());
-    const callAtInterval = (interval: number, callback: () => void): void => {
-        const subscription = timers.onInterval(interval, callback);
-        owner.onCleanup(() => subscription.cancel());
-    };
-    callAtInterval(tickIntervalMilliseconds, tick);
-    callAtInterval(heartbeatIntervalMilliseconds, followers.sendHeartbeat);
-    callAtInterval(reportIntervalMilliseconds, sendReport);
+    callAtInterval(timers, tickIntervalMilliseconds, tick, owner);
+    callAtInterval(timers, heartbeatIntervalMilliseconds, followers.sendHeartbeat, owner);
+    callAtInterval(timers, reportIntervalMilliseconds, sendReport, owner);
 
     return {
         findOwner: keyOwners.findOwner,
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -43,6 +43,7 @@
         failureDomain,
         delegate: createDelegate(identifier),
         timers,
+        failures: foundation.createTransparentFailureBoundary(),
         onRouting: () => undefined,
         topics: {
             positions: () => knownTopics.map(name => ({ topic: name, end: 5, age: 0 })),
@@ -63,6 +64,8 @@
         beat: 0,
         isResigned: false,
         longestLeaseMilliseconds: 0,
+        previousCommandsMilliseconds: 0,
+        previousLeasesMilliseconds: 0,
     };
     link.follow(leader);
     return Object.assign(follower, { link });
@@ -72,7 +75,9 @@
     const records = [{ key: "upstream-1", value: Buffer.from("entry"), offset: 6 }];
     let confirmationAge = 0;
     const transferredBytes = new Map<string, number>();
+    const reports: protocol.FollowerReport[] = [];
     const session = {
+        onReport: (report: protocol.FollowerReport) => reports.push(report),
         term: 1,
         acknowledgedRecordNumber: () => 1,
         confirmationAge: () => confirmationAge,
@@ -106,6 +111,7 @@
                 ownDelegates = delegates;
             },
             log: { write: () => undefined, sample: () => undefined },
+            failures: foundation.createTransparentFailureBoundary(),
             onTransferred: (kind, failureDomain, { sentBytes, receivedBytes }) => {
                 const name = `${kind} ${failureDomain}`;
                 transferredBytes.set(name, (transferredBytes.get(name) ?? 0) + sentBytes + receivedBytes);
@@ -160,6 +166,17 @@
         });
     });
 
+    test.it("report the upstreams that are leaving to the leader", async () => {
+        await withLeader(async ({ join }) => {
+            const { link } = join("first", "north-a");
+            await waitFor(() => link.isLeaderHealthy());
+            const leaving = [{ identifier: "upstream-1", startedAt: 1786661537573, age: 120 }];
+            link.send({ kind: "report", samples: [], speeds: [], leaving });
+            await waitFor(() => reports.length === 1);
+            earl.expect(reports[0].leaving).toEqual(leaving);
+        });
+    });
+
     test.it("know how long ago the store responded to the leader, however often they hear from it", async () => {
         await withLeader(async ({ join }) => {
             const { link } = join("first", "north-a");
--- a/packages/explain/test/explain.test.ts
+++ b/packages/explain/test/explain.test.ts
@@ -129,7 +129,7 @@
         const error = { message: "invalid token" };
         const logs = createLogs(
             started(1),
-            createLine(5, "entry-1", "internal-error" as foundation.EventName, error),
+            createLine(5, "entry-1", "internal-error", error),
             started(14),
         );
         const timeline = explain.createRequestTimeline(logs, "lost");
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -11,6 +11,7 @@
     "document-read-failed",
     "document-unreadable",
     "follower-refused",
+    "internal-error",
     "isolated",
     "isolation-ended",
     "leadership-lost",
@@ -31,6 +32,8 @@
     "store-regained",
     "traffic",
     "upstream-draining",
+    "upstream-held-off",
+    "upstream-leaving",
     "upstream-unreadable",
 ] as const;
 
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -9,7 +9,8 @@
 import type * as requestState from "./requestState";
 import * as silence from "./silence";
 import * as upstreamHealth from "./upstreamHealth";
-import type * as upstreamPool from "./upstreamPool";
+import type * as upstreamNotice from "./upstreamNotice";
+import * as upstreamPool from "./upstreamPool";
 
 /** Configures a sender of attempts. */
 export interface AttemptSenderOptions {
@@ -17,6 +18,8 @@
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
     traffic: foundation.TrafficAccount;
+    failures: foundation.FailureBoundary;
+    onNotice: upstreamNotice.NoticeHandler;
     /** Whether a request that has been sent could be sent again now. */
     canSendAgain: (state: requestState.RequestState) => boolean;
 }
@@ -34,6 +37,9 @@
 const silenceReason = "the upstream is silent";
 
 const healthSignalOf = (result: attempts.AttemptResult): upstreamHealth.HealthSignalValue => {
+    if (result.kind === "notRun" && result.reason === upstreamPool.holdOffReason) {
+        return upstreamHealth.HealthSignal.none;
+    }
     if (result.kind === "unknown" && result.reason === silenceReason) {
         return upstreamHealth.HealthSignal.silent;
     }
@@ -95,6 +101,7 @@
         window.onSent(now);
         state.attemptCount += 1;
         state.triedUpstreams.add(upstream.identifier);
+        state.notifiedBy = undefined;
         const remaining = Math.max(1, Math.floor(state.deadlineAt - now));
         const attempt = attempts.startAttempt({
             timers,
@@ -115,19 +122,26 @@
                 upstream.identifier,
             ],
             requestIdentifier: state.requestIdentifier,
+            failures: options.failures,
             body,
             connectTimeoutMilliseconds: pool.connectTimeoutMilliseconds(target),
             onConnected: milliseconds => pool.onConnected(target, milliseconds),
+            onNotice: notice => {
+                state.notifiedBy = upstream;
+                options.onNotice(upstream, notice);
+            },
             onTransferred: transfer =>
                 options.traffic.add(foundation.TrafficPurpose.request, pool.reachOf(target), transfer),
         });
         state.currentAttempt = attempt;
+        target.openAttempts.add(attempt);
         // A request that may run only once is not sent again, so its response is waited for.
         const silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
             ? abortIfSilent(state, target, outstandingAttempt, attempt)
             : undefined;
         const result = await attempt.result;
         silenceCheck?.cancel();
+        target.openAttempts.delete(attempt);
         state.currentAttempt = undefined;
         if (result.kind === "unknown") {
             state.mayHaveRun = true;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -18,6 +18,8 @@
 export type { DelegationResult, Delegator, DelegatorOptions } from "./delegator";
 export { createEventLoopDelay, isOverloaded } from "./eventLoopDelay";
 export type { EventLoopDelay } from "./eventLoopDelay";
+export { createHoldOffs } from "./holdOff";
+export type { HoldOffs } from "./holdOff";
 export { createRelay } from "./relay";
 export type { DocumentInForce, Relay, RelayOptions } from "./relay";
 export type { FinishedRequest } from "./responder";
@@ -30,5 +32,7 @@
 export type { Candidate, Choice } from "./upstreamCost";
 export { createUpstreamHealth, HealthSignal } from "./upstreamHealth";
 export type { HealthSignalValue, LoadReport, OutstandingAttempt, UpstreamHealth } from "./upstreamHealth";
+export { parseNotice } from "./upstreamNotice";
+export type { NoticeHandler, UpstreamNotice } from "./upstreamNotice";
 export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
 export type { PooledUpstream, UpstreamPool } from "./upstreamPool";
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -12,6 +12,7 @@
     noUpstream: "no upstream is ready",
     noOwner: "no upstream owns the key",
     deadlineUnreachable: "no answer is expected in time",
+    heldOff: "upstreams want no requests for a time",
     noConnection: "no connection to an upstream is free",
     overloaded: "the instance is behind with its work",
     refused: "upstreams refused it",
@@ -19,6 +20,8 @@
     lost: "the answer was lost",
     callerDisconnected: "the caller left",
     notAccepted: "the instance takes no delegated requests",
+    malformed: "the request is malformed",
+    internalError: "an internal error",
 } as const;
 
 /** One of {@link FailureReason}. */
@@ -56,6 +59,8 @@
     triedUpstreams: Set<string>;
     /** Token of the owner that responded that it does not hold the request's key. */
     misdirectedToken: number | undefined;
+    /** The upstream of the newest attempt, if it has said something of itself that other instances need to know. */
+    notifiedBy: routing.Incarnation | undefined;
     attemptCount: number;
     mayHaveRun: boolean;
     isFinished: boolean;
@@ -81,6 +86,17 @@
 /** Time for a whole response to a caller that does not state how long it waits, in milliseconds. */
 const defaultCallerTimeoutMilliseconds = 60_000;
 
+/**
+ * Returns the request identifier of a message.
+ *
+ * @param message - a request or a response
+ * @returns the identifier, or undefined if there is none
+ */
+export const identifierOf = ({ headers }: http.IncomingMessage): string | undefined => {
+    const identifier = headers[platform.HeaderName.requestIdentifier];
+    return identifier === undefined || identifier.length === 0 ? undefined : String(identifier);
+};
+
 /**
  * Creates the state of a request before its first attempt.
  *
@@ -91,14 +107,14 @@
     const { request, route, arrivedAt } = arrived;
     const requested = Number(request.headers[platform.HeaderName.remainingMilliseconds]);
     const callerTimeout = Number.isFinite(requested) && requested > 0 ? requested : defaultCallerTimeoutMilliseconds;
-    const identifier = request.headers[platform.HeaderName.requestIdentifier];
     return {
         ...arrived,
-        requestIdentifier: Array.isArray(identifier) ? identifier[0] : identifier,
+        requestIdentifier: identifierOf(request),
         deadlineAt: arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds),
         callerDeadlineAt: arrivedAt + callerTimeout,
         triedUpstreams: new Set(),
         misdirectedToken: undefined,
+        notifiedBy: undefined,
         attemptCount: 0,
         mayHaveRun: false,
         isFinished: false,
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -1,5 +1,6 @@
 /** Responds to callers with an upstream's response or the reason for its absence, and logs the outcome. */
 import * as foundation from "@mulberryseam/foundation";
+import * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
 import * as stream from "node:stream";
 import * as admission from "./admission";
@@ -23,6 +24,7 @@
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
     eventLoopDelay: eventLoopDelay.EventLoopDelay;
     /** Whether responses tell callers to open their next connection elsewhere. */
     shouldCloseConnections: () => boolean;
@@ -39,6 +41,12 @@
     forward: (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse) => void;
 }
 
+/**
+ * Statuses that tell a caller that its request has not run. An upstream's response that is no refusal does not state that, so it is
+ * not forwarded with such a status to a caller whose request may run only once.
+ */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /**
  * Creates the responder of an instance.
  *
@@ -46,12 +54,12 @@
  * @returns the responder
  */
 export const createResponder = (options: ResponderOptions): Responder => {
-    const { timers, log, random } = options;
+    const { timers, log, random, failures } = options;
 
     const responseHeaders = (extraHeaders: string[]): string[] =>
         options.shouldCloseConnections() ? [...extraHeaders, "Connection", "close"] : extraHeaders;
 
-    const recordOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
+    const writeOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
         const durationMilliseconds = timers.now() - state.arrivedAt;
         const { decision } = state;
         const rounded = (value: number | undefined): number | undefined =>
@@ -98,6 +106,11 @@
         });
     };
 
+    const recordOutcome: Responder["recordOutcome"] = (state, status, reason) =>
+        failures.run("request outcome", () => writeOutcome(state, status, reason), {
+            request: state.requestIdentifier,
+        });
+
     const reply = (response: http.ServerResponse, status: number, extraHeaders: string[], text: string): void => {
         if (response.headersSent || response.destroyed) {
             return;
@@ -120,10 +133,15 @@
         const status = state.mayHaveRun ? (isTimeout ? 504 : 502) : 503;
         recordOutcome(state, status, reason);
         const remaining = state.deadlineAt - timers.now();
-        const retryAfter = admission.retryAfterMilliseconds(waitMilliseconds, remaining, random.fraction());
+        const retryAfter = admission.retryAfterMilliseconds(
+            waitMilliseconds,
+            remaining,
+            random.fraction(),
+            reason === requestState.FailureReason.heldOff,
+        );
         const extraHeaders = [
             ...(status === 503 ? ["Retry-After", (retryAfter / 1000).toFixed(3)] : []),
-            ...(state.isDelegated ? [delegatedRequest.failureHeader, reason] : []),
+            ...(state.isDelegated ? delegatedRequest.failureHeaders(state.requestIdentifier, reason) : []),
         ];
         reply(state.response, status, extraHeaders, reason);
     };
@@ -162,13 +180,29 @@
         });
     };
 
-    const forward = (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse): void => {
+    const forwardResponse = (
+        state: requestState.RequestState,
+        upstreamResponse: attempts.UpstreamResponse,
+    ): void => {
+        if (state.route.kind !== routing.RouteKind.idempotent && notRunStatuses.has(upstreamResponse.status)) {
+            upstreamResponse.rest?.destroy();
+            state.mayHaveRun = true;
+            fail(state, requestState.FailureReason.lost, 0);
+            return;
+        }
         state.isFinished = true;
         recordOutcome(state, upstreamResponse.status, "");
         const { response } = state;
         const forwardedHeaders = headers.forwardedHeaders(upstreamResponse.rawHeaders, [
             delegatedRequest.failureHeader,
+            delegatedRequest.upstreamHeader,
         ]);
+        if (state.isDelegated && state.notifiedBy !== undefined) {
+            forwardedHeaders.push(
+                delegatedRequest.upstreamHeader,
+                delegatedRequest.encodeUpstream(state.notifiedBy),
+            );
+        }
         if (response.destroyed) {
             upstreamResponse.rest?.destroy();
             return;
@@ -201,5 +235,15 @@
         forwardRest(state, upstreamResponse);
     };
 
+    const forward: Responder["forward"] = (state, upstreamResponse) => {
+        try {
+            forwardResponse(state, upstreamResponse);
+        }
+        catch (error) {
+            upstreamResponse.rest?.destroy();
+            throw error;
+        }
+    };
+
     return { recordOutcome, reply, fail, forward };
 };
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -204,6 +204,25 @@
         });
     });
 
+    test.it("is not run each time that the other instance says so on a kept connection", async () => {
+        await withPair({ secondBehaviour: relayFixture.refuse, retrySlack: 0 }, async ({ first, second }) => {
+            for (let iteration = 1; iteration <= 3; iteration += 1) {
+                const response = await first.sendRequest({ key: 8, identifier: `request-${iteration}` });
+                earl.expect(response.status).toEqual(503);
+            }
+            earl.expect([first.requestCounts(), second.requestCounts()]).toEqual([[0], [3]]);
+        });
+        const options = { secondBehaviour: relayFixture.respondWith("second"), acceptsDelegated: false };
+        await withPair(options, async ({ first }) => {
+            for (let iteration = 1; iteration <= 3; iteration += 1) {
+                const response = await first.sendRequest({ key: 8, identifier: `request-${iteration}` });
+                earl.expect(response.body.toString()).toEqual("first");
+            }
+        });
+    });
+});
+
+test.describe("a delegated request, while an instance, an upstream or the caller goes away", () => {
     test.it("is sent by the instance itself if the other one accepts none or does not listen", async () => {
         const options = { secondBehaviour: relayFixture.respondWith("second"), acceptsDelegated: false };
         await withPair(options, async ({ first }) => {
@@ -275,3 +294,82 @@
         });
     });
 });
+
+test.describe("what an upstream says of itself in the response to a delegated request", () => {
+    test.it("that it is leaving, reaches the delegating instance, which delegates no more requests to it", async () => {
+        const secondBehaviour: relayFixture.Behaviour = (request, response) => {
+            response.writeHead(200, {
+                "request-id": request.headers["request-id"],
+                "response-signature": "signature",
+                "server-leaving": "1",
+                "mulberryseam-upstream": "another,1",
+                "content-length": 0,
+            });
+            response.end();
+        };
+        const timers = foundation.createVirtualTimerService();
+        await withPair({ secondBehaviour, timers }, async ({ first, second }) => {
+            const response = await first.sendRequest({ key: 8 });
+            earl.expect(response.headers["server-leaving"]).toEqual("1");
+            earl.expect(response.headers["mulberryseam-upstream"]).toEqual(undefined);
+            earl.expect(first.directory.find("upstream-0")?.leavingSince !== undefined).toEqual(true);
+            earl.expect(second.directory.find("upstream-0")?.leavingSince !== undefined).toEqual(true);
+            first.directory.onStoreUnreachable(timers.now());
+            second.directory.onStoreUnreachable(timers.now());
+            await virtualTime.advance(timers, 1600);
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect(first.requestCounts()).toEqual([0]);
+            earl.expect(second.requestCounts()).toEqual([1]);
+        });
+    });
+
+    test.it("that it wants none for a time, holds off the requests of the delegate only", async () => {
+        const secondBehaviour: relayFixture.Behaviour = (request, response) => {
+            response.writeHead(503, {
+                "request-id": request.headers["request-id"],
+                "not-executed": "1",
+                "retry-after": "60",
+                "content-length": 0,
+            });
+            response.end();
+        };
+        await withPair({ secondBehaviour }, async ({ first, second }) => {
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
+            earl.expect(second.requestCounts()).toEqual([1]);
+            await second.dispose();
+            earl.expect((await first.sendRequest({ key: 8 })).body.toString()).toEqual("first");
+        });
+    });
+});
+
+test.describe("a response without a length to a delegated request", () => {
+    test.it("never looks complete if it is reset together with a part of its body", async () => {
+        for (const size of [20_000, 400_000]) {
+            const secondBehaviour = relayFixture.sendUnframed(size, relayFixture.resetConnection);
+            await withPair({ secondBehaviour }, async ({ first }) => {
+                for (let iteration = 1; iteration <= 25; iteration += 1) {
+                    const socket = relayFixture.sendWithoutReading(first.port, "Shard-Key: 8\r\n");
+                    await virtualTime.waitUntil(() => first.finished.length === iteration);
+                    await virtualTime.waitUntil(() => first.openRequestCount() === 0);
+                    const isStreamed = first.finished[iteration - 1].status === 200;
+                    earl.expect(!isStreamed || await relayFixture.wasReset(socket)).toEqual(true);
+                    socket.destroy();
+                }
+            });
+        }
+    });
+
+    for (const size of [0, 20_000, 400_000]) {
+        test.it(`of ${size} bytes is complete if its connection ends regularly`, () => {
+            const secondBehaviour = relayFixture.sendUnframed(size, relayFixture.endConnection);
+            return withPair({ secondBehaviour }, async ({ first }) => {
+                for (let iteration = 1; iteration <= 25; iteration += 1) {
+                    const response = await first.sendRequest({ key: 8 });
+                    earl.expect([response.status, response.isComplete, response.body.length])
+                        .toEqual([200, true, size]);
+                }
+            });
+        });
+    }
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,4 +6,4 @@
 export { createRouteTable, createSplitter } from "./routeTable";
 export type { RouteEntry, RouteTable, Splitter } from "./routeTable";
 export { createUpstreamDirectory } from "./upstreamDirectory";
-export type { DirectoryEntry, UpstreamDirectory } from "./upstreamDirectory";
+export type { DirectoryEntry, Incarnation, LeavingIncarnation, UpstreamDirectory } from "./upstreamDirectory";
