--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,13 +41,24 @@
 /** Portion of the drain time reserved for calls to the registry and the upstream, in milliseconds. */
 const drainMarginMilliseconds = 350;
 
-const describeStart = (settings: platform.InstanceSettings): foundation.EventFields => ({
-    callers: settings.callerAddress.port,
-    readiness: settings.readinessAddress.port,
-    process: process.pid,
-    program: foundation.programVersion,
-    node: process.version,
-});
+/** Answers the platform's readiness checks until the owner is disposed. */
+const startReadinessServer = async (
+    address: platform.Address,
+    isReady: () => boolean,
+    failures: foundation.FailureBoundary,
+    owner: foundation.Owner,
+): Promise<void> => {
+    const server = http.createServer((request, response) => {
+        const status = request.url === platform.readinessPath && isReady() ? 200 : 503;
+        response.writeHead(status, { "content-length": 0 });
+        response.end();
+    });
+    owner.onCleanup(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
+};
 
 /**
  * Starts an instance.
@@ -215,23 +226,10 @@
         }
     };
 
-    const readinessServer = http.createServer((request, response) => {
-        const isReady = !isStopping && !isIsolated && view.documentInForce() !== undefined && view.isRegistryKnown()
-            && ownership.isReady();
-        const status = request.url === platform.readinessPath && isReady ? 200 : 503;
-        response.writeHead(status, { "content-length": 0 });
-        response.end();
-    });
-    owner.onCleanup(() => {
-        readinessServer.close();
-        readinessServer.closeAllConnections();
-    });
-    await foundation.listenOn(
-        readinessServer,
-        settings.readinessAddress.host,
-        settings.readinessAddress.port,
-        error => failures.report("readiness server", error),
-    );
+    const isReady = (): boolean =>
+        !isStopping && !isIsolated && view.documentInForce() !== undefined && view.isRegistryKnown()
+        && ownership.isReady();
+    await startReadinessServer(settings.readinessAddress, isReady, failures, owner);
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
         updateIsolation();
@@ -245,7 +243,13 @@
         }
     });
     owner.onCleanup(() => trafficReports.cancel());
-    log.write("started", describeStart(settings));
+    log.write("started", {
+        callers: settings.callerAddress.port,
+        readiness: settings.readinessAddress.port,
+        process: process.pid,
+        program: foundation.programVersion,
+        node: process.version,
+    });
 
     const stop = async (signal: NodeJS.Signals): Promise<void> => {
         const startedAt = timers.now();
--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -29,6 +29,8 @@
 const minIdleMilliseconds = 300;
 /** Refused requests after which a connection is closed, as it remembers their identifiers. */
 const maxRefusalsPerConnection = 256;
+/** Longest idle timeout, in milliseconds, whatever an upstream announces: sockets refuse timeouts without a bound. */
+const maxIdleMilliseconds = 600_000;
 
 /**
  * Creates the connections to an upstream; none is open yet.
@@ -83,7 +85,8 @@
         hasRefused,
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
         onKeepAliveTimeout: milliseconds => {
-            idleMilliseconds = Math.max(minIdleMilliseconds, milliseconds - idleMarginMilliseconds);
+            const announced = milliseconds - idleMarginMilliseconds;
+            idleMilliseconds = Math.min(maxIdleMilliseconds, Math.max(minIdleMilliseconds, announced));
         },
         close: () => {
             agent.destroy();
