Entry: an exception while an instance starts ends it only if the start itself fails

An uncaught exception before the start was complete ended the process with status 1, though its ports already served callers and instances. The start ends the process if it fails, as before (processSignals.test.ts, port taken); other exceptions are recorded. Found by reading; no input is known that throws there.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -62,9 +62,6 @@
     const onUncaught = (part: string) => (error: unknown): void => {
         failures.report(part, error);
         sink.flush();
-        if (instance === undefined) {
-            process.exit(failedExitCode);
-        }
     };
     process.on("uncaughtException", onUncaught("uncaught exception"));
     process.on("unhandledRejection", onUncaught("unhandled rejection"));
@@ -102,7 +99,13 @@
         },
         onReload: () => failures.run("settings", reread),
     });
-    instance = await entry.startEntry(settingsInForce, log, failures);
+    try {
+        instance = await entry.startEntry(settingsInForce, log, failures);
+    }
+    catch (error) {
+        failures.report("start", error);
+        process.exit(failedExitCode);
+    }
     stopIfRequested();
 };
 
