Delegator: read a delegate's time to wait with the decoder of the platform's header

The same header was parsed by hand beside platform.parseRetryAfter, which the hold-offs use. A delegate writes a plain number of seconds, which both read alike.

--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -76,14 +76,14 @@
     if (localReasons.includes(failure)) {
         return notDelegated;
     }
-    const retryAfterSeconds = Number(headerValue(response.rawHeaders, platform.HeaderName.retryAfter) ?? 0);
     return {
         kind: "failed",
         reason: failureReasons.includes(failure)
             ? failure as requestState.FailureReasonValue
             : requestState.FailureReason.refused,
         mayHaveRun: response.status !== 503,
-        waitMilliseconds: Number.isFinite(retryAfterSeconds) ? retryAfterSeconds * 1000 : 0,
+        waitMilliseconds: platform.parseRetryAfter(headerValue(response.rawHeaders, platform.HeaderName.retryAfter))
+            ?? 0,
     };
 };
 
