Emulated upstream: stop sending without end when the connection closes

What was seen: the soak printed its verdicts, but its process did not end and used most of a core; the same holds for soak.test.ts, which then never ends for the test runner. Cause: in endless mode the interval that writes was cleared by the response's "close" event. A response that waits for an earlier one on the same connection has no socket yet, and Node emits no "close" for it, so its interval ran for ever and its buffer grew. Change: the interval ends with the connection of the request. Evidence: the new test failed before (1 timer left instead of 0), and its file did not end within its limit of 20 s; it passes now.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -169,13 +169,21 @@
         arrivals.set(response, arrival);
         options.onArrival?.(arrival);
     };
-    const sendEndlessly = (response: http.ServerResponse, headers: http.OutgoingHttpHeaders): void => {
+    const sendEndlessly = (
+        { socket }: http.IncomingMessage,
+        response: http.ServerResponse,
+        headers: http.OutgoingHttpHeaders,
+    ): void => {
+        if (socket.destroyed) {
+            return;
+        }
         response.writeHead(200, headers);
         const interval = setInterval(
             () => response.write(Buffer.alloc(endlessChunkBytes)),
             endlessIntervalMilliseconds,
         );
-        response.on("close", () => clearInterval(interval));
+        // A response that waits for the one before it has no connection yet, and does not report that it closes.
+        socket.once("close", () => clearInterval(interval));
     };
     const handleGrant = (body: LeaseCommandBody, response: http.ServerResponse): void => {
         const isFenced = appliedCommands.some(command =>
@@ -228,7 +236,7 @@
                 return;
             }
             if (mode === UpstreamMode.endless) {
-                sendEndlessly(response, { ...commonHeaders, ...signature });
+                sendEndlessly(request, response, { ...commonHeaders, ...signature });
                 return;
             }
             const key = request.headers["shard-key"];
--- a/packages/emulator/test/upstream.test.ts
+++ b/packages/emulator/test/upstream.test.ts
@@ -3,6 +3,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as earl from "earl";
 import * as http from "node:http";
+import * as net from "node:net";
 import * as test from "node:test";
 
 interface Fixture {
@@ -60,4 +61,26 @@
             upstream.setMode(emulator.UpstreamMode.serving);
             earl.expect((await send("/orders/1")).statusCode).toEqual(200);
         }));
+
+    test.it("that sends without end stops when the connection closes before the response is its turn", () =>
+        withUpstream(async ({ upstream, arrivals }) => {
+            const countTimers = (): number =>
+                process.getActiveResourcesInfo().filter(resource => resource === "Timeout").length;
+            const timersBefore = countTimers();
+            const socket = net.connect(upstream.port, "127.0.0.1");
+            const sendAndWait = async (arrivalCount: number): Promise<void> => {
+                socket.write("GET /orders/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: a\r\n\r\n");
+                while (arrivals.length < arrivalCount) {
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+            };
+            upstream.setMode(emulator.UpstreamMode.silent);
+            await sendAndWait(1);
+            upstream.setMode(emulator.UpstreamMode.endless);
+            await sendAndWait(2);
+            socket.destroy();
+            await upstream.stop();
+            await new Promise(resolve => setImmediate(resolve));
+            earl.expect(countTimers()).toEqual(timersBefore);
+        }));
 });
