--- a/packages/site/src/index.ts
+++ b/packages/site/src/index.ts
@@ -7,7 +7,7 @@
 export { loadExample } from "./exampleDocument";
 export { checkOwnership } from "./ownershipChecker";
 export type { OwnedInterval, OwnershipCheckResult } from "./ownershipChecker";
-export { reservePorts } from "./ports";
+export { reserveNetwork, reservePorts } from "./ports";
 export { createSite } from "./site";
 export type { InstanceProcess, ServerProcess, Site, SiteOptions } from "./site";
 export { currentHistoryTime, wait } from "./wait";
