--- a/packages/relay/src/callerServer.ts
+++ b/packages/relay/src/callerServer.ts
@@ -2,10 +2,12 @@
 import * as foundation from "@mulberryseam/foundation";
 import type * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import type * as net from "node:net";
 
 /** Configures the server for callers. */
 export interface CallerServerOptions {
     host: string;
+    /** TCP port; 0 selects a free one. */
     port: number;
     log: foundation.EventLog;
     failures: foundation.FailureBoundary;
@@ -14,6 +16,8 @@
 
 /** HTTP server for callers. */
 export interface CallerServer {
+    /** TCP port that the server listens on. */
+    port: number;
     setLimits: (limits: routing.CallerLimits) => void;
     connectionCount: () => number;
     /** Stops accepting connections. */
@@ -86,6 +90,7 @@
         error => options.failures.report("caller server", error),
     );
     return {
+        port: (server.address() as net.AddressInfo).port,
         setLimits: limits => {
             headerLimitBytes = limits.maxHeaderBytes;
             server.headersTimeout = limits.headerTimeoutMilliseconds;
--- a/packages/relay/src/delegateServer.ts
+++ b/packages/relay/src/delegateServer.ts
@@ -1,10 +1,12 @@
 /** HTTP server for requests that other instances of the failure domain delegate to this one. */
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
+import type * as net from "node:net";
 
 /** Configures the server for delegated requests. */
 export interface DelegateServerOptions {
     host: string;
+    /** TCP port; 0 selects a free one. */
     port: number;
     failures: foundation.FailureBoundary;
     handle: (request: http.IncomingMessage, response: http.ServerResponse) => void;
@@ -19,9 +21,9 @@
  *
  * @param options - address and request handler
  * @param owner - closes the server and every connection when disposed
- * @returns once the server listens
+ * @returns the TCP port, once the server listens on it
  */
-export const startDelegateServer = async (options: DelegateServerOptions, owner: foundation.Owner): Promise<void> => {
+export const startDelegateServer = async (options: DelegateServerOptions, owner: foundation.Owner): Promise<number> => {
     const server = http.createServer({
         maxHeaderSize: maxHeaderBytes,
         noDelay: true,
@@ -38,4 +40,5 @@
         options.port,
         error => options.failures.report("delegate server", error),
     );
+    return (server.address() as net.AddressInfo).port;
 };
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -28,17 +28,21 @@
         isKeyed: true,
         behaviours: [options.secondBehaviour],
     });
-    const first = await relayFixture.createRelayFixture({
-        ...options,
-        isKeyed: true,
-        behaviours: [relayFixture.respondWith("first")],
-        delegate: toDelegate(second.delegatePort),
-    });
     try {
-        await run({ first, second });
+        const first = await relayFixture.createRelayFixture({
+            ...options,
+            isKeyed: true,
+            behaviours: [relayFixture.respondWith("first")],
+            delegate: toDelegate(second.delegatePort),
+        });
+        try {
+            await run({ first, second });
+        }
+        finally {
+            await first.dispose();
+        }
     }
     finally {
-        await first.dispose();
         await second.dispose();
     }
 };
@@ -91,17 +95,21 @@
 ): Promise<void> => {
     const server = http.createServer(onRequest);
     await foundation.listenOn(server, "127.0.0.1", 0);
-    const first = await relayFixture.createRelayFixture({
-        ...options,
-        isKeyed: true,
-        behaviours: [relayFixture.respondWith("first")],
-        delegate: toDelegate((server.address() as net.AddressInfo).port),
-    });
     try {
-        await run(first);
+        const first = await relayFixture.createRelayFixture({
+            ...options,
+            isKeyed: true,
+            behaviours: [relayFixture.respondWith("first")],
+            delegate: toDelegate((server.address() as net.AddressInfo).port),
+        });
+        try {
+            await run(first);
+        }
+        finally {
+            await first.dispose();
+        }
     }
     finally {
-        await first.dispose();
         server.close();
         server.closeAllConnections();
     }
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -128,7 +128,7 @@
         });
     });
 
-    test.it("may have run if it waited for a connection on which it was refused", async () => {
+    test.it("may have run if it waited for a connection on which it was refused", async context => {
         const timers = foundation.createTimerService();
         const failures = foundation.createTransparentFailureBoundary();
         const behaviour = refuseFirst([]);
@@ -138,6 +138,11 @@
         });
         await foundation.listenOn(server, "127.0.0.1", 0);
         const connections = relay.createUpstreamConnections(1, 1);
+        context.after(() => {
+            connections.close();
+            server.close();
+            server.closeAllConnections();
+        });
         const attempt = (): relay.Attempt =>
             relay.startAttempt({
                 timers,
@@ -156,9 +161,6 @@
             });
         const results = await Promise.all([attempt().result, attempt().result]);
         earl.expect(results.map(({ kind }) => kind)).toEqual(["notRun", "unknown"]);
-        connections.close();
-        server.close();
-        server.closeAllConnections();
     });
 });
 
--- a/packages/relay/test/earlyHeads.test.ts
+++ b/packages/relay/test/earlyHeads.test.ts
@@ -11,7 +11,9 @@
 
 /** Starts an upstream that sends the head of its response, reads the rest of the request, and sends the body of its response. */
 const startEarlyUpstream = async (head: string, body: string, owner: foundation.Owner): Promise<number> => {
+    const sockets = new Set<net.Socket>();
     const server = net.createServer(socket => {
+        sockets.add(socket);
         let receivedBytes = 0;
         let requestBytes: number | undefined;
         socket.on("error", () => undefined);
@@ -35,6 +37,7 @@
     });
     owner.onCleanup(() => {
         server.close();
+        sockets.forEach(socket => socket.destroy());
     });
     await foundation.listenOn(server, "127.0.0.1", 0);
     return (server.address() as net.AddressInfo).port;
@@ -48,8 +51,9 @@
         ["a success too large to be buffered, which is complete", success, "x".repeat(600_000), 200],
     ];
     for (const [name, head, text, status] of cases) {
-        test.it(`does not end the process of the relay with ${name}`, async () => {
+        test.it(`does not end the process of the relay with ${name}`, async context => {
             const owner = foundation.createOwner();
+            context.after(owner.dispose);
             const port = await startEarlyUpstream(head, text, owner);
             await relayFixture.withRelay({ behaviours: [], maxBodyBytes: bodyBytes }, async fixture => {
                 fixture.directory.onEntry(relayFixture.createUpstream("early", port, 1), 0);
@@ -57,7 +61,6 @@
                 earl.expect([response.status, response.isComplete]).toEqual([status, true]);
                 earl.expect(status !== 200 || response.body.length === text.length).toEqual(true);
             });
-            await owner.dispose();
         });
     }
 });
--- a/packages/relay/test/earlyResponses.test.ts
+++ b/packages/relay/test/earlyResponses.test.ts
@@ -54,8 +54,9 @@
         ],
     ];
     for (const [kind, status, respond] of responses) {
-        test.it(`is a ${kind} that the caller gets as status ${status}`, async () => {
+        test.it(`is a ${kind} that the caller gets as status ${status}`, async context => {
             const owner = foundation.createOwner();
+            context.after(owner.dispose);
             const options = { behaviours: [], maxBodyBytes: 2 * upload.length, timeoutMilliseconds: 10_000 };
             await relayFixture.withRelay(options, async ({ directory, sendRequest }) => {
                 const port = await startEarlyUpstream(owner, respond);
@@ -65,7 +66,6 @@
                     earl.expect([response.status, response.isComplete]).toEqual([status, true]);
                 }
             });
-            await owner.dispose();
         });
     }
 });
--- a/packages/relay/test/upstreamConnections.test.ts
+++ b/packages/relay/test/upstreamConnections.test.ts
@@ -12,7 +12,7 @@
 const maxIdleConnections = 2;
 
 test.describe("connections to an upstream", () => {
-    test.it("are kept idle only up to a limit, as an upstream still counts those of a lost instance", async () => {
+    test.it("are kept idle only up to a limit, as an upstream still counts those of a lost instance", async context => {
         const server = http.createServer((request, response) => {
             request.resume();
             setTimeout(() => response.end("done"), 20);
@@ -20,12 +20,17 @@
         await foundation.listenOn(server, "127.0.0.1", 0);
         const { port } = server.address() as net.AddressInfo;
         const connections = relay.createUpstreamConnections(maxConnections, maxIdleConnections);
+        context.after(() => {
+            connections.close();
+            server.close();
+            server.closeAllConnections();
+        });
         const sendRequest = (): Promise<void> =>
-            new Promise(resolve => {
+            new Promise((resolve, reject) => {
                 http.get({ agent: connections.agent, host: "127.0.0.1", port }, response => {
                     response.resume();
                     response.on("close", () => resolve());
-                });
+                }).on("error", reject);
             });
         await Promise.all([...new Array(maxConnections)].map(sendRequest));
         const countConnections = (): Promise<number> =>
@@ -35,12 +40,10 @@
             await new Promise(resolve => setTimeout(resolve, 10));
             connected = await countConnections();
         }
-        connections.close();
-        server.close();
         earl.expect(connected).toEqual(maxIdleConnections);
     });
 
-    test.it("do not accumulate listeners when they are reused", async () => {
+    test.it("do not accumulate listeners when they are reused", async context => {
         const sockets = new Set<net.Socket>();
         const server = http.createServer((request, response) => {
             request.resume();
@@ -49,6 +52,11 @@
         await foundation.listenOn(server, "127.0.0.1", 0);
         const { port } = server.address() as net.AddressInfo;
         const connections = relay.createUpstreamConnections(maxConnections, maxIdleConnections);
+        context.after(() => {
+            connections.close();
+            server.close();
+            server.closeAllConnections();
+        });
         const sendRequest = (): Promise<number> =>
             new Promise(resolve => {
                 const request = http.get({ agent: connections.agent, host: "127.0.0.1", port }, response => {
@@ -64,8 +72,6 @@
         for (let iteration = 0; iteration < 20; iteration += 1) {
             last = await sendRequest();
         }
-        connections.close();
-        server.close();
         earl.expect(sockets.size).toEqual(1);
         earl.expect(last).toEqual(first);
     });
