Soak runs: every run has a network of its own

Cause: soak.test.ts used the addresses 127.2.1.x to 127.2.102.x and ports from 17,600, and npm run soak 127.1.x and ports from 17,300, in every run; two runs on one machine bound the same address and port of the protocol between instances, so that the second one's instances ended with exit status 1. What callers saw: violations ("entry-1 ended by itself: exit status 1") or "entry-1 did not become ready" in a test that passes alone. Change: startSite reserves a network for its instances; the options for the network and the peer port are gone. The peer port is below the ports that are reserved for callers and readiness, which could be the same number. Tests dispose of instances and sites also on failure.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -21,10 +21,8 @@
 const programArguments = ["target/entry.cjs"];
 const maxReportedViolations = 20;
 const interruptedExitCode = 130;
-/** First port of the protocol between instances. Each parallel run has its own ports and addresses. */
-const firstPeerPort = 17_300;
 
-const runSeed = async (options: MainOptions, seed: number, workerIndex: number): Promise<boolean> => {
+const runSeed = async (options: MainOptions, seed: number): Promise<boolean> => {
     const logFile = path.join(options.folder, `seed-${seed}.log`);
     const result = await soakRun.runSoak({
         seed,
@@ -36,8 +34,6 @@
         logFile,
         checksTiming: true,
         kinds: options.kinds === "" ? undefined : options.kinds.split(","),
-        networkPrefix: `127.1.${workerIndex + 1}`,
-        peerPort: firstPeerPort + workerIndex * 20,
     });
     const hasPassed = result.violations.length === 0;
     const kinds = result.faults.map(fault => fault.kind).join(",");
@@ -66,9 +62,9 @@
         : Array.from({ length: options.seeds }, (...[, index]) => options.first + index);
     const seedCount = seeds.length;
     const failedSeeds: number[] = [];
-    const runWorker = async (workerIndex: number): Promise<void> => {
+    const runWorker = async (): Promise<void> => {
         for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-            const hasPassed = await runSeed(options, seed, workerIndex).catch((error: Error) => {
+            const hasPassed = await runSeed(options, seed).catch((error: Error) => {
                 process.stdout.write(`seed ${seed}: BROKEN, ${error.message}\n`);
                 return false;
             });
@@ -77,7 +73,7 @@
             }
         }
     };
-    await Promise.all(Array.from({ length: options.beside }, (...[, workerIndex]) => runWorker(workerIndex)));
+    await Promise.all(Array.from({ length: options.beside }, runWorker));
     process.stdout.write(`${seedCount - failedSeeds.length} passed, ${failedSeeds.length} failed\n`);
     process.stdout.write(failedSeeds.length > 0 ? `seeds with a broken promise: ${failedSeeds.join(" ")}\n` : "");
     process.exitCode = failedSeeds.length === 0 ? 0 : 1;
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -1,6 +1,7 @@
 /** A complete site on loopback: a store, upstreams behind emulated network links, and instances as separate processes. */
 import * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
+import * as siteModule from "@mulberryseam/site";
 import * as standins from "@mulberryseam/standins";
 import * as documents from "./documents";
 import * as instances from "./instances";
@@ -40,14 +41,13 @@
 export interface SiteOptions {
     instances: number;
     upstreamsPerService: number;
-    /** First three octets of the instances' IPv4 addresses. */
-    networkPrefix: string;
-    peerPort: number;
     programArguments: readonly string[];
     logFile: string;
     random: foundation.Random;
 }
 
+/** First port of the protocol between instances, below the ports that are reserved for their other servers. */
+const peerPort = 11_900;
 const heartbeatIntervalMilliseconds = 800;
 const maxServiceTimeMilliseconds = 60;
 /** Number of upstreams of each service that only some versions of the document know. */
@@ -155,7 +155,7 @@
 /**
  * Starts a site.
  *
- * @param options - number of instances and upstreams, addresses, program and randomness
+ * @param options - number of instances and upstreams, program and randomness
  * @param owner - stops everything on cleanup except the instances, which must be terminated first
  * @returns the site, whose instances may not be ready yet
  */
@@ -201,12 +201,13 @@
     for (const service of [additionalKeyed, additionalUnkeyed]) {
         await startUpstreams(service, additionalUpstreams);
     }
+    const network = await siteModule.reserveNetwork(owner);
     for (let index = 1; index <= options.instances; index += 1) {
         site.instances.push(
             await instances.startInstance({
                 name: `entry-${index}`,
-                host: `${options.networkPrefix}.${index}`,
-                peerPort: options.peerPort,
+                host: `${network}.${index}`,
+                peerPort,
                 storePort: store.port,
                 programArguments: options.programArguments,
                 logFile: options.logFile,
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -22,9 +22,6 @@
     logFile: string;
     /** Whether response times and recovery are checked as well. */
     checksTiming: boolean;
-    /** First three octets of the instances' IPv4 addresses. */
-    networkPrefix: string;
-    peerPort: number;
     /** Kinds of faults that are injected, out of those of the schedule; all of them by default. */
     kinds?: readonly string[];
 }
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -1,5 +1,6 @@
 /** Tests of the fault schedule, of the invariant checks, and of short soak runs with real processes. */
 import * as foundation from "@mulberryseam/foundation";
+import * as siteModule from "@mulberryseam/site";
 import * as soak from "@mulberryseam/soak";
 import * as earl from "earl";
 import * as fs from "node:fs";
@@ -95,21 +96,29 @@
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "mulberryseam-soak-test-"));
     const logFile = path.join(folder, "log");
     const owner = foundation.createOwner();
-    const instance = await soak.startInstance({
-        name: "entry-1",
-        host: "127.2.2.1",
-        peerPort: 17_650,
-        storePort: 1,
-        programArguments: ["--eval", script],
-        logFile,
-    }, owner);
-    // Without a restart, only the first process is observed.
-    instance.setRestartDelay(maxProgramMilliseconds);
-    await act(instance, logFile);
-    await instance.terminate();
-    await owner.dispose();
-    fs.rmSync(folder, { recursive: true });
-    return instance.ownEnds();
+    try {
+        const instance = await soak.startInstance({
+            name: "entry-1",
+            host: `${await siteModule.reserveNetwork(owner)}.1`,
+            peerPort: 1,
+            storePort: 1,
+            programArguments: ["--eval", script],
+            logFile,
+        }, owner);
+        try {
+            // Without a restart, only the first process is observed.
+            instance.setRestartDelay(maxProgramMilliseconds);
+            await act(instance, logFile);
+        }
+        finally {
+            await instance.terminate();
+        }
+        return instance.ownEnds();
+    }
+    finally {
+        await owner.dispose();
+        fs.rmSync(folder, { recursive: true });
+    }
 };
 
 /** Time that a program may take to end, in milliseconds; only a run that hangs reaches it. */
@@ -256,13 +265,12 @@
 });
 
 test.describe("the upstreams of a soak run", () => {
-    test.it("have one incarnation each, also after restarts that overlap", async () => {
+    test.it("have one incarnation each, also after restarts that overlap", async context => {
         const owner = foundation.createOwner();
+        context.after(owner.dispose);
         const site = await soak.startSite({
             instances: 0,
             upstreamsPerService: 1,
-            networkPrefix: "127.2.1",
-            peerPort: 17_600,
             programArguments: [],
             logFile: os.devNull,
             random: foundation.createRandom(1),
@@ -328,8 +336,6 @@
                 programArguments: ["--import", "tsx", "packages/entry/src/main.ts"],
                 logFile: path.join(folder, "log"),
                 checksTiming: false,
-                networkPrefix: `127.2.${seed}`,
-                peerPort: 17_700 + seed * 20,
                 kinds,
             });
             fs.rmSync(folder, { recursive: true });
