Relay: an exception no longer leaves an attempt outstanding

Cause: the sender of attempts recorded the start of an attempt before it built the attempt, and recorded its end only after the result. An exception between the two (connection timeout, check for silent upstreams) skipped the end. An exception while the body was sent escaped from startAttempt as well.

Callers saw: an upstream with an attempt that never ends looks busy and, after a while, unresponsive, and its connections count as used. A request that was never sent was answered 502 instead of 503.

Change: what can throw is built before the start is recorded; the records are settled in a finally block, which also ends an attempt without a result. The body is sent by a guarded function, so that the attempt has a result.

Evidence, without the change: before it is sent: "The value 502 is not equal to 503" when the check for a silent upstream starts: "The value [1] is not equal to [0]" ends with its request after an exception while it is in progress: "[1] is not equal to [0]" has a result after an exception while its body is sent: 'The "chunk" argument must be of type string or an instance of Buffer or Uint8Array' Exceptions of the handlers (connection, notice, bytes) were contained already; their three tests passed before, and stay as guards.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -435,8 +435,8 @@
                 });
             }),
         );
+        guard(() => sendBody(request, options.body))();
     });
-    sendBody(request, options.body);
     return {
         result,
         cancel: reason => {
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -6,7 +6,7 @@
 import type * as concurrencyWindow from "./concurrencyWindow";
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
-import type * as requestState from "./requestState";
+import * as requestState from "./requestState";
 import * as silence from "./silence";
 import * as upstreamHealth from "./upstreamHealth";
 import type * as upstreamNotice from "./upstreamNotice";
@@ -56,6 +56,9 @@
         : upstreamHealth.HealthSignal.broken;
 };
 
+const reportOf = (result: attempts.AttemptResult | undefined): upstreamHealth.LoadReport | undefined =>
+    result === undefined || result.kind === "unknown" ? undefined : result.report;
+
 /**
  * Creates a sender of attempts.
  *
@@ -89,21 +92,14 @@
             }
         });
 
-    return async (
+    const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
-        limit: concurrencyWindow.QueueLimit,
         body: attempts.AttemptOptions["body"],
-    ): Promise<attempts.AttemptResult> => {
-        const { upstream, health, window } = target;
-        const now = timers.now();
-        const outstandingAttempt = health.recordStart(now);
-        window.onSent(now);
-        state.attemptCount += 1;
-        state.triedUpstreams.add(upstream.identifier);
-        state.notifiedBy = undefined;
-        const remaining = Math.max(1, Math.floor(state.deadlineAt - now));
-        const attempt = attempts.startAttempt({
+    ): attempts.AttemptOptions => {
+        const { upstream } = target;
+        const remaining = Math.max(1, Math.floor(state.deadlineAt - timers.now()));
+        return {
             timers,
             connections: target.connections,
             host: upstream.host,
@@ -132,26 +128,18 @@
             },
             onTransferred: transfer =>
                 options.traffic.add(foundation.TrafficPurpose.request, pool.reachOf(target), transfer),
-        });
-        state.currentAttempt = attempt;
-        target.openAttempts.add(attempt);
-        // A request that may run only once is not sent again, so its response is waited for.
-        const silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
-            ? abortIfSilent(state, target, outstandingAttempt, attempt)
-            : undefined;
-        const result = await attempt.result;
-        silenceCheck?.cancel();
-        target.openAttempts.delete(attempt);
-        state.currentAttempt = undefined;
-        if (result.kind === "unknown") {
-            state.mayHaveRun = true;
-        }
-        if (result.kind === "notRun" && result.isMisdirected) {
-            state.misdirectedToken = state.decision?.token;
-        }
-        const report = result.kind === "unknown" ? undefined : result.report;
-        const signal = state.isFinished ? upstreamHealth.HealthSignal.none : healthSignalOf(result);
-        health.recordResult(outstandingAttempt, signal, report, timers.now());
+        };
+    };
+
+    /** Updates the request and the upstream's records with a result; its attempt is no longer outstanding. */
+    const applyResult = (
+        state: requestState.RequestState,
+        { upstream, window }: upstreamPool.PooledUpstream,
+        limit: concurrencyWindow.QueueLimit,
+        result: attempts.AttemptResult,
+        signal: upstreamHealth.HealthSignalValue,
+    ): void => {
+        const report = reportOf(result);
         if (signal === upstreamHealth.HealthSignal.shed && (report?.waiting ?? 0) > 0) {
             pool.onRefusal(upstream.service);
         }
@@ -172,6 +160,49 @@
                 queue: report === undefined ? undefined : report.running + report.waiting,
             });
         }
+    };
+
+    return async (state, target, limit, body) => {
+        const { upstream, health } = target;
+        const attemptOptions = toAttemptOptions(state, target, body);
+        const now = timers.now();
+        const outstandingAttempt = health.recordStart(now);
+        let attempt: attempts.Attempt | undefined;
+        let silenceCheck: foundation.Subscription | undefined;
+        let result: attempts.AttemptResult | undefined;
+        let signal: upstreamHealth.HealthSignalValue = upstreamHealth.HealthSignal.none;
+        try {
+            target.window.onSent(now);
+            state.attemptCount += 1;
+            state.triedUpstreams.add(upstream.identifier);
+            state.notifiedBy = undefined;
+            attempt = attempts.startAttempt(attemptOptions);
+            state.currentAttempt = attempt;
+            target.openAttempts.add(attempt);
+            // A request that may run only once is not sent again, so its response is waited for.
+            silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
+                ? abortIfSilent(state, target, outstandingAttempt, attempt)
+                : undefined;
+            result = await attempt.result;
+            signal = state.isFinished ? upstreamHealth.HealthSignal.none : healthSignalOf(result);
+        }
+        finally {
+            health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
+            state.currentAttempt = undefined;
+            if (attempt !== undefined) {
+                target.openAttempts.delete(attempt);
+                // Without a result, nothing else would end the attempt.
+                attempt.cancel(requestState.FailureReason.internalError);
+            }
+            silenceCheck?.cancel();
+        }
+        if (result.kind === "unknown") {
+            state.mayHaveRun = true;
+        }
+        if (result.kind === "notRun" && result.isMisdirected) {
+            state.misdirectedToken = state.decision?.token;
+        }
+        applyResult(state, target, limit, result, signal);
         return result;
     };
 };
