Relay: a repeated refusal of an earlier request holds off no upstream

Cause: the notice in the head of a response was applied before the check that the response belongs to the request of the attempt.

Callers saw: an upstream that sent a 503 with Retry-After of an earlier request once more got no requests for that whole time again, although it was sound; without another upstream, callers were refused.

Change: a hold-off counts only if the response has the identifier of the request, or none and its connection is new. Server-Leaving counts in every response: an upstream that is leaving stays so.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -137,15 +137,31 @@
     return !isBodiless && headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
 };
 
-/** Applies what the head of a response says of the upstream and the connection; returns the upstream's load. */
-const applyHead = (
+/**
+ * Returns what the head of a response says of its upstream. An upstream that is leaving stays so, but the time of a hold-off has begun
+ * with the response: if it is sent once more, it must not begin again.
+ */
+const noticeOf = (
     response: http.IncomingMessage,
-    { connections, onNotice }: AttemptOptions,
-): upstreamHealth.LoadReport | undefined => {
+    mayBeRepeated: boolean,
+): upstreamNotice.UpstreamNotice | undefined => {
     const notice = upstreamNotice.parseNotice(
         response.statusCode ?? 0,
         name => firstValue(response.headers[name]),
     );
+    if (notice === undefined || !mayBeRepeated) {
+        return notice;
+    }
+    return notice.isLeaving ? { ...notice, holdOffMilliseconds: 0 } : undefined;
+};
+
+/** Applies what the head of a response says of the upstream and the connection; returns the upstream's load. */
+const applyHead = (
+    response: http.IncomingMessage,
+    { connections, requestIdentifier, onNotice }: AttemptOptions,
+    isNewConnection: boolean,
+): upstreamHealth.LoadReport | undefined => {
+    const notice = noticeOf(response, !belongsTo(response, requestIdentifier, isNewConnection));
     if (notice !== undefined) {
         onNotice?.(notice);
     }
@@ -363,7 +379,7 @@
             "response",
             guard(response => {
                 currentResponse = response;
-                const report = applyHead(response, options);
+                const report = applyHead(response, options, isNewConnection);
                 const isRequestUnfinished = !request.writableFinished;
                 const hasLength = response.headers["content-length"] !== undefined;
                 const isCloseDelimited = endsWithConnection(response, options.method);
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -53,6 +53,37 @@
         });
     });
 
+    const heldOff = "Retry-After: 60";
+    const notices: [string, string[], number][] = [
+        ["of another request does not hold off a sound upstream once more", ["Request-Id: another", heldOff], 200],
+        ["without an identifier does not hold off a sound upstream once more", [heldOff], 200],
+        ["of another request tells that its upstream is leaving", ["Request-Id: another", "Server-Leaving: 1"], 503],
+    ];
+    for (const [what, noticeHeaders, status] of notices) {
+        test.it(`may get an earlier refusal: one ${what}`, () => {
+            const behaviours = [sendBeforeResponse(() => refusal(...noticeHeaders))];
+            return withRelay({ behaviours }, async fixture => {
+                const statuses: number[] = [];
+                for (const identifier of ["request-1", "request-2", "request-3"]) {
+                    statuses.push((await fixture.sendRequest({ identifier, body: order })).status);
+                }
+                earl.expect(statuses).toEqual([200, 502, status]);
+                earl.expect(fixture.requestCounts()).toEqual([status === 200 ? 3 : 2]);
+            });
+        });
+    }
+
+    test.it("holds off its upstream by a refusal without an identifier if it was the first on its connection", () => {
+        const refuseAll: relayFixture.Behaviour = ({ socket }) => {
+            socket.write(refusal(heldOff));
+        };
+        return withRelay({ behaviours: [refuseAll] }, async fixture => {
+            earl.expect((await fixture.sendRequest({ body: order })).status).toEqual(503);
+            earl.expect((await fixture.sendRequest({ body: order })).status).toEqual(503);
+            earl.expect(fixture.requestCounts()).toEqual([1]);
+        });
+    });
+
     test.it("is never not run when earlier refusals arrive at any moment", () => {
         const random = foundation.createRandom(7);
         const running = new Map<string, number>();
