Inner protocol: a message that cannot be queued closes the connection

Cause: `send` of a routing connection dropped messages, unlogged, while 4 MB were unsent. A follower takes the end that it was told last on a connection for the start of the next news, so it took the news after the dropped ones for all that there were, and never read the store for the gap, as each heartbeat confirmed its state. Dropped routing was lost likewise. Callers saw: requests at upstreams that were gone, or that held a key no longer, through an instance behind a slow path. Change: `send` closes the connection then, with the event `peer-disconnected` and its reason; so do undecodable messages, which were not logged. What a closed connection means to the senders: leader to follower: the follower connects again within 150 ms, gets all routing and the topics that it does not know; where it knows a topic up to an earlier end, the first position on the new connection is a gap, which it reads from the store once its state is too old. Follower to leader: join and stopping are sent anew on each connection, leaving upstreams are in each report; the samples of one report are lost, as they are without a connection. Left alone: `messageConnection` (packages/instance), whose messages may be lost by contract, as they are without a connection.

--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -126,6 +126,7 @@
     const accept = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
             failures: options.failures,
+            log: options.log,
             onMessage: message => {
                 const session = options.session();
                 if (session === undefined) {
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -14,6 +14,7 @@
     /** Where this instance accepts requests of the other instances of its failure domain. */
     delegate: protocol.Delegate;
     timers: foundation.TimerService;
+    log: foundation.EventLog;
     failures: foundation.FailureBoundary;
     onRouting: (message: Extract<protocol.RoutingMessage, { kind: "routing"; }>) => void;
     topics: topicExchange.TopicExchange;
@@ -153,6 +154,7 @@
         const topicEnds = new Map<string, number>();
         const connection = protocol.createRoutingConnection(socket, {
             failures: options.failures,
+            log: options.log,
             onMessage: message => onMessage(message, leader, topicEnds),
             onClose: code => {
                 if (openConnection?.connection === connection) {
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -163,6 +163,7 @@
         failureDomain,
         delegate,
         timers,
+        log,
         failures,
         onDelegates,
         onRouting: keyOwners.applyMessage,
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -13,6 +13,7 @@
 
 const host = "127.0.0.1";
 const topic = "keyed.servers";
+const discardingLog: foundation.EventLog = { write: () => undefined, sample: () => undefined };
 
 interface Follower {
     link: leaderLink.LeaderLink;
@@ -52,6 +53,7 @@
         failureDomain: "north-a",
         delegate: createDelegate("follower"),
         timers,
+        log: discardingLog,
         failures,
         onRouting: () => undefined,
         topics: {
@@ -77,6 +79,7 @@
         failureDomain,
         delegate: createDelegate(identifier),
         timers,
+        log: discardingLog,
         failures: foundation.createTransparentFailureBoundary(),
         onRouting: () => undefined,
         topics: {
@@ -133,7 +136,7 @@
             onDelegates: delegates => {
                 ownDelegates = delegates;
             },
-            log: { write: () => undefined, sample: () => undefined },
+            log: discardingLog,
             failures: foundation.createTransparentFailureBoundary(),
             onTransferred: (kind, failureDomain, { sentBytes, receivedBytes }) => {
                 const name = `${kind} ${failureDomain}`;
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -21,6 +21,7 @@
     "order",
     "owner-ended",
     "ownership-read-failed",
+    "peer-disconnected",
     "record-unreadable",
     "request-answered",
     "request-failed",
--- a/packages/protocol/src/routingConnection.ts
+++ b/packages/protocol/src/routingConnection.ts
@@ -11,11 +11,16 @@
     onClose: (reason: string | undefined) => void;
     /** Records exceptions of the handlers; one that is thrown for a message closes the connection. */
     failures: foundation.FailureBoundary;
+    /** Receives an event when this side closes the connection because of an error. */
+    log: foundation.EventLog;
     /** Called with the bytes of messages; those that arrive together count for the first one's kind. */
     onTransferred?: (kind: string, transfer: foundation.Transfer) => void;
 }
 
-/** Sends messages; they are dropped after the connection is closed and while too many bytes are unsent. */
+/**
+ * Sends messages in order and without gaps: a message that cannot be queued because too many bytes are unsent closes the connection.
+ * Messages are dropped once the connection is closed.
+ */
 export interface RoutingConnection {
     send: (message: messages.RoutingMessage) => void;
     close: () => void;
@@ -45,8 +50,10 @@
         closeReason = (error as NodeJS.ErrnoException).code;
     });
     const { failures } = handlers;
+    const peerAddress = (): string => `${socket.remoteAddress}:${socket.remotePort}`;
     socket.on("close", () => failures.run("peer connection", () => handlers.onClose(closeReason)));
     const fail = (reason: string): void => {
+        handlers.log.write("peer-disconnected", { peer: peerAddress(), reason });
         closeReason = reason;
         socket.destroy();
     };
@@ -69,8 +76,7 @@
                 handlers.onMessage(message.val);
             }
             catch (error) {
-                const peer = `${socket.remoteAddress}:${socket.remotePort}`;
-                failures.report("peer message", error, { peer, kind: message.val.kind });
+                failures.report("peer message", error, { peer: peerAddress(), kind: message.val.kind });
                 fail("internal error");
                 return;
             }
@@ -78,11 +84,16 @@
     });
     return {
         send: message => {
-            if (socket.writable && socket.writableLength < maxUnsentBytes) {
-                const frame = frames.encodeFrame(message);
-                socket.write(frame);
-                handlers.onTransferred?.(message.kind, { sentBytes: frame.length, receivedBytes: 0 });
+            if (!socket.writable) {
+                return;
+            }
+            if (socket.writableLength >= maxUnsentBytes) {
+                fail("too many unsent bytes");
+                return;
             }
+            const frame = frames.encodeFrame(message);
+            socket.write(frame);
+            handlers.onTransferred?.(message.kind, { sentBytes: frame.length, receivedBytes: 0 });
         },
         close: () => socket.destroySoon(),
     };
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -41,6 +41,7 @@
             };
             const handlers: protocol.RoutingConnectionHandlers = {
                 failures,
+                log: { write: () => undefined, sample: () => undefined },
                 onMessage: () => messageCount += 1,
                 onClose: throwing,
             };
@@ -61,6 +62,51 @@
     }
 });
 
+test.describe("a routing connection to a peer that does not read", () => {
+    test.it("is closed instead of dropping messages once too much is unsent", async () => {
+        const owner = foundation.createOwner();
+        const events: unknown[] = [];
+        const closeReasons: unknown[] = [];
+        const padding = "x".repeat(1024 * 1024);
+        const server = net.createServer(socket => {
+            const connection = protocol.createRoutingConnection(socket, {
+                failures: foundation.createTransparentFailureBoundary(),
+                log: { write: (...[event, fields]) => events.push([event, fields?.reason]), sample: () => undefined },
+                onMessage: () => undefined,
+                onClose: reason => closeReasons.push(reason),
+            });
+            for (let index = 0; index < 64; index += 1) {
+                connection.send({ kind: "routing", service: `${index} ${padding}`, owners: [], changes: [] });
+            }
+        });
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+        owner.onCleanup(() => {
+            server.close();
+            socket.destroy();
+        });
+        try {
+            const isClosed = new Promise(resolve => socket.once("close", resolve));
+            socket.on("error", () => undefined);
+            await new Promise(resolve => socket.once("connect", resolve));
+            await new Promise(resolve => setTimeout(resolve, 200));
+            const decoder = protocol.createFrameDecoder();
+            const received: number[] = [];
+            socket.on("data", bytes => {
+                const values = decoder.push(bytes).unwrap() as { service: string; }[];
+                received.push(...values.map(({ service }) => Number(service.split(" ")[0])));
+            });
+            await isClosed;
+            earl.expect(events).toEqual([["peer-disconnected", "too many unsent bytes"]]);
+            earl.expect(closeReasons).toEqual(["too many unsent bytes"]);
+            earl.expect(received).toEqual([...received.keys()]);
+        }
+        finally {
+            await owner.dispose();
+        }
+    });
+});
+
 test.describe("a routing message with numbers out of range", () => {
     const delegate = { identifier: "a", host: "127.0.0.1", port: 7201 };
     const report = { kind: "report", samples: [], speeds: [] };
