Leader link: a leader that sends heartbeats again is not unavailable

Cause: `unavailableLeader` was set when the address of the leader refused a connection or responded that it does not lead, and never cleared. Callers saw: a short pause of the heartbeats of a leader that had once refused a connection counted as its loss at once instead of after 1.6 s without a new record, so leaders changed without need. Change: a heartbeat of that leader clears it.

Evidence: both tests of followers.test.ts failed without the change: 'The value ["leader", "leader", "leader"] is not equal to ["leader", undefined, "leader"]' and 'The value ["leader", "leader"] is not equal to ["leader", undefined]'. Result: followers.test.ts passes.

--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -34,7 +34,7 @@
     lastConfirmedAt: () => number;
     /** Time at which the store confirmed the leader record of the latest heartbeat; undefined for any other record. */
     confirmationTimeOf: (record: assignment.LeaderRecord) => number | undefined;
-    /** Identifier of the last leader whose address refused a connection or responded that it does not lead. */
+    /** Identifier of the last leader whose address refused a connection or responded that it does not lead, until it sends a heartbeat. */
     unavailableLeader: () => string | undefined;
     /** Number of instances of the site, as reported by the leader. */
     instanceCount: () => number;
@@ -121,6 +121,7 @@
             case protocol.RoutingMessageKind.beat:
                 message.topics.forEach(position => onTopicPosition(topicEnds, position, []));
                 lastHeartbeatAt = timers.now();
+                unavailableLeader = unavailableLeader === leader.identifier ? undefined : unavailableLeader;
                 confirmedAt = lastHeartbeatAt - message.proofAge;
                 lastConfirmedAt = Math.max(lastConfirmedAt, confirmedAt);
                 confirmedRecord = { identifier: leader.identifier, recordNumber: message.record };
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -1,7 +1,7 @@
 /** What a leader sends to its followers when they join, stop and disconnect. */
 import type * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
-import type * as protocol from "@mulberryseam/protocol";
+import * as protocol from "@mulberryseam/protocol";
 import * as siteModule from "@mulberryseam/site";
 import * as earl from "earl";
 import * as net from "node:net";
@@ -236,4 +236,50 @@
         link.close();
         server.close();
     });
+
+    /** Follows a leader whose process responds to each join with the next message, or refuses the connection. */
+    const followThrough = async (
+        responses: (protocol.RoutingMessage | "refusal")[],
+    ): Promise<(string | undefined)[]> => {
+        const [port] = await siteModule.reservePorts(1);
+        const link = createLink(foundation.createTimerService(), foundation.createTransparentFailureBoundary());
+        const unavailableLeaders: (string | undefined)[] = [];
+        for (const response of responses) {
+            const sockets: net.Socket[] = [];
+            const server = net.createServer(socket => {
+                sockets.push(socket);
+                socket.on("error", () => undefined);
+                socket.once("data", () => socket.write(protocol.encodeFrame(response)));
+            });
+            if (response !== "refusal") {
+                await foundation.listenOn(server, host, port);
+            }
+            const following = setInterval(() => link.follow(createLeaderRecord(port)), 20);
+            await new Promise(resolve => setTimeout(resolve, 500));
+            unavailableLeaders.push(link.unavailableLeader());
+            clearInterval(following);
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+            // The follower connects no more often than this.
+            await new Promise(resolve => setTimeout(resolve, 200));
+        }
+        link.close();
+        return unavailableLeaders;
+    };
+    const beat: protocol.RoutingMessage = {
+        kind: "beat",
+        term: 1,
+        record: 1,
+        proofAge: 0,
+        instances: 2,
+        topics: [],
+    };
+
+    test.it("does not call a leader unavailable that sends heartbeats after its address refused a connection", async () => {
+        earl.expect(await followThrough(["refusal", beat, "refusal"])).toEqual(["leader", undefined, "leader"]);
+    });
+
+    test.it("does not call a leader unavailable that sends heartbeats after it said that it does not lead", async () => {
+        earl.expect(await followThrough([{ kind: "notLeader" }, beat])).toEqual(["leader", undefined]);
+    });
 });
