Leadership: records that cannot be read are not records that do not exist

Cause: an unreadable leader record counted as no leader, so its successor waited neither for its commands nor for its leases before it moved keys. An unreadable assignment counted as none, so the next leader granted all keys 2.5 s after its start, while leases of up to 10 s ran, with tokens from 1 on, which are below those that other upstreams had. Callers could see: two upstreams with the same keys. Only a record of another writer to this topic, as a program of another version, gets there: what this program writes it can read. Not seen on a site. Without a readable leader the successor assumes one that led until now and granted the longest leases. A service with an unreadable assignment gets its first plan when these leases have ended, with tokens above any that the appends so far can have used (64 Ki for each record). Not changed: an instance still campaigns at once where the leader record is unreadable, so two versions may take turns in leading.

Evidence: three tests of campaign.test.ts failed before: "The value false is not equal to true" (end of the leader's commands; first grant after the leases, for both kinds of leader record). The tokens were checked only after the change. Result: packages/entry 74 pass, at 3 test files at a time.

--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -35,6 +35,23 @@
     confirmation: LeadershipConfirmation;
 }
 
+/** Returns what is assumed of the previous leader if records cannot be read: it may have led until now and granted the longest leases. */
+const assumePreviousLeader = (maxLeaseMilliseconds: number, now: number): assignment.PreviousLeader => ({
+    record: {
+        identifier: "",
+        host: "",
+        port: 0,
+        term: 0,
+        beat: 0,
+        isResigned: false,
+        longestLeaseMilliseconds: maxLeaseMilliseconds,
+        previousCommandsMilliseconds: 0,
+        previousLeasesMilliseconds: 0,
+    },
+    recordSeenAt: now,
+    terminatedBy: undefined,
+});
+
 /**
  * Appends a leader record of this instance, unless another record was appended after the topic was read.
  *
@@ -50,11 +67,13 @@
     // A leader record with the host of this instance was written by an earlier process of it. A refused connection proves
     // nothing: the path may be cut. Neither does the response that a process does not lead: it may learn later that it has won.
     const hasTerminated = stored.leader?.host === host;
-    const previousLeaders = assignment.previousLeaderTimes({
+    const isUnknown = stored.leader === undefined && stored.unreadableKeys.size > 0;
+    const previousLeader = isUnknown ? assumePreviousLeader(maxLeaseMilliseconds, timers.now()) : {
         record: stored.leader,
         recordSeenAt: watch.unchangedSince(),
         terminatedBy: hasTerminated ? timers.now() : undefined,
-    }, maxLeaseMilliseconds);
+    };
+    const previousLeaders = assignment.previousLeaderTimes(previousLeader, maxLeaseMilliseconds);
     const record: assignment.LeaderRecord = {
         identifier,
         host,
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -257,6 +257,16 @@
         return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
     };
 
+    /** An assignment that cannot be read has holders and tokens that are not known. */
+    const isUnreadable = (service: string): boolean =>
+        options.snapshot.unreadableKeys.has(assignment.assignmentKey(service));
+
+    const createFirstAssignment = (service: string, keysPerRange: number): assignment.ServiceAssignment => {
+        const empty = assignment.createEmptyAssignment(service, keysPerRange);
+        // No append uses more tokens than there are keys, and each one has a record at least.
+        return isUnreadable(service) ? { ...empty, nextToken: 1 + options.snapshot.end * assignment.keyCount } : empty;
+    };
+
     const planService = (name: string): assignment.ServiceAssignment | undefined => {
         const keyedService = findOrCreate(services, name);
         const { leaseManager, load } = keyedService;
@@ -265,9 +275,15 @@
             return undefined;
         }
         const candidates = listCandidates(name, keyedService);
+        if (
+            settledAssignment === undefined && isUnreadable(name)
+            && timers.now() < options.previousLeaders.previousLeasesUntil
+        ) {
+            return undefined;
+        }
         const initialRangeKeys = Math.ceil(assignment.keyCount / assignment.initialRangeCount(candidates.length));
         return assignment.balance({
-            assignment: settledAssignment ?? assignment.createEmptyAssignment(name, initialRangeKeys),
+            assignment: settledAssignment ?? createFirstAssignment(name, initialRangeKeys),
             candidates,
             loadSums: load.prefixSums(),
             isMoving: leaseManager.isMoving,
--- a/packages/entry/src/ownershipReader.ts
+++ b/packages/entry/src/ownershipReader.ts
@@ -8,6 +8,8 @@
     leader: assignment.LeaderRecord | undefined;
     /** Assignments by name of the service. */
     assignments: Map<string, assignment.ServiceAssignment>;
+    /** Keys of records that cannot be decoded: there is a leader or an assignment, but nothing is known of it. */
+    unreadableKeys: Set<string>;
     /** Offset at which the next record is appended. */
     end: number;
 }
@@ -24,9 +26,11 @@
     log: foundation.EventLog,
 ): Promise<OwnershipSnapshot> => {
     const { records, end } = await store.readSnapshot(platform.Topic.ownership);
-    const snapshot: OwnershipSnapshot = { leader: undefined, assignments: new Map(), end };
-    const logUnreadable = (key: string, reason: string): void =>
+    const snapshot: OwnershipSnapshot = { leader: undefined, assignments: new Map(), unreadableKeys: new Set(), end };
+    const onUnreadable = (key: string, reason: string): void => {
+        snapshot.unreadableKeys.add(key);
         log.write("record-unreadable", { topic: platform.Topic.ownership, key, reason });
+    };
     for (const { key, value } of records) {
         const service = assignment.serviceOfKey(key);
         if (value === undefined) {
@@ -38,7 +42,7 @@
                 snapshot.leader = leader.val;
             }
             else {
-                logUnreadable(key, leader.val);
+                onUnreadable(key, leader.val);
             }
         }
         else if (service !== undefined) {
@@ -47,7 +51,7 @@
                 snapshot.assignments.set(service, decoded.val);
             }
             else {
-                logUnreadable(key, decoded.val);
+                onUnreadable(key, decoded.val);
             }
         }
     }
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -41,9 +41,13 @@
     lead: () => Promise<campaign.WonCampaign>;
     /** Stores the record of another leader. */
     storeLeader: (host: string) => void;
+    /** Replaces the value of a record by bytes that are not one. */
+    makeUnreadable: (key: string) => void;
     run: (milliseconds: number) => Promise<void>;
     /** Times of the grants, on the monotonic clock. */
     grantTimes: number[];
+    /** Tokens of all grants. */
+    grantTokens: number[];
 }
 
 const createCampaignFixture = (): CampaignFixture => {
@@ -87,9 +91,11 @@
         close: () => undefined,
     };
     const grantTimes: number[] = [];
+    const grantTokens: number[] = [];
     const leaseClient: platform.LeaseClient = {
-        grant: async () => {
+        grant: async (...[, { token }]) => {
             grantTimes.push(timers.now());
+            grantTokens.push(token);
             await foundation.pause(timers, 5);
             return { result: "done", handover: undefined, isLeaving: false, reason: "" };
         },
@@ -168,8 +174,12 @@
             };
             stored.set(assignment.leaderKey, assignment.encodeLeader(record));
         },
+        makeUnreadable: key => {
+            stored.set(key, Buffer.from("unreadable"));
+        },
         run,
         grantTimes,
+        grantTokens,
     };
 };
 
@@ -195,6 +205,35 @@
         );
     });
 
+    test.it("waits for the commands and leases of a leader whose record it cannot read", async () => {
+        const fixture = createCampaignFixture();
+        fixture.makeUnreadable(assignment.leaderKey);
+        const storedBy = fixture.timers.now();
+        const { previousLeaders } = await fixture.lead();
+        const commandsUntil = storedBy + assignment.leaderLeaseMilliseconds;
+        earl.expect(previousLeaders.previousCommandsUntil > commandsUntil).toEqual(true);
+        earl.expect(previousLeaders.previousLeasesUntil > commandsUntil + maxLeaseMilliseconds).toEqual(true);
+    });
+
+    for (const isLeaderReadable of [true, false]) {
+        const leader = isLeaderReadable ? "another" : "an unreadable";
+        test.it(`after ${leader} leader grants keys of an assignment that it cannot read after all leases, with a higher token`, async () => {
+            const fixture = createCampaignFixture();
+            fixture.storeLeader("127.0.0.2");
+            if (!isLeaderReadable) {
+                fixture.makeUnreadable(assignment.leaderKey);
+            }
+            fixture.makeUnreadable(assignment.assignmentKey("records"));
+            const storedBy = fixture.timers.now();
+            await fixture.lead();
+            await fixture.run(20_000);
+            const leasesUntil = storedBy + assignment.leaderLeaseMilliseconds + maxLeaseMilliseconds;
+            earl.expect(fixture.grantTimes.length > 0).toEqual(true);
+            earl.expect(Math.min(...fixture.grantTimes) > leasesUntil).toEqual(true);
+            earl.expect(Math.min(...fixture.grantTokens) > assignment.keyCount).toEqual(true);
+        });
+    }
+
     test.it("stops sending commands when a successor expects it to, even if the response to its first append was late", async () => {
         const fixture = createCampaignFixture();
         const sentAt = fixture.timers.now();
