Entry tests: one fixture, whose instances have a network of their own

Cause: three test files wrote settings files and registry entries of their own, with fixed addresses (127.0.0.1 to 127.0.0.3, metrics port 9464); processes inherited the test's error output and, after a test killed by its time limit, outlived it; the end of a process and responses were awaited without limit. What callers saw: two runs on one machine read each other's metrics; a runner that waits for the output of a process that nobody ends. Error output is piped, processes are killed when the test's process ends, and every wait is bounded. Odd-input tests name the reason of a response that is no 200.

--- a/packages/entry/test/oddInputs.test.ts
+++ b/packages/entry/test/oddInputs.test.ts
@@ -9,7 +9,6 @@
 
 const digits = "9".repeat(400);
 const nested = "[".repeat(100_000) + "]".repeat(100_000);
-const hosts = ["127.0.0.1", "127.0.0.2"];
 
 /** Plays an input while requests are in flight; expects that they are answered and that the instances go on serving. */
 const expectToGoOn = async (
@@ -21,8 +20,8 @@
     await play();
     await new Promise(resolve => setTimeout(resolve, 100));
     pending.push(...site.instances.map(instance => site.send(instance)));
-    const statuses = (await Promise.all(pending)).map(({ status }) => status);
-    earl.expect([name, ...statuses]).toEqual([name, ...statuses.map(() => 200)]);
+    const outcomes = (await Promise.all(pending)).map(entrySite.describeOutcome);
+    earl.expect([name, ...outcomes]).toEqual([name, ...outcomes.map(() => 200)]);
     earl.expect([name, ...site.instances.map(instance => instance.isRunning())]).toEqual([name, true, true]);
 };
 
@@ -171,7 +170,7 @@
 
 test.describe("odd input", () => {
     test.it("does not end the instances, their requests or what they follow", () =>
-        entrySite.withEntrySite({ hosts, serviceTimeMilliseconds: 150 }, async site => {
+        entrySite.withEntrySite({ instances: 2, serviceTimeMilliseconds: 150 }, async site => {
             const { instances, store } = site;
             for (const [name, change] of documents) {
                 await expectToGoOn(site, name, () => {
@@ -208,9 +207,10 @@
         }));
 
     test.it("of one upstream ends neither the instances nor the requests at the sound ones", () =>
-        entrySite.withEntrySite({ hosts, serviceTimeMilliseconds: 150 }, async site => {
+        entrySite.withEntrySite({ instances: 2, serviceTimeMilliseconds: 150 }, async site => {
             for (const [name, head] of upstreamHeads) {
                 const owner = foundation.createOwner();
+                site.owner.onCleanup(owner.dispose);
                 const port = await startOddUpstream(head, owner);
                 const entry = entrySite.createRegistryEntry({ address: `127.0.0.1:${port}` });
                 site.store.put("keyed.servers", "odd", JSON.stringify(entry));
--- a/packages/entry/test/processSignals.test.ts
+++ b/packages/entry/test/processSignals.test.ts
@@ -6,7 +6,8 @@
 import * as test from "node:test";
 import * as entrySite from "./fixtures/entrySite";
 
-const host = "127.0.0.1";
+/** Time until a program that should have ended is killed, in milliseconds; only one that hangs reaches it. */
+const maxProgramMilliseconds = 60_000;
 
 /** Response of an instance whose process gets too little processor time, which says nothing about the requests in flight. */
 const overloadedResponse: entrySite.EntryResponse = { status: 503, body: "the instance is behind with its work\n" };
@@ -57,7 +58,7 @@
     instance.child.kill("SIGHUP");
     earl.expect((await inFlight).status).toEqual(200);
     instance.child.kill("SIGTERM");
-    earl.expect(await instance.exited).toEqual(0);
+    earl.expect(await instance.exited()).toEqual(0);
 };
 
 /** Whether the process handles SIGHUP, the first bit of its set of handled signals. */
@@ -77,7 +78,7 @@
     ];
 
     test.it("goes on when its output has no reader and when it rereads odd settings, and then stops", () =>
-        entrySite.withEntrySite({ hosts: [host], serviceTimeMilliseconds: 200 }, async site => {
+        entrySite.withEntrySite({ instances: 1, serviceTimeMilliseconds: 200 }, async site => {
             for (const [, text] of oddSettings) {
                 await expectToGoOn(site, ({ child, settingsFile }) => {
                     fs.writeFileSync(settingsFile, text);
@@ -98,7 +99,7 @@
                 child.stdout?.destroy();
             });
             // Each failed request writes a line to the closed output.
-            await expectToGoOn(site, ({ callerPort }) => {
+            await expectToGoOn(site, ({ host, callerPort }) => {
                 for (let count = 0; count < 20; count += 1) {
                     net.connect(callerPort, host, function onConnect(this: net.Socket) {
                         this.end("GET /unknown/ HTTP/1.1\r\nHost: unknown.example\r\n\r\n");
@@ -111,7 +112,7 @@
 
     test.it("goes on after exceptions that nothing has caught, and writes where they come from", () =>
         entrySite.withEntrySite({
-            hosts: [host],
+            instances: 1,
             serviceTimeMilliseconds: 200,
             preloaded: "packages/entry/test/fixtures/throwOnSignal.ts",
         }, async site => {
@@ -122,29 +123,34 @@
                 await site.waitForLine(line => line.event === "internal-error" && line.part === part);
             }
             const line = site.instances[0].lines.find(({ event }) => event === "internal-error");
-            earl.expect([line?.instance, line?.message]).toEqual([`entry-${host}`, "thrown by the test"]);
+            earl.expect([line?.instance, line?.message]).toEqual([
+                `entry-${site.instances[0].host}`,
+                "thrown by the test",
+            ]);
             earl.expect(String(line?.stack)).toEqual(earl.expect.includes("throwOnSignal.ts"));
             await expectToStop(site);
         }));
 
     test.it("ends cleanly on SIGTERM while it starts, and is not ended by SIGHUP", () =>
-        entrySite.withEntrySite({ hosts: [], serviceTimeMilliseconds: 0 }, async site => {
+        entrySite.withEntrySite({ instances: 0, serviceTimeMilliseconds: 0 }, async site => {
             for (const delayMilliseconds of [0, 100]) {
-                const instance = await site.startInstance(host);
+                const instance = await site.startInstance();
                 await entrySite.waitUntil(() => isSignalHandled(instance), "the signals are handled");
                 instance.child.kill("SIGHUP");
                 await new Promise(resolve => setTimeout(resolve, delayMilliseconds));
                 instance.child.kill("SIGTERM");
-                earl.expect([delayMilliseconds, await instance.exited]).toEqual([delayMilliseconds, 0]);
+                earl.expect([delayMilliseconds, await instance.exited()]).toEqual([delayMilliseconds, 0]);
             }
         }));
 
     test.it("ends with a status and a line of the log if its port is taken", () =>
-        entrySite.withEntrySite({ hosts: [host], serviceTimeMilliseconds: 0 }, async site => {
+        entrySite.withEntrySite({ instances: 1, serviceTimeMilliseconds: 0 }, async site => {
             const [first] = site.instances;
             const child = childProcess.spawn(process.execPath, ["--import", "tsx", "packages/entry/src/main.ts"], {
                 env: { ...process.env, MULBERRYSEAM_SETTINGS: first.settingsFile },
                 stdio: ["ignore", "pipe", "ignore"],
+                killSignal: "SIGKILL",
+                timeout: maxProgramMilliseconds,
             });
             let output = "";
             child.stdout.on("data", chunk => {
--- a/packages/entry/test/registryEntries.test.ts
+++ b/packages/entry/test/registryEntries.test.ts
@@ -36,7 +36,7 @@
 
 test.describe("an odd registry entry", () => {
     test.it("does not end the instances, their requests or the reading of the entries after it", () =>
-        entrySite.withEntrySite({ hosts: ["127.0.0.1", "127.0.0.2"], serviceTimeMilliseconds: 100 }, async site => {
+        entrySite.withEntrySite({ instances: 2, serviceTimeMilliseconds: 100 }, async site => {
             const { instances, store } = site;
             for (const instance of instances) {
                 await entrySite.waitUntil(async () => {
@@ -55,8 +55,8 @@
                     // More requests than the sound upstream has slots, so that every upstream is considered.
                     pending.push(...Array.from({ length: burst }, () => site.send(instance)));
                 }
-                const statuses = (await Promise.all(pending)).map(({ status }) => status);
-                earl.expect([name, ...statuses]).toEqual([name, ...statuses.map(() => 200)]);
+                const outcomes = (await Promise.all(pending)).map(entrySite.describeOutcome);
+                earl.expect([name, ...outcomes]).toEqual([name, ...outcomes.map(() => 200)]);
                 earl.expect(instances.map(instance => instance.isRunning())).toEqual([true, true]);
             }
             // The others of the list are odd only in fields that the platform does not define.
