Tests: bounded waits, and servers are closed also when a test fails

Cause: some tests waited in loops without a bound, or closed their servers and connections only after the last check; if a check failed, the file's process did not end. What callers saw: nothing yet known; found by reading. No check is changed.

--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -25,8 +25,15 @@
 const identifiersOf = (delegates: readonly protocol.Delegate[]): string[] =>
     delegates.map(delegate => delegate.identifier).sort();
 
+/** Maximum wait for any condition, in milliseconds; it only stops a test that hangs. */
+const maxWaitMilliseconds = 60_000;
+
 const waitFor = async (condition: () => boolean): Promise<void> => {
+    const deadline = performance.now() + maxWaitMilliseconds;
     while (!condition()) {
+        if (performance.now() > deadline) {
+            throw new Error(`waited in vain: ${condition.toString()}`);
+        }
         await new Promise(resolve => setTimeout(resolve, 5));
     }
 };
@@ -217,20 +224,25 @@
 });
 
 test.describe("a follower", () => {
-    test.it("does not throw for a leader record with a port out of range, and follows the next leader", async () => {
+    test.it("does not throw for a leader record with a port out of range, and follows the next leader", async context => {
         const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
         const link = createLink(foundation.createTimerService(), failures);
         const server = net.createServer();
-        const isFollowed = new Promise(resolve => server.once("connection", resolve));
+        let isFollowed = false;
+        server.once("connection", () => {
+            isFollowed = true;
+        });
         await foundation.listenOn(server, host, 0);
+        context.after(() => {
+            link.close();
+            server.close();
+        });
         const { port } = server.address() as net.AddressInfo;
         const record = createLeaderRecord(80_800);
         link.follow(record);
         earl.expect([...failures.counts()]).toEqual([["leader record", 1]]);
         const following = setInterval(() => link.follow({ ...record, identifier: "next", port }), 20);
-        await isFollowed;
-        clearInterval(following);
-        link.close();
-        server.close();
+        context.after(() => clearInterval(following));
+        await waitFor(() => isFollowed);
     });
 });
--- a/packages/protocol/test/protocol.test.ts
+++ b/packages/protocol/test/protocol.test.ts
@@ -162,8 +162,9 @@
 });
 
 test.describe("a peer client", () => {
-    test.it("does not schedule a reconnection once it is disposed", async () => {
+    test.it("does not schedule a reconnection once it is disposed", async context => {
         const owner = foundation.createOwner();
+        context.after(owner.dispose);
         const timers = foundation.createTimerService();
         let scheduled = 0;
         const countingTimers: foundation.TimerService = {
@@ -189,6 +190,5 @@
         await clientOwner.dispose();
         await new Promise(resolve => setTimeout(resolve, 50));
         earl.expect(scheduled).toEqual(0);
-        await owner.dispose();
     });
 });
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -8,6 +8,9 @@
 const message: protocol.RoutingMessage = { kind: "notLeader" };
 const frame = protocol.encodeFrame(message);
 
+/** Time limit of a test, in milliseconds; it only stops one that hangs. */
+const maxTestMilliseconds = 60_000;
+
 /** Connects two sockets and runs the protocol on one of them; returns the other one. */
 const connect = async (
     handlers: protocol.RoutingConnectionHandlers,
@@ -28,8 +31,11 @@
 
 test.describe("a routing connection", () => {
     for (const part of ["onMessage", "onTransferred"]) {
-        test.it(`whose ${part} handler throws is closed, and the process and other connections go on`, async () => {
+        test.it(`whose ${part} handler throws is closed, and the process and other connections go on`, {
+            timeout: maxTestMilliseconds,
+        }, async context => {
             const owner = foundation.createOwner();
+            context.after(owner.dispose);
             const events: foundation.EventFields[] = [];
             const failures = foundation.createFailureBoundary({
                 write: (...[, fields = {}]) => events.push(fields),
@@ -50,13 +56,12 @@
             failing.write(Buffer.concat([frame, frame]));
             await isClosed;
             sound.write(frame);
-            while (messageCount === 0) {
+            while (messageCount === 0 && !context.signal.aborted) {
                 await new Promise(resolve => setImmediate(resolve));
             }
             earl.expect(events[0].part).toEqual("peer message");
             earl.expect(events[0].kind).toEqual("notLeader");
             earl.expect(failures.counts().get("peer message")).toEqual(1);
-            await owner.dispose();
         });
     }
 });
--- a/packages/soak/test/inputs.test.ts
+++ b/packages/soak/test/inputs.test.ts
@@ -65,8 +65,9 @@
             socket.on("close", () => resolve({ text, code }));
         });
 
-    test.it("are of every kind, beside proper ones, and each request is executed once", async () => {
+    test.it("are of every kind, beside proper ones, and each request is executed once", async context => {
         const owner = foundation.createOwner();
+        context.after(owner.dispose);
         const executed: string[] = [];
         const upstream = await emulator.startEmulatedUpstream("upstream-1", owner, {
             onExecution: ({ requestIdentifier }) => executed.push(requestIdentifier),
--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -7,6 +7,9 @@
 import * as test from "node:test";
 import * as timers from "node:timers/promises";
 
+/** Maximum wait for data, in milliseconds; it only stops a test that hangs. */
+const maxWaitMilliseconds = 60_000;
+
 const startEchoServer = (owner: foundation.Owner): Promise<number> =>
     new Promise(resolve => {
         const server = net.createServer(socket => {
@@ -86,7 +89,8 @@
             earl.expect(received).toEqual(0);
             link.setInterrupted({ forward: false, backward: false });
             socket.write("found");
-            while (received < 5) {
+            const deadline = performance.now() + maxWaitMilliseconds;
+            while (received < 5 && performance.now() < deadline) {
                 await timers.setTimeout(5);
             }
             earl.expect(received).toEqual(5);
