Relay: a notice that has arrived is read before a cancelled attempt closes its connection

Cause: cancelling an attempt destroyed its connection at once. A head that had arrived, but not been read (timers run before sockets are read), was lost with it. A head that had been read was never lost, and none can arrive later.

Callers saw: an upstream that had asked for no requests, or said that it leaves, got another one from this instance, which it refused.

Change: a cancelled attempt with a connection closes it after the pending reads, at most two loop iterations later. Until then only notices count; the attempt fails with the reason of its cancellation. Without a connection, nothing changes: the request must not be sent later.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -5,6 +5,7 @@
 import type * as net from "node:net";
 import * as stream from "node:stream";
 import * as tsResults from "ts-results";
+import * as eventLoopDelay from "./eventLoopDelay";
 import * as messageValidity from "./messageValidity";
 import type * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
@@ -284,6 +285,7 @@
     let connection: net.Socket | undefined;
     let isNewConnection = false;
     let isFinished = false;
+    let abortReason: string | undefined;
     let abort: (reason: string) => void = () => undefined;
     const result = new Promise<AttemptResult>(resolve => {
         const finish = (attemptResult: AttemptResult): void => {
@@ -297,11 +299,20 @@
             }
             finish(
                 isConnected
-                    ? { kind: "unknown", reason, isNewConnection }
+                    ? { kind: "unknown", reason: abortReason ?? reason, isNewConnection }
                     : { kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined },
             );
         };
         abort = reason => {
+            if (isConnected) {
+                abortReason = reason;
+                // What the upstream says of itself may have arrived, but not been read.
+                void eventLoopDelay.waitForPendingReads().then(() => {
+                    request.destroy();
+                    fail(reason);
+                });
+                return;
+            }
             request.destroy(new Error(reason));
             // Without a connection yet, the request would end only when one becomes free.
             if (connection === undefined) {
@@ -386,9 +397,10 @@
                 if (isCloseDelimited) {
                     foundation.destroyIfReset(response);
                 }
-                const fault = belongsTo(response, options.requestIdentifier, isNewConnection && !isRequestUnfinished)
+                const isOnlyRequest = isNewConnection && !isRequestUnfinished;
+                const fault = abortReason ?? (belongsTo(response, options.requestIdentifier, isOnlyRequest)
                     ? findResponseFault(response)
-                    : "the response may belong to another request";
+                    : "the response may belong to another request");
                 if (fault !== undefined) {
                     response.on("error", () => undefined);
                     request.destroy();
@@ -396,7 +408,7 @@
                     return;
                 }
                 const finishResponse = (chunks: readonly Buffer[], rest: http.IncomingMessage | undefined): void => {
-                    if (isFinished) {
+                    if (isFinished || abortReason !== undefined) {
                         return;
                     }
                     if (isRequestUnfinished) {
--- a/packages/relay/src/eventLoopDelay.ts
+++ b/packages/relay/src/eventLoopDelay.ts
@@ -38,6 +38,13 @@
 
 const nextLoopIteration = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
+/** Resolves once all data that had arrived before the call was read. */
+export const waitForPendingReads = async (): Promise<void> => {
+    // Sockets are read between two loop iterations.
+    await nextLoopIteration();
+    await nextLoopIteration();
+};
+
 /**
  * Measures the event loop delay of this process until the owner is disposed.
  *
@@ -57,10 +64,6 @@
     const milliseconds = (): number => Math.max(decayingDelay, currentDelay());
     return {
         milliseconds,
-        waitForPendingReads: async () => {
-            // Sockets are read between two loop iterations.
-            await nextLoopIteration();
-            await nextLoopIteration();
-        },
+        waitForPendingReads,
     };
 };
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -3,6 +3,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
 import * as virtualTime from "./fixtures/virtualTime";
@@ -162,4 +163,43 @@
             earl.expect(fixture.requestCounts()).toEqual([1]);
         });
     });
+
+    test.it("is heard if its refusal has arrived, but not been read, when the attempt is cancelled", async () => {
+        let onRequest: (socket: net.Socket) => void = () => undefined;
+        const received = new Promise<net.Socket>(resolve => {
+            onRequest = resolve;
+        });
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => onRequest(socket));
+        });
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        const connections = relay.createUpstreamConnections(1, 1);
+        const notices: relay.UpstreamNotice[] = [];
+        const attempt = relay.startAttempt({
+            timers: foundation.createTimerService(),
+            failures: foundation.createTransparentFailureBoundary(),
+            connections,
+            host: "127.0.0.1",
+            port: (server.address() as net.AddressInfo).port,
+            method: "GET",
+            path: "/orders/1",
+            headers: ["Host", "orders.example", "Request-Id", "request-1"],
+            requestIdentifier: "request-1",
+            body: { kind: "whole", bytes: Buffer.alloc(0) },
+            connectTimeoutMilliseconds: 1000,
+            onConnected: () => undefined,
+            onTransferred: () => undefined,
+            onNotice: notice => notices.push(notice),
+        });
+        const socket = await received;
+        socket.write("HTTP/1.1 503 Full\r\nRequest-Id: request-1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n");
+        attempt.cancel("cancelled");
+        const result = await attempt.result;
+        socket.destroy();
+        connections.close();
+        server.close();
+        earl.expect(result).toEqual({ kind: "unknown", reason: "cancelled", isNewConnection: true });
+        earl.expect(notices).toEqual([{ isLeaving: false, holdOffMilliseconds: 1000 }]);
+    });
 });
