--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -224,12 +224,7 @@
     const accept = (request: http.IncomingMessage, response: http.ServerResponse): void => {
         const documentInForce = options.documentInForce();
         if (documentInForce === undefined) {
-            responder.reply(
-                response,
-                503,
-                ["Retry-After", (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3)],
-                requestState.FailureReason.noDocument,
-            );
+            responder.refuse(response, [], requestState.FailureReason.noDocument);
             return;
         }
         if (!messageValidity.isRequestValid(request)) {
--- a/packages/relay/src/requestExceptions.ts
+++ b/packages/relay/src/requestExceptions.ts
@@ -73,11 +73,7 @@
                 path: request.url?.split("?")[0],
             });
             request.resume();
-            responder.reply(response, 503, [
-                "Retry-After",
-                (selection.defaultRetryAfterMilliseconds / 1000).toFixed(3),
-                ...failureHeaders(isDelegated, requestState.identifierOf(request)),
-            ], reason);
+            responder.refuse(response, failureHeaders(isDelegated, requestState.identifierOf(request)), reason);
         },
     };
 };
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -9,6 +9,7 @@
 import type * as eventLoopDelay from "./eventLoopDelay";
 import * as headers from "./headers";
 import * as requestState from "./requestState";
+import * as selection from "./selection";
 
 /** Outcome of a request, for the metrics. */
 export interface FinishedRequest {
@@ -36,6 +37,8 @@
     /** Logs and counts the outcome of a request. The reason is empty if an upstream responded; such events are sampled. */
     recordOutcome: (state: requestState.RequestState, status: number, reason: string) => void;
     reply: (response: http.ServerResponse, status: number, extraHeaders: string[], text: string) => void;
+    /** Replies with 503 to a request that has not run, and tells the caller to return after the default time. */
+    refuse: (response: http.ServerResponse, extraHeaders: string[], text: string) => void;
     /** Ends a request without an upstream's response: with 503 if it has not run, with 502 or 504 if it may have. */
     fail: (state: requestState.RequestState, reason: requestState.FailureReasonValue, waitMilliseconds: number) => void;
     forward: (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse) => void;
@@ -120,6 +123,11 @@
         response.end(body);
     };
 
+    const retryAfterHeader = (milliseconds: number): string[] => ["Retry-After", (milliseconds / 1000).toFixed(3)];
+
+    const refuse: Responder["refuse"] = (response, extraHeaders, text) =>
+        reply(response, 503, [...retryAfterHeader(selection.defaultRetryAfterMilliseconds), ...extraHeaders], text);
+
     const fail = (
         state: requestState.RequestState,
         reason: requestState.FailureReasonValue,
@@ -140,7 +148,7 @@
             reason === requestState.FailureReason.heldOff,
         );
         const extraHeaders = [
-            ...(status === 503 ? ["Retry-After", (retryAfter / 1000).toFixed(3)] : []),
+            ...(status === 503 ? retryAfterHeader(retryAfter) : []),
             ...(state.isDelegated ? delegatedRequest.failureHeaders(state.requestIdentifier, reason) : []),
         ];
         reply(state.response, status, extraHeaders, reason);
@@ -245,5 +253,5 @@
         }
     };
 
-    return { recordOutcome, reply, fail, forward };
+    return { recordOutcome, reply, refuse, fail, forward };
 };
