Relay: look up refused identifiers without a loop over all connections

Every request looped over all connections to its upstream. A map now counts the open connections on which each identifier was refused, from the refusal to the close of the connection. No change of behaviour, except that a connection for a single request counts too until it closes.

--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -52,6 +52,29 @@
     const refusedIdentifiers = new WeakMap<net.Socket, Set<string>>();
     const hasRefused = (socket: net.Socket, requestIdentifier: string): boolean =>
         refusedIdentifiers.get(socket)?.has(requestIdentifier) === true;
+    /** Number of open connections on which each identifier was refused. */
+    const refusingConnections = new Map<string, number>();
+    const forgetRefusals = (identifiers: ReadonlySet<string>): void => {
+        for (const identifier of identifiers) {
+            const count = (refusingConnections.get(identifier) ?? 0) - 1;
+            if (count > 0) {
+                refusingConnections.set(identifier, count);
+            }
+            else {
+                refusingConnections.delete(identifier);
+            }
+        }
+    };
+    const rememberRefusal = (socket: net.Socket, requestIdentifier: string): void => {
+        const known = refusedIdentifiers.get(socket);
+        const identifiers = known ?? new Set<string>();
+        if (known === undefined) {
+            refusedIdentifiers.set(socket, identifiers);
+            socket.once("close", () => forgetRefusals(identifiers));
+        }
+        identifiers.add(requestIdentifier);
+        refusingConnections.set(requestIdentifier, (refusingConnections.get(requestIdentifier) ?? 0) + 1);
+    };
     const keepSocketAlive = (socket: net.Socket): boolean => {
         socket.setKeepAlive(true, 1000);
         socket.setTimeout(idleMilliseconds);
@@ -73,11 +96,8 @@
     return {
         agent,
         agentFor: requestIdentifier => {
-            const isAmbiguous = requestIdentifier === undefined
-                // A busy connection may become idle before the request is sent.
-                || [...Object.values(agent.freeSockets), ...Object.values(agent.sockets)].some(sockets =>
-                    sockets?.some(socket => hasRefused(socket, requestIdentifier))
-                );
+            // Includes the busy connections: one may become idle before the request is sent.
+            const isAmbiguous = requestIdentifier === undefined || refusingConnections.has(requestIdentifier);
             return isAmbiguous ? singleUseAgent : agent;
         },
         onRefusal: (socket, requestIdentifier) => {
@@ -88,8 +108,9 @@
                 socket.destroy();
                 return false;
             }
-            const identifiers = refusedIdentifiers.get(socket) ?? new Set<string>();
-            refusedIdentifiers.set(socket, identifiers.add(requestIdentifier));
+            if (!socket.destroyed) {
+                rememberRefusal(socket, requestIdentifier);
+            }
             return true;
         },
         hasIdle: () => Object.keys(agent.freeSockets).length > 0,
--- a/packages/relay/test/upstreamConnections.test.ts
+++ b/packages/relay/test/upstreamConnections.test.ts
@@ -4,7 +4,7 @@
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
 
@@ -40,6 +40,28 @@
         earl.expect(connected).toEqual(maxIdleConnections);
     });
 
+    test.it("are kept for an identifier again once every connection on which it was refused is closed", async () => {
+        const connections = relay.createUpstreamConnections(maxConnections, maxIdleConnections);
+        const isKept = (identifier: string): boolean => connections.agentFor(identifier) === connections.agent;
+        const close = async (socket: net.Socket): Promise<void> => {
+            const closed = new Promise(resolve => socket.once("close", resolve));
+            socket.destroy();
+            await closed;
+        };
+        const [first, second, closed] = [new net.Socket(), new net.Socket(), new net.Socket()];
+        await close(closed);
+        connections.onRefusal(first, "a");
+        connections.onRefusal(second, "a");
+        connections.onRefusal(second, "b");
+        connections.onRefusal(closed, "c");
+        earl.expect(["a", "b", "c"].map(isKept)).toEqual([false, false, true]);
+        await close(first);
+        earl.expect(["a", "b"].map(isKept)).toEqual([false, false]);
+        await close(second);
+        earl.expect(["a", "b"].map(isKept)).toEqual([true, true]);
+        connections.close();
+    });
+
     test.it("do not accumulate listeners when they are reused", async () => {
         const sockets = new Set<net.Socket>();
         const server = http.createServer((request, response) => {
