Delegator: an exception no longer leaves a request pending at its delegate

Cause: as in the sender of attempts, the start was recorded first and the end only after the result; an exception between the two skipped the end. What callers saw: after that, the delegate counts as silent, so requests for its keys take another way; the request at the delegate was not cancelled. Change: what can throw is built first; a finally block records the end, stops the check and cancels the attempt. Evidence: the new test failed before: "The value 1 is not equal to 0".

--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -144,15 +144,14 @@
         }
     };
 
-    const send = async (
+    const toAttemptOptions = (
         state: requestState.RequestState,
         target: delegatePool.PooledDelegate,
         body: attempts.AttemptOptions["body"],
-    ): Promise<attempts.AttemptResult> => {
+        onInterim: () => void,
+    ): attempts.AttemptOptions => {
         const now = timers.now();
-        const { health } = target;
-        const pending = health.onSent(now);
-        const attempt = attempts.startAttempt({
+        return {
             timers,
             connections: target.connections,
             host: target.delegate.host,
@@ -180,21 +179,48 @@
                     foundation.TrafficReach.failureDomain,
                     transfer,
                 ),
-            onInterim: () => health.onSignOfLife(pending, timers.now()),
-        });
-        state.currentAttempt = attempt;
-        const silenceCheck = silenceChecks.add(() => {
-            // A request that may run only once is waited for, as it may be running.
-            const canRepeat = state.route.kind === routing.RouteKind.idempotent || !attempt.mayHaveBeenSent();
-            if (canRepeat && health.isSilent(pending, timers.now())) {
-                attempt.cancel(silenceReason);
-            }
-        });
-        const result = await attempt.result;
-        silenceCheck.cancel();
-        state.currentAttempt = undefined;
-        health.onEnd(pending, result.kind !== "answered" && !state.isFinished, timers.now());
-        return result;
+            onInterim,
+        };
+    };
+
+    const send = async (
+        state: requestState.RequestState,
+        target: delegatePool.PooledDelegate,
+        body: attempts.AttemptOptions["body"],
+    ): Promise<attempts.AttemptResult> => {
+        const { health } = target;
+        const attemptOptions = toAttemptOptions(
+            state,
+            target,
+            body,
+            () => health.onSignOfLife(pending, timers.now()),
+        );
+        const pending = health.onSent(timers.now());
+        let attempt: attempts.Attempt | undefined;
+        let silenceCheck: foundation.Subscription | undefined;
+        let result: attempts.AttemptResult | undefined;
+        try {
+            const started = attempts.startAttempt(attemptOptions);
+            attempt = started;
+            state.currentAttempt = started;
+            silenceCheck = silenceChecks.add(() => {
+                // A request that may run only once is waited for, as it may be running.
+                const canRepeat = state.route.kind === routing.RouteKind.idempotent || !started.mayHaveBeenSent();
+                if (canRepeat && health.isSilent(pending, timers.now())) {
+                    started.cancel(silenceReason);
+                }
+            });
+            result = await started.result;
+            return result;
+        }
+        finally {
+            const isLost = result !== undefined && result.kind !== "answered" && !state.isFinished;
+            health.onEnd(pending, isLost, timers.now());
+            state.currentAttempt = undefined;
+            silenceCheck?.cancel();
+            // Without a result, nothing else would end the attempt.
+            attempt?.cancel(requestState.FailureReason.internalError);
+        }
     };
 
     return {
--- a/packages/relay/test/attemptExceptions.test.ts
+++ b/packages/relay/test/attemptExceptions.test.ts
@@ -9,20 +9,21 @@
 
 const { withRelay, respondWith } = relayFixture;
 
-/** Interval of the checks for silent upstreams, in milliseconds. */
+/** Intervals of the checks for silent upstreams and silent delegates, in milliseconds. */
 const silenceCheckMilliseconds = 50;
+const delegateCheckMilliseconds = 100;
 
 const throwError = (): never => {
     throw new Error("expected by a test");
 };
 
-/** Creates timers without the interval of the checks for silent upstreams. */
-const createFailingTimers = (): foundation.TimerService => {
+/** Creates timers on which checks with an interval cannot start. */
+const createFailingTimers = (failingMilliseconds = silenceCheckMilliseconds): foundation.TimerService => {
     const timers = foundation.createTimerService();
     return {
         ...timers,
         onInterval: (milliseconds, callback) =>
-            milliseconds === silenceCheckMilliseconds ? throwError() : timers.onInterval(milliseconds, callback),
+            milliseconds === failingMilliseconds ? throwError() : timers.onInterval(milliseconds, callback),
     };
 };
 
@@ -93,3 +94,17 @@
         earl.expect([kind, [...failures.counts()]]).toEqual(["notRun", [["attempt", 1]]]);
     });
 });
+
+test.describe("a delegated request", () => {
+    test.it("does not stay pending, so that its delegate looks silent, after an exception when its check starts", () =>
+        withRelay({ behaviours: [respondWith("second")], isKeyed: true }, second => {
+            const delegate = { identifier: "second", host: "127.0.0.1", port: second.delegatePort };
+            const timers = createFailingTimers(delegateCheckMilliseconds);
+            const options = { behaviours: [respondWith("first")], isKeyed: true, delegate, timers };
+            return withRelay({ ...options, failingParts: ["request"] }, async first => {
+                earl.expect((await first.sendRequest({ key: 7 })).status).toEqual(502);
+                await virtualTime.waitUntil(() => first.openRequestCount() === 0);
+                earl.expect(first.pendingDelegationCount()).toEqual(0);
+            });
+        }));
+});
