Upstream connections: an upstream that leaves the registry loses no response in progress

Cause: a response of more than 256 KB counts as answered after its first part. When the upstream's registry entry was gone then, or another incarnation took its name, its agent was destroyed with the busy connections; the same for a delegate that announced its stop. What callers saw: a large answer cut off. Found by a review; not seen on a site. Change: closing the connections of an upstream closes the idle ones at once and each other one after its response. Attempts without a result still end when their upstream has started again. Evidence: the new test failed before: "The value false is not equal to true" (the response was not complete).

--- a/packages/relay/src/upstreamConnections.ts
+++ b/packages/relay/src/upstreamConnections.ts
@@ -17,6 +17,7 @@
     hasIdle: () => boolean;
     /** Adapts the idle timeout to the keep-alive timeout that the upstream announced, in milliseconds. */
     onKeepAliveTimeout: (milliseconds: number) => void;
+    /** Closes the idle connections at once, and each other one after its response. */
     close: () => void;
 }
 
@@ -49,6 +50,7 @@
     });
     const singleUseAgent = new http.Agent({ keepAlive: false, noDelay: true });
     let idleMilliseconds = defaultIdleMilliseconds;
+    let isClosed = false;
     const refusedIdentifiers = new WeakMap<net.Socket, Set<string>>();
     const hasRefused = (socket: net.Socket, requestIdentifier: string): boolean =>
         refusedIdentifiers.get(socket)?.has(requestIdentifier) === true;
@@ -79,7 +81,7 @@
         socket.setKeepAlive(true, 1000);
         socket.setTimeout(idleMilliseconds);
         socket.unref();
-        return (refusedIdentifiers.get(socket)?.size ?? 0) < maxRefusalsPerConnection;
+        return !isClosed && (refusedIdentifiers.get(socket)?.size ?? 0) < maxRefusalsPerConnection;
     };
     const { reuseSocket: originalReuseSocket } = agent as unknown as {
         reuseSocket: (...parameters: unknown[]) => void;
@@ -119,8 +121,8 @@
             idleMilliseconds = Math.min(maxIdleMilliseconds, Math.max(minIdleMilliseconds, announced));
         },
         close: () => {
-            agent.destroy();
-            singleUseAgent.destroy();
+            isClosed = true;
+            Object.values(agent.freeSockets).flatMap(sockets => sockets ?? []).forEach(socket => socket.destroy());
         },
     };
 };
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -71,7 +71,7 @@
      * the upstream has a long queue and would reset a new connection.
      */
     isConnectionUnavailable: (pooled: PooledUpstream) => boolean;
-    /** Removes upstreams that are no longer in the directory, and closes their connections. */
+    /** Removes upstreams that are no longer in the directory; responses in progress go on. */
     prune: () => void;
     /** Records that an upstream of a service refused a request for which it had no room. */
     onRefusal: (service: string) => void;
@@ -83,6 +83,8 @@
 
 /** Why attempts without a connection end when their upstream wants no requests. */
 export const holdOffReason = "the upstream wants no requests";
+/** Why attempts end whose upstream has started again. */
+const restartedReason = "the upstream has started again";
 /** Service time assumed before the first response of any upstream of a service, in milliseconds. */
 export const assumedServiceMilliseconds = 120;
 /** Round-trip times to another region and within a region assumed before the first connection, in milliseconds. */
@@ -137,7 +139,10 @@
             existing.upstream = upstream;
             return existing;
         }
-        existing?.connections.close();
+        if (existing !== undefined) {
+            existing.connections.close();
+            existing.openAttempts.forEach(attempt => attempt.cancel(restartedReason));
+        }
         const created = {
             upstream,
             health: upstreamHealth.createUpstreamHealth(() => typicalServiceTimes.get(upstream.service)),
--- a/packages/relay/test/upstreamConnections.test.ts
+++ b/packages/relay/test/upstreamConnections.test.ts
@@ -7,9 +7,12 @@
 import * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
+import * as virtualTime from "./fixtures/virtualTime";
 
 const maxConnections = 8;
 const maxIdleConnections = 2;
+/** Size of half a response that does not fit into the buffers of a connection, in bytes. */
+const largeBodyBytes = 4 * 1024 * 1024;
 
 test.describe("connections to an upstream", () => {
     test.it("are kept idle only up to a limit, as an upstream still counts those of a lost instance", async context => {
@@ -115,4 +118,40 @@
         const [pooled] = pool.usable("orders");
         earl.expect(pooled.connections.agent.maxFreeSockets <= 100).toEqual(true);
     });
+
+    test.it("that are closed do not cut a response in progress, and are not kept after it", async context => {
+        const sockets = new Set<net.Socket>();
+        const responses: http.ServerResponse[] = [];
+        const server = http.createServer((request, response) => {
+            request.resume();
+            response.writeHead(200, { "content-length": 2 * largeBodyBytes });
+            response.write(Buffer.alloc(largeBodyBytes));
+            responses.push(response);
+        });
+        server.on("connection", socket => {
+            sockets.add(socket);
+            socket.on("close", () => sockets.delete(socket));
+        });
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        const connections = relay.createUpstreamConnections(maxConnections, maxIdleConnections);
+        context.after(() => {
+            server.close();
+            server.closeAllConnections();
+        });
+        const { port } = server.address() as net.AddressInfo;
+        const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
+            http.get({ host: "127.0.0.1", port, agent: connections.agent }, resolve).on("error", reject);
+        });
+        const ended = new Promise<boolean>(resolve => {
+            response.on("error", () => undefined);
+            response.on("close", () => resolve(response.complete));
+        });
+        response.once("data", () => {
+            connections.close();
+            responses[0].end(Buffer.alloc(largeBodyBytes));
+        });
+        response.resume();
+        earl.expect(await ended).toEqual(true);
+        await virtualTime.waitUntil(() => sockets.size === 0);
+    });
 });
