Relay tests: a clock that stands still, so that no verdict depends on processor time

Cause: the relay of a test used the clock of the process, with a deadline of 1500 ms. On a busy machine the deadline of a request passed while its test had no processor time.

What callers saw: nothing; only tests failed. cutResponses got 504 instead of 502, or one request fewer at the upstream (67 instead of 68); earlyHeads got 504 instead of 200.

Tests that need time to pass (retry pauses, a caller that leaves, the route's limit) advance it after the event that they wait for. mutatedResponses keeps the clock of the process, as some of its responses never end and no check depends on when its requests do. leaving registers upstreams at the time of the virtual clock. Every expectation is as before; two pauses, of 50 and 80 ms, became waits for the event itself.

--- a/packages/relay/test/attemptExceptions.test.ts
+++ b/packages/relay/test/attemptExceptions.test.ts
@@ -18,7 +18,7 @@
 
 /** Creates timers without the interval of the checks for silent upstreams. */
 const createFailingTimers = (): foundation.TimerService => {
-    const timers = foundation.createTimerService();
+    const timers = foundation.createVirtualTimerService();
     return {
         ...timers,
         onInterval: (milliseconds, callback) =>
@@ -74,7 +74,7 @@
         const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
         const connections = relay.createUpstreamConnections(1, 1);
         const attempt = relay.startAttempt({
-            timers: foundation.createTimerService(),
+            timers: foundation.createVirtualTimerService(),
             failures,
             connections,
             host: "127.0.0.1",
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -200,8 +200,10 @@
     });
 
     test.it("is not run if the other instance says so, and may have run otherwise", async () => {
-        await withPair({ secondBehaviour: relayFixture.refuse }, async ({ first }) => {
-            const response = await first.sendRequest({ key: 8 });
+        const timers = foundation.createVirtualTimerService();
+        await withPair({ secondBehaviour: relayFixture.refuse, timers }, async ({ first, second }) => {
+            const pendingResponse = first.sendRequest({ key: 8 });
+            const response = await virtualTime.passRetryPauses(timers, second.failedAttemptCount, pendingResponse);
             earl.expect(response.status).toEqual(503);
             earl.expect(Number(response.headers["retry-after"]) > 0).toEqual(true);
             earl.expect(response.headers["mulberryseam-failure"]).toEqual(undefined);
@@ -296,10 +298,15 @@
     });
 
     test.it("ends at the upstream when the caller leaves", async () => {
-        await withPair({ secondBehaviour: () => undefined }, async ({ first, second }) => {
-            await first.sendAndDisconnect(100, 8);
+        const timers = foundation.createVirtualTimerService();
+        await withPair({ secondBehaviour: () => undefined, timers }, async ({ first, second }) => {
+            const departure = first.sendAndDisconnect(100, 8);
+            await virtualTime.waitUntil(() => second.requestCounts()[0] === 1);
+            await virtualTime.advance(timers, 100);
             await virtualTime.waitUntil(() => second.abortedCounts()[0] === 1);
             earl.expect(second.openRequestCount()).toEqual(0);
+            await virtualTime.advance(timers, 100);
+            await departure;
         });
     });
 });
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -6,6 +6,7 @@
 import type * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
+import * as virtualTime from "./fixtures/virtualTime";
 
 const { withRelay, respondWith } = relayFixture;
 
@@ -134,8 +135,11 @@
 
     test.it("is sent to the same upstream on another connection, where its earlier refusal cannot arrive", () => {
         const sockets: net.Socket[] = [];
-        return withRelay({ behaviours: [refuseFirst(sockets)], isKeyed: true }, async ({ sendRequest }) => {
-            earl.expect((await sendRequest({ key: 7, body: order })).status).toEqual(200);
+        const timers = foundation.createVirtualTimerService();
+        const options = { behaviours: [refuseFirst(sockets)], isKeyed: true, timers };
+        return withRelay(options, async ({ sendRequest, failedAttemptCount }) => {
+            const response = sendRequest({ key: 7, body: order });
+            earl.expect((await virtualTime.passRetryPauses(timers, failedAttemptCount, response)).status).toEqual(200);
             earl.expect([sockets.length, new Set(sockets).size]).toEqual([2, 2]);
         });
     });
@@ -160,7 +164,7 @@
     });
 
     test.it("may have run if it waited for a connection on which it was refused", async context => {
-        const timers = foundation.createTimerService();
+        const timers = foundation.createVirtualTimerService();
         const failures = foundation.createTransparentFailureBoundary();
         const behaviour = refuseFirst([]);
         const server = http.createServer((request, response) => {
--- a/packages/relay/test/leaving.test.ts
+++ b/packages/relay/test/leaving.test.ts
@@ -25,7 +25,7 @@
 const register = ({ directory }: relayFixture.RelayFixture, index: number, isDraining: boolean): void => {
     const identifier = `upstream-${index}`;
     const port = directory.find(identifier)?.upstream.port ?? 0;
-    directory.onEntry({ ...relayFixture.createUpstream(identifier, port, index + 1), isDraining }, performance.now());
+    directory.onEntry({ ...relayFixture.createUpstream(identifier, port, index + 1), isDraining }, 0);
 };
 
 test.describe("an upstream that has announced that it is leaving", () => {
--- a/packages/relay/test/misdirected.test.ts
+++ b/packages/relay/test/misdirected.test.ts
@@ -11,12 +11,16 @@
 };
 
 test.describe("a request to an owner that does not hold its key", () => {
-    test.it("is not sent to it again before routing names another owner", () =>
-        relayFixture.withRelay({ behaviours: [misdirect], isKeyed: true }, async fixture => {
-            const response = await fixture.sendRequest({ key: 7 });
-            earl.expect(response.status).toEqual(503);
+    test.it("is not sent to it again before routing names another owner", () => {
+        const timers = foundation.createVirtualTimerService();
+        return relayFixture.withRelay({ behaviours: [misdirect], isKeyed: true, timers }, async fixture => {
+            const pendingResponse = fixture.sendRequest({ key: 7 });
+            await virtualTime.waitUntil(() => fixture.failedAttemptCount() === 1);
+            await virtualTime.advance(timers, 1500);
+            earl.expect((await pendingResponse).status).toEqual(503);
             earl.expect(fixture.requestCounts()).toEqual([1]);
-        }));
+        });
+    });
 
     test.it("stops further requests to it, except for occasional probes", () => {
         const timers = foundation.createVirtualTimerService();
--- a/packages/relay/test/mutatedResponses.test.ts
+++ b/packages/relay/test/mutatedResponses.test.ts
@@ -91,7 +91,9 @@
             const options = { timeout: maxTestMilliseconds };
             test.it(`neither throws nor leaves a request without an end, ${kind}, seed ${seed}`, options, () => {
                 const behaviours = Array.from({ length: upstreamCount }, () => createBehaviour(seed));
-                return relayFixture.withRelay({ behaviours, kind, timeoutMilliseconds }, async fixture => {
+                // Some responses never end, so that only real time ends their requests; no check depends on how long that takes.
+                const timers = foundation.createTimerService();
+                return relayFixture.withRelay({ behaviours, kind, timeoutMilliseconds, timers }, async fixture => {
                     let sentCount = 0;
                     let endedCount = 0;
                     const sendInTurn = async (): Promise<void> => {
--- a/packages/relay/test/outcomes.test.ts
+++ b/packages/relay/test/outcomes.test.ts
@@ -1,9 +1,11 @@
 /** The outcome that a caller gets for each result of an attempt. */
+import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as net from "node:net";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
+import * as virtualTime from "./fixtures/virtualTime";
 
 const { withRelay } = relayFixture;
 
@@ -120,20 +122,31 @@
         });
     });
 
-    test.it("is a timeout after the route's limit, and the attempt is aborted", () =>
-        withRelay({ behaviours: [() => undefined], timeoutMilliseconds: 120 }, async fixture => {
-            const response = await fixture.sendRequest();
-            earl.expect(response.status).toEqual(504);
-            await new Promise(resolve => setTimeout(resolve, 50));
+    test.it("is a timeout after the route's limit, and the attempt is aborted", () => {
+        const timers = foundation.createVirtualTimerService();
+        return withRelay({ behaviours: [() => undefined], timeoutMilliseconds: 120, timers }, async fixture => {
+            const pendingResponse = fixture.sendRequest();
+            await virtualTime.waitUntil(() => fixture.requestCounts()[0] === 1);
+            await virtualTime.advance(timers, 120);
+            earl.expect((await pendingResponse).status).toEqual(504);
+            await virtualTime.waitUntil(() => fixture.abortedCounts()[0] > 0);
             earl.expect(fixture.abortedCounts()).toEqual([1]);
-        }));
+        });
+    });
 
-    test.it("is an aborted attempt when the caller disconnects", () =>
-        withRelay({ behaviours: [() => undefined] }, async fixture => {
-            await fixture.sendAndDisconnect(80);
+    test.it("is an aborted attempt when the caller disconnects", () => {
+        const timers = foundation.createVirtualTimerService();
+        return withRelay({ behaviours: [() => undefined], timers }, async fixture => {
+            const departure = fixture.sendAndDisconnect(80);
+            await virtualTime.waitUntil(() => fixture.requestCounts()[0] === 1);
+            await virtualTime.advance(timers, 80);
+            await virtualTime.waitUntil(() => fixture.abortedCounts()[0] > 0);
+            await virtualTime.advance(timers, 80);
+            await departure;
             earl.expect(fixture.requestCounts()).toEqual([1]);
             earl.expect(fixture.abortedCounts()).toEqual([1]);
-        }));
+        });
+    });
 
     test.it("is not run while no document is known", () =>
         withRelay({ behaviours: [], hasDocument: false }, async ({ sendRequest }) => {
@@ -149,11 +162,12 @@
         }));
 
     test.it("is retried at the owner of its key only when the owner has no queue", async () => {
-        const idleOwner = { behaviours: [relayFixture.refuseOnce("1,0,4")], isKeyed: true };
-        await withRelay(
-            idleOwner,
-            async ({ sendRequest }) => earl.expect((await sendRequest({ key: 7 })).status).toEqual(200),
-        );
+        const timers = foundation.createVirtualTimerService();
+        const idleOwner = { behaviours: [relayFixture.refuseOnce("1,0,4")], isKeyed: true, timers };
+        await withRelay(idleOwner, async ({ sendRequest, failedAttemptCount }) => {
+            const response = sendRequest({ key: 7 });
+            earl.expect((await virtualTime.passRetryPauses(timers, failedAttemptCount, response)).status).toEqual(200);
+        });
         const busyOwner = { behaviours: [relayFixture.refuseOnce("4,20,4")], isKeyed: true };
         await withRelay(busyOwner, async fixture => {
             earl.expect((await fixture.sendRequest({ key: 7 })).status).toEqual(503);
