--- a/packages/relay/test/attemptExceptions.test.ts
+++ b/packages/relay/test/attemptExceptions.test.ts
@@ -19,7 +19,7 @@
 
 /** Creates timers on which checks with an interval cannot start. */
 const createFailingTimers = (failingMilliseconds = silenceCheckMilliseconds): foundation.TimerService => {
-    const timers = foundation.createTimerService();
+    const timers = foundation.createVirtualTimerService();
     return {
         ...timers,
         onInterval: (milliseconds, callback) =>
@@ -75,7 +75,7 @@
         const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
         const connections = relay.createUpstreamConnections(1, 1);
         const attempt = relay.startAttempt({
-            timers: foundation.createTimerService(),
+            timers: foundation.createVirtualTimerService(),
             failures,
             connections,
             host: "127.0.0.1",
