--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -92,13 +92,21 @@
         instances: followers.size + 1,
         topics: options.topics.positions(),
     });
-    const encodedSnapshots = new Map<string, { end: number; content: Uint8Array; }>();
-    const encodeSnapshot = (topic: string, { records, end }: topicTask.TopicSnapshot): Uint8Array => {
+    const encodedSnapshots = new Map<string, { end: number; content: Uint8Array | undefined; }>();
+    /** Returns undefined for a snapshot that is too large to be sent; followers then read the store. */
+    const encodeSnapshot = (
+        topic: string,
+        { records, end }: topicTask.TopicSnapshot,
+    ): Uint8Array | undefined => {
         const encoded = encodedSnapshots.get(topic);
         if (encoded?.end === end) {
             return encoded.content;
         }
         const content = protocol.encodeTopicContent([...records]);
+        const wasTooLarge = encoded !== undefined && encoded.content === undefined;
+        if (content === undefined && !wasTooLarge) {
+            options.log.write("snapshot-too-large", { topic, end, records: records.length });
+        }
         encodedSnapshots.set(topic, { end, content });
         return content;
     };
@@ -111,7 +119,9 @@
                     knownTopics.add(topic);
                     const { end, age } = snapshot;
                     const content = encodeSnapshot(topic, snapshot);
-                    connection.send({ kind: protocol.RoutingMessageKind.snapshot, topic, end, age, content });
+                    if (content !== undefined) {
+                        connection.sendState({ kind: protocol.RoutingMessageKind.snapshot, topic, end, age, content });
+                    }
                 }
             }
         }
@@ -144,7 +154,7 @@
                     followers.set(connection, { failureDomain, delegate, knownTopics: new Set(knownTopics) });
                     sendSnapshots();
                     connection.send(createHeartbeat(session));
-                    session.routingMessages().forEach(connection.send);
+                    session.routingMessages().forEach(connection.sendState);
                     changedDomains.add(failureDomain);
                 }
                 else if (message.kind === protocol.RoutingMessageKind.report) {
--- a/packages/entry/test/stalledFollower.test.ts
+++ b/packages/entry/test/stalledFollower.test.ts
@@ -3,6 +3,7 @@
 import type * as platform from "@mulberryseam/platform";
 import * as siteModule from "@mulberryseam/site";
 import * as earl from "earl";
+import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as test from "node:test";
 import * as followerServer from "../src/followerServer";
@@ -18,6 +19,10 @@
 const stalledRecordCount = 32;
 const stalledRecordBytes = 1024 * 1024;
 const stallMilliseconds = 200;
+const recordBytes = 1024 * 1024;
+const millisecondsPerSecond = 1000;
+/** Time limit of a test, in milliseconds; it only stops one that hangs. */
+const maxTestMilliseconds = 60_000;
 
 const waitFor = async (condition: () => boolean): Promise<boolean> => {
     for (let waited = 0; !condition() && waited < maxWaitMilliseconds; waited += pollMilliseconds) {
@@ -33,8 +38,12 @@
     connectionCount: () => number;
 }
 
-/** Starts a path from followers to the leader at a port. */
-const startPath = async (leaderPort: number, owner: foundation.Owner): Promise<StallingPath> => {
+/** Starts a path from followers to the leader at a port, which passes on at most some bytes per second to each follower. */
+const startPath = async (
+    leaderPort: number,
+    owner: foundation.Owner,
+    bytesPerSecond = Infinity,
+): Promise<StallingPath> => {
     const leaderSockets = new Set<net.Socket>();
     let connectionCount = 0;
     const server = net.createServer(follower => {
@@ -42,7 +51,13 @@
         const leader = net.connect(leaderPort, host);
         leaderSockets.add(leader);
         follower.on("data", bytes => leader.write(bytes));
-        leader.on("data", bytes => follower.write(bytes));
+        leader.on("data", bytes => {
+            follower.write(bytes);
+            if (bytesPerSecond < Infinity) {
+                leader.pause();
+                setTimeout(() => leader.resume(), bytes.length * millisecondsPerSecond / bytesPerSecond);
+            }
+        });
         follower.on("error", () => undefined);
         leader.on("error", () => undefined);
         follower.on("close", () => leader.destroy());
@@ -105,17 +120,18 @@
     return { server, records, events };
 };
 
-/** Starts a follower that reads the store only if the leader does not confirm its state. */
+/** Starts a follower that reads the store only if the leader does not confirm its state, or sends none in the initial wait. */
 const startFollower = (
     port: number,
     records: readonly platform.StoredRecord[],
     timers: foundation.TimerService,
     owner: foundation.Owner,
+    initialWaitMilliseconds = 60_000,
 ): topicTask.TopicTask => {
     const failures = foundation.createTransparentFailureBoundary();
     const task = topicTask.startTopicTask({
         store: {
-            readSnapshot: () => Promise.reject(new Error("not used")),
+            readSnapshot: () => Promise.resolve({ records: [...records], end: records.length }),
             readFrom: (...[, from]) =>
                 Promise.resolve({ records: records.slice(from), end: records.length, isHistoryExpired: false }),
             append: () => Promise.reject(new Error("not used")),
@@ -126,7 +142,7 @@
         random: foundation.createRandom(1),
         failures,
         maxAgeMilliseconds: () => 1500,
-        initialWaitMilliseconds: () => 60_000,
+        initialWaitMilliseconds: () => initialWaitMilliseconds,
         waitMilliseconds: () => 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
         onChanges: () => undefined,
@@ -198,3 +214,55 @@
         }
     });
 });
+
+const fill = (records: platform.StoredRecord[], count: number, createValue: () => Buffer): void => {
+    for (let index = 0; index < count; index += 1) {
+        records.push({ key: `large ${index}`, value: createValue(), offset: records.length });
+    }
+};
+
+test.describe("a snapshot that is larger than what may be unsent", () => {
+    test.it("reaches a new follower over a slow path, on its first connection", {
+        timeout: maxTestMilliseconds,
+    }, async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const timers = foundation.createTimerService();
+        const [leaderPort] = await siteModule.reservePorts(1);
+        const { records, events } = await startLeader(leaderPort, timers, owner);
+        fill(records, 7, () => crypto.randomBytes(recordBytes));
+        const path = await startPath(leaderPort, owner, 4 * recordBytes);
+        const follower = startFollower(path.port, records, timers, owner);
+        const isKnown = await waitFor(() => follower.position()?.end === records.length);
+        earl.expect([isKnown, path.connectionCount(), events]).toEqual([true, 1, []]);
+    });
+});
+
+test.describe("a snapshot that a follower would refuse", () => {
+    const contents = {
+        "too large for a frame": { count: 9, createValue: () => crypto.randomBytes(recordBytes) },
+        "too large once decompressed": { count: 33, createValue: () => Buffer.alloc(recordBytes) },
+    };
+    for (const [name, { count, createValue }] of Object.entries(contents)) {
+        test.it(`as it is ${name} is left out, and the followers read the store on their first connection`, {
+            timeout: maxTestMilliseconds,
+        }, async context => {
+            const owner = foundation.createOwner();
+            context.after(owner.dispose);
+            const timers = foundation.createTimerService();
+            const [leaderPort] = await siteModule.reservePorts(1);
+            const { server, records, events } = await startLeader(leaderPort, timers, owner);
+            fill(records, count, createValue);
+            const path = await startPath(leaderPort, owner);
+            const followers = [1, 2].map(() => startFollower(path.port, records, timers, owner, 500));
+            const isAtEnd = (): boolean => followers.every(({ position }) => position()?.end === records.length);
+            const isKnown = await waitFor(isAtEnd);
+            const record = { key: "last", value: Buffer.from("entry"), offset: records.length };
+            records.push(record);
+            server.broadcast({ kind: "news", topic, end: records.length, records: [record] });
+            const isNewsKnown = await waitFor(isAtEnd);
+            earl.expect([isKnown, isNewsKnown, path.connectionCount()]).toEqual([true, true, 2]);
+            earl.expect(events).toEqual([["snapshot-too-large", { topic, end: count + 1, records: count + 1 }]]);
+        });
+    }
+});
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -26,6 +26,7 @@
     "request-answered",
     "request-failed",
     "settings-reread",
+    "snapshot-too-large",
     "started",
     "stopped",
     "stopping",
--- a/packages/protocol/src/routingConnection.ts
+++ b/packages/protocol/src/routingConnection.ts
@@ -18,11 +18,13 @@
 }
 
 /**
- * Sends messages in order and without gaps: a message that cannot be queued because too many bytes are unsent closes the connection.
- * Messages are dropped once the connection is closed.
+ * Sends messages in order and without gaps: a message that cannot be queued because too many bytes are unsent, or that is larger than
+ * the peer accepts (`maxFrameBytes`), closes the connection. Messages are dropped once the connection is closed.
  */
 export interface RoutingConnection {
     send: (message: messages.RoutingMessage) => void;
+    /** Sends state that each new connection needs, so that its size is no reason to close this one: it does not count as unsent. */
+    sendState: (message: messages.RoutingMessage) => void;
     close: () => void;
 }
 
@@ -82,19 +84,31 @@
             }
         }
     });
+    /** Bytes of state that the socket has not sent yet. */
+    let unsentStateBytes = 0;
+    const write = (message: messages.RoutingMessage, isState: boolean): void => {
+        if (!socket.writable) {
+            return;
+        }
+        if (socket.writableLength - unsentStateBytes >= maxUnsentBytes) {
+            fail("too many unsent bytes");
+            return;
+        }
+        const frame = frames.encodeFrame(message);
+        if (frame.length > frames.maxFrameBytes) {
+            fail(`a ${message.kind} message of ${frame.length} bytes`);
+            return;
+        }
+        const stateBytes = isState ? frame.length : 0;
+        unsentStateBytes += stateBytes;
+        socket.write(frame, () => {
+            unsentStateBytes -= stateBytes;
+        });
+        handlers.onTransferred?.(message.kind, { sentBytes: frame.length, receivedBytes: 0 });
+    };
     return {
-        send: message => {
-            if (!socket.writable) {
-                return;
-            }
-            if (socket.writableLength >= maxUnsentBytes) {
-                fail("too many unsent bytes");
-                return;
-            }
-            const frame = frames.encodeFrame(message);
-            socket.write(frame);
-            handlers.onTransferred?.(message.kind, { sentBytes: frame.length, receivedBytes: 0 });
-        },
+        send: message => write(message, false),
+        sendState: message => write(message, true),
         close: () => socket.destroySoon(),
     };
 };
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -112,6 +112,81 @@
     });
 });
 
+test.describe("a routing connection that sends state to a peer that does not read", () => {
+    const padding = "x".repeat(7 * 1024 * 1024);
+    const createMessage = (service: string): protocol.RoutingMessage => ({
+        kind: "routing",
+        service,
+        owners: [],
+        changes: [],
+    });
+    /** Returns the events of a connection after it was closed, and the reason. */
+    const run = async (
+        send: (connection: protocol.RoutingConnection) => void,
+        owner: foundation.Owner,
+    ): Promise<{ events: unknown[]; reason: unknown; }> => {
+        const events: unknown[] = [];
+        let onClosed: (reason: string | undefined) => void = () => undefined;
+        const closed = new Promise<string | undefined>(resolve => {
+            onClosed = resolve;
+        });
+        const server = net.createServer(socket =>
+            send(protocol.createRoutingConnection(socket, {
+                failures: foundation.createTransparentFailureBoundary(),
+                log: { write: (...[event, fields]) => events.push([event, fields?.reason]), sample: () => undefined },
+                onMessage: () => undefined,
+                onClose: reason => onClosed(reason),
+            }))
+        );
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        const socket = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        owner.onCleanup(() => {
+            server.close();
+            socket.destroy();
+        });
+        return { reason: await closed, events };
+    };
+
+    test.it("is closed once too much is unsent besides the state", { timeout: maxTestMilliseconds }, async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const { events } = await run(connection => {
+            connection.sendState(createMessage(padding));
+            for (let index = 0; index < 16; index += 1) {
+                connection.send(createMessage("x".repeat(1024 * 1024)));
+            }
+        }, owner);
+        earl.expect(events).toEqual([["peer-disconnected", "too many unsent bytes"]]);
+    });
+
+    test.it(
+        "is closed by the idle timeout, although more is queued",
+        { timeout: maxTestMilliseconds },
+        async context => {
+            const owner = foundation.createOwner();
+            context.after(owner.dispose);
+            const timers = foundation.createTimerService();
+            const closed = await run(connection => {
+                connection.sendState(createMessage(padding));
+                const queued = timers.onInterval(100, () => connection.send(message));
+                owner.onCleanup(() => queued.cancel());
+            }, owner);
+            earl.expect(closed).toEqual({ events: [], reason: undefined });
+        },
+    );
+
+    test.it("is closed instead of sending a frame that the peer refuses", {
+        timeout: maxTestMilliseconds,
+    }, async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const { events, reason } = await run(connection => connection.send(createMessage(padding + padding)), owner);
+        earl.expect(events).toEqual([["peer-disconnected", reason]]);
+        earl.expect(reason).toEqual(earl.expect.regex(/^a routing message of \d+ bytes$/));
+    });
+});
+
 test.describe("a routing message with numbers out of range", () => {
     const delegate = { identifier: "a", host: "127.0.0.1", port: 7201 };
     const report = { kind: "report", samples: [], speeds: [] };
