--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -134,6 +134,10 @@
 
     const readSnapshot = async (): Promise<void> => {
         const { records, end } = await store.readSnapshot(topic);
+        // The leader may have sent a newer snapshot while the read was in flight.
+        if (end < (offset ?? 0)) {
+            return;
+        }
         offset = end;
         notifyChanges(filter.replace(records, end), end, TopicSource.store);
         onContact(timers.now(), TopicSource.store);
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -36,6 +36,7 @@
     read: (call: number) => Promise<platform.RecordBatch>,
     maxAge = 0,
     initialWait = 0,
+    readSnapshot: () => Promise<platform.Snapshot> = () => Promise.resolve({ records: [], end: 7 }),
 ): Fixture => {
     const timers = foundation.createVirtualTimerService();
     const owner = foundation.createOwner();
@@ -45,7 +46,7 @@
     const failures: string[] = [];
     const contacts: topicTask.TopicSourceValue[] = [];
     const store: platform.StoreClient = {
-        readSnapshot: () => Promise.resolve({ records: [], end: 7 }),
+        readSnapshot,
         readFrom: (...[, offset]) => {
             reads.push(offset);
             return read(reads.length);
@@ -243,6 +244,23 @@
         earl.expect(fixture.changes[fixture.changes.length - 1]).toEqual(draining);
         await fixture.owner.dispose();
     });
+
+    test.it("does not revert to an older snapshot of the store that was read before the leader's arrived", async () => {
+        let respond = (): void => undefined;
+        const ready = createRecord("upstream", "ready", 4);
+        const draining = createRecord("upstream", "draining", 8);
+        const fixture = createFixture(neverResolves, 800, 0, () =>
+            new Promise(resolve => {
+                respond = () => resolve({ records: [ready], end: 5 });
+            }));
+        await flush();
+        fixture.task.onSnapshot({ records: [draining], end: 9, age: 0 });
+        respond();
+        await flush();
+        earl.expect(fixture.task.snapshot()).toEqual({ records: [draining], end: 9, age: 0 });
+        earl.expect(fixture.changes).toEqual([draining]);
+        await fixture.owner.dispose();
+    });
 });
 
 test.describe("a topic that was never confirmed", () => {
