Leader link: a former leader's message no longer closes the connection to the new one

Callers saw: nothing known; a follower that had just changed to a new leader connected to it again, without its updates in the meantime. Change: the connection on which the message arrived is closed. Left alone: what the message says still applies: until the new leader's next heartbeat, the follower reads the store.

Evidence: without the change, leaderLink.test.ts: "The value ["join"] is not equal to ["join", "report"]": the new leader gets nothing more.

--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -96,6 +96,7 @@
 
     const onMessage = (
         message: protocol.RoutingMessage,
+        connection: protocol.RoutingConnection,
         leader: assignment.LeaderRecord,
         topicEnds: Map<string, number>,
     ): void => {
@@ -110,7 +111,7 @@
             case protocol.RoutingMessageKind.snapshot: {
                 const records = protocol.decodeTopicContent(message.content);
                 if (records.err) {
-                    openConnection?.connection.close();
+                    connection.close();
                     return;
                 }
                 const { topic, end, age } = message;
@@ -139,7 +140,7 @@
                 lastHeartbeatAt = -Infinity;
                 unavailableLeader = hasResigned ? unavailableLeader : leader.identifier;
                 options.onLeaderLost(hasResigned);
-                openConnection?.connection.close();
+                connection.close();
                 return;
             }
         }
@@ -156,7 +157,7 @@
         const connection = protocol.createRoutingConnection(socket, {
             failures: options.failures,
             log: options.log,
-            onMessage: message => onMessage(message, leader, topicEnds),
+            onMessage: message => onMessage(message, connection, leader, topicEnds),
             onClose: code => {
                 if (openConnection?.connection === connection) {
                     openConnection = undefined;
