Lease manager: grants no longer wait behind releases for a connection

Cause: the grants in flight to one owner were limited, the releases weren't, and both use the same 12 connections. An owner responds to a release only after its running requests.

A release beyond that is started when an earlier one has ended.

How long a move of many ranges takes was not measured.

--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -26,7 +26,12 @@
 export type { LeaderRead, LeadershipInput, LeadershipStepValue, LeaderSuitability } from "./leadership";
 export { CommandKind, CommandOutcome } from "./leaseCommands";
 export type { CommandOutcomeValue, LeaseCommand } from "./leaseCommands";
-export { createLeaseManager, maxGrantsPerOwner, renewalIntervalMilliseconds } from "./leaseManager";
+export {
+    createLeaseManager,
+    maxGrantsPerOwner,
+    maxReleasesPerOwner,
+    renewalIntervalMilliseconds,
+} from "./leaseManager";
 export type { LeaseManager, RoutingChange } from "./leaseManager";
 export { estimateCapacities } from "./ownerCapacity";
 export type { MeasuredUpstream } from "./ownerCapacity";
--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -63,8 +63,10 @@
 const grantRetryMilliseconds = 150;
 /** Maximum grants in flight to an unresponsive owner, so that its other leases expire meanwhile. */
 const maxGrantsWhileUnresponsive = 1;
-/** Maximum grants in flight to one owner: the number of connections to it, so that no grant waits to be sent. */
+/** Maximum grants in flight to one owner; with the releases, the number of connections to it, so that no command waits to be sent. */
 export const maxGrantsPerOwner = 8;
+/** Maximum releases in flight to one owner, which responds to them only after its running requests. */
+export const maxReleasesPerOwner = 8;
 
 const routingOf = ({ range, isGranted }: rangeLease.RangeLease): RoutingChange => ({
     first: range.first,
@@ -73,6 +75,39 @@
     token: range.token,
 });
 
+/** Counts the releases in flight by the name of the owner that they are sent to. */
+const countReleasesInFlight = (leases: readonly rangeLease.RangeLease[]): Map<string, number> => {
+    const counts = new Map<string, number>();
+    for (const { isInFlight, isReleased, range } of leases) {
+        if (isInFlight && !isReleased && range.previousOwner !== undefined) {
+            const name = keyRange.ownerName(range.previousOwner);
+            counts.set(name, (counts.get(name) ?? 0) + 1);
+        }
+    }
+    return counts;
+};
+
+/** Returns the releases that are due, and marks as released the ranges whose previous owner no longer holds them. */
+const startDueReleases = (
+    leases: readonly rangeLease.RangeLease[],
+    now: number,
+    hasTerminated: (owner: keyRange.Owner) => boolean,
+): leaseCommands.LeaseCommand[] => {
+    const releases: leaseCommands.LeaseCommand[] = [];
+    const inFlightByOwner = countReleasesInFlight(leases);
+    const canSend = (owner: keyRange.Owner): boolean =>
+        (inFlightByOwner.get(keyRange.ownerName(owner)) ?? 0) < maxReleasesPerOwner;
+    for (const lease of leases.filter(({ isReleased }) => !isReleased)) {
+        const release = rangeLease.startRelease(lease, now, hasTerminated, canSend);
+        if (release !== undefined) {
+            releases.push(release);
+            const name = keyRange.ownerName(release.owner);
+            inFlightByOwner.set(name, (inFlightByOwner.get(name) ?? 0) + 1);
+        }
+    }
+    return releases;
+};
+
 /**
  * Creates a lease manager.
  *
@@ -159,18 +194,14 @@
             committed = assignment;
         },
         startDueCommands: (now, leaseMilliseconds) => {
-            const commands: leaseCommands.LeaseCommand[] = [];
+            const commands = startDueReleases(leases, now, hasTerminated);
             const inFlightByOwner = new Map<string, number>();
             const countGrant = (name: string): void => {
                 inFlightByOwner.set(name, (inFlightByOwner.get(name) ?? 0) + 1);
             };
-            for (const lease of leases) {
-                const release = lease.isReleased ? undefined : rangeLease.startRelease(lease, now, hasTerminated);
-                if (release !== undefined) {
-                    commands.push(release);
-                }
-                else if (lease.isInFlight && lease.isReleased && lease.range.owner !== undefined) {
-                    countGrant(keyRange.ownerName(lease.range.owner));
+            for (const { isInFlight, isReleased, range } of leases) {
+                if (isInFlight && isReleased && range.owner !== undefined) {
+                    countGrant(keyRange.ownerName(range.owner));
                 }
             }
             const dueLeases = leases.filter(lease =>
--- a/packages/assignment/src/rangeLease.ts
+++ b/packages/assignment/src/rangeLease.ts
@@ -157,12 +157,14 @@
  * @param lease - the range's lease state, updated in place
  * @param now - current time
  * @param hasTerminated - whether an owner's process has terminated
+ * @param canSend - whether another release may be in flight to an owner
  * @returns the command, or undefined if none is due
  */
 export const startRelease = (
     lease: RangeLease,
     now: number,
     hasTerminated: (owner: keyRange.Owner) => boolean,
+    canSend: (owner: keyRange.Owner) => boolean,
 ): leaseCommands.LeaseCommand | undefined => {
     const { previousOwner } = lease.range;
     if (previousOwner === undefined || hasTerminated(previousOwner) || now >= previousLeaseExpiry(lease)) {
@@ -171,7 +173,7 @@
         lease.dueAt = -Infinity;
         return undefined;
     }
-    if (lease.isInFlight || now < lease.dueAt) {
+    if (lease.isInFlight || now < lease.dueAt || !canSend(previousOwner)) {
         return undefined;
     }
     lease.isInFlight = true;
--- a/packages/assignment/test/leaseManager.test.ts
+++ b/packages/assignment/test/leaseManager.test.ts
@@ -250,3 +250,27 @@
         earl.expect(manager.startDueCommands(5000, lease)).toEqual([]);
     });
 });
+
+test.describe("the lease manager with many releases due", () => {
+    test.it("does not keep the grants to an owner waiting behind releases in flight to it", () => {
+        const manager = assignment.createLeaseManager();
+        const ranges = [...new Array(40).keys()].map((
+            index,
+        ): [number, assignment.Owner, number, assignment.Owner] => [index, second, index + 1, first]);
+        manager.setAssignment(createAssignment(...ranges), 60_000);
+        const releases = manager.startDueCommands(0, lease);
+        earl.expect(releases.map(({ kind, owner }) => [kind, owner.identifier]))
+            .toEqual(releases.map(() => [assignment.CommandKind.release, "first"]));
+        earl.expect(releases.length).toEqual(assignment.maxReleasesPerOwner);
+        earl.expect(manager.startDueCommands(10, lease)).toEqual([]);
+        const [{ first: refusedFirst }, { first: doneFirst }] = releases;
+        manager.onOutcome(releases[0], assignment.CommandOutcome.unanswered, undefined, 20);
+        manager.onOutcome(releases[1], assignment.CommandOutcome.done, undefined, 20);
+        const next = manager.startDueCommands(30, lease);
+        earl.expect(next.filter(({ kind }) => kind === assignment.CommandKind.grant).map(({ first: key }) => key))
+            .toEqual([doneFirst]);
+        const nextReleases = next.filter(({ kind }) => kind === assignment.CommandKind.release);
+        earl.expect(nextReleases.length).toEqual(2);
+        earl.expect(nextReleases.some(({ first: key }) => key === refusedFirst)).toEqual(false);
+    });
+});
