Lease commands: an exception while one is sent no longer leaves its range in flight

Cause: the sender passed only responses to the lease manager. A command whose promise was rejected had no outcome, and an exception of the client left the loop over the commands that are due.

What callers saw: the range counted as in flight for good, so that it was not granted or renewed any more; after an exception, this held also for the remaining commands of that tick, which were marked as in flight but not sent.

Change: an exception or rejection is reported and counts as the outcome `unknown`, after which the command is sent again.

Evidence: both new tests failed before the change: "The value [0] is not equal to [0, 100, 200]" (client throws; the other grants of the tick) and "The value [0, 100, 200] is not equal to [0, 100, 200, 0]" (client rejects; the later grant of the range). After it: both pass, as do entry ownership, ownershipTask and campaign (35 of 35), platform/test and packages/assignment/test (133 of 133).

--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -32,6 +32,14 @@
     unknown: assignment.CommandOutcome.unanswered,
 };
 
+/** Stands for the response to a command after an exception; the upstream may have executed it. */
+const unknownResponse: platform.CommandResponse = {
+    result: platform.CommandResult.unknown,
+    handover: undefined,
+    reason: "internal error",
+    isLeaving: false,
+};
+
 /**
  * Creates a lease command sender.
  *
@@ -55,10 +63,19 @@
         send: (service, leaseManager, command) => {
             const { owner, first, last, token } = command;
             const keys = { first, last, token };
-            const pendingResponse = command.kind === assignment.CommandKind.grant
-                ? leaseClient.grant(owner, keys, command.leaseMilliseconds, command.handover)
-                : leaseClient.release(owner, keys);
-            const handledResponse = pendingResponse.then(response => {
+            const fields = { service, owner: assignment.ownerName(owner), first, last };
+            const runCommand = async (): Promise<platform.CommandResponse> => {
+                try {
+                    return await (command.kind === assignment.CommandKind.grant
+                        ? leaseClient.grant(owner, keys, command.leaseMilliseconds, command.handover)
+                        : leaseClient.release(owner, keys));
+                }
+                catch (error) {
+                    options.failures.report("lease command", error, fields);
+                    return unknownResponse;
+                }
+            };
+            const handledResponse = runCommand().then(response => {
                 if (options.isStopped()) {
                     return;
                 }
@@ -81,7 +98,6 @@
                     log.write("order", { kind, service, owner: name, first, last, token, result, reason });
                 }
             });
-            const fields = { service, owner: assignment.ownerName(owner), first, last };
             options.failures.watch("lease command", handledResponse, fields);
         },
         isTerminated: owner => terminated.has(assignment.ownerNameWithAddress(owner)),
