Soak: checks of repeated requests and of leaving upstreams go by the route and by restarts

The check went by the method, but additional routes were safe to repeat, and 40 in 100 of their requests are POST. The log shows that the first attempt, at orders-3, ended unknown by ECONNRESET and that the request went on, which the relay does only for such a route. Now the check goes by the route: routes with odd numbers are unsafe, and no request to an unsafe route may run twice, also no GET, which the check before allowed. The log shows that entry-3 was stopped by the series of signals, and that its new process started at 21.798 s, between the announcement (19.457 s) and the request (22.1 s). The rule excuses a restart since then; the check knew only of the fault's planned time. Now it uses the starts of the processes.

--- a/packages/soak/src/documents.ts
+++ b/packages/soak/src/documents.ts
@@ -64,6 +64,16 @@
 /** Path prefix of an additional route. */
 export const additionalPrefix = (index: number): string => `/additional-${index}/`;
 
+const isRepeatableRoute = (additionalIndex: number): boolean => additionalIndex % 2 === 0;
+
+/** Returns whether a request to a path may run more than once, in every version. */
+export const isRepeatablePath = (requestPath: string): boolean => {
+    const additionalIndex = /^\/additional-(\d+)\//.exec(requestPath)?.[1];
+    return additionalIndex === undefined
+        ? !requestPath.startsWith(`/${ServiceName.unkeyed}/`)
+        : isRepeatableRoute(Number(additionalIndex));
+};
+
 /** Services that may run a request to a path, in any version. */
 export const allowedServices = (requestPath: string): readonly ServiceNameValue[] => {
     const { keyed, unkeyed, additionalKeyed, additionalUnkeyed } = ServiceName;
@@ -123,7 +133,12 @@
             createRoute("lookup", `/${keyed}/`, "safe", { service: keyed }),
             createRoute("order", `/${unkeyed}/`, "unsafe", orderDestination),
             ...shape.additionalRoutes.map(index =>
-                createRoute(`additional-${index}`, additionalPrefix(index), "safe", { service: unkeyed })
+                createRoute(
+                    `additional-${index}`,
+                    additionalPrefix(index),
+                    isRepeatableRoute(index) ? "safe" : "unsafe",
+                    { service: unkeyed },
+                )
             ),
             createService(keyed, true),
             createService(unkeyed, false),
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -48,6 +48,8 @@
     changeSettings: (content: SettingsContentValue) => void;
     /** Sets the delay before the next restart, in milliseconds; later restarts use the default delay. */
     setRestartDelay: (milliseconds: number) => void;
+    /** Returns the times at which its processes were started, of `performance.now()`. */
+    startTimes: () => readonly number[];
     /** Returns one line for each process that ended although the soak had sent no signal that ends it. */
     ownEnds: () => readonly string[];
     /** Kills the process, prevents restarts and waits for the process to exit. */
@@ -143,6 +145,7 @@
     let lastProcessClosed = Promise.resolve();
     let restartTimer: NodeJS.Timeout | undefined;
     const ownEnds: string[] = [];
+    const startTimes: number[] = [];
     const logDescriptor = fs.openSync(options.logFile, "a");
     const spawnProcess = (): void => {
         writeSettings(SettingsContent.original);
@@ -151,6 +154,7 @@
             stdio: ["ignore", logDescriptor, "pipe"],
         });
         child = spawned;
+        startTimes.push(performance.now());
         requestedBy = undefined;
         let errorOutput = "";
         spawned.stderr?.on("data", chunk => {
@@ -214,6 +218,7 @@
         setRestartDelay: milliseconds => {
             restartDelayMilliseconds = milliseconds;
         },
+        startTimes: () => startTimes,
         ownEnds: () => ownEnds,
         terminate: async () => {
             isTerminated = true;
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -25,4 +25,9 @@
         cause:
             "An upstream that announced in its responses that it was leaving received requests after the drain time; a caller's malformed header ended the process.",
     },
+    {
+        seed: 50_032,
+        cause:
+            "The check went by the method, and took the second run of a POST on a route that is safe to repeat for a fault.",
+    },
 ];
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -162,6 +162,10 @@
         isPlanned: schedule.isPlanned,
         recoveredAt,
         timeoutMilliseconds: options.checksTiming ? documents.timeoutMilliseconds : undefined,
+        wasRestarted: (name, from, until) =>
+            site.instances.some(instance =>
+                instance.name === name && instance.startTimes().some(time => time >= from && time <= until)
+            ),
         wasLinkDisturbed: (upstream, from, until) =>
             linkDisturbances.some(disturbance =>
                 upstream.startsWith(`${disturbance.upstream}@`) && disturbance.from <= until
--- a/packages/soak/src/upstreamChecker.ts
+++ b/packages/soak/src/upstreamChecker.ts
@@ -44,7 +44,7 @@
 
 /**
  * Checks that an instance that has passed on the announcement of an upstream that leaves sends it no request that a caller sent later
- * than the drain time after it.
+ * than the drain time after it. A new process of the instance does not know of it.
  */
 export const checkLeavingUpstreams = (observations: invariantChecker.Observations): string[] =>
     groupArrivals(observations).flatMap(group => {
@@ -54,6 +54,7 @@
         return group.filter(({ caller }) =>
             caller.sentAt > announcedAt + drainMilliseconds
             && !observations.wasDisrupted({ ...caller, sentAt: announcedAt })
+            && !observations.wasRestarted(caller.instance, announcedAt, caller.sentAt)
         ).map(({ identifier, upstream, caller }) =>
             `${identifier}: ${caller.instance} sent it to ${upstream} ${
                 Math.round(caller.sentAt - announcedAt)
