Resets: a connection that is being ended is closed, and its process can end

Cause: while the shutdown of a connection is under way, libuv refuses a reset (EINVAL). Node.js then marks the handle as closing without closing it: no "close" event, a leaked descriptor, and an exit that waits for it for ever. Instances reset connections as well (cut responses, abandoned commands). Change: foundation.resetConnection resets such a connection after its end; every reset of the instances, stand-ins and the soak uses it.

--- a/packages/emulator/src/malformedAnswers.ts
+++ b/packages/emulator/src/malformedAnswers.ts
@@ -1,5 +1,5 @@
 /** Responses of an upstream in trouble: bytes that are no response, are cut, or belong to no request. */
-import type * as foundation from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import type * as http from "node:http";
 import type * as net from "node:net";
 
@@ -61,14 +61,14 @@
     const headBytes = bytes.length - answer.text.length;
     const isReset = random.below(2) === 0;
     socket.write(bytes.subarray(0, random.below(headBytes)), () => {
-        setTimeout(() => isReset ? socket.resetAndDestroy() : socket.end(), lingerMilliseconds);
+        setTimeout(() => isReset ? foundation.resetConnection(socket) : socket.end(), lingerMilliseconds);
     });
 };
 
 const sendResetBody: AnswerSender = (socket, answer) => {
     const bytes = createBytes(answer, {}).toString().replace(/content-length: \d+\r\n/i, "");
     socket.write(bytes.slice(0, bytes.length - Math.ceil(answer.text.length / 2)), () => {
-        setTimeout(() => socket.resetAndDestroy(), lingerMilliseconds);
+        setTimeout(() => foundation.resetConnection(socket), lingerMilliseconds);
     });
 };
 
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -5,6 +5,7 @@
 export type { BatchedSink } from "./batchedSink";
 export { createOwner } from "./cleanup";
 export type { Cleanup, Owner } from "./cleanup";
+export { resetConnection } from "./connectionReset";
 export { createEventLog } from "./eventLog";
 export type { EventFields, EventLog, EventSink } from "./eventLog";
 export { eventNames } from "./eventNames";
--- a/packages/relay/src/requestExceptions.ts
+++ b/packages/relay/src/requestExceptions.ts
@@ -1,5 +1,5 @@
 /** Ends requests whose handling has thrown, so that none remains without a response. */
-import type * as foundation from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import type * as http from "node:http";
 import * as delegatedRequest from "./delegatedRequest";
@@ -55,12 +55,12 @@
                 }
                 else if (!response.writableEnded) {
                     // Without a length, only a reset tells the caller that the response is cut off.
-                    response.socket?.resetAndDestroy();
+                    foundation.resetConnection(response.socket ?? undefined);
                 }
             }
             catch (responseError) {
                 failures.report("response", responseError, { request: state.requestIdentifier });
-                response.socket?.resetAndDestroy();
+                foundation.resetConnection(response.socket ?? undefined);
             }
             finally {
                 currentAttempt?.cancel(reason);
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -174,7 +174,7 @@
         });
         const resetCaller = (): void => {
             if (isCloseDelimited) {
-                socket?.resetAndDestroy();
+                foundation.resetConnection(socket ?? undefined);
             }
         };
         // Both come before the pipeline closes the caller's connection.
--- a/packages/soak/src/unusualCallers.ts
+++ b/packages/soak/src/unusualCallers.ts
@@ -1,5 +1,5 @@
 /** Callers that leave before the response, send slowly, or send bytes that are no proper request. */
-import type * as foundation from "@mulberryseam/foundation";
+import * as foundation from "@mulberryseam/foundation";
 import * as net from "node:net";
 import type * as invariantChecker from "./invariantChecker";
 
@@ -114,7 +114,10 @@
             chunkIntervalMilliseconds,
         );
         sendChunk();
-        const leaveTimer = setTimeout(() => isReset ? socket.resetAndDestroy() : socket.destroy(), stayMilliseconds);
+        const leaveTimer = setTimeout(
+            () => isReset ? foundation.resetConnection(socket) : socket.destroy(),
+            stayMilliseconds,
+        );
         socket.on("close", () => {
             clearInterval(chunkTimer);
             clearTimeout(leaveTimer);
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -102,7 +102,7 @@
         source.on("error", error => {
             const isReset = (error as NodeJS.ErrnoException).code === "ECONNRESET" && !isInterrupted();
             setTimeout(
-                () => isReset ? destination.resetAndDestroy() : destination.destroy(),
+                () => isReset ? foundation.resetConnection(destination) : destination.destroy(),
                 deliveryDelayMilliseconds(direction, 0),
             );
         });
@@ -118,7 +118,7 @@
         connectionCount += 1;
         if (refusal === LinkRefusal.alternating && connectionCount % 2 === 0) {
             incoming.on("error", () => undefined);
-            incoming.resetAndDestroy();
+            foundation.resetConnection(incoming);
             return;
         }
         const outgoing = net.connect({ host: options.targetHost, port: options.targetPort, allowHalfOpen: true });
@@ -154,7 +154,7 @@
         sockets.forEach(socket => socket.destroy());
         await new Promise<void>(resolve => server.close(() => resolve()));
     });
-    const reset = (): void => sockets.forEach(socket => socket.resetAndDestroy());
+    const reset = (): void => sockets.forEach(foundation.resetConnection);
     return {
         port,
         setRefusal: newRefusal => {
