Relay: one function runs the attempts of a request

The sender of attempts and the delegator each had the same frame: start the attempt, make it the current one, watch it, and in a finally block forget it, end the watch and cancel it. runAttempt serves both.

--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -2,11 +2,12 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
-import * as attempts from "./attempt";
+import type * as attempts from "./attempt";
 import type * as concurrencyWindow from "./concurrencyWindow";
+import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
-import * as requestState from "./requestState";
+import type * as requestState from "./requestState";
 import * as silence from "./silence";
 import * as upstreamHealth from "./upstreamHealth";
 import type * as upstreamNotice from "./upstreamNotice";
@@ -167,8 +168,6 @@
         const attemptOptions = toAttemptOptions(state, target, body);
         const now = timers.now();
         const outstandingAttempt = health.recordStart(now);
-        let attempt: attempts.Attempt | undefined;
-        let silenceCheck: foundation.Subscription | undefined;
         let result: attempts.AttemptResult | undefined;
         let signal: upstreamHealth.HealthSignalValue = upstreamHealth.HealthSignal.none;
         try {
@@ -176,25 +175,23 @@
             state.attemptCount += 1;
             state.triedUpstreams.add(upstream.identifier);
             state.notifiedBy = undefined;
-            attempt = attempts.startAttempt(attemptOptions);
-            state.currentAttempt = attempt;
-            target.openAttempts.add(attempt);
-            // A request that may run only once is not sent again, so its response is waited for.
-            silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
-                ? abortIfSilent(state, target, outstandingAttempt, attempt)
-                : undefined;
-            result = await attempt.result;
+            result = await currentAttempt.runAttempt(state, attemptOptions, attempt => {
+                // A request that may run only once is not sent again, so its response is waited for.
+                const silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
+                    ? abortIfSilent(state, target, outstandingAttempt, attempt)
+                    : undefined;
+                target.openAttempts.add(attempt);
+                return {
+                    cancel: () => {
+                        target.openAttempts.delete(attempt);
+                        silenceCheck?.cancel();
+                    },
+                };
+            });
             signal = state.isFinished ? upstreamHealth.HealthSignal.none : healthSignalOf(result);
         }
         finally {
             health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
-            state.currentAttempt = undefined;
-            if (attempt !== undefined) {
-                target.openAttempts.delete(attempt);
-                // Without a result, nothing else would end the attempt.
-                attempt.cancel(requestState.FailureReason.internalError);
-            }
-            silenceCheck?.cancel();
         }
         if (result.kind === "unknown") {
             state.mayHaveRun = true;
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -3,7 +3,8 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
-import * as attempts from "./attempt";
+import type * as attempts from "./attempt";
+import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import type * as delegatePool from "./delegatePool";
 import * as delegation from "./delegation";
@@ -196,30 +197,21 @@
             () => health.onSignOfLife(pending, timers.now()),
         );
         const pending = health.onSent(timers.now());
-        let attempt: attempts.Attempt | undefined;
-        let silenceCheck: foundation.Subscription | undefined;
         let result: attempts.AttemptResult | undefined;
         try {
-            const started = attempts.startAttempt(attemptOptions);
-            attempt = started;
-            state.currentAttempt = started;
-            silenceCheck = silenceChecks.add(() => {
-                // A request that may run only once is waited for, as it may be running.
-                const canRepeat = state.route.kind === routing.RouteKind.idempotent || !started.mayHaveBeenSent();
-                if (canRepeat && health.isSilent(pending, timers.now())) {
-                    started.cancel(silenceReason);
-                }
-            });
-            result = await started.result;
+            result = await currentAttempt.runAttempt(state, attemptOptions, attempt =>
+                silenceChecks.add(() => {
+                    // A request that may run only once is waited for, as it may be running.
+                    const canRepeat = state.route.kind === routing.RouteKind.idempotent || !attempt.mayHaveBeenSent();
+                    if (canRepeat && health.isSilent(pending, timers.now())) {
+                        attempt.cancel(silenceReason);
+                    }
+                }));
             return result;
         }
         finally {
             const isLost = result !== undefined && result.kind !== "answered" && !state.isFinished;
             health.onEnd(pending, isLost, timers.now());
-            state.currentAttempt = undefined;
-            silenceCheck?.cancel();
-            // Without a result, nothing else would end the attempt.
-            attempt?.cancel(requestState.FailureReason.internalError);
         }
     };
 
