--- a/packages/relay/src/eventLoopDelay.ts
+++ b/packages/relay/src/eventLoopDelay.ts
@@ -8,11 +8,6 @@
 export interface EventLoopDelay {
     /** Approximate time that a request read now has waited, in milliseconds. */
     milliseconds: () => number;
-    /**
-     * Resolves once all data that had arrived before the call was read, including the end of callers' connections. A request and the end
-     * of its connection may have arrived together, as when the connection was established late.
-     */
-    waitForPendingReads: () => Promise<void>;
 }
 
 const intervalMilliseconds = 20;
@@ -38,7 +33,10 @@
 
 const nextLoopIteration = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
-/** Resolves once all data that had arrived before the call was read. */
+/**
+ * Resolves once all data that had arrived before the call was read, including the end of callers' connections. A request and the end
+ * of its connection may have arrived together, as when the connection was established late.
+ */
 export const waitForPendingReads = async (): Promise<void> => {
     // Sockets are read between two loop iterations.
     await nextLoopIteration();
@@ -62,8 +60,5 @@
     });
     owner.onCleanup(() => subscription.cancel());
     const milliseconds = (): number => Math.max(decayingDelay, currentDelay());
-    return {
-        milliseconds,
-        waitForPendingReads,
-    };
+    return { milliseconds };
 };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -175,7 +175,7 @@
             return;
         }
         if (!state.isDelegated) {
-            await options.eventLoopDelay.waitForPendingReads();
+            await eventLoopDelay.waitForPendingReads();
         }
         if (state.isFinished || request.socket.destroyed || request.socket.readableEnded) {
             return;
