--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -25,7 +25,7 @@
 export type { Random } from "./random";
 export { createSharedInterval } from "./sharedInterval";
 export type { SharedInterval } from "./sharedInterval";
-export { createTimerService, pause } from "./timerService";
+export { createTimerService, maxDelayMilliseconds, pause } from "./timerService";
 export type { Subscription, TimerService } from "./timerService";
 export { createTrafficAccount, reachBetween, startTransfer, TrafficPurpose, TrafficReach } from "./trafficAccount";
 export type { TrafficAccount, TrafficReachValue, TrafficTotal, Transfer } from "./trafficAccount";
--- a/packages/foundation/src/timerService.ts
+++ b/packages/foundation/src/timerService.ts
@@ -30,7 +30,7 @@
     });
 
 /** Longest delay of the timers of Node.js, in milliseconds; a longer one would end at once. */
-const maxDelayMilliseconds = 2 ** 31 - 1;
+export const maxDelayMilliseconds = 2 ** 31 - 1;
 
 /**
  * Creates a timer service that uses the clocks of the process.
