Relay tests: one fixture creates pools of upstreams

The fixture, holdOff and upstreamConnections each spelled out the same options. Assertions are unchanged.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -35,4 +35,4 @@
 export { parseNotice } from "./upstreamNotice";
 export type { NoticeHandler, UpstreamNotice } from "./upstreamNotice";
 export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
-export type { PooledUpstream, UpstreamPool } from "./upstreamPool";
+export type { PooledUpstream, UpstreamPool, UpstreamPoolOptions } from "./upstreamPool";
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -61,15 +61,7 @@
     test.it("cancels the attempts without a connection to an upstream that wants no requests, and no others", () => {
         const directory = routing.createUpstreamDirectory();
         directory.onEntry(relayFixture.createUpstream("a", 1, 1), 0);
-        const pool = relay.createUpstreamPool({
-            directory,
-            now: () => 0,
-            failureDomain: "north-a",
-            regions: { "north-a": "north" },
-            connectionLimit: () => 100,
-            sharerCount: () => 1,
-            leavingGraceMilliseconds: () => 1500,
-        });
+        const pool = relayFixture.createPool({ directory });
         const cancelled: string[] = [];
         const createAttempt = (name: string, mayHaveBeenSent: boolean): relay.Attempt => ({
             result: new Promise(() => undefined),
--- a/packages/relay/test/upstreamConnections.test.ts
+++ b/packages/relay/test/upstreamConnections.test.ts
@@ -106,15 +106,7 @@
     test.it("are limited even while no instance is known", () => {
         const directory = routing.createUpstreamDirectory();
         directory.onEntry(relayFixture.createUpstream("upstream-1", 1, 1), 0);
-        const pool = relay.createUpstreamPool({
-            directory,
-            now: () => 0,
-            failureDomain: "north-a",
-            regions: { "north-a": "north" },
-            connectionLimit: () => 100,
-            sharerCount: () => 0,
-            leavingGraceMilliseconds: () => 1500,
-        });
+        const pool = relayFixture.createPool({ directory, sharerCount: () => 0 });
         const [pooled] = pool.usable("orders");
         earl.expect(pooled.connections.agent.maxFreeSockets <= 100).toEqual(true);
     });
