--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -7,28 +7,9 @@
 import * as test from "node:test";
 import * as leavingUpstreams from "../src/leavingUpstreams";
 import * as ownershipTask from "../src/ownershipTask";
+import * as instanceSettings from "./fixtures/instanceSettings";
 
-const host = "127.0.0.1";
-const address = { host, port: 0 };
-const settings: platform.InstanceSettings = {
-    name: "entry-1",
-    host,
-    failureDomain: "north-a",
-    regions: { "north-a": "north" },
-    peerPort: 0,
-    delegatePort: 0,
-    callerAddress: address,
-    readinessAddress: address,
-    storeAddress: address,
-    processorCores: 1,
-    linkMegabitsPerSecond: 1000,
-    gracePeriodMilliseconds: 6000,
-    drainMilliseconds: 2500,
-    retryBudgetRatio: 0.2,
-    retryBudgetSlack: 50,
-    retryBudgetWindowMilliseconds: 10_000,
-    maxLeaseMilliseconds: 10_000,
-};
+const settings = instanceSettings.createSettings();
 const appendMilliseconds = 200;
 const stepMilliseconds = 20;
 
--- a/packages/entry/test/settingsInForce.test.ts
+++ b/packages/entry/test/settingsInForce.test.ts
@@ -1,30 +1,18 @@
 /** Which settings change while an instance runs. */
-import type * as platform from "@mulberryseam/platform";
 import * as earl from "earl";
 import * as test from "node:test";
 import * as settingsInForce from "../src/settingsInForce";
+import * as instanceSettings from "./fixtures/instanceSettings";
 
 const address = { host: "127.0.0.1", port: 1 };
 
-const settings: platform.InstanceSettings = {
-    name: "entry-1",
-    host: "127.0.0.1",
-    failureDomain: "north-a",
-    regions: { "north-a": "north" },
+const settings = instanceSettings.createSettings({
     peerPort: 1,
     delegatePort: 2,
     callerAddress: address,
     readinessAddress: address,
     storeAddress: address,
-    processorCores: 1,
-    linkMegabitsPerSecond: 1000,
-    gracePeriodMilliseconds: 6000,
-    drainMilliseconds: 2500,
-    retryBudgetRatio: 0.2,
-    retryBudgetSlack: 50,
-    retryBudgetWindowMilliseconds: 10_000,
-    maxLeaseMilliseconds: 10_000,
-};
+});
 
 test.describe("the settings in force", () => {
     test.it("take over limits at once, and tell what needs a restart", () => {
