--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -1,5 +1,4 @@
 /** What a leader sends to its followers when they join, stop and disconnect. */
-import type * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
 import * as protocol from "@mulberryseam/protocol";
 import * as siteModule from "@mulberryseam/site";
@@ -7,9 +6,10 @@
 import * as net from "node:net";
 import * as test from "node:test";
 import * as followerServer from "../src/followerServer";
-import * as leaderLink from "../src/leaderLink";
+import type * as leaderLink from "../src/leaderLink";
 import type * as leaderSession from "../src/leaderSession";
 import type * as topicTask from "../src/topicTask";
+import * as leaderLinks from "./fixtures/leaderLinks";
 
 const host = "127.0.0.1";
 const topic = "keyed.servers";
@@ -39,40 +39,6 @@
     }
 };
 
-const createLeaderRecord = (port: number): assignment.LeaderRecord => ({
-    identifier: "leader",
-    host,
-    port,
-    term: 1,
-    beat: 0,
-    isResigned: false,
-    longestLeaseMilliseconds: 0,
-    previousCommandsMilliseconds: 0,
-    previousLeasesMilliseconds: 0,
-});
-
-const createLink = (
-    timers: foundation.TimerService,
-    failures: foundation.FailureBoundary,
-): leaderLink.LeaderLink =>
-    leaderLink.createLeaderLink({
-        identifier: "follower",
-        failureDomain: "north-a",
-        delegate: createDelegate("follower"),
-        timers,
-        log: discardingLog,
-        failures,
-        onRouting: () => undefined,
-        topics: {
-            positions: () => [],
-            snapshot: () => undefined,
-            onRelayed: () => undefined,
-            onSnapshot: () => undefined,
-        },
-        onDelegates: () => undefined,
-        onLeaderLost: () => undefined,
-    });
-
 const createFollower = (
     timers: foundation.TimerService,
     port: number,
@@ -81,14 +47,10 @@
     knownTopics: string[],
 ): Follower => {
     const follower: Omit<Follower, "link"> = { delegates: [], snapshots: [] };
-    const link = leaderLink.createLeaderLink({
+    const link = leaderLinks.createLink({
         identifier,
         failureDomain,
-        delegate: createDelegate(identifier),
         timers,
-        log: discardingLog,
-        failures: foundation.createTransparentFailureBoundary(),
-        onRouting: () => undefined,
         topics: {
             positions: () => knownTopics.map(name => ({ topic: name, end: 5, age: 0 })),
             snapshot: () => undefined,
@@ -98,9 +60,8 @@
         onDelegates: delegates => {
             follower.delegates = delegates;
         },
-        onLeaderLost: () => undefined,
     });
-    link.follow(createLeaderRecord(port));
+    link.follow(leaderLinks.createLeaderRecord({ port }));
     return Object.assign(follower, { link });
 };
 
@@ -229,7 +190,7 @@
 test.describe("a follower", () => {
     test.it("does not throw for a leader record with a port out of range, and follows the next leader", async context => {
         const failures = foundation.createFailureBoundary({ write: () => undefined, sample: () => undefined });
-        const link = createLink(foundation.createTimerService(), failures);
+        const link = leaderLinks.createLink({ timers: foundation.createTimerService(), failures });
         const server = net.createServer();
         let isFollowed = false;
         server.once("connection", () => {
@@ -241,7 +202,7 @@
             server.close();
         });
         const { port } = server.address() as net.AddressInfo;
-        const record = createLeaderRecord(80_800);
+        const record = leaderLinks.createLeaderRecord({ port: 80_800 });
         link.follow(record);
         earl.expect([...failures.counts()]).toEqual([["leader record", 1]]);
         const following = setInterval(() => link.follow({ ...record, identifier: "next", port }), 20);
@@ -254,7 +215,7 @@
         responses: (protocol.RoutingMessage | "refusal")[],
     ): Promise<(string | undefined)[]> => {
         const [port] = await siteModule.reservePorts(1);
-        const link = createLink(foundation.createTimerService(), foundation.createTransparentFailureBoundary());
+        const link = leaderLinks.createLink({ timers: foundation.createTimerService() });
         const unavailableLeaders: (string | undefined)[] = [];
         for (const response of responses) {
             const sockets: net.Socket[] = [];
@@ -266,7 +227,7 @@
             if (response !== "refusal") {
                 await foundation.listenOn(server, host, port);
             }
-            const following = setInterval(() => link.follow(createLeaderRecord(port)), 20);
+            const following = setInterval(() => link.follow(leaderLinks.createLeaderRecord({ port })), 20);
             await new Promise(resolve => setTimeout(resolve, 500));
             unavailableLeaders.push(link.unavailableLeader());
             clearInterval(following);
--- a/packages/entry/test/leaderLink.test.ts
+++ b/packages/entry/test/leaderLink.test.ts
@@ -4,7 +4,7 @@
 import * as earl from "earl";
 import * as net from "node:net";
 import * as test from "node:test";
-import * as leaderLink from "../src/leaderLink";
+import * as leaderLinks from "./fixtures/leaderLinks";
 
 const host = "127.0.0.1";
 const pollMilliseconds = 10;
@@ -52,35 +52,20 @@
                 newLeaderKinds.push(...messages.map(({ kind }) => kind));
             });
         }, owner);
-        const link = leaderLink.createLeaderLink({
-            identifier: "follower",
-            failureDomain: "north-a",
-            delegate: { identifier: "follower", host, port: 1 },
+        const link = leaderLinks.createLink({
             timers,
-            log: { write: () => undefined, sample: () => undefined },
-            failures: foundation.createTransparentFailureBoundary(),
-            onRouting: () => undefined,
-            topics: {
-                positions: () => [],
-                snapshot: () => undefined,
-                onRelayed: () => undefined,
-                onSnapshot: () => undefined,
-            },
-            onDelegates: () => undefined,
             onLeaderLost: () => {
                 isLost = true;
             },
         });
         owner.onCleanup(link.close);
-        const times = { longestLeaseMilliseconds: 0, previousCommandsMilliseconds: 0, previousLeasesMilliseconds: 0 };
-        const record = { host, term: 1, beat: 0, isResigned: false, ...times };
-        link.follow({ ...record, identifier: "former", port: formerPort });
+        link.follow(leaderLinks.createLeaderRecord({ identifier: "former", port: formerPort }));
         earl.expect(await waitFor(() => formerSockets.length > 0)).toEqual(true);
         // What the former leader does not read keeps the connection to it from closing at once.
         const service = "x".repeat(7 * 1024 * 1024);
         link.send({ kind: "report", samples: [{ service, keys: [], weight: 1 }], speeds: [] });
         timers.advance(1000);
-        link.follow({ ...record, identifier: "new", port: newPort });
+        link.follow(leaderLinks.createLeaderRecord({ identifier: "new", port: newPort }));
         earl.expect(await waitFor(() => newLeaderKinds.length > 0)).toEqual(true);
         formerSockets[0].write(protocol.encodeFrame({ kind: "notLeader" }));
         earl.expect(await waitFor(() => isLost)).toEqual(true);
--- a/packages/entry/test/stalledFollower.test.ts
+++ b/packages/entry/test/stalledFollower.test.ts
@@ -7,9 +7,9 @@
 import * as net from "node:net";
 import * as test from "node:test";
 import * as followerServer from "../src/followerServer";
-import * as leaderLink from "../src/leaderLink";
 import type * as leaderSession from "../src/leaderSession";
 import * as topicTask from "../src/topicTask";
+import * as leaderLinks from "./fixtures/leaderLinks";
 
 const host = "127.0.0.1";
 const topic = "keyed.servers";
@@ -150,26 +150,17 @@
         onFailure: () => undefined,
     }, owner);
     const position = task.position;
-    const link = leaderLink.createLeaderLink({
-        identifier: "follower",
-        failureDomain: "north-a",
-        delegate: { identifier: "follower", host, port: 1 },
+    const link = leaderLinks.createLink({
         timers,
-        log: { write: () => undefined, sample: () => undefined },
         failures,
-        onRouting: () => undefined,
         topics: {
             positions: () => [position()].flatMap(known => known === undefined ? [] : [{ topic, ...known }]),
             snapshot: () => undefined,
             onRelayed: (...[, relayed]) => task.onRelayed(relayed),
             onSnapshot: (...[, snapshot]) => task.onSnapshot(snapshot),
         },
-        onDelegates: () => undefined,
-        onLeaderLost: () => undefined,
     });
-    const leader = { identifier: "leader", host, port, term: 1, beat: 0, isResigned: false };
-    const times = { longestLeaseMilliseconds: 0, previousCommandsMilliseconds: 0, previousLeasesMilliseconds: 0 };
-    const following = timers.onInterval(40, () => link.follow({ ...leader, ...times }));
+    const following = timers.onInterval(40, () => link.follow(leaderLinks.createLeaderRecord({ port })));
     // The leader's connection is not idle, although what it sends is held back.
     const reports = timers.onInterval(100, () => link.send({ kind: "report", samples: [], speeds: [] }));
     owner.onCleanup(() => {
