--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -9,19 +9,10 @@
 import * as leaderSession from "../src/leaderSession";
 import * as leavingUpstreams from "../src/leavingUpstreams";
 import * as ownershipWatch from "../src/ownershipWatch";
+import * as keyedUpstream from "./fixtures/keyedUpstream";
 
 const host = "127.0.0.1";
-const upstream: routing.Upstream = {
-    identifier: "upstream-1",
-    service: "records",
-    host,
-    port: 9000,
-    failureDomain: "north-a",
-    slots: 6,
-    isDraining: false,
-    warmupMilliseconds: 0,
-    startedAt: 1,
-};
+const upstream = keyedUpstream.createKeyedUpstream();
 const maxLeaseMilliseconds = 10_000;
 const stepMilliseconds = 40;
 const discardingLog: foundation.EventLog = { write: () => undefined, sample: () => undefined };
--- a/packages/entry/test/leaseCommandFailures.test.ts
+++ b/packages/entry/test/leaseCommandFailures.test.ts
@@ -7,18 +7,9 @@
 import * as test from "node:test";
 import * as leaderSession from "../src/leaderSession";
 import * as leavingUpstreams from "../src/leavingUpstreams";
+import * as keyedUpstream from "./fixtures/keyedUpstream";
 
-const upstream: routing.Upstream = {
-    identifier: "upstream-1",
-    service: "records",
-    host: "127.0.0.1",
-    port: 9000,
-    failureDomain: "north-a",
-    slots: 6,
-    isDraining: false,
-    warmupMilliseconds: 0,
-    startedAt: 1,
-};
+const upstream = keyedUpstream.createKeyedUpstream();
 const stepMilliseconds = 40;
 const record: assignment.LeaderRecord = {
     identifier: "instance-1",
--- a/packages/entry/test/leavingUpstreams.test.ts
+++ b/packages/entry/test/leavingUpstreams.test.ts
@@ -4,18 +4,10 @@
 import * as earl from "earl";
 import * as test from "node:test";
 import * as leavingUpstreams from "../src/leavingUpstreams";
+import * as keyedUpstream from "./fixtures/keyedUpstream";
 
-const createUpstream = (identifier: string, port: number, service = "records"): routing.Upstream => ({
-    identifier,
-    service,
-    host: "127.0.0.1",
-    port,
-    failureDomain: "north-a",
-    slots: 4,
-    isDraining: false,
-    warmupMilliseconds: 0,
-    startedAt: 100,
-});
+const createUpstream = (identifier: string, port: number, service = "records"): routing.Upstream =>
+    keyedUpstream.createKeyedUpstream({ identifier, port, service, startedAt: 100 });
 
 const createFixture = () => {
     const directory = routing.createUpstreamDirectory();
