Leases: a response with status 421 does not prove that an upstream has ended

Callers' keyed requests could run at two upstreams: an upstream that runs on and answers a release with 421 counted as ended, so that the leader granted its keys to others at once while it held them.

Cause: the answer was taken for that of another process at the upstream's address, and that for a proof of the upstream's end. It says only that the command did not run.

A previous owner's keys are now free once it has answered the release, or once its last lease has ended, and by nothing else; the notion of an ended owner is gone from the lease manager. An owner whose grants are answered with 421 is not routed to and counts as unresponsive, so its keys move.

Two tests asserted the wrong proof: keys "at once if the previous owner's process has terminated" and "once another process at its address responds" within 1 s. They are replaced by tests that the keys are granted as soon as the last lease has ended, and not before. The price: keys of an upstream whose address is in use again wait for the rest of its lease.

--- a/packages/assignment/src/keyRange.ts
+++ b/packages/assignment/src/keyRange.ts
@@ -20,7 +20,7 @@
     owner: Owner | undefined;
     /** Fencing token. Increases with each change of owner; no two owners of a key share one. */
     token: number;
-    /** The previous owner, until it has released the keys, its lease has expired or its process has terminated. */
+    /** The previous owner, until it has released the keys or its lease has expired. */
     previousOwner: Owner | undefined;
 }
 
--- a/packages/assignment/src/leaseCommands.ts
+++ b/packages/assignment/src/leaseCommands.ts
@@ -18,8 +18,9 @@
 }
 
 /**
- * Outcomes of a lease command; `fenced` means that the owner has seen a higher token, and `undelivered` that the command has
- * certainly not reached the owner, which may still run.
+ * Outcomes of a lease command; `fenced` means that the owner has seen a higher token, `misdirected` that a response came from the owner's
+ * address saying that the command was not meant for the process there, and `undelivered` that the command has certainly not reached the
+ * owner. The owner may still run after each of them.
  */
 export const CommandOutcome = {
     done: "done",
@@ -27,6 +28,7 @@
     refused: "refused",
     unanswered: "unanswered",
     undelivered: "undelivered",
+    misdirected: "misdirected",
 } as const;
 
 /** One of {@link CommandOutcome}. */
--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -2,8 +2,8 @@
  * Manages the leases of one service's upstreams: decides which grants, renewals and releases are due and applies their
  * outcomes. Time and outcomes are passed in.
  *
- * A previous owner's keys are free once it has acknowledged the release, its process has terminated, or the last lease
- * that any leader may have granted to it has expired. A release carries the next owner's token, so that the upstream
+ * A previous owner's keys are free once it has acknowledged the release, or the last lease that any leader may have granted
+ * to it has expired. Nothing else that can be observed proves that its process has ended. A release carries the next owner's token, so that the upstream
  * itself refuses a grant with an older token that is still in transit.
  */
 import * as keyRange from "./keyRange";
@@ -32,8 +32,6 @@
         handover: string | undefined,
         now: number,
     ) => void;
-    /** Records that an owner's process at this address has terminated, so that it holds no keys. */
-    onOwnerTerminated: (owner: keyRange.Owner) => void;
     /** Whether a range's previous owner may still hold it. */
     isMoving: (range: keyRange.KeyRange) => boolean;
     /** Whether both the previous and the current owner may hold a range, so that it cannot move to a third one. */
@@ -91,14 +89,13 @@
 const startDueReleases = (
     leases: readonly rangeLease.RangeLease[],
     now: number,
-    hasTerminated: (owner: keyRange.Owner) => boolean,
 ): leaseCommands.LeaseCommand[] => {
     const releases: leaseCommands.LeaseCommand[] = [];
     const inFlightByOwner = countReleasesInFlight(leases);
     const canSend = (owner: keyRange.Owner): boolean =>
         (inFlightByOwner.get(keyRange.ownerName(owner)) ?? 0) < maxReleasesPerOwner;
     for (const lease of leases.filter(({ isReleased }) => !isReleased)) {
-        const release = rangeLease.startRelease(lease, now, hasTerminated, canSend);
+        const release = rangeLease.startRelease(lease, now, canSend);
         if (release !== undefined) {
             releases.push(release);
             const name = keyRange.ownerName(release.owner);
@@ -119,11 +116,8 @@
     let leaseByFirstKey = new Map<number, rangeLease.RangeLease>();
     let changes: RoutingChange[] = [];
     const pendingGrants = new WeakMap<leaseCommands.LeaseCommand, rangeLease.PendingGrant>();
-    const terminated = new Set<string>();
     const ownerTracker = unresponsiveOwners.createUnresponsiveOwners();
 
-    const hasTerminated = (owner: keyRange.Owner): boolean => terminated.has(keyRange.ownerNameWithAddress(owner));
-
     const findByBounds = (first: number, last: number): rangeLease.RangeLease | undefined => {
         const lease = leaseByFirstKey.get(first);
         return lease?.range.last === last ? lease : undefined;
@@ -148,7 +142,12 @@
             lease.dueAt = now + grantRetryMilliseconds;
             return;
         }
-        ownerTracker.onResponse(command.owner);
+        if (outcome === leaseCommands.CommandOutcome.misdirected) {
+            ownerTracker.onUnanswered(command.owner, now);
+        }
+        else {
+            ownerTracker.onResponse(command.owner);
+        }
         const isDone = outcome === leaseCommands.CommandOutcome.done;
         if (isDone) {
             lease.leaseUntil = Math.max(
@@ -180,11 +179,7 @@
                 ) {
                     overlapping.push(previousLeases[index]);
                 }
-                const lease = rangeLease.createRangeLease(range, {
-                    leases: overlapping,
-                    unknownLeaseUntil,
-                    hasTerminated,
-                });
+                const lease = rangeLease.createRangeLease(range, { leases: overlapping, unknownLeaseUntil });
                 if (!lease.isGranted && overlapping.some(previous => previous.isGranted)) {
                     changes.push(routingOf(lease));
                 }
@@ -194,7 +189,7 @@
             committed = assignment;
         },
         startDueCommands: (now, leaseMilliseconds) => {
-            const commands = startDueReleases(leases, now, hasTerminated);
+            const commands = startDueReleases(leases, now);
             const inFlightByOwner = new Map<string, number>();
             const countGrant = (name: string): void => {
                 inFlightByOwner.set(name, (inFlightByOwner.get(name) ?? 0) + 1);
@@ -220,7 +215,7 @@
                 if ((inFlightByOwner.get(name) ?? 0) >= maxGrants) {
                     continue;
                 }
-                const grant = rangeLease.startGrant(lease, now, leaseMilliseconds, hasTerminated);
+                const grant = rangeLease.startGrant(lease, now, leaseMilliseconds);
                 if (grant !== undefined) {
                     pendingGrants.set(grant.command, grant.pending);
                     commands.push(grant.command);
@@ -255,23 +250,14 @@
                 lease.dueAt = -Infinity;
                 return;
             }
-            if (outcome === leaseCommands.CommandOutcome.undelivered) {
+            if (
+                outcome === leaseCommands.CommandOutcome.undelivered
+                || outcome === leaseCommands.CommandOutcome.misdirected
+            ) {
                 ownerTracker.onUnanswered(command.owner, now);
             }
             lease.dueAt = now + releaseRetryMilliseconds;
         },
-        onOwnerTerminated: owner => {
-            terminated.add(keyRange.ownerNameWithAddress(owner));
-            for (
-                const lease of leases.filter(({ range, isGranted }) =>
-                    isGranted && range.owner !== undefined && hasTerminated(range.owner)
-                )
-            ) {
-                lease.isGranted = false;
-                lease.leaseUntil = -Infinity;
-                changes.push(routingOf(lease));
-            }
-        },
         isMoving: range => {
             const lease = findByBounds(range.first, range.last);
             return lease !== undefined && !lease.isReleased;
--- a/packages/assignment/src/rangeLease.ts
+++ b/packages/assignment/src/rangeLease.ts
@@ -67,7 +67,6 @@
     leases: readonly RangeLease[];
     /** Time by which leases not listed here have expired. */
     unknownLeaseUntil: number;
-    hasTerminated: (owner: keyRange.Owner) => boolean;
 }
 
 /** Leases of one owner on the keys of a range. */
@@ -79,7 +78,7 @@
 const noLeases: OwnerLeases = { leaseUntil: -Infinity, pendingGrants: [] };
 
 const leasesOf = (owner: keyRange.Owner | undefined, previous: PreviousLeases): OwnerLeases => {
-    if (owner === undefined || previous.hasTerminated(owner)) {
+    if (owner === undefined) {
         return noLeases;
     }
     const unknownLeases = { leaseUntil: previous.unknownLeaseUntil, pendingGrants: [] };
@@ -152,22 +151,20 @@
 
 /**
  * Returns the release that is due to a range's previous owner and marks it as in flight. Marks the range as released if
- * the previous owner has terminated or its lease has expired.
+ * the previous owner's lease has expired.
  *
  * @param lease - the range's lease state, updated in place
  * @param now - current time
- * @param hasTerminated - whether an owner's process has terminated
  * @param canSend - whether another release may be in flight to an owner
  * @returns the command, or undefined if none is due
  */
 export const startRelease = (
     lease: RangeLease,
     now: number,
-    hasTerminated: (owner: keyRange.Owner) => boolean,
     canSend: (owner: keyRange.Owner) => boolean,
 ): leaseCommands.LeaseCommand | undefined => {
     const { previousOwner } = lease.range;
-    if (previousOwner === undefined || hasTerminated(previousOwner) || now >= previousLeaseExpiry(lease)) {
+    if (previousOwner === undefined || now >= previousLeaseExpiry(lease)) {
         lease.isReleased = true;
         lease.isInFlight = false;
         lease.dueAt = -Infinity;
@@ -192,19 +189,17 @@
  * @param lease - the range's lease state, updated in place
  * @param now - current time
  * @param leaseMilliseconds - duration of the lease to grant
- * @param hasTerminated - whether an owner's process has terminated
  * @returns the grant, or undefined if none is due
  */
 export const startGrant = (
     lease: RangeLease,
     now: number,
     leaseMilliseconds: number,
-    hasTerminated: (owner: keyRange.Owner) => boolean,
 ): StartedGrant | undefined => {
     const { owner, first, last, token } = lease.range;
     const isFirstGrant = leaseExpiry(lease) <= now;
     const canGrant = isGrantDue(lease, now, leaseMilliseconds) && !lease.isFenced && !(lease.isBlocked && isFirstGrant);
-    if (owner === undefined || !canGrant || hasTerminated(owner)) {
+    if (owner === undefined || !canGrant) {
         return undefined;
     }
     lease.isInFlight = true;
--- a/packages/assignment/test/leaseManager.test.ts
+++ b/packages/assignment/test/leaseManager.test.ts
@@ -146,24 +146,6 @@
         earl.expect(manager.unresponsiveSince(first, 5000)).toEqual(1521);
     });
 
-    test.it("grants keys to the next owner at once if the previous owner's process has terminated", () => {
-        const manager = createManagerWithGrant(first);
-        manager.onOwnerTerminated(first);
-        manager.setAssignment(createAssignment([0, second, 2, first]), -Infinity);
-        const [grant] = manager.startDueCommands(20, lease);
-        earl.expect(grant.kind).toEqual(assignment.CommandKind.grant);
-        earl.expect(grant.owner).toEqual(second);
-    });
-
-    test.it("keeps the leases of an owner when only another address of it has proved wrong", () => {
-        const manager = createManagerWithGrant(first);
-        manager.onOwnerTerminated({ ...first, port: 2 });
-        manager.setAssignment(createAssignment([0, second, 2, first]), -Infinity);
-        earl.expect(manager.startDueCommands(20, lease).map(({ kind }) => kind)).toEqual([
-            assignment.CommandKind.release,
-        ]);
-    });
-
     test.it("waits for leases that a previous leader may have granted", () => {
         const manager = assignment.createLeaseManager();
         manager.setAssignment(createAssignment([0, second, 2, first]), 13_000);
@@ -204,9 +186,8 @@
         const stored = createAssignment([0, second, 2, first]);
         manager.setAssignment(stored, 13_000);
         earl.expect(manager.isHolderUncertain(stored.ranges[0], 100)).toEqual(true);
-        manager.onOwnerTerminated(second);
-        manager.setAssignment(stored, 13_000);
         earl.expect(manager.isMoving(stored.ranges[0])).toEqual(true);
+        earl.expect(manager.isHolderUncertain(stored.ranges[0], 13_000)).toEqual(false);
     });
 
     test.it("keeps the remainder of a split range with its owner, and stops routing the moved subrange", () => {
@@ -251,6 +232,42 @@
     });
 });
 
+test.describe("the lease manager of an owner at whose address another process answers", () => {
+    // Guards against keys with two owners: a release that was answered as by another process frees no keys.
+    test.it("waits for the lease of a previous owner whose releases are answered as by another process", () => {
+        const manager = createManagerWithGrant(first);
+        manager.setAssignment(createAssignment([0, second, 2, first]), -Infinity);
+        const granted: number[] = [];
+        for (let now = 20; now < 6000; now += 20) {
+            for (const command of manager.startDueCommands(now, lease)) {
+                if (command.kind === assignment.CommandKind.grant) {
+                    granted.push(now);
+                }
+                else {
+                    manager.onOutcome(command, assignment.CommandOutcome.misdirected, undefined, now + 1);
+                }
+            }
+        }
+        earl.expect(granted[0] >= 10 + lease * 1.02).toEqual(true);
+        earl.expect(granted[0] < 10 + lease * 1.02 + 40).toEqual(true);
+    });
+
+    test.it("stops routing keys whose renewal is answered as by another process, and then counts the owner as unresponsive", () => {
+        const manager = createManagerWithGrant(first);
+        manager.drainChanges();
+        const renewalAt = 10 + assignment.renewalIntervalMilliseconds;
+        for (let now = renewalAt; now < renewalAt + 900; now += 20) {
+            for (const command of manager.startDueCommands(now, lease)) {
+                manager.onOutcome(command, assignment.CommandOutcome.misdirected, undefined, now + 1);
+            }
+        }
+        earl.expect(manager.drainChanges()).toEqual([
+            { first: 0, last: assignment.keyCount - 1, owner: undefined, token: 1 },
+        ]);
+        earl.expect(manager.unresponsiveSince(first, renewalAt + 900)).toEqual(renewalAt + 1);
+    });
+});
+
 test.describe("the lease manager with many releases due", () => {
     test.it("does not keep the grants to an owner waiting behind releases in flight to it", () => {
         const manager = assignment.createLeaseManager();
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -200,10 +200,6 @@
         timers,
         log,
         failures,
-        onTerminated: owner => {
-            services.forEach(({ leaseManager }) => leaseManager.onOwnerTerminated(owner));
-            nextCommitAt = timers.now();
-        },
         onLeaving: owner => options.leaving.learn(owner, leavingUpstreams.LeavingSource.command),
         isStopped: () => isStopped,
     });
@@ -233,7 +229,7 @@
         const entries = directory.findByService(service).filter(({ upstream, leavingSince }) => {
             const since = leaseManager.unresponsiveSince(toOwner(upstream), now);
             const isUnresponsive = since !== undefined && now - since >= unresponsiveMilliseconds;
-            return leavingSince === undefined && !isUnresponsive && !sender.isTerminated(toOwner(upstream));
+            return leavingSince === undefined && !isUnresponsive;
         });
         const upstreams = entries.map(({ upstream }) => ({
             owner: toOwner(upstream),
@@ -252,8 +248,7 @@
      */
     const canMove = (leaseManager: assignment.LeaseManager, range: assignment.KeyRange): boolean => {
         const now = timers.now();
-        const canPreviousLeaderRenew = now < options.previousLeaders.previousCommandsUntil && range.owner !== undefined
-            && !sender.isTerminated(range.owner);
+        const canPreviousLeaderRenew = now < options.previousLeaders.previousCommandsUntil && range.owner !== undefined;
         return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
     };
 
--- a/packages/entry/src/leaseCommandSender.ts
+++ b/packages/entry/src/leaseCommandSender.ts
@@ -1,4 +1,4 @@
-/** Sends the lease manager's commands to upstreams and detects terminated upstreams from the responses. */
+/** Sends the lease manager's commands to upstreams and passes their outcomes on. */
 import * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
@@ -9,25 +9,22 @@
     timers: foundation.TimerService;
     log: foundation.EventLog;
     failures: foundation.FailureBoundary;
-    /** Called once for each incarnation of an upstream that is known to have terminated. */
-    onTerminated: (owner: assignment.Owner) => void;
     /** Called for each response in which an upstream announces that it is leaving. */
     onLeaving: (owner: assignment.Owner) => void;
     /** Whether the session has stopped, so that responses are ignored. */
     isStopped: () => boolean;
 }
 
-/** Sends lease commands and tracks terminated owners. */
+/** Sends lease commands. */
 export interface LeaseCommandSender {
     send: (service: string, leaseManager: assignment.LeaseManager, command: assignment.LeaseCommand) => void;
-    isTerminated: (owner: assignment.Owner) => boolean;
 }
 
 const outcomes: Record<platform.CommandResponse["result"], assignment.CommandOutcomeValue> = {
     done: assignment.CommandOutcome.done,
     fenced: assignment.CommandOutcome.fenced,
     refused: assignment.CommandOutcome.refused,
-    replaced: assignment.CommandOutcome.refused,
+    misdirected: assignment.CommandOutcome.misdirected,
     notListening: assignment.CommandOutcome.undelivered,
     unknown: assignment.CommandOutcome.unanswered,
 };
@@ -44,21 +41,10 @@
  * Creates a lease command sender.
  *
  * @param options - dependencies of the sender
- * @returns the sender, with no owner marked as terminated
+ * @returns the sender
  */
 export const createLeaseCommandSender = (options: LeaseCommandSenderOptions): LeaseCommandSender => {
     const { leaseClient, timers, log } = options;
-    const terminated = new Set<string>();
-
-    const markTerminated = (owner: assignment.Owner, reason: string): void => {
-        const name = assignment.ownerNameWithAddress(owner);
-        if (!terminated.has(name)) {
-            terminated.add(name);
-            log.write("owner-ended", { owner: assignment.ownerName(owner), reason });
-            options.onTerminated(owner);
-        }
-    };
-
     return {
         send: (service, leaseManager, command) => {
             const { owner, first, last, token } = command;
@@ -81,9 +67,6 @@
                 }
                 // The outcome must reach the lease manager, or the range would count as in flight for good.
                 options.failures.run("lease command", () => {
-                    if (response.result === platform.CommandResult.replaced) {
-                        markTerminated(owner, response.reason);
-                    }
                     if (response.isLeaving) {
                         options.onLeaving(owner);
                     }
@@ -100,6 +83,5 @@
             });
             options.failures.watch("lease command", handledResponse, fields);
         },
-        isTerminated: owner => terminated.has(assignment.ownerNameWithAddress(owner)),
     };
 };
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -8,7 +8,6 @@
 
 const noFaults: simulationFaults.SimulationFaults = { lateCommands: 0, lostCommands: 0, lostAppends: 0, slowReads: 0 };
 const everyKey = assignment.keyCount;
-/** Maximum lease on a slow clock, plus the leader lease and the time for commands in flight, in milliseconds. */
 /** Longest time for which a normal lease runs on a slow clock after the last renewal has arrived, in milliseconds. */
 const leaseEndMilliseconds = assignment.normalKeyLeaseMilliseconds * 1.02 + 30;
 const settledMilliseconds = 14_000;
@@ -101,13 +100,38 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
-    test.it("grants an ended upstream's keys once another process at its address responds", async () => {
-        const simulation = await ownershipSimulation.createOwnershipSimulation(9, noFaults);
-        await simulation.run(6000);
-        simulation.replaceUpstream(0);
-        await simulation.run(1000);
-        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
-        earl.expect(simulation.violations()).toEqual([]);
+    for (const change of ["draining", "renewed"]) {
+        // Guards against keys with two owners after a running upstream has answered a lease command with 421.
+        test.it(`does not take the answer 421 to lease commands for the end of an upstream whose leases are ${change}`, async () => {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(9, noFaults);
+            await simulation.run(6000);
+            simulation.setMisdirecting(0, true);
+            simulation.setDraining(0, change === "draining");
+            await simulation.run(leaseEndMilliseconds);
+            earl.expect(simulation.heldKeyCountOf(0)).toEqual(0);
+            await simulation.run(1700);
+            earl.expect(simulation.violations()).toEqual([]);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            simulation.setMisdirecting(0, false);
+            simulation.setDraining(0, false);
+            simulation.requestKeys(0, 60_000);
+            await simulation.run(8000);
+            earl.expect(simulation.heldKeyCountOf(0) > 0).toEqual(true);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            earl.expect(simulation.violations()).toEqual([]);
+        });
+    }
+
+    test.it("grants the keys of an upstream whose address another process uses as soon as its last lease has ended", async () => {
+        for (let seed = 1; seed <= 8; seed += 1) {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(seed, noFaults);
+            await simulation.run(6000 + seed * 200);
+            simulation.replaceUpstream(0);
+            // A grant that was in flight as the upstream ended may have arrived.
+            await simulation.run(leaseEndMilliseconds + 200);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            earl.expect(simulation.violations()).toEqual([]);
+        }
     });
 
     for (const isOnlyFromLeader of [true, false]) {
@@ -200,6 +224,8 @@
                     () => simulation.setDraining(index, true),
                     () => simulation.setDraining(index, false),
                     () => simulation.announceLeaving(index),
+                    () => simulation.setMisdirecting(index, true),
+                    () => simulation.setMisdirecting(index, false),
                     () => simulation.reportLeaving(index),
                     () => simulation.requestKeys(random.below(60_000), 1 + random.below(300)),
                     () => simulation.setStoreUnavailable(true),
@@ -226,6 +252,7 @@
                 simulation.setPartitioned(index, false);
                 simulation.setDraining(index, false);
                 simulation.setOtherEntry(index, false);
+                simulation.setMisdirecting(index, false);
                 simulation.restartIfEnded(index);
             }
             simulation.setStoreUnavailable(false);
--- a/packages/explain/src/timeline.ts
+++ b/packages/explain/src/timeline.ts
@@ -45,6 +45,12 @@
     line.event === "order" && (service === undefined || line.service === service)
     && Number(line.first) <= key && key <= Number(line.last);
 
+/** Results of lease commands that did not reach the upstream they were meant for. */
+const undeliveredResults: ReadonlySet<unknown> = new Set(["misdirected", "notListening"]);
+
+const isUndeliveredCommand = ({ event, result }: logLine.LogLine): boolean =>
+    event === "order" && undeliveredResults.has(result);
+
 /**
  * Creates the timeline of one request.
  *
@@ -75,7 +81,7 @@
     const keyedOutcome = outcomes.find(line => line.key !== undefined);
     const isRelated = (line: logLine.LogLine): boolean => {
         const isAboutUpstream = line.event.startsWith("upstream-") && upstreams.has(line.upstream);
-        const isAboutOwner = line.event === "owner-ended" && upstreams.has(String(line.owner).split("@")[0]);
+        const isAboutOwner = isUndeliveredCommand(line) && upstreams.has(String(line.owner).split("@")[0]);
         const isAboutKey = keyedOutcome !== undefined
             && isCommandForKey(line, keyedOutcome.service, Number(keyedOutcome.key));
         const isAboutLeader = line.event.startsWith("leadership-");
@@ -101,7 +107,7 @@
  * @param lines - events of all instances
  * @param key - the key
  * @param service - service of the key; undefined for all services
- * @returns lease commands for the key, terminations of its owners, leader changes, and failed requests for the key
+ * @returns lease commands for the key, leader changes, and failed requests for the key
  */
 export const createKeyTimeline = (
     lines: readonly logLine.LogLine[],
@@ -109,9 +115,8 @@
     service: string | undefined,
 ): Timeline => {
     const leaseCommands = lines.filter(line => isCommandForKey(line, service, key));
-    const owners = new Set(leaseCommands.map(line => line.owner));
     const relatedLines = lines.filter(line =>
-        (line.event === "owner-ended" && owners.has(line.owner)) || line.event.startsWith("leadership-")
+        line.event.startsWith("leadership-")
         || (line.event === "request-failed" && line.key === key && (service === undefined || line.service === service))
     );
     const failures = relatedLines.filter(line => line.event === "request-failed");
--- a/packages/explain/test/explain.test.ts
+++ b/packages/explain/test/explain.test.ts
@@ -49,9 +49,13 @@
         earl.expect(explain.createRequestTimeline(logs, "a").lines.length).toEqual(1);
     });
 
-    test.it("includes the termination of the upstream that another instance logged when a response is lost", () => {
+    test.it("includes the commands that did not reach the upstream, logged by another instance, when a response is lost", () => {
+        const command = { kind: "release", service: "records", owner: "u-1@17", first: 0, last: 255 };
         const logs = createLogs(
-            createLine(7, "entry-2", "owner-ended", { owner: "u-1@17", reason: "ECONNREFUSED" }),
+            createLine(7, "entry-2", "order", { ...command, result: "notListening", reason: "ECONNREFUSED" }),
+            createLine(7, "entry-2", "order", { ...command, result: "misdirected", reason: "status 421" }),
+            createLine(7, "entry-2", "order", { ...command, result: "done", reason: "status 200" }),
+            createLine(7, "entry-2", "order", { ...command, owner: "u-2@17", result: "misdirected" }),
             createLine(6, "entry-1", "request-failed", {
                 ...failedRequest,
                 status: 502,
@@ -63,7 +67,8 @@
         const timeline = explain.createRequestTimeline(logs, "a");
         earl.expect(timeline.lines.map(line => line.event).sort()).toEqual([
             "attempt-failed",
-            "owner-ended",
+            "order",
+            "order",
             "request-failed",
         ]);
         earl.expect(timeline.conclusions[0]).toEqual("u-1 was sent the request, but no complete response arrived.");
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -19,7 +19,6 @@
     "leadership-won",
     "metrics-unavailable",
     "order",
-    "owner-ended",
     "ownership-read-failed",
     "peer-disconnected",
     "record-unreadable",
