--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -3,11 +3,10 @@
 import * as platform from "@mulberryseam/platform";
 import * as http from "node:http";
 import type * as net from "node:net";
-import * as stream from "node:stream";
 import * as tsResults from "ts-results";
 import * as eventLoopDelay from "./eventLoopDelay";
 import * as messageValidity from "./messageValidity";
-import type * as requestBody from "./requestBody";
+import * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
 import * as upstreamConnections from "./upstreamConnections";
 import type * as upstreamHealth from "./upstreamHealth";
@@ -260,12 +259,12 @@
         request.end(body.bytes);
         return;
     }
-    request.write(body.start);
-    stream.pipeline(body.rest, request, error => {
-        if (error) {
-            request.destroy(error);
-        }
-    });
+    const { start, rest } = body;
+    request.write(start);
+    rest.pipe(request);
+    rest.once("error", error => request.destroy(error));
+    // Not a pipeline, which would destroy the caller's request, and with it the way for the response.
+    request.once("close", () => requestBody.discardRest(rest));
 };
 
 /**
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -106,6 +106,7 @@
     const watchRequest = (state: requestState.RequestState): void => {
         openRequests.add(state);
         state.response.on("error", error => failures.report("response", error, { request: state.requestIdentifier }));
+        state.response.on("finish", () => requestBody.discardRestBehindResponse(state.request, timers));
         state.response.on("close", () => {
             openRequests.remove(state);
             if (!state.isFinished) {
--- a/packages/relay/src/requestBody.ts
+++ b/packages/relay/src/requestBody.ts
@@ -1,4 +1,5 @@
 /** Reads request bodies. Small ones are buffered so that they can be sent again; large ones are streamed. */
+import type * as foundation from "@mulberryseam/foundation";
 import type * as http from "node:http";
 
 /** A request body. */
@@ -13,6 +14,37 @@
 /** Largest body that is buffered, in bytes: many requests of this size fit into an instance's memory. */
 const maxBufferedBytes = 512 * 1024;
 
+/** Time in which the rest of a body has to arrive once its request has a response, in milliseconds. */
+const maxDiscardMilliseconds = 10_000;
+
+/**
+ * Reads the rest of a body that nothing needs any more. Otherwise the caller could not send its next request on the connection, and a
+ * connection that is closed with unread bytes is reset, so that the response before it may be lost.
+ *
+ * @param request - the caller's request
+ */
+export const discardRest = (request: http.IncomingMessage): void => {
+    request.unpipe();
+    request.resume();
+};
+
+/**
+ * Discards the rest of a body behind the response to its request, and closes the connection if it does not end.
+ *
+ * @param request - the caller's request
+ * @param timers - the clock of the limit
+ */
+export const discardRestBehindResponse = (request: http.IncomingMessage, timers: foundation.TimerService): void => {
+    if (request.complete) {
+        return;
+    }
+    const { socket } = request;
+    const timeout = timers.onDelay(maxDiscardMilliseconds, () => socket.destroy());
+    request.once("end", () => timeout.cancel());
+    socket.once("close", () => timeout.cancel());
+    discardRest(request);
+};
+
 /**
  * Reads the body of a request.
  *
