Stop: an instance takes no request that its own end could cut

Callers that sent requests late in a planned stop got a 504 of the instance's own while an upstream worked on them, among them requests that may run only once.

Cause: a stopping instance took every request on open connections, and for 3 s on new ones, and only shortened its deadline to its own end. A new request is now refused at once (503, not run, reason "the instance is stopping") unless its deadline, the caller's or the route's, is before that end; callers return to other instances. Delegated ones are then sent by the instance that has the caller. Requests that were open before keep what time is left, of which there is 250 ms more. A resignation that the store does not answer no longer delays the stop.

Responses to requests whose body is still being sent no longer close the connection: closing it with unread bytes resets it, and the response may be lost.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,7 +26,7 @@
 /** Time between the responses to requests that are still open and the end of their connections, in milliseconds. */
 const stopResponseMarginMilliseconds = 250;
 /** Time left when a stopping process closes all open connections before the platform terminates it, in milliseconds. */
-const stopMarginMilliseconds = 500;
+const stopMarginMilliseconds = 250;
 /**
  * Time after SIGTERM in which callers still connect, in milliseconds: the platform checks readiness once a second and
  * needs two failed checks.
@@ -256,8 +256,9 @@
         isStopping = true;
         log.write("stopping", { signal, open: requestRelay.openRequestCount() });
         const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
-        requestRelay.limitDeadlines(closeAt - stopResponseMarginMilliseconds);
-        await ownership.resign().catch(error => failures.report("stop", error));
+        requestRelay.stopAt(closeAt - stopResponseMarginMilliseconds);
+        // The store may not respond, which must not keep the process beyond its grace time.
+        failures.watch("stop", ownership.resign());
         await foundation.pause(timers, deregistrationMilliseconds);
         callerServer.stopListening();
         while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
--- a/packages/explain/src/outcome.ts
+++ b/packages/explain/src/outcome.ts
@@ -28,6 +28,8 @@
         } requests.`,
     "the instance is behind with its work": line =>
         `${line.instance} received more requests than its CPU could relay and sent the caller to another instance.`,
+    "the instance is stopping": line =>
+        `Rejected immediately: ${line.instance} was stopping, and the request could have outlasted it.`,
     "upstreams refused it": line =>
         `Every upstream that was tried (${format(line.tried)}) responded that it had not run the request.`,
     "the time limit has passed": line =>
--- a/packages/relay/src/openRequests.ts
+++ b/packages/relay/src/openRequests.ts
@@ -16,6 +16,8 @@
     /** Removes a request, whose deadline is then ignored. */
     remove: (state: requestState.RequestState) => void;
     count: () => number;
+    /** Whether a request ends, at its own deadline at the latest, before the limit of all deadlines. */
+    endsBeforeLimit: (state: requestState.RequestState) => boolean;
     /** Moves later deadlines of current and future requests forward to a time of the timer service's clock. */
     limitDeadlines: (latestDeadlineAt: number) => void;
 }
@@ -42,6 +44,7 @@
             timeouts.delete(state);
         },
         count: () => timeouts.size,
+        endsBeforeLimit: state => state.deadlineAt <= latestDeadlineAt,
         limitDeadlines: time => {
             latestDeadlineAt = time;
             for (const state of [...timeouts.keys()]) {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -60,8 +60,11 @@
     handleDelegated: (request: http.IncomingMessage, response: http.ServerResponse) => void;
     /** Returns the number of requests without a complete response. */
     openRequestCount: () => number;
-    /** Moves later deadlines of current and future requests forward to a time of the relay's clock, as before a stop. */
-    limitDeadlines: (latestDeadlineAt: number) => void;
+    /**
+     * Prepares a stop at a time of the relay's clock: later deadlines of open requests are moved forward to it, and new requests with a later
+     * deadline are refused, as the stop could cut them while an upstream works on them.
+     */
+    stopAt: (time: number) => void;
 }
 
 /** Status in logs and metrics of a request whose caller disconnected. */
@@ -150,7 +153,13 @@
     };
 
     const runRequest = (state: requestState.RequestState, maxBodyBytes: number): void => {
+        const endsBeforeStop = openRequests.endsBeforeLimit(state);
         watchRequest(state);
+        if (!endsBeforeStop) {
+            const { notAccepted, stopping } = requestState.FailureReason;
+            responder.fail(state, state.isDelegated ? notAccepted : stopping, selection.defaultRetryAfterMilliseconds);
+            return;
+        }
         serveRequest(state, maxBodyBytes).catch(error => exceptions.end(state, error));
     };
 
@@ -267,6 +276,6 @@
         handleDelegated: guardArrival(acceptDelegated, true),
         handle: guardArrival(accept, false),
         openRequestCount: openRequests.count,
-        limitDeadlines: openRequests.limitDeadlines,
+        stopAt: openRequests.limitDeadlines,
     };
 };
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -20,6 +20,7 @@
     lost: "the answer was lost",
     callerDisconnected: "the caller left",
     notAccepted: "the instance takes no delegated requests",
+    stopping: "the instance is stopping",
     malformed: "the request is malformed",
     internalError: "an internal error",
 } as const;
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -59,8 +59,9 @@
 export const createResponder = (options: ResponderOptions): Responder => {
     const { timers, log, random, failures } = options;
 
-    const responseHeaders = (extraHeaders: string[]): string[] =>
-        options.shouldCloseConnections() ? [...extraHeaders, "Connection", "close"] : extraHeaders;
+    /** A connection that is closed before the rest of a request was read is reset, and the response may be lost. */
+    const responseHeaders = ({ req: request }: http.ServerResponse, extraHeaders: string[]): string[] =>
+        options.shouldCloseConnections() && request.complete ? [...extraHeaders, "Connection", "close"] : extraHeaders;
 
     const writeOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
         const durationMilliseconds = timers.now() - state.arrivedAt;
@@ -119,7 +120,7 @@
             return;
         }
         const body = Buffer.from(`${text}\n`);
-        response.writeHead(status, responseHeaders([...extraHeaders, "Content-Length", String(body.length)]));
+        response.writeHead(status, responseHeaders(response, [...extraHeaders, "Content-Length", String(body.length)]));
         response.end(body);
     };
 
@@ -231,13 +232,13 @@
         }
         if (upstreamResponse.rest === undefined) {
             const length = hasBody ? ["Content-Length", String(upstreamResponse.body.length)] : [];
-            response.writeHead(upstreamResponse.status, responseHeaders([...forwardedHeaders, ...length]));
+            response.writeHead(upstreamResponse.status, responseHeaders(response, [...forwardedHeaders, ...length]));
             response.end(upstreamResponse.body);
             return;
         }
         response.writeHead(
             upstreamResponse.status,
-            responseHeaders([...forwardedHeaders, "Transfer-Encoding", "chunked"]),
+            responseHeaders(response, [...forwardedHeaders, "Transfer-Encoding", "chunked"]),
         );
         response.write(upstreamResponse.body);
         forwardRest(state, upstreamResponse);
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -199,6 +199,13 @@
         });
     });
 
+    test.it("is not run by an instance that stops before its deadline, but by the one that has the caller", () =>
+        withPair({ secondBehaviour: relayFixture.respondWith("second") }, async ({ first, second }) => {
+            second.stopAt(100);
+            earl.expect((await first.sendRequest({ key: 8 })).body.toString()).toEqual("first");
+            earl.expect([first.requestCounts(), second.requestCounts()]).toEqual([[1], [0]]);
+        }));
+
     test.it("is not run if the other instance says so, and may have run otherwise", async () => {
         const timers = foundation.createVirtualTimerService();
         await withPair({ secondBehaviour: relayFixture.refuse, timers }, async ({ first, second }) => {
