Memory: the bodies of all requests, metrics and messages of peers are bounded together

An instance could use more memory than it has: the platform then ends it, with the requests of every caller. Bounds held for one body each (256 KB of a response, 512 KB of a request), not for all of them together.

- A budget (an eighth of the memory) for buffered bodies.
One for which there is no more is streamed, which takes from a second budget of the same size; without that, a request is refused as not run, and the outcome of one whose response has no room is unknown.
Bodies of up to 8 KB need neither.
- The first bytes of a streamed response are no longer kept beside their copy.
- At most 16 open requests on one connection; more are refused as not run.
- A caller that takes none of a response that is written whole is disconnected after 10 s.
- A response that waited behind another one when its connection closed counted as open for good: Node.js tells only the first one.
- The metrics server serves one request a connection, 16 connections, and collects once for all.
A leader takes messages of up to 1 MB from followers.

Seen once beside load and traced: a test of delegated requests sent one on a connection whose end had not been read; it now waits for that.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -33,6 +33,8 @@
  */
 const deregistrationMilliseconds = 3000;
 const stopPollMilliseconds = 50;
+/** Ratio of the process's memory that buffered bodies may use: sockets and streams hold copies of them for a time. */
+const maxBufferedRatio = 1 / 8;
 /**
  * Time without contact to the store, its own or the leader's, after which an instance counts as isolated, in milliseconds:
  * longer than a change of leader takes.
@@ -180,6 +182,7 @@
             instanceCount: ownership.instanceCount,
         },
         eventLoopDelay,
+        maxBufferedBytes: settings.memoryBytes * maxBufferedRatio,
         shouldCloseConnections: () => isStopping || isIsolated,
         onFinished: result => requestMetrics.onRequestFinished(result),
     });
--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -135,6 +135,7 @@
     };
     const accept = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
+            maxFrameBytes: protocol.maxFollowerFrameBytes,
             failures: options.failures,
             log: options.log,
             onMessage: message => {
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -28,6 +28,10 @@
 /** Port of the metrics; also configured in `deploy/system.toml`. */
 export const metricsPort = 9464;
 const metricsPath = "/metrics";
+/** Connections that are served at the same time. */
+const maxReaders = 16;
+/** Time without traffic after which a connection is closed, in milliseconds. */
+const readerTimeoutMilliseconds = 5000;
 /** Bucket bounds of the request duration histogram, in seconds, chosen around the target latencies of the routes. */
 const durationBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 3, 6];
 
@@ -135,6 +139,14 @@
             }
         },
     });
+    let collection: Promise<string> | undefined;
+    /** Collects the metrics once for all readers that ask for them meanwhile. */
+    const collect = (): Promise<string> => {
+        collection ??= registry.metrics().finally(() => {
+            collection = undefined;
+        });
+        return collection;
+    };
     const server = http.createServer((request, response) => {
         if (request.url !== metricsPath) {
             response.writeHead(404, { "content-length": 0 });
@@ -145,12 +157,16 @@
             response.writeHead(status, { "content-type": registry.contentType });
             response.end(text);
         };
-        const collected = registry.metrics().then(text => respond(200, text), error => {
+        const collected = collect().then(text => respond(200, text), error => {
             failures.report("metrics", error);
             respond(500, "");
         });
         failures.watch("metrics", collected);
     });
+    // Readers that send many requests, or read nothing, must not use up the memory of the process.
+    server.maxConnections = maxReaders;
+    server.maxRequestsPerSocket = 1;
+    server.timeout = readerTimeoutMilliseconds;
     owner.onCleanup(() => {
         server.close();
         server.closeAllConnections();
--- /dev/null
+++ b/packages/entry/test/metricsServer.test.ts
@@ -0,0 +1,43 @@
+/** Readers of the metrics that send many requests and read nothing. */
+import * as foundation from "@mulberryseam/foundation";
+import * as earl from "earl";
+import * as net from "node:net";
+import * as test from "node:test";
+import * as metrics from "../src/metrics";
+
+const gauges: metrics.MetricsGauges = {
+    openRequests: () => 0,
+    callerConnections: () => 0,
+    documentVersion: () => 0,
+    isLeading: () => false,
+    upstreams: () => 0,
+    registryAge: () => 0,
+    eventLoopDelay: () => 0,
+    traffic: () => [],
+};
+
+/** Address of the server: no instance of another test uses it. */
+const host = "127.77.0.9";
+const maxTestMilliseconds = 60_000;
+
+test.describe("the metrics server", () => {
+    // Guards against an instance that runs out of memory as a reader sends requests and reads no response.
+    test.it("serves one request of a connection, whatever is sent behind it, and closes it", {
+        timeout: maxTestMilliseconds,
+    }, async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
+        await metrics.startMetrics(host, gauges, log, foundation.createTransparentFailureBoundary(), owner);
+        const socket = net.connect(metrics.metricsPort, host);
+        socket.on("error", () => undefined);
+        let received = "";
+        socket.on("data", data => {
+            received += data.toString();
+        });
+        socket.write("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n".repeat(50));
+        await new Promise(resolve => socket.once("close", resolve));
+        earl.expect(received.split("HTTP/1.1 200 OK").length - 1).toEqual(1);
+        earl.expect(received.includes("mulberryseam_open_requests 0")).toEqual(true);
+    });
+});
--- a/packages/explain/src/outcome.ts
+++ b/packages/explain/src/outcome.ts
@@ -30,6 +30,10 @@
         `${line.instance} received more requests than its CPU could relay and sent the caller to another instance.`,
     "the instance is stopping": line =>
         `Rejected immediately: ${line.instance} was stopping, and the request could have outlasted it.`,
+    "the instance has no memory for the body": line =>
+        `Rejected: ${line.instance} held as many bytes of other requests and responses as it may.`,
+    "too many requests are open on the connection": () =>
+        "Rejected immediately: the caller had sent many requests on the connection without waiting for the responses.",
     "upstreams refused it": line =>
         `Every upstream that was tried (${format(line.tried)}) responded that it had not run the request.`,
     "the time limit has passed": line =>
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,7 +8,7 @@
 export type { PeerClient, PeerClientOptions } from "./peerClient";
 export { createPeerServer } from "./peerServer";
 export type { PeerServerOptions } from "./peerServer";
-export { createRoutingConnection, routingIdleTimeoutMilliseconds } from "./routingConnection";
+export { createRoutingConnection, maxFollowerFrameBytes, routingIdleTimeoutMilliseconds } from "./routingConnection";
 export type { RoutingConnection, RoutingConnectionHandlers } from "./routingConnection";
 export { parseRoutingMessage, RoutingMessageKind, routingProtocolVersion } from "./routingMessages";
 export type {
--- a/packages/protocol/src/routingConnection.ts
+++ b/packages/protocol/src/routingConnection.ts
@@ -13,6 +13,8 @@
     failures: foundation.FailureBoundary;
     /** Receives an event when this side closes the connection because of an error. */
     log: foundation.EventLog;
+    /** Size of the largest accepted message, in bytes; that of the largest message of a leader by default. */
+    maxFrameBytes?: number;
     /** Called with the bytes of messages; those that arrive together count for the first one's kind. */
     onTransferred?: (kind: string, transfer: foundation.Transfer) => void;
 }
@@ -31,6 +33,9 @@
 /** Time without traffic after which a connection is closed, in milliseconds: three heartbeat intervals. */
 export const routingIdleTimeoutMilliseconds = 900;
 
+/** Size of the largest message that a leader accepts from a follower, in bytes: a leader has many followers, and their reports are small. */
+export const maxFollowerFrameBytes = 1024 * 1024;
+
 const maxUnsentBytes = 4 * 1024 * 1024;
 
 /**
@@ -44,7 +49,7 @@
     socket: net.Socket,
     handlers: RoutingConnectionHandlers,
 ): RoutingConnection => {
-    const decoder = frames.createFrameDecoder();
+    const decoder = frames.createFrameDecoder(handlers.maxFrameBytes);
     let closeReason: string | undefined;
     socket.setNoDelay(true);
     socket.setTimeout(routingIdleTimeoutMilliseconds, () => socket.destroy());
--- a/packages/protocol/test/routingConnection.test.ts
+++ b/packages/protocol/test/routingConnection.test.ts
@@ -213,4 +213,28 @@
         earl.expect(sound.filter(message => !isAccepted(message))).toEqual([]);
         earl.expect(odd.filter(isAccepted)).toEqual([]);
     });
+
+    // Guards against a leader that runs out of memory as many peers send the start of a large message.
+    test.it("of a leader is closed by a message that is larger than any of a follower", {
+        timeout: maxTestMilliseconds,
+    }, async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        let reason: string | undefined;
+        const socket = await connect({
+            failures: foundation.createTransparentFailureBoundary(),
+            log: { write: () => undefined, sample: () => undefined },
+            maxFrameBytes: protocol.maxFollowerFrameBytes,
+            onMessage: () => undefined,
+            onClose: closeReason => {
+                reason = closeReason;
+            },
+        }, owner);
+        const isClosed = new Promise(resolve => socket.once("close", resolve));
+        const start = Buffer.alloc(8);
+        start.writeUInt32BE(protocol.maxFollowerFrameBytes + 1, 0);
+        socket.write(start);
+        await isClosed;
+        earl.expect(reason).toEqual(`a frame of ${protocol.maxFollowerFrameBytes + 1} bytes`);
+    });
 });
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -4,6 +4,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as tsResults from "ts-results";
+import * as byteBudget from "./byteBudget";
 import * as eventLoopDelay from "./eventLoopDelay";
 import * as messageValidity from "./messageValidity";
 import * as requestBody from "./requestBody";
@@ -52,7 +53,9 @@
     /** Alternating names and values, without hop-by-hop headers. */
     headers: string[];
     requestIdentifier: string | undefined;
-    body: Exclude<requestBody.RequestBody, { kind: "tooLarge" | "broken"; }>;
+    /** Bytes that may be buffered of the response; one for which there are no more is streamed. */
+    reservation: byteBudget.ByteReservation;
+    body: Exclude<requestBody.RequestBody, { kind: "tooLarge" | "noMemory" | "broken"; }>;
     /** Timeout for a new connection, in milliseconds. */
     connectTimeoutMilliseconds: number;
     /** Called with the time that a new connection took, in milliseconds. */
@@ -208,19 +211,30 @@
 /** Handlers of {@link collectBody}. */
 interface BodyHandlers {
     guard: Guard;
+    reservation: byteBudget.ByteReservation;
     /** Called with the whole body, or with its first bytes and the paused response. */
-    onCollected: (chunks: readonly Buffer[], rest: http.IncomingMessage | undefined) => void;
+    onCollected: (body: Buffer, rest: http.IncomingMessage | undefined) => void;
     onFault: (reason: string) => void;
 }
 
 /** Reads a response until it is complete, or too large to be buffered. */
-const collectBody = (response: http.IncomingMessage, { guard, onCollected, onFault }: BodyHandlers): void => {
-    const chunks: Buffer[] = [];
+const collectBody = (
+    response: http.IncomingMessage,
+    { guard, reservation, onCollected, onFault }: BodyHandlers,
+): void => {
+    let chunks: Buffer[] = [];
     let size = 0;
+    /** Returns the collected bytes, which a response that goes on must not keep. */
+    const takeBytes = (): Buffer => {
+        const bytes = Buffer.concat(chunks);
+        chunks = [];
+        return bytes;
+    };
     const onData = guard((chunk: Buffer): void => {
         chunks.push(chunk);
         size += chunk.length;
-        if (size <= maxBufferedBytes) {
+        const isSmall = size <= byteBudget.unreservedBytes;
+        if (isSmall || (size <= maxBufferedBytes && reservation.tryReserve(chunk.length))) {
             return;
         }
         if (response.headers[platform.HeaderName.signature] === undefined || isRefusal(response)) {
@@ -228,16 +242,20 @@
             onFault("large refusal, or large response without a signature");
             return;
         }
+        if (!reservation.tryReserveStream()) {
+            onFault("no memory for the response");
+            return;
+        }
         response.pause();
         response.off("data", onData);
-        onCollected(chunks, response);
+        onCollected(takeBytes(), response);
     });
     response.on("data", onData);
     response.on(
         "end",
         guard(() => {
             if (response.complete) {
-                onCollected(chunks, undefined);
+                onCollected(takeBytes(), undefined);
             }
             else {
                 onFault("the response was interrupted");
@@ -406,7 +424,7 @@
                     fail(fault);
                     return;
                 }
-                const finishResponse = (chunks: readonly Buffer[], rest: http.IncomingMessage | undefined): void => {
+                const finishResponse = (body: Buffer, rest: http.IncomingMessage | undefined): void => {
                     if (isFinished || abortReason !== undefined) {
                         return;
                     }
@@ -444,7 +462,7 @@
                         response: {
                             status: statusCode,
                             rawHeaders,
-                            body: Buffer.concat(chunks),
+                            body,
                             isCloseDelimited,
                             hasLength,
                             rest,
@@ -454,6 +472,7 @@
                 };
                 collectBody(response, {
                     guard,
+                    reservation: options.reservation,
                     onCollected: finishResponse,
                     onFault: reason => {
                         request.destroy();
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -119,6 +119,7 @@
                 upstream.identifier,
             ],
             requestIdentifier: state.requestIdentifier,
+            reservation: state.reservation,
             failures: options.failures,
             body,
             connectTimeoutMilliseconds: pool.connectTimeoutMilliseconds(target),
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -53,6 +53,8 @@
 /** How much earlier a delegate responds than the request ends, in milliseconds. */
 const responseMarginMilliseconds = 15;
 const silenceReason = "the delegate is silent";
+/** Status of a delegate's own response to a request that has not run. */
+const notRunStatus = 503;
 
 const notDelegated: DelegationResult = { kind: "notDelegated", mayHaveRun: false };
 const failureReasons: readonly string[] = Object.values(requestState.FailureReason);
@@ -74,7 +76,7 @@
     if (failure === undefined) {
         return { kind: "answered", response };
     }
-    if (localReasons.includes(failure)) {
+    if (response.status === notRunStatus && localReasons.includes(failure)) {
         return notDelegated;
     }
     return {
@@ -82,7 +84,7 @@
         reason: failureReasons.includes(failure)
             ? failure as requestState.FailureReasonValue
             : requestState.FailureReason.refused,
-        mayHaveRun: response.status !== 503,
+        mayHaveRun: response.status !== notRunStatus,
         waitMilliseconds: platform.parseRetryAfter(headerValue(response.rawHeaders, platform.HeaderName.retryAfter))
             ?? 0,
     };
@@ -170,6 +172,7 @@
                 delegatedRequest.encodeDelegation(state, now),
             ],
             requestIdentifier: state.requestIdentifier,
+            reservation: state.reservation,
             failures: options.failures,
             body,
             connectTimeoutMilliseconds,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -2,6 +2,8 @@
 export { isAdmissible, queueLimit, retryAfterMilliseconds } from "./admission";
 export { startAttempt } from "./attempt";
 export type { Attempt, AttemptOptions, AttemptResult, UpstreamResponse } from "./attempt";
+export { createByteBudget } from "./byteBudget";
+export type { ByteBudget, ByteReservation } from "./byteBudget";
 export { startCallerServer } from "./callerServer";
 export type { CallerServer, CallerServerOptions } from "./callerServer";
 export { createConcurrencyWindow } from "./concurrencyWindow";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
+import * as byteBudget from "./byteBudget";
 import * as delegatedRequest from "./delegatedRequest";
 import * as delegateHealth from "./delegateHealth";
 import type * as delegator from "./delegator";
@@ -48,6 +49,8 @@
     acceptsDelegated: () => boolean;
     retryBudget: retryBudget.RetryBudgetOptions;
     eventLoopDelay: eventLoopDelay.EventLoopDelay;
+    /** Bytes of bodies that may be buffered for all requests together. */
+    maxBufferedBytes: number;
     /** Whether responses tell callers to open their next connection elsewhere. */
     shouldCloseConnections: () => boolean;
     onFinished: (result: responders.FinishedRequest) => void;
@@ -85,12 +88,14 @@
 export const createRelay = (options: RelayOptions): Relay => {
     const { timers, log, failures } = options;
     const responder = responders.createResponder(options);
+    const budget = byteBudget.createByteBudget(options.maxBufferedBytes);
     const signsOfLife = foundation.createSharedInterval(timers, delegateHealth.signOfLifeMilliseconds);
     const exceptions = requestExceptions.createRequestExceptions({ failures, responder });
     const serve = requestServing.createRequestServing({ ...options, responder });
     const splitCostOf = splitCost.createSplitCostEstimator(options);
     const openRequests = openRequestSet.createOpenRequests({
         timers,
+        onDisconnected: state => endRequest(state),
         onExpired: state => {
             const attempt = state.currentAttempt;
             try {
@@ -106,18 +111,21 @@
         },
     });
 
+    const endRequest = (state: requestState.RequestState): void => {
+        state.reservation.release();
+        openRequests.remove(state);
+        if (!state.isFinished) {
+            state.isFinished = true;
+            responder.recordOutcome(state, callerDisconnectedStatus, requestState.FailureReason.callerDisconnected);
+            state.currentAttempt?.cancel(requestState.FailureReason.callerDisconnected);
+        }
+    };
+
     const watchRequest = (state: requestState.RequestState): void => {
         openRequests.add(state);
         state.response.on("error", error => failures.report("response", error, { request: state.requestIdentifier }));
         state.response.on("finish", () => requestBody.discardRestBehindResponse(state.request, timers));
-        state.response.on("close", () => {
-            openRequests.remove(state);
-            if (!state.isFinished) {
-                state.isFinished = true;
-                responder.recordOutcome(state, callerDisconnectedStatus, requestState.FailureReason.callerDisconnected);
-                state.currentAttempt?.cancel(requestState.FailureReason.callerDisconnected);
-            }
-        });
+        state.response.on("close", () => endRequest(state));
     };
 
     const startRequest = (
@@ -143,6 +151,7 @@
             key,
             documentVersion: document.version,
             arrivedAt: timers.now(),
+            reservation: budget.createReservation(),
             isDelegated: false,
         });
         if (state.isKeyed && state.key !== undefined) {
@@ -155,6 +164,10 @@
     const runRequest = (state: requestState.RequestState, maxBodyBytes: number): void => {
         const endsBeforeStop = openRequests.endsBeforeLimit(state);
         watchRequest(state);
+        if (openRequests.isConnectionFull(state)) {
+            responder.fail(state, requestState.FailureReason.pipelined, selection.defaultRetryAfterMilliseconds);
+            return;
+        }
         if (!endsBeforeStop) {
             const { notAccepted, stopping } = requestState.FailureReason;
             responder.fail(state, state.isDelegated ? notAccepted : stopping, selection.defaultRetryAfterMilliseconds);
@@ -170,7 +183,7 @@
             responder.fail(state, requestState.FailureReason.overloaded, selection.defaultRetryAfterMilliseconds);
             return;
         }
-        const body = await requestBody.readBody(request, maxBodyBytes);
+        const body = await requestBody.readBody(request, maxBodyBytes, state.reservation);
         if (state.isFinished) {
             return;
         }
@@ -180,6 +193,10 @@
             responder.reply(response, 413, ["Connection", "close"], requestState.FailureReason.bodyTooLarge);
             return;
         }
+        if (body.kind === "noMemory") {
+            responder.fail(state, requestState.FailureReason.noMemory, selection.defaultRetryAfterMilliseconds);
+            return;
+        }
         if (body.kind === "broken") {
             response.destroy();
             return;
@@ -225,6 +242,7 @@
             key,
             documentVersion: parsed.val.documentVersion,
             arrivedAt: timers.now(),
+            reservation: budget.createReservation(),
             isDelegated: true,
         });
         sendSignsOfLife(response);
--- a/packages/relay/src/requestBody.ts
+++ b/packages/relay/src/requestBody.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies. Small ones are buffered so that they can be sent again; large ones are streamed. */
 import type * as foundation from "@mulberryseam/foundation";
 import type * as http from "node:http";
+import * as byteBudget from "./byteBudget";
 
 /** A request body. */
 export type RequestBody =
@@ -8,6 +9,8 @@
     /** The first bytes, and the request to read the rest from. */
     | { kind: "streamed"; start: Buffer; rest: http.IncomingMessage; }
     | { kind: "tooLarge"; }
+    /** The instance has no memory for the rest of the body. */
+    | { kind: "noMemory"; }
     /** The caller disconnected, or its body is malformed. */
     | { kind: "broken"; };
 
@@ -50,9 +53,14 @@
  *
  * @param request - the caller's request
  * @param maxBytes - size of the largest body that is accepted, in bytes
+ * @param reservation - bytes that may be buffered; a body for which there are no more is streamed
  * @returns the body; never rejects
  */
-export const readBody = (request: http.IncomingMessage, maxBytes: number): Promise<RequestBody> =>
+export const readBody = (
+    request: http.IncomingMessage,
+    maxBytes: number,
+    reservation: byteBudget.ByteReservation,
+): Promise<RequestBody> =>
     new Promise(resolve => {
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
         if (declaredBytes > maxBytes) {
@@ -74,8 +82,14 @@
             if (size > maxBytes) {
                 finish({ kind: "tooLarge" });
             }
-            else if (size > maxBufferedBytes) {
+            else if (
+                size > byteBudget.unreservedBytes && (size > maxBufferedBytes || !reservation.tryReserve(chunk.length))
+            ) {
                 request.pause();
+                if (!reservation.tryReserveStream()) {
+                    finish({ kind: "noMemory" });
+                    return;
+                }
                 finish({ kind: "streamed", start: Buffer.concat(chunks), rest: request });
             }
         };
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -3,6 +3,7 @@
 import type * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
 import type * as attempts from "./attempt";
+import type * as byteBudget from "./byteBudget";
 
 /** Why a request ended without a response from an upstream. */
 export const FailureReason = {
@@ -21,6 +22,8 @@
     callerDisconnected: "the caller left",
     notAccepted: "the instance takes no delegated requests",
     stopping: "the instance is stopping",
+    noMemory: "the instance has no memory for the body",
+    pipelined: "too many requests are open on the connection",
     malformed: "the request is malformed",
     internalError: "an internal error",
 } as const;
@@ -66,6 +69,8 @@
     mayHaveRun: boolean;
     isFinished: boolean;
     currentAttempt: attempts.Attempt | undefined;
+    /** Bytes of the request and its response that are buffered. */
+    reservation: byteBudget.ByteReservation;
     /** Estimated size of the request and its response, in bytes. */
     estimatedBytes: number;
     /** Estimates of the newest selection; undefined before the first one. */
@@ -79,7 +84,16 @@
 /** What is known of a request when it arrives. */
 export type ArrivedRequest = Pick<
     RequestState,
-    "request" | "response" | "route" | "service" | "isKeyed" | "key" | "documentVersion" | "arrivedAt" | "isDelegated"
+    | "request"
+    | "response"
+    | "route"
+    | "service"
+    | "isKeyed"
+    | "key"
+    | "documentVersion"
+    | "arrivedAt"
+    | "reservation"
+    | "isDelegated"
 >;
 
 /** Typical size of a response with its headers, in bytes. */
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -32,6 +32,9 @@
     onFinished: (result: FinishedRequest) => void;
 }
 
+/** Time in which a caller has to take a response that is written whole, in milliseconds; one that reads nothing holds its bytes. */
+const maxDeliveryMilliseconds = 10_000;
+
 /** Responds to callers. */
 export interface Responder {
     /** Logs and counts the outcome of a request. The reason is empty if an upstream responded; such events are sampled. */
@@ -115,13 +118,25 @@
             request: state.requestIdentifier,
         });
 
+    /** Ends a response, and resets the connection of a caller that does not take it; a regular end could make it look complete. */
+    const endResponse = (response: http.ServerResponse, body: Buffer): void => {
+        const { socket } = response;
+        response.end(body);
+        if (response.writableFinished) {
+            return;
+        }
+        const timeout = timers.onDelay(maxDeliveryMilliseconds, () => foundation.resetConnection(socket ?? undefined));
+        response.once("finish", () => timeout.cancel());
+        response.once("close", () => timeout.cancel());
+    };
+
     const reply = (response: http.ServerResponse, status: number, extraHeaders: string[], text: string): void => {
         if (response.headersSent || response.destroyed) {
             return;
         }
         const body = Buffer.from(`${text}\n`);
         response.writeHead(status, responseHeaders(response, [...extraHeaders, "Content-Length", String(body.length)]));
-        response.end(body);
+        endResponse(response, body);
     };
 
     const retryAfterHeader = (milliseconds: number): string[] => ["Retry-After", (milliseconds / 1000).toFixed(3)];
@@ -165,7 +180,7 @@
         { rest, isCloseDelimited, hasLength }: attempts.UpstreamResponse,
     ): void => {
         if (rest === undefined) {
-            state.response.end();
+            endResponse(state.response, Buffer.alloc(0));
             return;
         }
         const { socket } = state.response;
@@ -233,7 +248,7 @@
         if (upstreamResponse.rest === undefined) {
             const length = hasBody ? ["Content-Length", String(upstreamResponse.body.length)] : [];
             response.writeHead(upstreamResponse.status, responseHeaders(response, [...forwardedHeaders, ...length]));
-            response.end(upstreamResponse.body);
+            endResponse(response, upstreamResponse.body);
             return;
         }
         response.writeHead(
--- a/packages/relay/test/attemptExceptions.test.ts
+++ b/packages/relay/test/attemptExceptions.test.ts
@@ -83,6 +83,7 @@
             method: "POST",
             path: "/orders/1",
             headers: ["Host", "orders.example"],
+            reservation: relay.createByteBudget(Infinity).createReservation(),
             requestIdentifier: "request-1",
             body: { kind: "whole", bytes: 1 as unknown as Buffer },
             connectTimeoutMilliseconds: 1000,
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -248,6 +248,8 @@
         });
         await withPair({ secondBehaviour: relayFixture.respondWith("second") }, async ({ first, second }) => {
             await second.dispose();
+            // A request on a connection whose end has not been read yet may have run.
+            await virtualTime.waitUntil(() => !first.hasIdleDelegateConnection());
             earl.expect((await first.sendRequest({ key: 8 })).body.toString()).toEqual("first");
         });
     });
@@ -361,6 +363,8 @@
             earl.expect((await first.sendRequest({ key: 8 })).status).toEqual(503);
             earl.expect(second.requestCounts()).toEqual([1]);
             await second.dispose();
+            // A request on a connection whose end has not been read yet may have run.
+            await virtualTime.waitUntil(() => !first.hasIdleDelegateConnection());
             earl.expect((await first.sendRequest({ key: 8 })).body.toString()).toEqual("first");
         });
     });
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -188,6 +188,7 @@
                 method: "POST",
                 path: "/orders/1",
                 headers: ["Host", "orders.example", "Request-Id", "request-1"],
+                reservation: relay.createByteBudget(Infinity).createReservation(),
                 requestIdentifier: "request-1",
                 body: { kind: "whole", bytes: order },
                 connectTimeoutMilliseconds: 1000,
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -177,6 +177,7 @@
             method: "GET",
             path: "/orders/1",
             headers: ["Host", "orders.example", "Request-Id", "request-1"],
+            reservation: relay.createByteBudget(Infinity).createReservation(),
             requestIdentifier: "request-1",
             body: { kind: "whole", bytes: Buffer.alloc(0) },
             connectTimeoutMilliseconds: 1000,
