Leadership: a leader at another port of the same host may still run

A leader record with the host of an instance was taken for that of an earlier process of it, so that the instance campaigned at once and moved keys before the leases of the leader had ended. Only an instance that listens at the same port proves that the other one does not.

Evidence: "does not take a leader at another port of its host" fails on the source before ('The value "campaign" is not equal to "follow"').

--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -18,6 +18,7 @@
 export {
     campaignDelay,
     isLeaderMissing,
+    isSameAddress,
     LeadershipStep,
     leaderTimeoutMilliseconds,
     nextLeadershipStep,
--- a/packages/assignment/src/leadership.ts
+++ b/packages/assignment/src/leadership.ts
@@ -21,8 +21,9 @@
     isReceivingUpdates: boolean;
     /** Whether the leader's address refused a connection or responded that it does not lead; it may still send commands. */
     isLeaderUnavailable: boolean;
-    /** Host at which peers reach this instance. A leader recorded with this host is a terminated process. */
+    /** Address at which peers reach this instance. A leader recorded with it is a terminated process, as only one can listen there. */
     host: string;
+    port: number;
     /** Number of instances of the site; the more there are, the less often each one reads the store. */
     instanceCount: number;
     /** Number from 0 to 1 that spreads the reads of different instances over time. */
@@ -109,6 +110,18 @@
     return readIntervalMilliseconds * (factor === 1 ? 1 : factor * (0.5 + readPhase));
 };
 
+/**
+ * Whether a leader record was written at an address.
+ *
+ * @param leader - the record; undefined if there is none
+ * @param address - where peers reach an instance
+ * @returns whether the address is that of the record
+ */
+export const isSameAddress = (
+    leader: records.LeaderRecord | undefined,
+    address: Pick<records.LeaderRecord, "host" | "port">,
+): boolean => leader !== undefined && leader.host === address.host && leader.port === address.port;
+
 /**
  * Whether an instance knows that there is no leader, or that it is lost.
  *
@@ -117,7 +130,7 @@
  */
 export const isLeaderMissing = (input: LeadershipInput): boolean => {
     const { now, leader } = input;
-    const isVacant = leader === undefined || leader.isResigned || leader.host === input.host;
+    const isVacant = leader === undefined || leader.isResigned || isSameAddress(leader, input);
     const isLost = input.isLeaderUnavailable || now - input.unchangedSince >= leaderTimeoutMilliseconds;
     return input.hasRead && (isVacant || (isLost && !input.isReceivingUpdates));
 };
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -24,6 +24,7 @@
     isReceivingUpdates: false,
     isLeaderUnavailable: false,
     host: "10.0.0.2",
+    port: 7200,
     instanceCount: 8,
     readPhase: 0.5,
     missingSince: undefined,
@@ -83,13 +84,18 @@
         earl.expect(totalReads(64) >= 32).toEqual(true);
     });
 
-    test.it("campaigns if there is no leader, the leader resigned or is unavailable, or it ran on this host", () => {
+    test.it("campaigns if there is no leader, the leader resigned or is unavailable, or it ran at this address", () => {
         earl.expect(nextStep({ leader: undefined })).toEqual("campaign");
         earl.expect(nextStep({ leader: { ...record, isResigned: true } })).toEqual("campaign");
         earl.expect(nextStep({ isLeaderUnavailable: true })).toEqual("campaign");
         earl.expect(nextStep({ host: record.host })).toEqual("campaign");
     });
 
+    // Guards against keys with two owners: another instance on the same host may still lead.
+    test.it("does not take a leader at another port of its host for an earlier process of its own", () => {
+        earl.expect(nextStep({ host: record.host, port: record.port + 1 })).toEqual("follow");
+    });
+
     test.it("campaigns if the leader record has not changed for too long, but only after a recent read", () => {
         const unchangedSince = 10_000 - assignment.leaderTimeoutMilliseconds;
         earl.expect(nextStep({ unchangedSince })).toEqual("campaign");
--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -64,9 +64,9 @@
     stored: ownershipReader.OwnershipSnapshot,
 ): Promise<WonCampaign | undefined> => {
     const { watch, timers, log, identifier, host, port, maxLeaseMilliseconds } = options;
-    // A leader record with the host of this instance was written by an earlier process of it. A refused connection proves
+    // A leader record with the address of this instance was written by an earlier process of it. A refused connection proves
     // nothing: the path may be cut. Neither does the response that a process does not lead: it may learn later that it has won.
-    const hasTerminated = stored.leader?.host === host;
+    const hasTerminated = assignment.isSameAddress(stored.leader, options);
     const isUnknown = stored.leader === undefined && stored.unreadableKeys.size > 0;
     const previousLeader = isUnknown ? assumePreviousLeader(maxLeaseMilliseconds, timers.now()) : {
         record: stored.leader,
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -244,6 +244,7 @@
             isReceivingUpdates: link.isLeaderHealthy(),
             isLeaderUnavailable: link.unavailableLeader() === (known?.leader?.identifier ?? ""),
             host: settings.host,
+            port: settings.peerPort,
             instanceCount: link.instanceCount(),
             readPhase,
             missingSince,
