Soak: upstreams that answer lease commands as another process would, and the memory of instances

The soak did not play an upstream that runs on and answers lease commands with 421, and did not look at memory.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -4,7 +4,7 @@
 import type * as net from "node:net";
 import * as malformedAnswers from "./malformedAnswers";
 
-/** How an emulated upstream handles requests; it obeys lease commands in every mode. */
+/** How an emulated upstream handles requests; it obeys lease commands in every mode but one. */
 export const UpstreamMode = {
     serving: "serving",
     /** Neither executes nor refuses requests, like an upstream without room for them. */
@@ -17,6 +17,8 @@
     leaving: "leaving",
     /** Refuses every request with status 503 and the headers of {@link EmulatedUpstreamOptions.busyHeaders}. */
     busy: "busy",
+    /** Executes requests, and responds to lease commands as another process at its address would, without obeying them. */
+    misdirecting: "misdirecting",
 } as const;
 
 /** A value of {@link UpstreamMode}. */
@@ -93,6 +95,7 @@
 const endlessIntervalMilliseconds = 5;
 const endlessChunkBytes = 16 * 1024;
 const defaultBusyHeaders: http.OutgoingHttpHeaders = { "not-executed": "1", "retry-after": "1" };
+const leaseCommandPrefix = "/mulberryseam/";
 const conflictStatus = 409;
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
@@ -208,7 +211,9 @@
                 ...(echoedIdentifier === undefined ? {} : { "request-id": echoedIdentifier }),
                 "server-load": "0,0,4",
             };
-            if (targetInstance !== undefined && targetInstance !== identifier) {
+            const isLeaseCommand = request.url?.startsWith(leaseCommandPrefix) === true;
+            const isMisdirected = targetInstance !== undefined && targetInstance !== identifier;
+            if (isMisdirected || (isLeaseCommand && mode === UpstreamMode.misdirecting)) {
                 sendResponse(response, misdirectedStatus, commonHeaders);
                 return;
             }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -32,6 +32,7 @@
     callersUnusual: "callersUnusual",
     upstreamLeaving: "upstreamLeaving",
     upstreamBusy: "upstreamBusy",
+    upstreamMisdirecting: "upstreamMisdirecting",
 } as const;
 
 /** A value of {@link FaultKind}. */
@@ -61,11 +62,14 @@
 ];
 /** Upstreams that ask for no further requests. */
 export const withdrawalKinds: readonly FaultKindValue[] = [FaultKind.upstreamLeaving, FaultKind.upstreamBusy];
+/** Upstreams that hold keys and answer lease commands as another process would. */
+export const leaseRefusalKinds: readonly FaultKindValue[] = [FaultKind.upstreamMisdirecting];
 const separateKinds: readonly FaultKindValue[] = [
     ...upstreamModeKinds,
     ...oddInputKinds,
     ...seriesKinds,
     ...withdrawalKinds,
+    ...leaseRefusalKinds,
 ];
 
 /** A scheduled fault. */
@@ -96,11 +100,13 @@
 const meanOddInputGapMilliseconds = 800;
 const meanWithdrawalGapMilliseconds = 2500;
 const meanSeriesGapMilliseconds = 2500;
+const meanLeaseRefusalGapMilliseconds = 4000;
 /** Distinguish the random numbers of these faults from those of the others. */
 const upstreamModeSeedOffset = 500_000;
 const oddInputSeedOffset = 600_000;
 const seriesSeedOffset = 700_000;
 const withdrawalSeedOffset = 900_000;
+const leaseRefusalSeedOffset = 1_100_000;
 
 const createFaults = (
     random: foundation.Random,
@@ -144,6 +150,7 @@
             ...createGroup(upstreamModeSeedOffset, upstreamModeKinds, meanUpstreamModeGapMilliseconds),
             ...createGroup(oddInputSeedOffset, oddInputKinds, meanOddInputGapMilliseconds),
             ...createGroup(withdrawalSeedOffset, withdrawalKinds, meanWithdrawalGapMilliseconds),
+            ...createGroup(leaseRefusalSeedOffset, leaseRefusalKinds, meanLeaseRefusalGapMilliseconds),
         ]),
     ];
     faults.sort((left, right) => left.startMilliseconds - right.startMilliseconds);
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,6 @@
 /** Randomized soak test with fault injection that runs the real programs as separate processes on loopback. */
 export { createDocument, createShape, plainShape } from "./documents";
-export { createSchedule, FaultKind, oddInputKinds, seriesKinds, withdrawalKinds } from "./faults";
+export { createSchedule, FaultKind, leaseRefusalKinds, oddInputKinds, seriesKinds, withdrawalKinds } from "./faults";
 export type { Fault, FaultKindValue, Schedule } from "./faults";
 export { startInstance } from "./instances";
 export type { InstanceOptions, SoakInstance } from "./instances";
--- a/packages/soak/src/injections.ts
+++ b/packages/soak/src/injections.ts
@@ -176,6 +176,7 @@
         instanceSignalSeries: injectSignalSeries,
         upstreamLeaving: injectLeaving,
         upstreamBusy: () => injectUpstreamMode(emulator.UpstreamMode.busy),
+        upstreamMisdirecting: () => injectUpstreamMode(emulator.UpstreamMode.misdirecting),
         callersUnusual: () => startUnusualCallers(instance, fault),
     };
     return injections[fault.kind]();
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -7,6 +7,7 @@
 import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
+import * as processMemory from "./processMemory";
 
 /** Configures an instance. */
 export interface InstanceOptions {
@@ -52,11 +53,14 @@
     startTimes: () => readonly number[];
     /** Returns one line for each process that ended although the soak had sent no signal that ends it. */
     ownEnds: () => readonly string[];
+    /** Largest resident memory of its processes so far, in bytes. */
+    peakMemoryBytes: () => number;
     /** Kills the process, prevents restarts and waits for the process to exit. */
     terminate: () => Promise<void>;
 }
 
 const defaultRestartDelayMilliseconds = 300;
+const memorySampleMilliseconds = 200;
 /** Length of the error output kept for the description of an end, in characters. */
 const maxErrorOutputLength = 2000;
 const terminatingSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
@@ -147,6 +151,10 @@
     const ownEnds: string[] = [];
     const startTimes: number[] = [];
     const logDescriptor = fs.openSync(options.logFile, "a");
+    let peakMemoryBytes = 0;
+    const memorySamples = setInterval(() => {
+        peakMemoryBytes = Math.max(peakMemoryBytes, processMemory.readPeakMemory(child?.pid));
+    }, memorySampleMilliseconds);
     const spawnProcess = (): void => {
         writeSettings(SettingsContent.original);
         const spawned = childProcess.spawn(process.execPath, options.programArguments, {
@@ -191,6 +199,7 @@
     const killProcess = (): void => sendSignal("SIGKILL");
     killProcesses.add(killProcess);
     owner.onCleanup(() => {
+        clearInterval(memorySamples);
         killProcesses.delete(killProcess);
         fs.closeSync(logDescriptor);
         fs.rmSync(folder, { recursive: true });
@@ -220,6 +229,7 @@
         },
         startTimes: () => startTimes,
         ownEnds: () => ownEnds,
+        peakMemoryBytes: () => peakMemoryBytes,
         terminate: async () => {
             isTerminated = true;
             clearTimeout(restartTimer);
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -40,6 +40,8 @@
     ownershipViolations: readonly string[];
     /** Descriptions of processes that ended although nothing had asked them to. */
     ownEnds: readonly string[];
+    /** Largest resident memory of the processes of each instance, in bytes, by its name. */
+    peakMemoryBytes: ReadonlyMap<string, number>;
     /** Whether the run contained planned operations only. */
     isPlanned: boolean;
     /** Time from which the site is required to serve requests again. */
@@ -58,9 +60,16 @@
 const notExecutedStatuses = [408, 421, 429, 503];
 /** Time after the route's timeout within which the response must arrive, in milliseconds. */
 const timeoutToleranceMilliseconds = 500;
+/** Memory that the settings of an instance allow it, in bytes: the platform ends a process with more. */
+const memoryLimitBytes = 350 * 1024 * 1024;
 /** Minimum fraction of requests that must succeed after recovery. */
 const minServedRatio = 0.9;
 
+const checkMemory = ({ peakMemoryBytes }: Observations): string[] =>
+    [...peakMemoryBytes].filter(([, bytes]) => bytes > memoryLimitBytes).map(([name, bytes]) =>
+        `${name} used ${Math.round(bytes / 1024 / 1024)} MB of memory`
+    );
+
 const isSuccess = ({ status }: CallerRecord): boolean => status >= 200 && status < 300;
 
 const checkResponses = ({ callers }: Observations): string[] =>
@@ -168,6 +177,7 @@
 export const checkInvariants = (observations: Observations): string[] => [
     ...observations.ownEnds,
     ...observations.ownershipViolations,
+    ...checkMemory(observations),
     ...checkResponses(observations),
     ...checkExecutions(observations),
     ...checkRouting(observations),
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -159,6 +159,7 @@
         })),
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
+        peakMemoryBytes: new Map(site.instances.map(({ name, peakMemoryBytes }) => [name, peakMemoryBytes()])),
         isPlanned: schedule.isPlanned,
         recoveredAt,
         timeoutMilliseconds: options.checksTiming ? documents.timeoutMilliseconds : undefined,
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -38,6 +38,7 @@
     arrivals: [],
     ownershipViolations: [],
     ownEnds: [],
+    peakMemoryBytes: new Map(),
     isPlanned: false,
     recoveredAt: 0,
     timeoutMilliseconds: 1200,
@@ -95,6 +96,9 @@
         earl.expect(countViolations({ callers: [createRecord({ status: 502 })] })).toEqual(1);
         earl.expect(countViolations({ ownershipViolations: ["key 1"] })).toEqual(1);
         earl.expect(countViolations({ ownEnds: ["entry-1 ended by itself"] })).toEqual(1);
+        const megabyte = 1024 * 1024;
+        const peakMemoryBytes = new Map([["entry-1", 350 * megabyte], ["entry-2", 351 * megabyte]]);
+        earl.expect(countViolations({ peakMemoryBytes })).toEqual(1);
     });
 });
 
@@ -321,7 +325,7 @@
 
     test.it("have separate random numbers for separate groups of faults", () => {
         const kinds = soak.createSchedule(7, 10_000).faults.map(fault => fault.kind);
-        for (const kind of [...soak.oddInputKinds, ...soak.seriesKinds]) {
+        for (const kind of [...soak.oddInputKinds, ...soak.seriesKinds, ...soak.leaseRefusalKinds]) {
             earl.expect(soak.createSchedule(8, 60_000).faults.some(fault => fault.kind === kind)).toEqual(true);
         }
         earl.expect(kinds.filter(kind => kind.startsWith("store")).length > 0).toEqual(true);
@@ -331,7 +335,7 @@
     });
 
     const properInputKinds = Object.values(soak.FaultKind).filter(kind =>
-        ![...soak.oddInputKinds, ...soak.withdrawalKinds].includes(kind)
+        ![...soak.oddInputKinds, ...soak.withdrawalKinds, ...soak.leaseRefusalKinds].includes(kind)
     );
     const runs: [number, readonly soak.FaultKindValue[] | undefined][] = [
         [3, properInputKinds],
