Relay: an exception as a connection closes ends one request; regression tests say what they guard against

Requests that wait for an earlier response are ended when their connection closes: an exception in one of them must not keep the others open. The regression tests of the review's cases get the line of comment that says which failure they guard against.

--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -83,6 +83,7 @@
 });
 
 test.describe("sole ownership without proof that an upstream or a leader has ended", () => {
+    // Guards against keys with two owners after an entry of another writer at an upstream's address (review case 1).
     test.it("does not take a registry entry at an upstream's address for the end of that upstream", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(8, noFaults);
         await simulation.run(6000);
@@ -136,6 +137,7 @@
 
     for (const isOnlyFromLeader of [true, false]) {
         const instances = isOnlyFromLeader ? "the leader" : "all instances";
+        // Guards against keys with two owners after a path to an upstream was cut with resets (review case 2).
         test.it(`does not take connections that a cut path from ${instances} refuses for the end of an upstream`, async () => {
             const simulation = await ownershipSimulation.createOwnershipSimulation(10, noFaults);
             await simulation.run(6000);
@@ -166,6 +168,7 @@
         }
     });
 
+    // Guards against keys with two owners after a leader that took over longer leases has resigned (review case 4).
     test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(7, noFaults);
         await simulation.run(6000);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -95,7 +95,7 @@
     const splitCostOf = splitCost.createSplitCostEstimator(options);
     const openRequests = openRequestSet.createOpenRequests({
         timers,
-        onDisconnected: state => endRequest(state),
+        onDisconnected: state => failures.run("request", () => endRequest(state), { request: state.requestIdentifier }),
         onExpired: state => {
             const attempt = state.currentAttempt;
             try {
--- a/packages/relay/test/malformedMessages.test.ts
+++ b/packages/relay/test/malformedMessages.test.ts
@@ -35,6 +35,7 @@
         ["a refusal with a header whose name is no token", "503 Full\r\nNot-Executed: 1\r\nPHP Warning: stale"],
     ];
     for (const [name, head] of heads) {
+        // Guards against the end of an instance, with all of its requests, by one response that cannot be forwarded (review case 3).
         test.it(`does not end the process: ${name} is answered 502, and other requests are served`, () =>
             withRelay({ behaviours: [respondWithBytes(head)] }, async fixture => {
                 const response = await fixture.sendRequest({ body: Buffer.from("order") });
