Stop: responses to refused requests close the connection of a caller whose request was read whole

A request is refused as its head is parsed, before Node.js knows that nothing more follows, so that the response left the connection open: a caller that keeps its connection sent to the stopping instance again and again for 3 s, and was refused each time. What has arrived is parsed first now. Why a request is refused as it arrives is decided in a module of its own.

Evidence: the two tests "closes the connection of a refused ... request that was read whole" wait for the end of the connection; without the wait for pending reads the one for a POST fails ("the expected messages did not arrive within 60000 ms"). The test of refusals before had passed as its caller asked for the close itself.

--- a/packages/relay/src/openRequests.ts
+++ b/packages/relay/src/openRequests.ts
@@ -22,7 +22,7 @@
     /** Removes a request, whose deadline is then ignored. */
     remove: (state: requestState.RequestState) => void;
     count: () => number;
-    /** Whether a connection has more open requests, this one included, than are served: their responses wait for each other in memory. */
+    /** Whether a connection has as many open requests as are served: their responses wait for each other in memory. */
     isConnectionFull: (state: requestState.RequestState) => boolean;
     /** Whether a request ends, at its own deadline at the latest, before the limit of all deadlines. */
     endsBeforeLimit: (state: requestState.RequestState) => boolean;
@@ -68,7 +68,7 @@
             statesByConnection.get(state.request.socket)?.delete(state);
         },
         count: () => timeouts.size,
-        isConnectionFull: ({ request }) => statesOn(request.socket).size > maxOpenPerConnection,
+        isConnectionFull: ({ request }) => statesOn(request.socket).size >= maxOpenPerConnection,
         endsBeforeLimit: state => state.deadlineAt <= latestDeadlineAt,
         limitDeadlines: time => {
             latestDeadlineAt = time;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
+import * as arrival from "./arrival";
 import * as byteBudget from "./byteBudget";
 import * as delegatedRequest from "./delegatedRequest";
 import * as delegateHealth from "./delegateHealth";
@@ -162,25 +163,22 @@
     };
 
     const runRequest = (state: requestState.RequestState, maxBodyBytes: number): void => {
-        const endsBeforeStop = openRequests.endsBeforeLimit(state);
+        const refusal = arrival.findRefusal(state, openRequests, options.eventLoopDelay.milliseconds());
         watchRequest(state);
-        if (openRequests.isConnectionFull(state)) {
-            responder.fail(state, requestState.FailureReason.pipelined, selection.defaultRetryAfterMilliseconds);
-            return;
-        }
-        if (!endsBeforeStop) {
-            const { notAccepted, stopping } = requestState.FailureReason;
-            responder.fail(state, state.isDelegated ? notAccepted : stopping, selection.defaultRetryAfterMilliseconds);
-            return;
-        }
-        serveRequest(state, maxBodyBytes).catch(error => exceptions.end(state, error));
+        serveRequest(state, maxBodyBytes, refusal).catch(error => exceptions.end(state, error));
     };
 
     /** Reads the body of a request, then serves it. */
-    const serveRequest = async (state: requestState.RequestState, maxBodyBytes: number): Promise<void> => {
+    const serveRequest = async (
+        state: requestState.RequestState,
+        maxBodyBytes: number,
+        refusal: requestState.FailureReasonValue | undefined,
+    ): Promise<void> => {
         const { request, response } = state;
-        if (eventLoopDelay.isOverloaded(state.route.rank, options.eventLoopDelay.milliseconds())) {
-            responder.fail(state, requestState.FailureReason.overloaded, selection.defaultRetryAfterMilliseconds);
+        if (refusal !== undefined) {
+            // What has arrived of the body is parsed by then, so that it is known whether the request was read whole.
+            await eventLoopDelay.waitForPendingReads();
+            responder.fail(state, refusal, selection.defaultRetryAfterMilliseconds);
             return;
         }
         const body = await requestBody.readBody(request, maxBodyBytes, state.reservation);
--- a/packages/relay/test/stopping.test.ts
+++ b/packages/relay/test/stopping.test.ts
@@ -21,7 +21,7 @@
 }
 
 /** Sends the head of a request and the first bytes of its body. */
-const startSending = (port: number, bodyLength: number, start: string): PieceCaller => {
+const startSending = (port: number, bodyLength: number, start: string, method = "POST"): PieceCaller => {
     let received = "";
     let hasFailed = false;
     const socket = net.connect(port, "127.0.0.1");
@@ -31,13 +31,9 @@
     socket.on("data", data => {
         received += data.toString();
     });
-    const lines = [
-        "Host: orders.example",
-        "Request-Id: a",
-        "Request-Deadline-Ms: 1500",
-        `Content-Length: ${bodyLength}`,
-    ];
-    socket.write(["POST /orders/1 HTTP/1.1", ...lines, "", start].join("\r\n"));
+    const framing = method === "POST" ? [`Content-Length: ${bodyLength}`] : [];
+    const lines = ["Host: orders.example", "Request-Id: a", "Request-Deadline-Ms: 1500", ...framing];
+    socket.write([`${method} /orders/1 HTTP/1.1`, ...lines, "", start].join("\r\n"));
     return { socket, received: () => received, hasFailed: () => hasFailed };
 };
 
@@ -70,6 +66,18 @@
             earl.expect(fixture.requestCounts()).toEqual([1]);
         }));
 
+    for (const [method, body] of [["GET", ""], ["POST", "order"]]) {
+        // Guards against callers that send to a stopping instance again and again, as their connections stay open.
+        test.it(`closes the connection of a refused ${method} request that was read whole`, () =>
+            relayFixture.withRelay({ behaviours: [neverRespond], shouldCloseConnections: true }, async fixture => {
+                fixture.stopAt(0);
+                const caller = startSending(fixture.port, body.length, body, method);
+                await virtualTime.waitUntil(() => caller.socket.closed);
+                earl.expect(caller.received().startsWith("HTTP/1.1 503 ")).toEqual(true);
+                earl.expect(caller.received().includes("\r\nConnection: close\r\n")).toEqual(true);
+            }));
+    }
+
     test.it("serves a new request whose deadline is before the stop, with all of its time", () =>
         relayFixture.withRelay(
             { behaviours: [respondWithRemainingTime], shouldCloseConnections: true },
