Ownership tests: one loop for the ways in which an upstream ends

The tests of an upstream that refuses connections and of one whose address another process uses were the same but for how it ends.

--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -123,18 +123,6 @@
         });
     }
 
-    test.it("grants the keys of an upstream whose address another process uses as soon as its last lease has ended", async () => {
-        for (let seed = 1; seed <= 8; seed += 1) {
-            const simulation = await ownershipSimulation.createOwnershipSimulation(seed, noFaults);
-            await simulation.run(6000 + seed * 200);
-            simulation.replaceUpstream(0);
-            // A grant that was in flight as the upstream ended may have arrived.
-            await simulation.run(leaseEndMilliseconds + 200);
-            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
-            earl.expect(simulation.violations()).toEqual([]);
-        }
-    });
-
     for (const isOnlyFromLeader of [true, false]) {
         const instances = isOnlyFromLeader ? "the leader" : "all instances";
         // Guards against keys with two owners after a path to an upstream was cut with resets (review case 2).
@@ -156,17 +144,23 @@
         });
     }
 
-    test.it("grants the keys of an upstream that refuses connections as soon as its last lease has ended", async () => {
-        for (let seed = 1; seed <= 8; seed += 1) {
-            const simulation = await ownershipSimulation.createOwnershipSimulation(seed, noFaults);
-            await simulation.run(6000 + seed * 200);
-            simulation.crash(0);
-            // A grant that was in flight as the upstream ended may have arrived.
-            await simulation.run(leaseEndMilliseconds + 200);
-            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
-            earl.expect(simulation.violations()).toEqual([]);
-        }
-    });
+    const ends: [string, (simulation: ownershipSimulation.OwnershipSimulation) => void][] = [
+        ["whose address another process uses", simulation => simulation.replaceUpstream(0)],
+        ["that refuses connections", simulation => simulation.crash(0)],
+    ];
+    for (const [description, end] of ends) {
+        test.it(`grants the keys of an upstream ${description} as soon as its last lease has ended`, async () => {
+            for (let seed = 1; seed <= 8; seed += 1) {
+                const simulation = await ownershipSimulation.createOwnershipSimulation(seed, noFaults);
+                await simulation.run(6000 + seed * 200);
+                end(simulation);
+                // A grant that was in flight as the upstream ended may have arrived.
+                await simulation.run(leaseEndMilliseconds + 200);
+                earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+                earl.expect(simulation.violations()).toEqual([]);
+            }
+        });
+    }
 
     // Guards against keys with two owners after a leader that took over longer leases has resigned (review case 4).
     test.it("passes on the longer leases of an earlier leader when leaders resign one after the other", async () => {
