Responses without a length: two proofs of a regular end, and a log line for each

Callers saw a 200 with half of the upstream's body that looked complete: the upstream had sent an answer without a length and reset its connection. Since one question decides whether such an end was regular, whether the connection still has a peer address. Node.js keeps an address that anything has read earlier, and returns it after a reset too.

The logs did not tell how an answer without a length had ended, so a failed run could not be traced: `answer-without-length` says for each its bytes, whether it was held or streamed, and by what its end was judged.

A connection that was reset refuses a write of no bytes (ECONNRESET), and Node.js makes that known before the parser sees the end. An end counts as regular only if the connection has a peer address and does not refuse the write; while an earlier write is in progress, the address alone decides.

That this is what failed on the users' machines is not shown: nothing in an instance reads that address.

--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -1,6 +1,7 @@
 /** Names of the events that an instance writes, described in docs/OPERATIONS.md. */
 export const eventNames = [
     "answer-broke-off",
+    "answer-without-length",
     "append-failed",
     "assignment",
     "attempt-failed",
--- a/packages/foundation/src/httpConnections.ts
+++ b/packages/foundation/src/httpConnections.ts
@@ -2,19 +2,78 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 
+/** How the connection of a response without a length has ended, with what that was judged by. */
+export interface ConnectionEnd {
+    /** Whether the sender has ended the connection regularly, so that the response is complete. */
+    isRegular: boolean;
+    /** Whether the connection still had a peer address at its end; undefined if it ended with an error. */
+    hasPeer: boolean | undefined;
+    /** Whether the connection still took a write at its end; undefined if that cannot be known, or if it ended with an error. */
+    isWritable: boolean | undefined;
+    /** The error that ended the connection, if any. */
+    error: string | undefined;
+}
+
+const errorOf = (stream: net.Socket | http.IncomingMessage): NodeJS.ErrnoException | undefined =>
+    stream.errored ?? undefined;
+
 /**
- * Destroys a response without a length if its connection is reset: a reset that arrives together with data ends the connection like a
- * regular end. Only a connection that was not reset still has a peer address; Node.js keeps an address that was read earlier.
+ * Whether a connection takes a write of no bytes, which the system refuses once the connection was reset. Undefined while an earlier
+ * write is in progress, as the refusal would come later.
+ */
+const takesWrite = (socket: net.Socket): boolean | undefined => {
+    if (errorOf(socket) !== undefined || !socket.writable) {
+        return false;
+    }
+    if (socket.writableLength > 0) {
+        return undefined;
+    }
+    socket.write("");
+    return errorOf(socket) === undefined;
+};
+
+const judgeEnd = (socket: net.Socket): ConnectionEnd => {
+    const hasPeer = socket.remoteAddress !== undefined;
+    const isWritable = takesWrite(socket);
+    return {
+        isRegular: hasPeer && isWritable !== false,
+        hasPeer,
+        isWritable,
+        error: errorOf(socket)?.code,
+    };
+};
+
+/**
+ * Destroys a response without a length if its connection does not end regularly: Node.js reports a reset that arrives together with data
+ * as a regular end. A connection that was reset has no peer address and refuses writes; either is enough, as Node.js keeps an address that
+ * was read earlier, and a write may still be in progress.
  *
  * @param response - a response whose end only the end of its connection marks, before the end
+ * @param onEnd - called once with how the connection has ended
  */
-export const destroyIfReset = (response: http.IncomingMessage): void => {
+export const requireRegularEnd = (
+    response: http.IncomingMessage,
+    onEnd: (end: ConnectionEnd) => void = () => undefined,
+): void => {
     const { socket } = response;
+    let isJudged = false;
+    const report = (end: ConnectionEnd): void => {
+        if (!isJudged) {
+            isJudged = true;
+            onEnd(end);
+        }
+    };
     // The parser, which listens for the same event, would complete the response.
     socket.prependOnceListener("end", () => {
-        if (socket.remoteAddress === undefined) {
+        const end = judgeEnd(socket);
+        if (!end.isRegular) {
             response.destroy(new Error("the connection was reset"));
         }
+        report(end);
+    });
+    response.once("close", () => {
+        const error = errorOf(socket) ?? errorOf(response);
+        report({ isRegular: false, hasPeer: undefined, isWritable: undefined, error: error?.code ?? error?.message });
     });
 };
 
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -14,7 +14,8 @@
 export type { FailureBoundary } from "./failureBoundary";
 export { hashText, rendezvousOrder } from "./hashing";
 export { hopByHopHeaders } from "./hopByHopHeaders";
-export { closeOnUnsolicitedData, destroyIfReset } from "./httpConnections";
+export { closeOnUnsolicitedData, requireRegularEnd } from "./httpConnections";
+export type { ConnectionEnd } from "./httpConnections";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
 export type { Logger } from "./logging";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -27,6 +27,15 @@
     rest: http.IncomingMessage | undefined;
 }
 
+/** How a response has ended whose end only the end of its connection marks. */
+export interface UnframedEnd extends foundation.ConnectionEnd {
+    status: number;
+    /** Size of the body that was read, in bytes. */
+    bodyBytes: number;
+    /** Whether the response was forwarded before its end. */
+    isStreamed: boolean;
+}
+
 /** Result of an attempt. Only the kind `notRun` proves that the request has not run. */
 export type AttemptResult =
     | { kind: "answered"; response: UpstreamResponse; report: upstreamHealth.LoadReport | undefined; }
@@ -68,6 +77,8 @@
     onNotice?: (notice: upstreamNotice.UpstreamNotice) => void;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
+    /** Called at the end of a response that declares neither a length nor chunks. */
+    onUnframedEnd: (end: UnframedEnd) => void;
 }
 
 /** An attempt in progress. */
@@ -175,6 +186,33 @@
     return platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
 };
 
+/** Returns a handler that does the same as another one, and never throws. */
+type Guard = <Parameters extends unknown[]>(
+    handler: (...parameters: Parameters) => void,
+) => (...parameters: Parameters) => void;
+
+/** Reports the end of a response whose end only the end of its connection marks, and does not let an irregular one complete it. */
+const watchUnframedEnd = (
+    response: http.IncomingMessage,
+    guard: Guard,
+    onUnframedEnd: AttemptOptions["onUnframedEnd"],
+): { onStreamed: () => void; } => {
+    let bodyBytes = 0;
+    let isStreamed = false;
+    response.on("data", (chunk: Buffer) => {
+        bodyBytes += chunk.length;
+    });
+    foundation.requireRegularEnd(
+        response,
+        guard(end => onUnframedEnd({ ...end, status: response.statusCode ?? 0, bodyBytes, isStreamed })),
+    );
+    return {
+        onStreamed: () => {
+            isStreamed = true;
+        },
+    };
+};
+
 /** Opens the request of an attempt; the error is the reason why nothing can be sent. */
 const openRequest = (options: AttemptOptions): tsResults.Result<http.ClientRequest, string> => {
     const { connections, body } = options;
@@ -203,11 +241,6 @@
     }
 };
 
-/** Returns a handler that does the same as another one, and never throws. */
-type Guard = <Parameters extends unknown[]>(
-    handler: (...parameters: Parameters) => void,
-) => (...parameters: Parameters) => void;
-
 /** Handlers of {@link collectBody}. */
 interface BodyHandlers {
     guard: Guard;
@@ -409,11 +442,9 @@
                 currentResponse = response;
                 const report = applyHead(response, options, isNewConnection);
                 const isRequestUnfinished = !request.writableFinished;
-                const hasLength = response.headers["content-length"] !== undefined;
-                const isCloseDelimited = endsWithConnection(response, options.method);
-                if (isCloseDelimited) {
-                    foundation.destroyIfReset(response);
-                }
+                const unframedEnd = endsWithConnection(response, options.method)
+                    ? watchUnframedEnd(response, guard, options.onUnframedEnd)
+                    : undefined;
                 const isOnlyRequest = isNewConnection && !isRequestUnfinished;
                 const fault = abortReason ?? (belongsTo(response, options.requestIdentifier, isOnlyRequest)
                     ? findResponseFault(response)
@@ -456,6 +487,9 @@
                         });
                         return;
                     }
+                    if (rest !== undefined) {
+                        unframedEnd?.onStreamed();
+                    }
                     const { rawHeaders, statusCode = 0 } = response;
                     finish({
                         kind: "answered",
@@ -463,8 +497,8 @@
                             status: statusCode,
                             rawHeaders,
                             body,
-                            isCloseDelimited,
-                            hasLength,
+                            isCloseDelimited: unframedEnd !== undefined,
+                            hasLength: response.headers["content-length"] !== undefined,
                             rest,
                         },
                         report,
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -128,6 +128,12 @@
                 state.notifiedBy = upstream;
                 options.onNotice(upstream, notice);
             },
+            onUnframedEnd: end =>
+                log.write("answer-without-length", {
+                    request: state.requestIdentifier,
+                    upstream: upstream.identifier,
+                    ...end,
+                }),
             onTransferred: transfer =>
                 options.traffic.add(foundation.TrafficPurpose.request, pool.reachOf(target), transfer),
         };
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -184,6 +184,12 @@
                     transfer,
                 ),
             onInterim,
+            onUnframedEnd: end =>
+                log.write("answer-without-length", {
+                    request: state.requestIdentifier,
+                    delegate: target.delegate.identifier,
+                    ...end,
+                }),
         };
     };
 
