Responses: none goes to a caller or an instance whose end only its connection marks

Callers got parts of answers that looked complete. An answer without a length was passed on as such; when it was cut, only a reset of the caller's connection said so, and Node.js reports a reset that arrives together with data as a regular end. The system ends the connections of an instance that is killed regularly, so what it was streaming looked complete too.

An answer is forwarded with its length if that is known (it was held whole, or the upstream declared it), and in chunks otherwise. A cut is then visible by the framing, whatever happens to the connection. A caller that speaks HTTP/1.0 gets 502 for an answer without a length that is too large to be held (it used to get chunks, which it cannot read, for answers that declared their length). Requests that are delegated get the same responses. The connection of the caller is kept, which had to be closed before.

--- a/packages/explain/src/outcome.ts
+++ b/packages/explain/src/outcome.ts
@@ -40,6 +40,8 @@
         `No response within ${format(line.milliseconds)} ms from ${format(line.tried)}; the request may have run: ${
             format(line.mayHaveRun)
         }.`,
+    "the answer is too large for the caller's version of HTTP": line =>
+        `${format(line.tried)} responded, but without a length that HTTP/1.0 needs for a response of this size.`,
     "the answer was lost": line => `${format(line.tried)} was sent the request, but no complete response arrived.`,
     "the caller left": line =>
         `The caller closed its connection ${format(line.milliseconds)} ms after its request was read, `
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -19,10 +19,8 @@
     rawHeaders: string[];
     /** The complete body, or its first bytes if `rest` is defined. */
     body: Buffer;
-    /** Whether only the end of the connection marks the end of the body, so that truncation cannot be detected. */
-    isCloseDelimited: boolean;
-    /** Whether the response declares its length, so that it cannot go on without end. */
-    hasLength: boolean;
+    /** The length that the upstream declared, in bytes; undefined if it declared none, so that the body may go on without end. */
+    declaredLength: string | undefined;
     /** Stream of the remaining body; emits an error if the upstream interrupts it. Undefined if `body` is complete. */
     rest: http.IncomingMessage | undefined;
 }
@@ -497,8 +495,7 @@
                             status: statusCode,
                             rawHeaders,
                             body,
-                            isCloseDelimited: unframedEnd !== undefined,
-                            hasLength: response.headers["content-length"] !== undefined,
+                            declaredLength: response.headers["content-length"],
                             rest,
                         },
                         report,
--- a/packages/relay/src/requestExceptions.ts
+++ b/packages/relay/src/requestExceptions.ts
@@ -54,7 +54,7 @@
                     responder.reply(response, 502, failureHeaders(state.isDelegated, state.requestIdentifier), reason);
                 }
                 else if (!response.writableEnded) {
-                    // Without a length, only a reset tells the caller that the response is cut off.
+                    // The response stays incomplete.
                     foundation.resetConnection(response.socket ?? undefined);
                 }
             }
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -19,6 +19,7 @@
     refused: "upstreams refused it",
     timeout: "the time limit has passed",
     lost: "the answer was lost",
+    noFraming: "the answer is too large for the caller's version of HTTP",
     callerDisconnected: "the caller left",
     notAccepted: "the instance takes no delegated requests",
     stopping: "the instance is stopping",
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -7,6 +7,7 @@
 import type * as attempts from "./attempt";
 import * as delegatedRequest from "./delegatedRequest";
 import type * as eventLoopDelay from "./eventLoopDelay";
+import * as framing from "./framing";
 import * as headers from "./headers";
 import * as requestState from "./requestState";
 import * as selection from "./selection";
@@ -118,7 +119,7 @@
             request: state.requestIdentifier,
         });
 
-    /** Ends a response, and resets the connection of a caller that does not take it; a regular end could make it look complete. */
+    /** Ends a response, and resets the connection of a caller that does not take it, which frees the bytes held for it. */
     const endResponse = (response: http.ServerResponse, body: Buffer): void => {
         const { socket } = response;
         response.end(body);
@@ -172,30 +173,16 @@
 
     /**
      * Streams the rest of a response: until the caller's own deadline if it has a declared length, and until the deadline of the
-     * request otherwise, as an upstream in trouble may send without end. A response that is cut off never looks complete:
-     * without a length, only a reset tells the caller.
+     * request otherwise, as an upstream in trouble may send without end.
      */
     const forwardRest = (
         state: requestState.RequestState,
-        { rest, isCloseDelimited, hasLength }: attempts.UpstreamResponse,
+        rest: http.IncomingMessage,
+        endAt: number,
     ): void => {
-        if (rest === undefined) {
-            endResponse(state.response, Buffer.alloc(0));
-            return;
-        }
-        const { socket } = state.response;
-        const endAt = hasLength ? state.callerDeadlineAt : state.deadlineAt;
         const timeout = timers.onDelay(Math.max(0, endAt - timers.now()), () => {
             rest.destroy(new Error("the response does not end"));
         });
-        const resetCaller = (): void => {
-            if (isCloseDelimited) {
-                foundation.resetConnection(socket ?? undefined);
-            }
-        };
-        // Both come before the pipeline closes the caller's connection.
-        rest.once("aborted", resetCaller);
-        rest.once("error", resetCaller);
         stream.pipeline(rest, state.response, error => {
             timeout.cancel();
             if (error) {
@@ -208,10 +195,13 @@
         state: requestState.RequestState,
         upstreamResponse: attempts.UpstreamResponse,
     ): void => {
-        if (state.route.kind !== routing.RouteKind.idempotent && notRunStatuses.has(upstreamResponse.status)) {
+        const claimsNotRun = state.route.kind !== routing.RouteKind.idempotent
+            && notRunStatuses.has(upstreamResponse.status);
+        const framingHeaders = framing.framingHeaders(state.request, upstreamResponse);
+        if (claimsNotRun || framingHeaders === undefined) {
             upstreamResponse.rest?.destroy();
             state.mayHaveRun = true;
-            fail(state, requestState.FailureReason.lost, 0);
+            fail(state, claimsNotRun ? requestState.FailureReason.lost : requestState.FailureReason.noFraming, 0);
             return;
         }
         state.isFinished = true;
@@ -227,36 +217,21 @@
                 delegatedRequest.encodeUpstream(state.notifiedBy),
             );
         }
+        const { body, declaredLength, rest } = upstreamResponse;
         if (response.destroyed) {
-            upstreamResponse.rest?.destroy();
-            return;
-        }
-        const hasBody = state.request.method !== "HEAD" && upstreamResponse.status !== 204
-            && upstreamResponse.status !== 304;
-        if (upstreamResponse.isCloseDelimited && hasBody) {
-            // The length is unknown, so the response must not announce one: not even zero, as the upstream may have
-            // closed the connection before the first byte.
-            response.useChunkedEncodingByDefault = false;
-            response.shouldKeepAlive = false;
-            response.writeHead(upstreamResponse.status, [...forwardedHeaders, "Connection", "close"]);
-            if (upstreamResponse.body.length > 0) {
-                response.write(upstreamResponse.body);
-            }
-            forwardRest(state, upstreamResponse);
-            return;
-        }
-        if (upstreamResponse.rest === undefined) {
-            const length = hasBody ? ["Content-Length", String(upstreamResponse.body.length)] : [];
-            response.writeHead(upstreamResponse.status, responseHeaders(response, [...forwardedHeaders, ...length]));
-            endResponse(response, upstreamResponse.body);
+            rest?.destroy();
             return;
         }
         response.writeHead(
             upstreamResponse.status,
-            responseHeaders(response, [...forwardedHeaders, "Transfer-Encoding", "chunked"]),
+            responseHeaders(response, [...forwardedHeaders, ...framingHeaders]),
         );
-        response.write(upstreamResponse.body);
-        forwardRest(state, upstreamResponse);
+        if (rest === undefined) {
+            endResponse(response, body);
+            return;
+        }
+        response.write(body);
+        forwardRest(state, rest, declaredLength === undefined ? state.deadlineAt : state.callerDeadlineAt);
     };
 
     const forward: Responder["forward"] = (state, upstreamResponse) => {
--- a/packages/relay/test/delegatedRequests.test.ts
+++ b/packages/relay/test/delegatedRequests.test.ts
@@ -376,12 +376,8 @@
             const secondBehaviour = relayFixture.sendUnframed(size, relayFixture.resetConnection);
             await withPair({ secondBehaviour }, async ({ first }) => {
                 for (let iteration = 1; iteration <= 25; iteration += 1) {
-                    const socket = relayFixture.sendWithoutReading(first.port, "Shard-Key: 8\r\n");
-                    await virtualTime.waitUntil(() => first.finished.length === iteration);
-                    await virtualTime.waitUntil(() => first.openRequestCount() === 0);
-                    const isStreamed = first.finished[iteration - 1].status === 200;
-                    earl.expect(!isStreamed || await relayFixture.wasReset(socket)).toEqual(true);
-                    socket.destroy();
+                    const { status, isComplete } = await first.sendRequest({ key: 8 });
+                    earl.expect(status === 200 && isComplete).toEqual(false);
                 }
             });
         }
--- a/packages/relay/test/endlessBytes.test.ts
+++ b/packages/relay/test/endlessBytes.test.ts
@@ -125,15 +125,16 @@
             },
         ));
 
-    test.it("in a body without a length is disconnected, and the caller's connection is reset", () =>
+    test.it("in a body without a length is disconnected, and the response is incomplete", () =>
         withEndlessUpstream(
             { start: head("200 OK", signature), repeated: filler, intervalMilliseconds: 1 },
             async ({ relay, upstream, passDeadlineWhen }) => {
-                const socket = relayFixture.sendWithoutReading(relay.port, "Request-Deadline-Ms: 400\r\n");
+                const pendingResponse = relay.sendRequest({ ...order, deadlineMilliseconds: 400 });
                 await passDeadlineWhen(() => relay.finished.length === 1);
                 await virtualTime.waitUntil(() => upstream.openConnectionCount() === 0);
                 await virtualTime.waitUntil(() => relay.openRequestCount() === 0);
-                earl.expect(await relayFixture.wasReset(socket)).toEqual(true);
+                const response = await pendingResponse;
+                earl.expect([response.status, response.isComplete]).toEqual([200, false]);
             },
         ));
 });
