Gateway: a response without a length or chunks is lost, and callers are told every length

`undici` takes a reset for the end of a response that declares neither a length nor chunks, so a part of it went to the caller as the whole. Such a response counts as lost now (the protocol's page says so). The gateway's own responses have a length.

--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -32,3 +32,4 @@
 export type { TrafficAccount, TrafficReachValue, TrafficTotal, Transfer } from "./trafficAccount";
 export { createVirtualTimerService } from "./virtualTimerService";
 export type { VirtualTimerService } from "./virtualTimerService";
+export { sendWhole } from "./wholeResponse";
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -59,8 +59,12 @@
 
     const sendHealth = (response: http.ServerResponse): void => {
         const isReady = options.isReady() && !isDraining;
-        response.writeHead(isReady ? 200 : 503, { "content-type": "text/plain" });
-        response.end(isReady ? "ready\n" : "not ready\n");
+        foundation.sendWhole(
+            response,
+            isReady ? 200 : 503,
+            { "content-type": "text/plain" },
+            isReady ? "ready\n" : "not ready\n",
+        );
     };
 
     const limitBodyIdleTime = (request: http.IncomingMessage): void => {
--- a/packages/gateway/src/responses.ts
+++ b/packages/gateway/src/responses.ts
@@ -80,8 +80,7 @@
     if (!exchange.request.complete) {
         headers.connection = "close";
     }
-    response.writeHead(statusByOutcome[outcome], headers);
-    response.end(`${outcome}\n`);
+    foundation.sendWhole(response, statusByOutcome[outcome], headers, `${outcome}\n`);
 };
 
 /**
@@ -98,11 +97,11 @@
     message: string,
     instance: string,
 ): void => {
-    response.writeHead(status, {
+    const headers: http.OutgoingHttpHeaders = {
         [headerRules.HeaderName.outcome]: traffic.Outcome.notRun,
         [headerRules.HeaderName.instance]: instance,
         "content-type": "text/plain",
         "connection": "close",
-    });
-    response.end(`${message}\n`);
+    };
+    foundation.sendWhole(response, status, headers, `${message}\n`);
 };
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -35,6 +35,14 @@
 
 const notSentErrorCodes = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT", "UND_ERR_CLOSED"];
 
+/**
+ * Whether a response declares a length or chunks. The end of any other cannot be told from a connection that breaks: `undici` takes also a
+ * reset for the end.
+ */
+const isFramed = (method: string, { headers: received, statusCode }: undici.Dispatcher.ResponseData): boolean =>
+    method === "HEAD" || statusCode === 204 || statusCode === 304
+    || received["content-length"] !== undefined || received["transfer-encoding"] !== undefined;
+
 /**
  * Creates the client of an upstream.
  *
@@ -78,6 +86,14 @@
                     await response.body.dump();
                     return { result: traffic.AttemptResult.refused, response: undefined, reason: String(refusal) };
                 }
+                if (!isFramed(request.method, response)) {
+                    response.body.on("error", () => undefined).destroy();
+                    return {
+                        result: traffic.AttemptResult.lost,
+                        response: undefined,
+                        reason: "response without a length",
+                    };
+                }
                 return { result: traffic.AttemptResult.answered, response, reason: "" };
             }
             catch (error) {
