Metrics and operator interface: responses with their length

To HTTP/1.0, Node.js delimits a response by the end of its connection, so metrics that were cut off, as by a killed instance, looked whole. metricsServer.test.ts, 'sends the length of its response, also to HTTP/1.0', on the code before: "The value undefined is not equal to "2110"".

--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -149,14 +149,11 @@
     };
     const server = http.createServer((request, response) => {
         if (request.url !== metricsPath) {
-            response.writeHead(404, { "content-length": 0 });
-            response.end();
+            foundation.sendWhole(response, 404, {}, "");
             return;
         }
-        const respond = (status: number, text: string): void => {
-            response.writeHead(status, { "content-type": registry.contentType });
-            response.end(text);
-        };
+        const respond = (status: number, text: string): void =>
+            foundation.sendWhole(response, status, { "content-type": registry.contentType }, text);
         const collected = collect().then(text => respond(200, text), error => {
             failures.report("metrics", error);
             respond(500, "");
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -40,4 +40,21 @@
         earl.expect(received.split("HTTP/1.1 200 OK").length - 1).toEqual(1);
         earl.expect(received.includes("mulberryseam_open_requests 0")).toEqual(true);
     });
+
+    // Guards against metrics that are cut off and look complete, as when the instance is killed while it sends them.
+    test.it("sends the length of its response, also to HTTP/1.0", async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
+        await metrics.startMetrics(host, gauges, log, foundation.createTransparentFailureBoundary(), owner);
+        const socket = net.connect(metrics.metricsPort, host);
+        let received = "";
+        socket.on("data", data => {
+            received += data.toString();
+        });
+        socket.write("GET /metrics HTTP/1.0\r\nHost: a\r\n\r\n");
+        await new Promise(resolve => socket.once("close", resolve));
+        const [head, body] = received.split("\r\n\r\n");
+        earl.expect(/^content-length: (\d+)$/im.exec(head)?.[1]).toEqual(String(Buffer.byteLength(body)));
+    });
 });
--- a/packages/instance/src/operatorApi.ts
+++ b/packages/instance/src/operatorApi.ts
@@ -38,8 +38,12 @@
 }
 
 const sendJson = (response: http.ServerResponse, statusCode: number, value: unknown): void => {
-    response.writeHead(statusCode, { "content-type": "application/json" });
-    response.end(`${JSON.stringify(value)}\n`);
+    foundation.sendWhole(
+        response,
+        statusCode,
+        { "content-type": "application/json" },
+        `${JSON.stringify(value)}\n`,
+    );
 };
 
 /**
