--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -83,6 +83,7 @@
     const store = platform.createStoreClient(
         storeHost,
         storePort,
+        timers,
         transfer => traffic.add(foundation.TrafficPurpose.store, foundation.TrafficReach.unknown, transfer),
     );
     owner.onCleanup(() => store.close());
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -87,10 +87,10 @@
     };
 
 const createLeaseClient = (
-    { directory }: OwnershipTaskOptions,
+    { directory, timers }: OwnershipTaskOptions,
     addTraffic: TrafficCounter,
 ): platform.LeaseClient =>
-    platform.createLeaseClient(assignment.commandTimeoutMilliseconds, ({ identifier }, transfer) => {
+    platform.createLeaseClient(assignment.commandTimeoutMilliseconds, timers, ({ identifier }, transfer) => {
         const failureDomain = directory.find(identifier)?.upstream.failureDomain;
         addTraffic(foundation.TrafficPurpose.leaseCommand, failureDomain, transfer);
     });
