Link stand-in test: wait until the link has got the data that it must drop

It waits now until the link has counted the bytes, and then for a timer that is due after the delivery.

--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -10,6 +10,16 @@
 /** Maximum wait for data, in milliseconds; it only stops a test that hangs. */
 const maxWaitMilliseconds = 60_000;
 
+/** Longer than a link without a delay takes to deliver or drop data that it has got, in milliseconds. */
+const deliveryMilliseconds = 5;
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+    const deadline = performance.now() + maxWaitMilliseconds;
+    while (!condition() && performance.now() < deadline) {
+        await timers.setTimeout(1);
+    }
+};
+
 const startEchoServer = (owner: foundation.Owner): Promise<number> =>
     new Promise(resolve => {
         const server = net.createServer(socket => {
@@ -85,15 +95,14 @@
             socket.on("data", chunk => {
                 received += (chunk as Buffer).length;
             });
-            await timers.setTimeout(50);
+            await waitUntil(() => link.transferredBytes() === 2 * "lost".length);
+            // The link has scheduled the delivery before; timers that are due earlier run earlier.
+            await timers.setTimeout(deliveryMilliseconds);
             earl.expect(received).toEqual(0);
             link.setInterrupted({ forward: false, backward: false });
             socket.write("found");
-            const deadline = performance.now() + maxWaitMilliseconds;
-            while (received < 5 && performance.now() < deadline) {
-                await timers.setTimeout(5);
-            }
-            earl.expect(received).toEqual(5);
+            await waitUntil(() => received >= "found".length);
+            earl.expect(received).toEqual("found".length);
             socket.destroy();
         }));
 
