--- a/packages/emulator/src/malformedAnswers.ts
+++ b/packages/emulator/src/malformedAnswers.ts
@@ -67,9 +67,13 @@
 
 const sendResetBody: AnswerSender = (socket, answer) => {
     const bytes = createBytes(answer, {}).toString().replace(/content-length: \d+\r\n/i, "");
-    socket.write(bytes.slice(0, bytes.length - Math.ceil(answer.text.length / 2)), () => {
-        setTimeout(() => foundation.resetConnection(socket), lingerMilliseconds);
-    });
+    const reset = (): void => foundation.resetConnection(socket);
+    // Data and reset arrive together on a new connection, and apart on one that is used again.
+    const isTogether = answer.earlierIdentifier === undefined;
+    socket.write(
+        bytes.slice(0, bytes.length - Math.ceil(answer.text.length / 2)),
+        isTogether ? reset : () => setTimeout(reset, lingerMilliseconds),
+    );
 };
 
 const sendRefusalBefore: AnswerSender = (socket, answer) => {
