--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -6,6 +6,7 @@
 import * as tsResults from "ts-results";
 import * as byteBudget from "./byteBudget";
 import * as eventLoopDelay from "./eventLoopDelay";
+import * as framing from "./framing";
 import * as messageValidity from "./messageValidity";
 import * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
@@ -144,10 +145,9 @@
     response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
 /** Whether only the end of the connection marks the end of a response. */
-const endsWithConnection = ({ headers, statusCode = 0 }: http.IncomingMessage, method: string): boolean => {
-    const isBodiless = method === "HEAD" || statusCode === 204 || statusCode === 304;
-    return !isBodiless && headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-};
+const endsWithConnection = ({ headers, statusCode = 0 }: http.IncomingMessage, method: string): boolean =>
+    !framing.hasNoBody(method, statusCode) && headers["content-length"] === undefined
+    && headers["transfer-encoding"] === undefined;
 
 /**
  * Returns what the head of a response says of its upstream. An upstream that is leaving stays so, but the time of a hold-off has begun
--- a/packages/relay/src/framing.ts
+++ b/packages/relay/src/framing.ts
@@ -5,7 +5,14 @@
 import type * as http from "node:http";
 import type * as attempts from "./attempt";
 
-const hasNoBody = (method: string | undefined, status: number): boolean =>
+/**
+ * Whether a response has no body, whatever its headers say.
+ *
+ * @param method - the method of the request
+ * @param status - the status of the response
+ * @returns whether the head is the whole response
+ */
+export const hasNoBody = (method: string | undefined, status: number): boolean =>
     method === "HEAD" || status === 204 || status === 304;
 
 /** Whether the sender of a request can decode a body in chunks. */
