Stalled follower tests: an idle limit that the test's own work does not reach

Leader and followers share the test's process, which compresses 9 MB; the idle limit of their connections is 900 ms of real time. The idle limit of a connection between instances can be set, and these tests set one of 60 s; it stays 900 ms elsewhere.

--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -20,6 +20,8 @@
     onDelegates: (delegates: readonly protocol.Delegate[]) => void;
     log: foundation.EventLog;
     failures: foundation.FailureBoundary;
+    /** Time without traffic after which a connection is closed, in milliseconds; that of the protocol by default. */
+    idleTimeoutMilliseconds?: number;
     /** Called with the bytes of messages; the failure domain is undefined before the follower has joined. */
     onTransferred: (kind: string, failureDomain: string | undefined, transfer: foundation.Transfer) => void;
 }
@@ -136,6 +138,7 @@
     const accept = (socket: net.Socket): void => {
         const connection = protocol.createRoutingConnection(socket, {
             maxFrameBytes: protocol.maxFollowerFrameBytes,
+            idleTimeoutMilliseconds: options.idleTimeoutMilliseconds,
             failures: options.failures,
             log: options.log,
             onMessage: message => {
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -20,6 +20,8 @@
     topics: topicExchange.TopicExchange;
     /** Called with the instances of this failure domain that accept requests of each other. */
     onDelegates: (delegates: readonly protocol.Delegate[]) => void;
+    /** Time without traffic after which the connection is closed, in milliseconds; that of the protocol by default. */
+    idleTimeoutMilliseconds?: number;
     /** Called when the followed instance no longer leads, so the store must be read. */
     onLeaderLost: (hasResigned: boolean) => void;
 }
@@ -155,6 +157,7 @@
         }
         const topicEnds = new Map<string, number>();
         const connection = protocol.createRoutingConnection(socket, {
+            idleTimeoutMilliseconds: options.idleTimeoutMilliseconds,
             failures: options.failures,
             log: options.log,
             onMessage: message => onMessage(message, connection, leader, topicEnds),
--- a/packages/entry/test/stalledFollower.test.ts
+++ b/packages/entry/test/stalledFollower.test.ts
@@ -21,6 +21,8 @@
 const stallMilliseconds = 200;
 const recordBytes = 1024 * 1024;
 const millisecondsPerSecond = 1000;
+/** Longer than a test, in milliseconds, as leader and followers share its process, which compresses large snapshots meanwhile. */
+const idleTimeoutMilliseconds = 60_000;
 /** Time limit of a test, in milliseconds; it only stops one that hangs. */
 const maxTestMilliseconds = 60_000;
 
@@ -114,6 +116,7 @@
         log: { write: (...[event, fields = {}]) => events.push([event, fields]), sample: () => undefined },
         failures: foundation.createTransparentFailureBoundary(),
         onTransferred: () => undefined,
+        idleTimeoutMilliseconds,
     }, owner);
     const heartbeats = timers.onInterval(100, server.sendHeartbeat);
     owner.onCleanup(() => heartbeats.cancel());
@@ -153,6 +156,7 @@
     const link = leaderLinks.createLink({
         timers,
         failures,
+        idleTimeoutMilliseconds,
         topics: {
             positions: () => [position()].flatMap(known => known === undefined ? [] : [{ topic, ...known }]),
             snapshot: () => undefined,
@@ -248,6 +252,8 @@
             const followers = [1, 2].map(() => startFollower(path.port, records, timers, owner, 500));
             const isAtEnd = (): boolean => followers.every(({ position }) => position()?.end === records.length);
             const isKnown = await waitFor(isAtEnd);
+            // The followers may have read the store before the leader refuses to send its snapshot.
+            await waitFor(() => events.length > 0);
             const record = { key: "last", value: Buffer.from("entry"), offset: records.length };
             records.push(record);
             server.broadcast({ kind: "news", topic, end: records.length, records: [record] });
--- a/packages/protocol/src/routingConnection.ts
+++ b/packages/protocol/src/routingConnection.ts
@@ -15,6 +15,8 @@
     log: foundation.EventLog;
     /** Size of the largest accepted message, in bytes; that of the largest message of a leader by default. */
     maxFrameBytes?: number;
+    /** Time without traffic after which the connection is closed, in milliseconds; {@link routingIdleTimeoutMilliseconds} by default. */
+    idleTimeoutMilliseconds?: number;
     /** Called with the bytes of messages; those that arrive together count for the first one's kind. */
     onTransferred?: (kind: string, transfer: foundation.Transfer) => void;
 }
@@ -52,7 +54,7 @@
     const decoder = frames.createFrameDecoder(handlers.maxFrameBytes);
     let closeReason: string | undefined;
     socket.setNoDelay(true);
-    socket.setTimeout(routingIdleTimeoutMilliseconds, () => socket.destroy());
+    socket.setTimeout(handlers.idleTimeoutMilliseconds ?? routingIdleTimeoutMilliseconds, () => socket.destroy());
     socket.on("error", error => {
         closeReason = (error as NodeJS.ErrnoException).code;
     });
