Link stand-in: a reset that arrives together with data is passed on as a reset

Trace: `answer-without-length` of the request says isRegular, hasPeer, isWritable, 10 bytes of 21. The upstream had reset its connection; the link between it and the instance took that for a regular end, as Node.js reports it, and ended its other connection regularly. So the fault is the stand-in's, of the same class as the product's: the link asks the same function now. A connection whose own end the link has sent before is not asked, as its regular end closes it.

linkStandIn.test.ts, 'resets the connection to the receiver when the sender resets its own together with data', before: "The value false is not equal to true".

--- a/packages/foundation/src/httpConnections.ts
+++ b/packages/foundation/src/httpConnections.ts
@@ -32,7 +32,15 @@
     return errorOf(socket) === undefined;
 };
 
-const judgeEnd = (socket: net.Socket): ConnectionEnd => {
+/**
+ * Judges how a connection has ended: Node.js reports a reset that arrives together with data as a regular end. A connection that was reset
+ * has no peer address and refuses writes; either is enough, as Node.js keeps an address that was read earlier, and a write may still be in
+ * progress.
+ *
+ * @param socket - a connection that emits its end
+ * @returns how it has ended
+ */
+export const judgeEnd = (socket: net.Socket): ConnectionEnd => {
     const hasPeer = socket.remoteAddress !== undefined;
     const isWritable = takesWrite(socket);
     return {
@@ -44,9 +52,7 @@
 };
 
 /**
- * Destroys a response without a length if its connection does not end regularly: Node.js reports a reset that arrives together with data
- * as a regular end. A connection that was reset has no peer address and refuses writes; either is enough, as Node.js keeps an address that
- * was read earlier, and a write may still be in progress.
+ * Destroys a response without a length if its connection does not end regularly, as {@link judgeEnd} says.
  *
  * @param response - a response whose end only the end of its connection marks, before the end
  * @param onEnd - called once with how the connection has ended
--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -14,7 +14,7 @@
 export type { FailureBoundary } from "./failureBoundary";
 export { hashText, rendezvousOrder } from "./hashing";
 export { hopByHopHeaders } from "./hopByHopHeaders";
-export { closeOnUnsolicitedData, requireRegularEnd } from "./httpConnections";
+export { closeOnUnsolicitedData, judgeEnd, requireRegularEnd } from "./httpConnections";
 export type { ConnectionEnd } from "./httpConnections";
 export { listenOn } from "./listening";
 export { createLogger, createSilentLogger, LogLevel } from "./logging";
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -30,4 +30,9 @@
         cause:
             "The check went by the method, and took the second run of a POST on a route that is safe to repeat for a fault.",
     },
+    {
+        seed: 71_009,
+        cause:
+            "The link between an instance and an upstream took a reset that arrived together with data for a regular end, and passed that on: a part of an answer looked whole.",
+    },
 ];
--- a/packages/standins/src/linkStandIn.ts
+++ b/packages/standins/src/linkStandIn.ts
@@ -92,7 +92,15 @@
                 }
             }, deliveryDelayMilliseconds(direction, data.length));
         });
+        const passReset = (): void => {
+            setTimeout(() => foundation.resetConnection(destination), deliveryDelayMilliseconds(direction, 0));
+        };
         source.on("end", () => {
+            // A connection whose own end was sent before is closed by a regular end, too.
+            if (!source.writableEnded && !isInterrupted() && !foundation.judgeEnd(source).isRegular) {
+                passReset();
+                return;
+            }
             setTimeout(() => {
                 if (!isInterrupted()) {
                     destination.end();
@@ -100,11 +108,11 @@
             }, deliveryDelayMilliseconds(direction, 0));
         });
         source.on("error", error => {
-            const isReset = (error as NodeJS.ErrnoException).code === "ECONNRESET" && !isInterrupted();
-            setTimeout(
-                () => isReset ? foundation.resetConnection(destination) : destination.destroy(),
-                deliveryDelayMilliseconds(direction, 0),
-            );
+            if ((error as NodeJS.ErrnoException).code === "ECONNRESET" && !isInterrupted()) {
+                passReset();
+                return;
+            }
+            setTimeout(() => destination.destroy(), deliveryDelayMilliseconds(direction, 0));
         });
         source.on("close", () => {
             sockets.delete(source);
--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -9,6 +9,8 @@
 
 /** Maximum wait for data, in milliseconds; it only stops a test that hangs. */
 const maxWaitMilliseconds = 60_000;
+const partBytes = 20_000;
+const repetitions = 20;
 
 /** Longer than a link without a delay takes to deliver or drop data that it has got, in milliseconds. */
 const deliveryMilliseconds = 5;
@@ -41,6 +43,15 @@
         socket.on("error", reject);
     });
 
+/** Sends a byte and returns whether the connection is then reset; data and reset may arrive together. */
+const wasReset = (port: number): Promise<boolean> =>
+    new Promise(resolve => {
+        const socket = net.connect({ host: "127.0.0.1", port }, () => socket.write("x"));
+        socket.resume();
+        socket.on("error", () => resolve(true));
+        socket.on("end", () => resolve(!foundation.judgeEnd(socket).isRegular));
+    });
+
 /** Connects and returns how the connection ends: the code of its error, or "ended". */
 const connectAndWait = (port: number): Promise<string> =>
     new Promise(resolve => {
@@ -124,6 +135,27 @@
             earl.expect(await connectAndWait(link.port)).toEqual("ECONNRESET");
         }));
 
+    // Guards against a link that ends a connection regularly when the reset arrives together with data.
+    test.it("resets the connection to the receiver when the sender resets its own together with data", () =>
+        withOwner(async owner => {
+            const sender = net.createServer(socket => {
+                socket.on("error", () => undefined);
+                socket.once("data", () => socket.write("x".repeat(partBytes), () => socket.resetAndDestroy()));
+            });
+            await foundation.listenOn(sender, "127.0.0.1", 0);
+            owner.onCleanup(() => {
+                sender.close();
+            });
+            const { port: targetPort } = sender.address() as net.AddressInfo;
+            const link = await standins.createLinkStandIn(
+                { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 },
+                owner,
+            );
+            for (let iteration = 0; iteration < repetitions; iteration += 1) {
+                earl.expect(await wasReset(link.port)).toEqual(true);
+            }
+        }));
+
     test.it("refuses connections while the target runs on, and accepts them again", () =>
         withLink({}, async link => {
             const open = connectAndWait(link.port);
