Framing and link tests: the reset follows once the caller has got the streamed part; one fixture each for receivers and links

The test of a streamed response that is reset waited 20 ms for the relay to stream it; beside load the reset could come before. It now comes once the caller has got all that was sent before. On the code before the fix: "The value true is not equal to false", the caller took the part for the whole.

--- a/packages/relay/test/framing.test.ts
+++ b/packages/relay/test/framing.test.ts
@@ -7,6 +7,8 @@
 const { withRelay } = relayFixture;
 
 const repetitions = 50;
+/** Size of a body that is too large to be buffered, in bytes. */
+const streamedBytes = 400_000;
 
 test.describe("a response without a length", () => {
     for (const body of ["", "part"]) {
@@ -27,16 +29,18 @@
 
     // Guards against a part of a body that a caller takes for the whole, as its data and the reset arrive together.
     test.it("that is streamed and reset together with a further part is incomplete for the caller", () => {
-        const resetMidway: relayFixture.Behaviour = (request, response) => {
-            const { socket } = response;
+        let connection: net.Socket | undefined;
+        const startBody: relayFixture.Behaviour = (request, { socket }) => {
+            connection = socket ?? undefined;
             const head = `Request-Id: ${request.headers["request-id"]}\r\nResponse-Signature: s`;
-            socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${"x".repeat(400_000)}`);
-            setTimeout(() => socket?.write("x".repeat(20_000), () => socket.resetAndDestroy()), 20);
+            socket?.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${"x".repeat(streamedBytes)}`);
         };
-        return withRelay({ behaviours: [resetMidway] }, async ({ sendRequest }) => {
+        const sendPartAndReset = (): void => {
+            connection?.write("x".repeat(20_000), () => connection?.resetAndDestroy());
+        };
+        return withRelay({ behaviours: [startBody] }, async ({ port }) => {
             for (let iteration = 0; iteration < repetitions; iteration += 1) {
-                const { status, isComplete } = await sendRequest({ body: Buffer.from("order") });
-                earl.expect([status, isComplete]).toEqual([200, false]);
+                earl.expect(await relayFixture.receive(port, streamedBytes, sendPartAndReset)).toEqual(false);
             }
         });
     });
--- a/packages/relay/test/killedInstance.test.ts
+++ b/packages/relay/test/killedInstance.test.ts
@@ -1,9 +1,9 @@
 /** Responses that an instance streams while its process is killed. */
 import * as earl from "earl";
 import * as childProcess from "node:child_process";
-import * as http from "node:http";
 import * as readline from "node:readline";
 import * as test from "node:test";
+import * as relayFixture from "./fixtures/relayFixture";
 
 const killCount = 3;
 const responseCount = 4;
@@ -12,27 +12,6 @@
 
 const program = "packages/relay/test/fixtures/streamingInstance.ts";
 
-/** Receives a part of a response, and then the rest until the end of its connection; returns whether it looks complete. */
-const receive = (port: number, onPart: () => void): Promise<boolean> =>
-    new Promise((resolve, reject) => {
-        const headers = { "host": "orders.example", "request-id": "a", "request-deadline-ms": "60000" };
-        const request = http.request({ host: "127.0.0.1", port, path: "/orders/1", headers, agent: false });
-        request.on("error", reject);
-        request.on("response", response => {
-            let size = 0;
-            response.on("data", (chunk: Buffer) => {
-                const isEarlier = size < receivedBytes;
-                size += chunk.length;
-                if (isEarlier && size >= receivedBytes) {
-                    onPart();
-                }
-            });
-            response.on("error", () => undefined);
-            response.on("close", () => resolve(response.complete));
-        });
-        request.end();
-    });
-
 test.describe("an instance that is killed", () => {
     // Guards against a part of a response that looks complete, as the system ends the connections of a killed process regularly.
     test.it("leaves no part of a response without a length that looks complete", async () => {
@@ -50,7 +29,9 @@
                         child.kill("SIGKILL");
                     }
                 };
-                const responses = await Promise.all([...Array(responseCount)].map(() => receive(port, onPart)));
+                const responses = await Promise.all(
+                    [...Array(responseCount)].map(() => relayFixture.receive(port, receivedBytes, onPart)),
+                );
                 earl.expect(responses).toEqual([...Array(responseCount)].map(() => false));
             }
             finally {
--- a/packages/standins/test/linkStandIn.test.ts
+++ b/packages/standins/test/linkStandIn.test.ts
@@ -81,6 +81,25 @@
         await run(await standins.createLinkStandIn({ ...defaults, ...options }, owner));
     });
 
+/** Runs a test with a link to a server that handles each connection. */
+const withLinkTo = (
+    onConnection: (socket: net.Socket) => void,
+    run: (link: standins.LinkStandIn) => Promise<void>,
+): Promise<void> =>
+    withOwner(async owner => {
+        const server = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            onConnection(socket);
+        });
+        await foundation.listenOn(server, "127.0.0.1", 0);
+        owner.onCleanup(() => {
+            server.close();
+        });
+        const { port: targetPort } = server.address() as net.AddressInfo;
+        const options = { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 };
+        await run(await standins.createLinkStandIn(options, owner));
+    });
+
 test.describe("link stand-in", () => {
     test.it("forwards a stream unchanged after the delay", () =>
         withLink({ delayMilliseconds: 20 }, async link => {
@@ -118,43 +137,21 @@
         }));
 
     test.it("resets the connection to the receiver when the sender resets its own", () =>
-        withOwner(async owner => {
-            const sender = net.createServer(socket => {
-                socket.on("error", () => undefined);
-                socket.write("start", () => socket.resetAndDestroy());
-            });
-            await foundation.listenOn(sender, "127.0.0.1", 0);
-            owner.onCleanup(() => {
-                sender.close();
-            });
-            const { port: targetPort } = sender.address() as net.AddressInfo;
-            const link = await standins.createLinkStandIn(
-                { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 },
-                owner,
-            );
-            earl.expect(await connectAndWait(link.port)).toEqual("ECONNRESET");
-        }));
+        withLinkTo(
+            socket => socket.write("start", () => socket.resetAndDestroy()),
+            async link => earl.expect(await connectAndWait(link.port)).toEqual("ECONNRESET"),
+        ));
 
     // Guards against a link that ends a connection regularly when the reset arrives together with data.
     test.it("resets the connection to the receiver when the sender resets its own together with data", () =>
-        withOwner(async owner => {
-            const sender = net.createServer(socket => {
-                socket.on("error", () => undefined);
-                socket.once("data", () => socket.write("x".repeat(partBytes), () => socket.resetAndDestroy()));
-            });
-            await foundation.listenOn(sender, "127.0.0.1", 0);
-            owner.onCleanup(() => {
-                sender.close();
-            });
-            const { port: targetPort } = sender.address() as net.AddressInfo;
-            const link = await standins.createLinkStandIn(
-                { port: 0, targetHost: "127.0.0.1", targetPort, delayMilliseconds: 0 },
-                owner,
-            );
-            for (let iteration = 0; iteration < repetitions; iteration += 1) {
-                earl.expect(await wasReset(link.port)).toEqual(true);
-            }
-        }));
+        withLinkTo(
+            socket => socket.once("data", () => socket.write("x".repeat(partBytes), () => socket.resetAndDestroy())),
+            async link => {
+                for (let iteration = 0; iteration < repetitions; iteration += 1) {
+                    earl.expect(await wasReset(link.port)).toEqual(true);
+                }
+            },
+        ));
 
     test.it("refuses connections while the target runs on, and accepts them again", () =>
         withLink({}, async link => {
