--- a/packages/gateway/src/requestHead.ts
+++ b/packages/gateway/src/requestHead.ts
@@ -30,7 +30,7 @@
 const identifierPattern = /^[\x21-\x7e]{1,128}$/;
 const idempotentMethods = ["GET", "HEAD", "PUT", "DELETE", "OPTIONS"];
 /** Version of HTTP that has no chunks, so that only the end of the connection would mark the end of a streamed response. */
-const unframedVersion = "1.0";
+const versionWithoutChunks = "1.0";
 const allowedMethods = [...idempotentMethods, "POST", "PATCH"];
 
 const headerValue = (request: http.IncomingMessage, name: string): string | undefined => {
@@ -61,8 +61,8 @@
     request: http.IncomingMessage,
     environment: configuration.Environment,
 ): tsResults.Result<RequestHead, HeadError> => {
-    if (request.httpVersion === unframedVersion) {
-        return tsResults.Err({ status: 505, message: `HTTP/${unframedVersion} is not supported` });
+    if (request.httpVersion === versionWithoutChunks) {
+        return tsResults.Err({ status: 505, message: `HTTP/${versionWithoutChunks} is not supported` });
     }
     const method = request.method ?? "";
     const target = request.url ?? "";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -27,7 +27,7 @@
 }
 
 /** How a response has ended whose end only the end of its connection marks. */
-export interface UnframedEnd extends foundation.ConnectionEnd {
+export interface CloseDelimitedEnd extends foundation.ConnectionEnd {
     status: number;
     /** Size of the body that was read, in bytes. */
     bodyBytes: number;
@@ -77,7 +77,7 @@
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
     /** Called at the end of a response that declares neither a length nor chunks. */
-    onUnframedEnd: (end: UnframedEnd) => void;
+    onCloseDelimitedEnd: (end: CloseDelimitedEnd) => void;
 }
 
 /** An attempt in progress. */
@@ -145,7 +145,7 @@
     response.headers[platform.HeaderName.notRun] !== undefined || response.statusCode === misdirectedStatus;
 
 /** Whether only the end of the connection marks the end of a response. */
-const endsWithConnection = ({ headers, statusCode = 0 }: http.IncomingMessage, method: string): boolean =>
+const isCloseDelimited = ({ headers, statusCode = 0 }: http.IncomingMessage, method: string): boolean =>
     !framing.hasNoBody(method, statusCode) && headers["content-length"] === undefined
     && headers["transfer-encoding"] === undefined;
 
@@ -190,10 +190,10 @@
 ) => (...parameters: Parameters) => void;
 
 /** Reports the end of a response whose end only the end of its connection marks, and does not let an irregular one complete it. */
-const watchUnframedEnd = (
+const watchCloseDelimitedEnd = (
     response: http.IncomingMessage,
     guard: Guard,
-    onUnframedEnd: AttemptOptions["onUnframedEnd"],
+    onCloseDelimitedEnd: AttemptOptions["onCloseDelimitedEnd"],
 ): { onStreamed: () => void; } => {
     let bodyBytes = 0;
     let isStreamed = false;
@@ -202,7 +202,7 @@
     });
     foundation.requireRegularEnd(
         response,
-        guard(end => onUnframedEnd({ ...end, status: response.statusCode ?? 0, bodyBytes, isStreamed })),
+        guard(end => onCloseDelimitedEnd({ ...end, status: response.statusCode ?? 0, bodyBytes, isStreamed })),
     );
     return {
         onStreamed: () => {
@@ -440,8 +440,8 @@
                 currentResponse = response;
                 const report = applyHead(response, options, isNewConnection);
                 const isRequestUnfinished = !request.writableFinished;
-                const unframedEnd = endsWithConnection(response, options.method)
-                    ? watchUnframedEnd(response, guard, options.onUnframedEnd)
+                const closeDelimitedEnd = isCloseDelimited(response, options.method)
+                    ? watchCloseDelimitedEnd(response, guard, options.onCloseDelimitedEnd)
                     : undefined;
                 const isOnlyRequest = isNewConnection && !isRequestUnfinished;
                 const fault = abortReason ?? (belongsTo(response, options.requestIdentifier, isOnlyRequest)
@@ -486,7 +486,7 @@
                         return;
                     }
                     if (rest !== undefined) {
-                        unframedEnd?.onStreamed();
+                        closeDelimitedEnd?.onStreamed();
                     }
                     const { rawHeaders, statusCode = 0 } = response;
                     finish({
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -128,7 +128,7 @@
                 state.notifiedBy = upstream;
                 options.onNotice(upstream, notice);
             },
-            onUnframedEnd: end =>
+            onCloseDelimitedEnd: end =>
                 log.write("answer-without-length", {
                     request: state.requestIdentifier,
                     upstream: upstream.identifier,
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -184,7 +184,7 @@
                     transfer,
                 ),
             onInterim,
-            onUnframedEnd: end =>
+            onCloseDelimitedEnd: end =>
                 log.write("answer-without-length", {
                     request: state.requestIdentifier,
                     delegate: target.delegate.identifier,
--- a/packages/relay/test/attemptExceptions.test.ts
+++ b/packages/relay/test/attemptExceptions.test.ts
@@ -89,7 +89,7 @@
             connectTimeoutMilliseconds: 1000,
             onConnected: () => undefined,
             onTransferred: () => undefined,
-            onUnframedEnd: () => undefined,
+            onCloseDelimitedEnd: () => undefined,
         });
         const { kind } = await attempt.result;
         connections.close();
--- a/packages/relay/test/earlierResponses.test.ts
+++ b/packages/relay/test/earlierResponses.test.ts
@@ -194,7 +194,7 @@
                 connectTimeoutMilliseconds: 1000,
                 onConnected: () => undefined,
                 onTransferred: () => undefined,
-                onUnframedEnd: () => undefined,
+                onCloseDelimitedEnd: () => undefined,
             });
         const results = await Promise.all([attempt().result, attempt().result]);
         earl.expect(results.map(({ kind }) => kind)).toEqual(["notRun", "unknown"]);
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -183,7 +183,7 @@
             connectTimeoutMilliseconds: 1000,
             onConnected: () => undefined,
             onTransferred: () => undefined,
-            onUnframedEnd: () => undefined,
+            onCloseDelimitedEnd: () => undefined,
             onNotice: notice => notices.push(notice),
         });
         const socket = await received;
