Scheduling and eligibility: packages for decisions without sockets and clocks

The decisions of relay that need neither move to packages/scheduling, so that further ones do not grow relay. The types of an attempt's result have a file of their own, which ends the import cycles attempt-framing and requestState-attempt.

Type check and linter are clean; no decision is changed.

--- /dev/null
+++ b/packages/eligibility/src/index.ts
@@ -0,0 +1,12 @@
+/** Decides whether an upstream may get a request or own a key. */
+export { isRegionAllowed } from "./allowedRegions";
+export type { AllowedRegions } from "./allowedRegions";
+export { createEligibility, IneligibilityReason, noEvacuations, unlimitedWarmupRates } from "./eligibility";
+export type {
+    Eligibility,
+    EligibilityOptions,
+    Evacuations,
+    Ineligibility,
+    IneligibilityReasonValue,
+    WarmupRates,
+} from "./eligibility";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -1,9 +1,11 @@
 /** Sends one attempt of a request to one upstream. */
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
+import type * as scheduling from "@mulberryseam/scheduling";
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as tsResults from "ts-results";
+import type * as attemptResult from "./attemptResult";
 import * as byteBudget from "./byteBudget";
 import * as eventLoopDelay from "./eventLoopDelay";
 import * as framing from "./framing";
@@ -11,45 +13,8 @@
 import * as requestBody from "./requestBody";
 import * as requestState from "./requestState";
 import * as upstreamConnections from "./upstreamConnections";
-import type * as upstreamHealth from "./upstreamHealth";
 import * as upstreamNotice from "./upstreamNotice";
 
-/** A response from an upstream. */
-export interface UpstreamResponse {
-    status: number;
-    rawHeaders: string[];
-    /** The complete body, or its first bytes if `rest` is defined. */
-    body: Buffer;
-    /** The length that the upstream declared, in bytes; undefined if it declared none, so that the body may go on without end. */
-    declaredLength: string | undefined;
-    /** Stream of the remaining body; emits an error if the upstream interrupts it. Undefined if `body` is complete. */
-    rest: http.IncomingMessage | undefined;
-}
-
-/** How a response has ended whose end only the end of its connection marks. */
-export interface CloseDelimitedEnd extends foundation.ConnectionEnd {
-    status: number;
-    /** Size of the body that was read, in bytes. */
-    bodyBytes: number;
-    /** Whether the response was forwarded before its end. */
-    isStreamed: boolean;
-}
-
-/** Result of an attempt. Only the kind `notRun` proves that the request has not run. */
-export type AttemptResult =
-    | { kind: "answered"; response: UpstreamResponse; report: upstreamHealth.LoadReport | undefined; }
-    /** Never sent, or explicitly refused by the upstream. */
-    | {
-        kind: "notRun";
-        reason: string;
-        isRefused: boolean;
-        /** Whether the upstream does not hold the request's key, or is not the one that was addressed. */
-        isMisdirected: boolean;
-        report: upstreamHealth.LoadReport | undefined;
-    }
-    /** Sent; the request may have run, or may still be running. */
-    | { kind: "unknown"; reason: string; isNewConnection: boolean; };
-
 /** Configures an attempt. */
 export interface AttemptOptions {
     timers: foundation.TimerService;
@@ -77,16 +42,7 @@
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
     /** Called at the end of a response that declares neither a length nor chunks. */
-    onCloseDelimitedEnd: (end: CloseDelimitedEnd) => void;
-}
-
-/** An attempt in progress. */
-export interface Attempt {
-    result: Promise<AttemptResult>;
-    /** Aborts the attempt by closing its connection. */
-    cancel: (reason: string) => void;
-    /** Whether any byte may have reached the upstream. */
-    mayHaveBeenSent: () => boolean;
+    onCloseDelimitedEnd: (end: attemptResult.CloseDelimitedEnd) => void;
 }
 
 /** Largest response that is buffered until complete, in bytes: if interrupted, no part of it reaches the caller. */
@@ -172,7 +128,7 @@
     response: http.IncomingMessage,
     { connections, requestIdentifier, onNotice }: AttemptOptions,
     isNewConnection: boolean,
-): upstreamHealth.LoadReport | undefined => {
+): scheduling.LoadReport | undefined => {
     const notice = noticeOf(response, !belongsTo(response, requestIdentifier, isNewConnection));
     if (notice !== undefined) {
         onNotice?.(notice);
@@ -297,7 +253,7 @@
 };
 
 /** Returns an attempt of which nothing was sent. */
-const createUnsentAttempt = (reason: string): Attempt => ({
+const createUnsentAttempt = (reason: string): attemptResult.Attempt => ({
     result: Promise.resolve({ kind: "notRun", reason, isRefused: false, isMisdirected: false, report: undefined }),
     cancel: () => undefined,
     mayHaveBeenSent: () => false,
@@ -322,7 +278,7 @@
  * @param options - the request, its upstream and the connections to it
  * @returns the attempt
  */
-export const startAttempt = (options: AttemptOptions): Attempt => {
+export const startAttempt = (options: AttemptOptions): attemptResult.Attempt => {
     const { timers, connections, failures } = options;
     const opened = openRequest(options);
     if (opened.err) {
@@ -335,11 +291,11 @@
     let isFinished = false;
     let abortReason: string | undefined;
     let abort: (reason: string) => void = () => undefined;
-    const result = new Promise<AttemptResult>(resolve => {
-        const finish = (attemptResult: AttemptResult): void => {
+    const result = new Promise<attemptResult.AttemptResult>(resolve => {
+        const finish = (value: attemptResult.AttemptResult): void => {
             isFinished = true;
             connectTimeout.cancel();
-            resolve(attemptResult);
+            resolve(value);
         };
         const fail = (reason: string): void => {
             if (isFinished) {
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -2,14 +2,13 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import type * as attempts from "./attempt";
-import type * as concurrencyWindow from "./concurrencyWindow";
+import type * as attemptResult from "./attemptResult";
 import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
 import type * as requestState from "./requestState";
-import * as silence from "./silence";
-import * as upstreamHealth from "./upstreamHealth";
 import type * as upstreamNotice from "./upstreamNotice";
 import * as upstreamPool from "./upstreamPool";
 
@@ -29,35 +28,35 @@
 export type AttemptSender = (
     state: requestState.RequestState,
     target: upstreamPool.PooledUpstream,
-    limit: concurrencyWindow.QueueLimit,
+    limit: scheduling.QueueLimit,
     body: attempts.AttemptOptions["body"],
-) => Promise<attempts.AttemptResult>;
+) => Promise<attemptResult.AttemptResult>;
 
 /** Interval at which requests without a response are checked, in milliseconds. */
 const silenceCheckMilliseconds = 50;
 const silenceReason = "the upstream is silent";
 
-const healthSignalOf = (result: attempts.AttemptResult): upstreamHealth.HealthSignalValue => {
+const healthSignalOf = (result: attemptResult.AttemptResult): scheduling.HealthSignalValue => {
     if (result.kind === "notRun" && result.reason === upstreamPool.holdOffReason) {
-        return upstreamHealth.HealthSignal.none;
+        return scheduling.HealthSignal.none;
     }
     if (result.kind === "unknown" && result.reason === silenceReason) {
-        return upstreamHealth.HealthSignal.silent;
+        return scheduling.HealthSignal.silent;
     }
     if (result.kind === "answered") {
         return result.response.status >= 500
-            ? upstreamHealth.HealthSignal.failed
-            : upstreamHealth.HealthSignal.answered;
+            ? scheduling.HealthSignal.failed
+            : scheduling.HealthSignal.answered;
     }
     if (result.kind === "notRun" && result.isMisdirected) {
-        return upstreamHealth.HealthSignal.misdirected;
+        return scheduling.HealthSignal.misdirected;
     }
     return result.kind === "notRun" && result.isRefused
-        ? upstreamHealth.HealthSignal.shed
-        : upstreamHealth.HealthSignal.broken;
+        ? scheduling.HealthSignal.shed
+        : scheduling.HealthSignal.broken;
 };
 
-const reportOf = (result: attempts.AttemptResult | undefined): upstreamHealth.LoadReport | undefined =>
+const reportOf = (result: attemptResult.AttemptResult | undefined): scheduling.LoadReport | undefined =>
     result === undefined || result.kind === "unknown" ? undefined : result.report;
 
 /**
@@ -77,11 +76,11 @@
     const abortIfSilent = (
         state: requestState.RequestState,
         { health, upstream }: upstreamPool.PooledUpstream,
-        outstandingAttempt: upstreamHealth.OutstandingAttempt,
-        attempt: attempts.Attempt,
+        outstandingAttempt: scheduling.OutstandingAttempt,
+        attempt: attemptResult.Attempt,
     ): foundation.Subscription =>
         silenceChecks.add(() => {
-            const expectedUntil = silence.latestResponseAt({
+            const expectedUntil = scheduling.latestResponseAt({
                 latestStartAt: outstandingAttempt.latestStartAt,
                 serviceMilliseconds: health.serviceMilliseconds() ?? Infinity,
                 deviationMilliseconds: health.deviationMilliseconds() ?? 0,
@@ -143,18 +142,18 @@
     const applyResult = (
         state: requestState.RequestState,
         { upstream, window }: upstreamPool.PooledUpstream,
-        limit: concurrencyWindow.QueueLimit,
-        result: attempts.AttemptResult,
-        signal: upstreamHealth.HealthSignalValue,
+        limit: scheduling.QueueLimit,
+        result: attemptResult.AttemptResult,
+        signal: scheduling.HealthSignalValue,
     ): void => {
         const report = reportOf(result);
-        if (signal === upstreamHealth.HealthSignal.shed && (report?.waiting ?? 0) > 0) {
+        if (signal === scheduling.HealthSignal.shed && (report?.waiting ?? 0) > 0) {
             pool.onRefusal(upstream.service);
         }
         if (report !== undefined) {
             window.onReport(report, limit, timers.now());
         }
-        else if (signal === upstreamHealth.HealthSignal.silent || signal === upstreamHealth.HealthSignal.broken) {
+        else if (signal === scheduling.HealthSignal.silent || signal === scheduling.HealthSignal.broken) {
             window.onNoRoom(limit, timers.now());
         }
         if (result.kind !== "answered" && !state.isFinished) {
@@ -175,8 +174,8 @@
         const attemptOptions = toAttemptOptions(state, target, body);
         const now = timers.now();
         const outstandingAttempt = health.recordStart(now);
-        let result: attempts.AttemptResult | undefined;
-        let signal: upstreamHealth.HealthSignalValue = upstreamHealth.HealthSignal.none;
+        let result: attemptResult.AttemptResult | undefined;
+        let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
         try {
             target.window.onSent(now);
             state.attemptCount += 1;
@@ -195,7 +194,7 @@
                     },
                 };
             });
-            signal = state.isFinished ? upstreamHealth.HealthSignal.none : healthSignalOf(result);
+            signal = state.isFinished ? scheduling.HealthSignal.none : healthSignalOf(result);
         }
         finally {
             health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
--- a/packages/relay/src/currentAttempt.ts
+++ b/packages/relay/src/currentAttempt.ts
@@ -1,6 +1,7 @@
 /** Runs the attempts of a request, of which there is one at a time. */
 import type * as foundation from "@mulberryseam/foundation";
 import * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 import * as requestState from "./requestState";
 
 /**
@@ -14,8 +15,8 @@
 export const runAttempt = async (
     state: requestState.RequestState,
     options: attempts.AttemptOptions,
-    watch: (attempt: attempts.Attempt) => foundation.Subscription,
-): Promise<attempts.AttemptResult> => {
+    watch: (attempt: attemptResult.Attempt) => foundation.Subscription,
+): Promise<attemptResult.AttemptResult> => {
     const attempt = attempts.startAttempt(options);
     state.currentAttempt = attempt;
     let watching: foundation.Subscription | undefined;
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -4,6 +4,7 @@
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
 import type * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import type * as delegatePool from "./delegatePool";
@@ -32,7 +33,7 @@
 export type DelegationResult =
     /** The instance has to send the request itself: it has not run, or may be sent again. */
     | { kind: "notDelegated"; mayHaveRun: boolean; }
-    | { kind: "answered"; response: attempts.UpstreamResponse; }
+    | { kind: "answered"; response: attemptResult.UpstreamResponse; }
     /** The delegate has ended the request; `waitMilliseconds` is when the caller may retry. */
     | { kind: "failed"; reason: requestState.FailureReasonValue; mayHaveRun: boolean; waitMilliseconds: number; };
 
@@ -71,7 +72,7 @@
 };
 
 /** Returns what a delegate's response says, which is either an upstream's or its own. */
-const interpret = (response: attempts.UpstreamResponse): DelegationResult => {
+const interpret = (response: attemptResult.UpstreamResponse): DelegationResult => {
     const failure = headerValue(response.rawHeaders, delegatedRequest.failureHeader);
     if (failure === undefined) {
         return { kind: "answered", response };
@@ -129,7 +130,7 @@
     };
 
     /** Passes on the notice of an upstream, unless the response is the delegate's own. */
-    const applyNotice = ({ status, rawHeaders }: attempts.UpstreamResponse): void => {
+    const applyNotice = ({ status, rawHeaders }: attemptResult.UpstreamResponse): void => {
         const notice = upstreamNotice.parseNotice(status, name => headerValue(rawHeaders, name));
         const upstream = headerValue(rawHeaders, delegatedRequest.upstreamHeader);
         if (
@@ -197,7 +198,7 @@
         state: requestState.RequestState,
         target: delegatePool.PooledDelegate,
         body: attempts.AttemptOptions["body"],
-    ): Promise<attempts.AttemptResult> => {
+    ): Promise<attemptResult.AttemptResult> => {
         const { health } = target;
         const attemptOptions = toAttemptOptions(
             state,
@@ -206,7 +207,7 @@
             () => health.onSignOfLife(pending, timers.now()),
         );
         const pending = health.onSent(timers.now());
-        let result: attempts.AttemptResult | undefined;
+        let result: attemptResult.AttemptResult | undefined;
         try {
             result = await currentAttempt.runAttempt(state, attemptOptions, attempt =>
                 silenceChecks.add(() => {
--- a/packages/relay/src/framing.ts
+++ b/packages/relay/src/framing.ts
@@ -3,7 +3,7 @@
  * is the same for a complete response and for one that is cut off, as when this process is killed.
  */
 import type * as http from "node:http";
-import type * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 
 /**
  * Whether a response has no body, whatever its headers say.
@@ -28,7 +28,7 @@
  */
 export const framingHeaders = (
     request: http.IncomingMessage,
-    { status, body, declaredLength, rest }: attempts.UpstreamResponse,
+    { status, body, declaredLength, rest }: attemptResult.UpstreamResponse,
 ): string[] | undefined => {
     if (hasNoBody(request.method, status)) {
         return [];
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -5,15 +5,15 @@
 import type * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
-import * as admission from "./admission";
+import * as scheduling from "@mulberryseam/scheduling";
 import type * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 import * as attemptSender from "./attemptSender";
 import type * as delegator from "./delegator";
 import * as requestState from "./requestState";
 import type * as responders from "./responder";
 import * as retryBudget from "./retryBudget";
 import * as selection from "./selection";
-import type * as upstreamCost from "./upstreamCost";
 import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
 
@@ -85,7 +85,11 @@
         }
     };
 
-    const canRetry = (state: requestState.RequestState, result: attempts.AttemptResult, isWhole: boolean): boolean => {
+    const canRetry = (
+        state: requestState.RequestState,
+        result: attemptResult.AttemptResult,
+        isWhole: boolean,
+    ): boolean => {
         const isRetrySafe = result.kind === "notRun" || state.route.kind === routing.RouteKind.idempotent;
         const hasReachedUpstream = result.kind === "unknown" || (result.kind === "notRun" && result.isRefused);
         const isExhausted = result.kind === "unknown" && state.triedUpstreams.size >= state.route.maxAttempts;
@@ -97,8 +101,8 @@
 
     const toAdmissionInput = (
         state: requestState.RequestState,
-        { candidate, expectedMilliseconds, waitMilliseconds }: upstreamCost.Choice,
-    ): admission.QueueLimitInput => ({
+        { candidate, expectedMilliseconds, waitMilliseconds }: scheduling.Choice,
+    ): scheduling.QueueLimitInput => ({
         isMeasured: candidate.isMeasured,
         expectedMilliseconds,
         waitMilliseconds,
@@ -112,14 +116,14 @@
     const isAccepted = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
-        input: admission.QueueLimitInput,
+        input: scheduling.QueueLimitInput,
     ): boolean => {
         if (state.mayHaveRun) {
             return input.expectedMilliseconds <= input.remainingMilliseconds;
         }
-        const limit = admission.queueLimit(input);
+        const limit = scheduling.queueLimit(input);
         return target.window.hasRoom(target.health.outstandingCount(), limit, timers.now())
-            && admission.isAdmissible(input);
+            && scheduling.isAdmissible(input);
     };
 
     /** Returns what would be selected now, without recording it. */
@@ -143,7 +147,7 @@
         state: requestState.RequestState,
         { target, choice, holdOffMilliseconds }: Extract<selection.Selection, { kind: "heldOff"; }>,
     ): void => {
-        const limit = admission.queueLimit(toAdmissionInput(state, choice));
+        const limit = scheduling.queueLimit(toAdmissionInput(state, choice));
         const retryMilliseconds = holdOffMilliseconds + target.window.bookRetry(limit, timers.now());
         responder.fail(state, requestState.FailureReason.heldOff, retryMilliseconds);
     };
@@ -170,7 +174,7 @@
             }
             const { target, choice } = selected;
             const input = toAdmissionInput(state, choice);
-            const limit = admission.queueLimit(input);
+            const limit = scheduling.queueLimit(input);
             if (!isAccepted(state, target, input)) {
                 const retryMilliseconds = Math.max(
                     input.waitMilliseconds,
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -2,7 +2,7 @@
 import * as platform from "@mulberryseam/platform";
 import type * as routing from "@mulberryseam/routing";
 import type * as http from "node:http";
-import type * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 import type * as byteBudget from "./byteBudget";
 
 /** Why a request ended without a response from an upstream. */
@@ -69,7 +69,7 @@
     attemptCount: number;
     mayHaveRun: boolean;
     isFinished: boolean;
-    currentAttempt: attempts.Attempt | undefined;
+    currentAttempt: attemptResult.Attempt | undefined;
     /** Bytes of the request and its response that are buffered. */
     reservation: byteBudget.ByteReservation;
     /** Estimated size of the request and its response, in bytes. */
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -1,10 +1,10 @@
 /** Responds to callers with an upstream's response or the reason for its absence, and logs the outcome. */
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import type * as http from "node:http";
 import * as stream from "node:stream";
-import * as admission from "./admission";
-import type * as attempts from "./attempt";
+import type * as attemptResult from "./attemptResult";
 import * as delegatedRequest from "./delegatedRequest";
 import type * as eventLoopDelay from "./eventLoopDelay";
 import * as framing from "./framing";
@@ -45,7 +45,7 @@
     refuse: (response: http.ServerResponse, extraHeaders: string[], text: string) => void;
     /** Ends a request without an upstream's response: with 503 if it has not run, with 502 or 504 if it may have. */
     fail: (state: requestState.RequestState, reason: requestState.FailureReasonValue, waitMilliseconds: number) => void;
-    forward: (state: requestState.RequestState, upstreamResponse: attempts.UpstreamResponse) => void;
+    forward: (state: requestState.RequestState, upstreamResponse: attemptResult.UpstreamResponse) => void;
 }
 
 /**
@@ -158,7 +158,7 @@
         const status = state.mayHaveRun ? (isTimeout ? 504 : 502) : 503;
         recordOutcome(state, status, reason);
         const remaining = state.deadlineAt - timers.now();
-        const retryAfter = admission.retryAfterMilliseconds(
+        const retryAfter = scheduling.retryAfterMilliseconds(
             waitMilliseconds,
             remaining,
             random.fraction(),
@@ -193,7 +193,7 @@
 
     const forwardResponse = (
         state: requestState.RequestState,
-        upstreamResponse: attempts.UpstreamResponse,
+        upstreamResponse: attemptResult.UpstreamResponse,
     ): void => {
         const claimsNotRun = state.route.kind !== routing.RouteKind.idempotent
             && notRunStatuses.has(upstreamResponse.status);
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -1,18 +1,18 @@
 /** Selects the upstream of an attempt: the owner of the request's key, or the candidate with the lowest cost. */
 import type * as assignment from "@mulberryseam/assignment";
 import type * as foundation from "@mulberryseam/foundation";
+import * as scheduling from "@mulberryseam/scheduling";
 import * as requestState from "./requestState";
-import * as upstreamCost from "./upstreamCost";
 import type * as upstreamPool from "./upstreamPool";
 
 /** Result of a selection. */
 export type Selection =
-    | { kind: "chosen"; target: upstreamPool.PooledUpstream; choice: upstreamCost.Choice; }
+    | { kind: "chosen"; target: upstreamPool.PooledUpstream; choice: scheduling.Choice; }
     /** Every upstream that could serve the request holds requests off; `target` takes them first, after a time. */
     | {
         kind: "heldOff";
         target: upstreamPool.PooledUpstream;
-        choice: upstreamCost.Choice;
+        choice: scheduling.Choice;
         holdOffMilliseconds: number;
     }
     | { kind: "none"; reason: requestState.FailureReasonValue; waitMilliseconds: number; isTransient: boolean; };
@@ -30,7 +30,7 @@
 const storeOutageRetryMilliseconds = 1000;
 
 const toDecision = (
-    { candidate, waitMilliseconds }: upstreamCost.Choice,
+    { candidate, waitMilliseconds }: scheduling.Choice,
     token: number | undefined,
 ): requestState.Decision => ({
     upstream: candidate.identifier,
@@ -56,7 +56,7 @@
         token: number | undefined,
     ): Selection => {
         const candidate = pool.toCandidate(target, state.estimatedBytes);
-        const choice = upstreamCost.chooseUpstream([candidate], 0) as upstreamCost.Choice;
+        const choice = scheduling.chooseUpstream([candidate], 0) as scheduling.Choice;
         state.decision = toDecision(choice, token);
         const holdOffMilliseconds = pool.holdOffMilliseconds(target.upstream);
         return { kind: "heldOff", target, choice, holdOffMilliseconds };
@@ -89,7 +89,7 @@
             return toHeldOff(state, target, route?.token);
         }
         const candidate = pool.toCandidate(target, state.estimatedBytes);
-        const chosen = upstreamCost.chooseUpstream([candidate], 0);
+        const chosen = scheduling.chooseUpstream([candidate], 0);
         if (chosen === undefined) {
             return {
                 kind: "none",
@@ -121,7 +121,7 @@
             !pool.isConnectionUnavailable(target)
         );
         const candidates = available.map(target => pool.toCandidate(target, state.estimatedBytes));
-        const chosen = upstreamCost.chooseUpstream(candidates, random.fraction());
+        const chosen = scheduling.chooseUpstream(candidates, random.fraction());
         const target = available[candidates.findIndex(candidate => candidate === chosen?.candidate)];
         if (chosen === undefined || target === undefined) {
             const reason = usable.length === 0
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -1,21 +1,18 @@
 /** The upstreams that an instance sends requests to, with the health of each and the connections to it. */
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
-import type * as attempts from "./attempt";
-import * as concurrencyWindow from "./concurrencyWindow";
-import * as holdOff from "./holdOff";
+import * as scheduling from "@mulberryseam/scheduling";
+import type * as attemptResult from "./attemptResult";
 import * as upstreamConnections from "./upstreamConnections";
-import * as upstreamCost from "./upstreamCost";
-import * as upstreamHealth from "./upstreamHealth";
 
 /** An upstream with its health and connections. */
 export interface PooledUpstream {
     upstream: routing.Upstream;
-    health: upstreamHealth.UpstreamHealth;
+    health: scheduling.UpstreamHealth;
     connections: upstreamConnections.UpstreamConnections;
-    window: concurrencyWindow.ConcurrencyWindow;
+    window: scheduling.ConcurrencyWindow;
     /** Attempts without a result. */
-    openAttempts: Set<attempts.Attempt>;
+    openAttempts: Set<attemptResult.Attempt>;
     region: string;
 }
 
@@ -61,7 +58,7 @@
     /** Returns how far it is to an upstream. */
     reachOf: (pooled: PooledUpstream) => foundation.TrafficReachValue;
     /** Returns an upstream as a candidate for a request; `bytes` is the size of the request and its response. */
-    toCandidate: (pooled: PooledUpstream, bytes: number) => upstreamCost.Candidate;
+    toCandidate: (pooled: PooledUpstream, bytes: number) => scheduling.Candidate;
     /** Updates the round-trip time from the time that a new connection took, in milliseconds. */
     onConnected: (pooled: PooledUpstream, milliseconds: number) => void;
     /** Timeout for a new connection, in milliseconds. */
@@ -125,7 +122,7 @@
     /** Service time of the measured upstreams of each service, for those that are not measured. */
     const typicalServiceTimes = new Map<string, number>();
     const refusingServices = new Set<string>();
-    const holdOffs = holdOff.createHoldOffs();
+    const holdOffs = scheduling.createHoldOffs();
     const ownRegion = regions[options.failureDomain];
     /** Returns this instance's portion of a ratio of the connections that one upstream of a service accepts. */
     const connectionPortion = (service: string, ratio: number): number =>
@@ -145,16 +142,16 @@
         }
         const created = {
             upstream,
-            health: upstreamHealth.createUpstreamHealth(() => typicalServiceTimes.get(upstream.service)),
+            health: scheduling.createUpstreamHealth(() => typicalServiceTimes.get(upstream.service)),
             connections: upstreamConnections.createUpstreamConnections(
                 options.connectionLimit(upstream.service),
                 Math.max(1, connectionPortion(upstream.service, idleConnectionRatio)),
             ),
-            window: concurrencyWindow.createConcurrencyWindow(
+            window: scheduling.createConcurrencyWindow(
                 upstream.slots,
                 () => options.sharerCount(upstream.service),
             ),
-            openAttempts: new Set<attempts.Attempt>(),
+            openAttempts: new Set<attemptResult.Attempt>(),
             region: regions[upstream.failureDomain] ?? "",
         };
         pooledUpstreams.set(upstream.identifier, created);
--- a/packages/relay/test/delegation.test.ts
+++ b/packages/relay/test/delegation.test.ts
@@ -1,6 +1,7 @@
 /** Requests of many instances for many upstreams: connections that can be reused, and the queue of an upstream with a hot key. */
 import * as foundation from "@mulberryseam/foundation";
 import * as relay from "@mulberryseam/relay";
+import * as scheduling from "@mulberryseam/scheduling";
 import * as earl from "earl";
 import * as test from "node:test";
 import * as sharedUpstream from "./fixtures/sharedUpstream";
@@ -103,7 +104,7 @@
     const limit = { requests: 12, serviceMilliseconds: 500 };
 
     test.it("return one after the other, as far apart as there is room for them", () => {
-        const window = relay.createConcurrencyWindow(6, () => 3);
+        const window = scheduling.createConcurrencyWindow(6, () => 3);
         const waits = Array.from({ length: 6 }, () => window.bookRetry(limit, 1000));
         const gaps = waits.slice(1).map((wait, index) => wait - waits[index]);
         earl.expect(gaps.every(gap => gap > 0 && Math.abs(gap - waits[0]) < 1)).toEqual(true);
@@ -113,7 +114,7 @@
     });
 
     test.it("return later while the upstream has more requests than it can serve, but not much later", () => {
-        const window = relay.createConcurrencyWindow(6, () => 3);
+        const window = scheduling.createConcurrencyWindow(6, () => 3);
         const firstWait = window.bookRetry(limit, 0);
         for (let now = 10_000; now < 10_100; now += 10) {
             window.onReport({ running: 6, waiting: 24, slots: 6 }, limit, now);
--- a/packages/relay/test/holdOff.test.ts
+++ b/packages/relay/test/holdOff.test.ts
@@ -2,6 +2,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import * as earl from "earl";
 import * as net from "node:net";
 import * as test from "node:test";
@@ -37,7 +38,7 @@
     const upstream = { identifier: "a", startedAt: 1 };
 
     test.it("last for the longest time that the incarnation asked for", () => {
-        const holdOffs = relay.createHoldOffs();
+        const holdOffs = scheduling.createHoldOffs();
         earl.expect(holdOffs.remainingMilliseconds(upstream, 0)).toEqual(0);
         earl.expect(holdOffs.onRefusal(upstream, 1000, 0)).toEqual(true);
         earl.expect(holdOffs.onRefusal(upstream, 200, 500)).toEqual(false);
@@ -50,7 +51,7 @@
     });
 
     test.it("end without an error when the time is absurdly long", () => {
-        const holdOffs = relay.createHoldOffs();
+        const holdOffs = scheduling.createHoldOffs();
         holdOffs.onRefusal(upstream, Number.MAX_SAFE_INTEGER, 5);
         earl.expect(Number.isFinite(holdOffs.remainingMilliseconds(upstream, 10))).toEqual(true);
         earl.expect(holdOffs.remainingMilliseconds(upstream, 1e9) > 0).toEqual(true);
@@ -83,10 +84,10 @@
 test.describe("a refused caller", () => {
     test.it("is not told to return before an upstream takes requests", () => {
         for (const fraction of [0, 0.5, 1]) {
-            earl.expect(relay.retryAfterMilliseconds(1000, 60_000, fraction, true) >= 1000).toEqual(true);
+            earl.expect(scheduling.retryAfterMilliseconds(1000, 60_000, fraction, true) >= 1000).toEqual(true);
         }
-        earl.expect(relay.retryAfterMilliseconds(1000, 60_000, 0, true)).not.toEqual(
-            relay.retryAfterMilliseconds(1000, 60_000, 1, true),
+        earl.expect(scheduling.retryAfterMilliseconds(1000, 60_000, 0, true)).not.toEqual(
+            scheduling.retryAfterMilliseconds(1000, 60_000, 1, true),
         );
     });
 });
--- a/packages/relay/test/policies.test.ts
+++ b/packages/relay/test/policies.test.ts
@@ -1,10 +1,11 @@
 /** Decisions about a request, each with the time and random numbers passed in. */
 import * as foundation from "@mulberryseam/foundation";
 import * as relay from "@mulberryseam/relay";
+import * as scheduling from "@mulberryseam/scheduling";
 import * as earl from "earl";
 import * as test from "node:test";
 
-const createCandidate = (change: Partial<relay.Candidate>): relay.Candidate => ({
+const createCandidate = (change: Partial<scheduling.Candidate>): scheduling.Candidate => ({
     identifier: "upstream",
     queueLength: 0,
     reportAgeMilliseconds: undefined,
@@ -17,8 +18,8 @@
     ...change,
 });
 
-const chosenIdentifier = (...candidates: relay.Candidate[]): string | undefined =>
-    relay.chooseUpstream(candidates, 0.5)?.candidate.identifier;
+const chosenIdentifier = (...candidates: scheduling.Candidate[]): string | undefined =>
+    scheduling.chooseUpstream(candidates, 0.5)?.candidate.identifier;
 
 test.describe("the choice of an upstream", () => {
     test.it("prefers an idle upstream to a busy one, and a near one to a far one", () => {
@@ -50,12 +51,14 @@
 
     test.it("spreads requests among upstreams of equal cost", () => {
         const candidates = ["a", "b", "c"].map(identifier => createCandidate({ identifier }));
-        const names = [0.1, 0.5, 0.9].map(fraction => relay.chooseUpstream(candidates, fraction)?.candidate.identifier);
+        const names = [0.1, 0.5, 0.9].map(fraction =>
+            scheduling.chooseUpstream(candidates, fraction)?.candidate.identifier
+        );
         earl.expect(new Set(names).size).toEqual(3);
     });
 });
 
-const createAdmissionInput = (change: object): Parameters<typeof relay.isAdmissible>[0] => ({
+const createAdmissionInput = (change: object): Parameters<typeof scheduling.isAdmissible>[0] => ({
     isMeasured: true,
     expectedMilliseconds: 100,
     waitMilliseconds: 0,
@@ -66,26 +69,26 @@
 
 test.describe("admission", () => {
     test.it("refuses requests that cannot be answered before the deadline", () => {
-        earl.expect(relay.isAdmissible(createAdmissionInput({}))).toEqual(true);
-        earl.expect(relay.isAdmissible(createAdmissionInput({ expectedMilliseconds: 1100 }))).toEqual(false);
+        earl.expect(scheduling.isAdmissible(createAdmissionInput({}))).toEqual(true);
+        earl.expect(scheduling.isAdmissible(createAdmissionInput({ expectedMilliseconds: 1100 }))).toEqual(false);
     });
 
     test.it("refuses requests when the queue would make every response late", () => {
         const late = { expectedMilliseconds: 600, waitMilliseconds: 500 };
-        earl.expect(relay.isAdmissible(createAdmissionInput(late))).toEqual(false);
-        earl.expect(relay.isAdmissible(createAdmissionInput({ ...late, waitMilliseconds: 0 }))).toEqual(true);
+        earl.expect(scheduling.isAdmissible(createAdmissionInput(late))).toEqual(false);
+        earl.expect(scheduling.isAdmissible(createAdmissionInput({ ...late, waitMilliseconds: 0 }))).toEqual(true);
     });
 
     test.it("admits requests to an upstream whose service time was never measured", () => {
-        earl.expect(relay.isAdmissible(createAdmissionInput({ isMeasured: false, expectedMilliseconds: 2000 })))
+        earl.expect(scheduling.isAdmissible(createAdmissionInput({ isMeasured: false, expectedMilliseconds: 2000 })))
             .toEqual(
                 true,
             );
     });
 
     test.it("limits the retry delay to the fraction of the remaining time for which callers honour it", () => {
-        earl.expect(relay.retryAfterMilliseconds(5000, 900, 1) <= 300).toEqual(true);
-        earl.expect(relay.retryAfterMilliseconds(0, 900, 0) > 0).toEqual(true);
+        earl.expect(scheduling.retryAfterMilliseconds(5000, 900, 1) <= 300).toEqual(true);
+        earl.expect(scheduling.retryAfterMilliseconds(0, 900, 0) > 0).toEqual(true);
     });
 });
 
@@ -123,10 +126,10 @@
 
 test.describe("the health of an upstream", () => {
     test.it("avoids an unresponsive upstream, except for occasional probes", () => {
-        const health = relay.createUpstreamHealth();
+        const health = scheduling.createUpstreamHealth();
         health.recordResult(
             health.recordStart(0),
-            relay.HealthSignal.answered,
+            scheduling.HealthSignal.answered,
             { running: 1, waiting: 0, slots: 4 },
             50,
         );
@@ -138,42 +141,42 @@
     });
 
     test.it("avoids an upstream whose address another service has taken over, except for occasional probes", () => {
-        const health = relay.createUpstreamHealth();
+        const health = scheduling.createUpstreamHealth();
         for (let iteration = 0; iteration < 3; iteration += 1) {
             earl.expect(health.isAvoided(iteration * 10)).toEqual(false);
             health.recordResult(
                 health.recordStart(iteration * 10),
-                relay.HealthSignal.misdirected,
+                scheduling.HealthSignal.misdirected,
                 undefined,
                 iteration * 10 + 5,
             );
         }
         earl.expect([health.isAvoided(100), health.isRejecting(100)]).toEqual([true, true]);
         earl.expect(health.isAvoided(400)).toEqual(false);
-        health.recordResult(health.recordStart(400), relay.HealthSignal.answered, undefined, 450);
+        health.recordResult(health.recordStart(400), scheduling.HealthSignal.answered, undefined, 450);
         earl.expect(health.isRejecting(451)).toEqual(false);
     });
 
     test.it("avoids an upstream after consecutive broken attempts, and uses it again after a response", () => {
-        const health = relay.createUpstreamHealth();
-        health.recordResult(health.recordStart(0), relay.HealthSignal.broken, undefined, 10);
+        const health = scheduling.createUpstreamHealth();
+        health.recordResult(health.recordStart(0), scheduling.HealthSignal.broken, undefined, 10);
         earl.expect(health.isAvoided(11)).toEqual(false);
-        health.recordResult(health.recordStart(11), relay.HealthSignal.broken, undefined, 20);
+        health.recordResult(health.recordStart(11), scheduling.HealthSignal.broken, undefined, 20);
         earl.expect(health.isAvoided(21)).toEqual(true);
         earl.expect(health.isAvoided(400)).toEqual(false);
-        health.recordResult(health.recordStart(400), relay.HealthSignal.answered, undefined, 450);
+        health.recordResult(health.recordStart(400), scheduling.HealthSignal.answered, undefined, 450);
         earl.expect(health.failureRatio(450) < 0.5).toEqual(true);
     });
 
     test.it("measures the service time while requests queue, and hardly follows requests without work", () => {
-        const respond = (health: relay.UpstreamHealth, now: number, milliseconds: number, waiting: number): void =>
+        const respond = (health: scheduling.UpstreamHealth, now: number, milliseconds: number, waiting: number): void =>
             health.recordResult(
                 health.recordStart(now),
-                relay.HealthSignal.answered,
+                scheduling.HealthSignal.answered,
                 { running: 3, waiting, slots: 3 },
                 now + milliseconds,
             );
-        const misled = relay.createUpstreamHealth();
+        const misled = scheduling.createUpstreamHealth();
         respond(misled, 0, 3, 0);
         earl.expect(misled.serviceMilliseconds()).toEqual(3);
         for (let iteration = 1; iteration <= 10; iteration += 1) {
@@ -181,7 +184,7 @@
         }
         earl.expect((misled.serviceMilliseconds() ?? 0) > 100).toEqual(true);
 
-        const known = relay.createUpstreamHealth();
+        const known = scheduling.createUpstreamHealth();
         for (let iteration = 0; iteration < 10; iteration += 1) {
             respond(known, iteration * 1000, 160, 0);
         }
@@ -191,11 +194,11 @@
     });
 
     test.it("keeps a lasting queue of other instances between load reports, and forgets it without further ones", () => {
-        const health = relay.createUpstreamHealth();
+        const health = scheduling.createUpstreamHealth();
         for (let now = 0; now < 3000; now += 600) {
             health.recordResult(
                 health.recordStart(now),
-                relay.HealthSignal.answered,
+                scheduling.HealthSignal.answered,
                 { running: 3, waiting: 10, slots: 3 },
                 now + 500,
             );
@@ -205,10 +208,10 @@
     });
 
     test.it("counts the requests of other instances in a load report, which decay over time", () => {
-        const health = relay.createUpstreamHealth();
+        const health = scheduling.createUpstreamHealth();
         health.recordResult(
             health.recordStart(0),
-            relay.HealthSignal.answered,
+            scheduling.HealthSignal.answered,
             { running: 4, waiting: 7, slots: 4 },
             100,
         );
--- a/packages/relay/test/silence.test.ts
+++ b/packages/relay/test/silence.test.ts
@@ -1,7 +1,7 @@
 /** Upstreams that neither run nor refuse a request for which they have no room, and never respond to it. */
 import * as foundation from "@mulberryseam/foundation";
-import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import * as earl from "earl";
 import * as test from "node:test";
 import * as relayFixture from "./fixtures/relayFixture";
@@ -17,11 +17,11 @@
 
 test.describe("the time until which a response is expected", () => {
     test.it("is unknown before the upstream has reported its queue", () => {
-        earl.expect(relay.latestResponseAt({ ...input, latestStartAt: Infinity })).toEqual(Infinity);
+        earl.expect(scheduling.latestResponseAt({ ...input, latestStartAt: Infinity })).toEqual(Infinity);
     });
 
     test.it("allows for the deviation of service times, and for more time in each further attempt", () => {
-        const waitOf = (change: object): number => relay.latestResponseAt({ ...input, ...change }) - 1000;
+        const waitOf = (change: object): number => scheduling.latestResponseAt({ ...input, ...change }) - 1000;
         earl.expect(waitOf({ deviationMilliseconds: 80 }) > waitOf({})).toEqual(true);
         earl.expect(waitOf({ attempt: 2 })).toEqual(waitOf({}) * 2);
         // One in a hundred requests takes five times as long as the others.
@@ -29,9 +29,9 @@
     });
 
     test.it("starts when the reported queue has been served", () => {
-        const health = relay.createUpstreamHealth();
-        const answer = (attempt: relay.OutstandingAttempt, waiting: number, now: number): void =>
-            health.recordResult(attempt, relay.HealthSignal.answered, { running: 2, waiting, slots: 2 }, now);
+        const health = scheduling.createUpstreamHealth();
+        const answer = (attempt: scheduling.OutstandingAttempt, waiting: number, now: number): void =>
+            health.recordResult(attempt, scheduling.HealthSignal.answered, { running: 2, waiting, slots: 2 }, now);
         answer(health.recordStart(0), 0, 100);
         const silent = health.recordStart(200);
         earl.expect(silent.latestStartAt).toEqual(Infinity);
--- a/packages/routing/src/document.ts
+++ b/packages/routing/src/document.ts
@@ -30,6 +30,16 @@
     rank: number;
     /** Services that receive the requests; at least one. */
     destinations: Destination[];
+    /** Regions in which the requests may be handled; undefined without a restriction. */
+    allowedRegions?: readonly string[];
+}
+
+/** How an upstream of a service is treated while it is cold. */
+export interface Warmup {
+    /** Time for which it stays cold after its start, in milliseconds. */
+    milliseconds: number;
+    /** Requests a second, of all instances together, that it tolerates while it is cold. */
+    requestsPerSecond: number;
 }
 
 /** A service of the operators' document. */
@@ -39,6 +49,8 @@
     maxConnections: number;
     /** Whether each key of the service is owned by exactly one upstream. */
     isKeyed: boolean;
+    /** Undefined if the rate of requests to cold upstreams is not limited. */
+    warmup?: Warmup;
 }
 
 /** Limits on the requests and connections of callers. */
@@ -55,6 +67,8 @@
     routes: Route[];
     services: Map<string, Service>;
     limits: CallerLimits;
+    /** Descriptions of values that cannot be used and are ignored, for the log. */
+    ignored?: readonly string[];
 }
 
 /** A running upstream, as described by its registry entry. */
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,13 @@
+/** Decides which upstream gets a request, how many requests it may have, and which request goes first. */
+export { isAdmissible, queueLimit, retryAfterMilliseconds } from "./admission";
+export type { AdmissionInput, QueueLimitInput } from "./admission";
+export { createConcurrencyWindow } from "./concurrencyWindow";
+export type { ConcurrencyWindow, QueueLimit } from "./concurrencyWindow";
+export { createHoldOffs } from "./holdOff";
+export type { HoldOffs } from "./holdOff";
+export { latestResponseAt } from "./silence";
+export type { SilenceInput } from "./silence";
+export { chooseUpstream, estimateResponseTime, estimateWait } from "./upstreamCost";
+export type { Candidate, Choice } from "./upstreamCost";
+export { createUpstreamHealth, HealthSignal } from "./upstreamHealth";
+export type { HealthSignalValue, LoadReport, OutstandingAttempt, UpstreamHealth } from "./upstreamHealth";
