Regions: requests and keys stay in the regions that their routes allow

The document decoded allowedRegions, and nothing used it: requests of a restricted route reached any upstream.

One Eligibility object is created for the instance (entry/sitePlaces.ts). The selection of an upstream leaves out those that may not get the request, the sender of attempts checks once more and counts the attempt, the delegator checks its own region and the owner's, and the leader's candidates for keys are limited to the regions that all routes to the service have in common. A request that no upstream may get is refused at once with 503 and a reason of its own; a wait for the share of a cold upstream becomes the time to come back. The header of a delegated request carries the regions, only if there are any. Unknown regions and malformed values get one line for each document, as do services without a common region. The soak has restricted routes, some with an unknown region, upstreams in three failure domains, and a check of each execution's region.

Requests and placement without the field are compared with those of an instance that restricts nothing, and are equal.

--- a/packages/eligibility/src/index.ts
+++ b/packages/eligibility/src/index.ts
@@ -1,6 +1,11 @@
 /** Decides whether an upstream may get a request or own a key. */
-export { isRegionAllowed } from "./allowedRegions";
-export type { AllowedRegions } from "./allowedRegions";
+export {
+    findPlacementRegions,
+    isRegionAllowed,
+    listServicesWithoutCommonRegion,
+    restrictToKnownRegions,
+} from "./allowedRegions";
+export type { AllowedRegions, RestrictedDocument } from "./allowedRegions";
 export { createEligibility, IneligibilityReason, noEvacuations, unlimitedWarmupRates } from "./eligibility";
 export type {
     Eligibility,
--- a/packages/entry/src/documentEvent.ts
+++ b/packages/entry/src/documentEvent.ts
@@ -1,4 +1,5 @@
 /** Describes a new version of the document for the event log. */
+import * as eligibility from "@mulberryseam/eligibility";
 import type * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
 import type * as topicTask from "./topicTask";
@@ -43,3 +44,26 @@
         limitsChanged: areLimitsChanged ? true : undefined,
     };
 };
+
+/**
+ * Writes one line with the values of a version that cannot be used, and one with the services whose keys cannot be placed as their
+ * routes ask for; none if there are none.
+ *
+ * @param log - receives the lines
+ * @param document - the version
+ * @param ignored - descriptions of the values that are ignored
+ */
+export const writeUnusableValues = (
+    log: foundation.EventLog,
+    document: routing.RoutingDocument,
+    ignored: readonly string[],
+): void => {
+    const { version } = document;
+    if (ignored.length > 0) {
+        log.write("document-values-ignored", { version, count: ignored.length, values: describeNames(ignored) });
+    }
+    const services = eligibility.listServicesWithoutCommonRegion(document);
+    if (services.length > 0) {
+        log.write("placement-unrestricted", { version, services: describeNames(services) });
+    }
+};
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,6 +8,7 @@
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
+import * as sitePlaces from "./sitePlaces";
 import * as siteView from "./siteView";
 
 /** A running instance. */
@@ -92,9 +93,12 @@
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
     let isIsolated = false;
+    const { regions } = settings;
+    const places = sitePlaces.createSitePlaces({ regions, directory, documentInForce: () => view.documentInForce() });
     const view = siteView.createSiteView({
         store,
         directory,
+        regions,
         timers,
         random,
         log,
@@ -118,17 +122,18 @@
         log,
         failures,
         keyedServices,
+        mayOwnKeys: places.mayOwnKeys,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
     }, owner);
-    const domainCount = Object.keys(settings.regions).length;
+    const domainCount = Object.keys(regions).length;
     const pool: relay.UpstreamPool = relay.createUpstreamPool({
         directory,
         now: timers.now,
         failureDomain: settings.failureDomain,
-        regions: settings.regions,
+        regions,
         connectionLimit: service => view.documentInForce()?.document.services.get(service)?.maxConnections ?? 16,
         sharerCount: service => {
             const instanceCount = ownership.instanceCount();
@@ -160,6 +165,8 @@
         }),
         findOwner: ownership.findOwner,
         mayReceive: pool.mayReceive,
+        ownRegion: regions[settings.failureDomain],
+        ...places,
         onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
@@ -168,6 +175,7 @@
         random,
         log,
         pool,
+        eligibility: places.eligibility,
         traffic,
         failures,
         documentInForce: view.documentInForce,
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -32,6 +32,8 @@
     maxLeaseMilliseconds: number;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
+    /** Whether an upstream of a service may own keys, as far as its place decides that. */
+    mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -229,7 +231,7 @@
         const entries = directory.findByService(service).filter(({ upstream, leavingSince }) => {
             const since = leaseManager.unresponsiveSince(toOwner(upstream), now);
             const isUnresponsive = since !== undefined && now - since >= unresponsiveMilliseconds;
-            return leavingSince === undefined && !isUnresponsive;
+            return leavingSince === undefined && !isUnresponsive && options.mayOwnKeys(service, upstream);
         });
         const upstreams = entries.map(({ upstream }) => ({
             owner: toOwner(upstream),
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -28,6 +28,8 @@
     failures: foundation.FailureBoundary;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
+    /** Whether an upstream of a service may own keys, as far as its place decides that. */
+    mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
     topics: topicExchange.TopicExchange;
@@ -223,6 +225,7 @@
             failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
+            mayOwnKeys: options.mayOwnKeys,
             broadcast,
             onSuperseded: () => {
                 session = undefined;
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -1,4 +1,5 @@
 /** An instance's view of its site: the document in force and the registered upstreams. */
+import * as eligibility from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import type * as relay from "@mulberryseam/relay";
@@ -11,6 +12,8 @@
 export interface SiteViewOptions {
     store: platform.StoreClient;
     directory: routing.UpstreamDirectory;
+    /** Region of each failure domain. */
+    regions: Readonly<Record<string, string>>;
     timers: foundation.TimerService;
     random: foundation.Random;
     log: foundation.EventLog;
@@ -93,6 +96,7 @@
     let storeFailure: string | undefined;
     const tasks = new Map<string, topicTask.TopicTask>();
     const parseUpstream = createUpstreamParser();
+    const knownRegions = new Set(Object.values(options.regions));
     /** By identifier; used once a document names their service. */
     const unnamedEntries = new Map<string, UnnamedEntry>();
 
@@ -111,7 +115,7 @@
             log.write("document-unreadable", { reason: parsed.val, offset: record.offset });
             return;
         }
-        const document = parsed.val;
+        const { document, ignored } = eligibility.restrictToKnownRegions(parsed.val, knownRegions);
         if (documentInForce !== undefined && document.version <= documentInForce.document.version) {
             return;
         }
@@ -125,6 +129,7 @@
         }
         options.onDocument(document);
         log.write("document-in-force", documentEvent.describeDocument(previous, document, origin));
+        documentEvent.writeUnusableValues(log, document, [...document.ignored ?? [], ...ignored]);
     };
     const onUpstream = (record: platform.StoredRecord): void => {
         const now = timers.now();
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -146,6 +146,7 @@
                 failures: foundation.createTransparentFailureBoundary(),
                 maxLeaseMilliseconds,
                 keyedServices: () => ["records"],
+                mayOwnKeys: () => true,
                 broadcast: () => undefined,
                 onSuperseded: () => undefined,
             });
--- a/packages/entry/test/leaseCommandFailures.test.ts
+++ b/packages/entry/test/leaseCommandFailures.test.ts
@@ -86,6 +86,7 @@
         confirmation: { sentAt: timers.now(), wallClock: timers.wallClock() },
         maxLeaseMilliseconds: 10_000,
         keyedServices: () => [],
+        mayOwnKeys: () => true,
         broadcast: () => undefined,
         onSuperseded: () => undefined,
     });
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -264,3 +264,35 @@
         });
     }
 });
+
+test.describe("placement in allowed regions", () => {
+    const places = { failureDomains: ["north-a", "south-a"] };
+
+    // Guards against owners that a restricted route may not reach, at the first assignment and after a new document.
+    test.it("assigns keys only in the regions, and moves them when the regions change", async () => {
+        let allowedRegions: readonly string[] | undefined = ["north"];
+        const options = { ...places, allowedRegions: () => allowedRegions };
+        const simulation = await ownershipSimulation.createOwnershipSimulation(11, noFaults, 4, options);
+        const keysIn = (...indexes: number[]): number =>
+            indexes.reduce((sum, index) => sum + simulation.heldKeyCountOf(index), 0);
+        await simulation.run(6000);
+        earl.expect([keysIn(0, 2), keysIn(1, 3)]).toEqual([everyKey, 0]);
+        allowedRegions = ["south"];
+        await simulation.run(6000);
+        earl.expect([keysIn(0, 2), keysIn(1, 3)]).toEqual([0, everyKey]);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
+    // Guards against changed placement for documents without the field.
+    test.it("is the same as without places if the document restricts nothing", async () => {
+        const held: number[][] = [];
+        for (const options of [undefined, places]) {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(12, noFaults, 4, options);
+            await simulation.run(5000);
+            simulation.requestKeys(1000, 60);
+            await simulation.run(3000);
+            held.push([0, 1, 2, 3].map(simulation.heldKeyCountOf));
+        }
+        earl.expect(held[0]).toEqual(held[1]);
+    });
+});
--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -47,6 +47,7 @@
         log,
         failures: foundation.createTransparentFailureBoundary(),
         keyedServices: () => [],
+        mayOwnKeys: () => true,
         collectServiceTimes: () => [],
         topics: {
             positions: () => [],
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -8,19 +8,39 @@
 
 interface SiteViewFixture {
     directory: routing.UpstreamDirectory;
+    view: siteView.SiteView;
+    /** Returns the lines of an event. */
+    events: (name: string) => (foundation.EventFields | undefined)[];
     /** Stores a registry entry, or removes it. */
     putEntry: (identifier: string, change: object | undefined) => Promise<void>;
-    putDocument: (version: number, services: readonly string[]) => Promise<void>;
+    putDocument: (version: number, services: readonly string[], routes?: readonly object[]) => Promise<void>;
     now: () => number;
     owner: foundation.Owner;
 }
 
 const stepMilliseconds = 50;
 
-const encodeDocument = (version: number, services: readonly string[]): Buffer =>
+const createRoute = (name: string, allowedRegions: unknown): object => ({
+    resourceType: "routes",
+    metadata: { name },
+    spec: {
+        host: "site.example",
+        pathPrefix: `/${name}/`,
+        routeType: "safe",
+        timeout: "2s",
+        targetLatency: "1s",
+        priority: 0,
+        maxAttempts: 2,
+        service: "records",
+        allowedRegions,
+    },
+});
+
+const encodeDocument = (version: number, services: readonly string[], routes: readonly object[]): Buffer =>
     Buffer.from(JSON.stringify({
         version: `r${version}`,
         resources: [
+            ...routes,
             ...services.map(name => ({
                 resourceType: "services",
                 metadata: { name },
@@ -49,17 +69,20 @@
         append: () => Promise.reject(new Error("not used")),
         close: () => undefined,
     };
-    siteView.createSiteView({
+    const lines: [string, foundation.EventFields | undefined][] = [];
+    const view = siteView.createSiteView({
         store,
         directory,
+        regions: { "north-a": "north", "south-a": "south" },
         timers,
         random: foundation.createRandom(1),
-        log: { write: () => undefined, sample: () => undefined },
+        log: { write: (event, fields) => lines.push([event, fields]), sample: () => undefined },
         isLeading: () => true,
         relayRecords: () => undefined,
         failures: foundation.createTransparentFailureBoundary(),
         onDocument: () => undefined,
-    }, owner).start();
+    }, owner);
+    view.start();
     const put = async (topic: platform.TopicName, key: string, value: Buffer | undefined): Promise<void> => {
         records.set(topic, [...recordsOf(topic), { key, value, offset: recordsOf(topic).length }]);
         for (let elapsed = 0; elapsed < 500; elapsed += stepMilliseconds) {
@@ -81,12 +104,14 @@
     };
     return {
         directory,
+        view,
+        events: name => lines.filter(([event]) => event === name).map(([, fields]) => fields),
         putEntry: (identifier, change) => {
             const value = change === undefined ? undefined : Buffer.from(JSON.stringify({ ...entry, ...change }));
             return put(platform.Topic.upstreams, identifier, value);
         },
-        putDocument: (version, services) =>
-            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services)),
+        putDocument: (version, services, routes = []) =>
+            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services, routes)),
         now: timers.now,
         owner,
     };
@@ -123,3 +148,34 @@
         await fixture.owner.dispose();
     });
 });
+
+test.describe("the regions of a document as an instance sees it", () => {
+    const allowedRegions = (fixture: SiteViewFixture): unknown =>
+        fixture.view.documentInForce()?.document.routes.map(route => route.allowedRegions);
+
+    // Guards against a route that is refused everywhere because of a misspelt region, and against a line for each request.
+    test.it("are those of the site; one line for each document names the others and malformed values", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putDocument(1, ["records"], [createRoute("a", ["north"]), createRoute("b", undefined)]);
+        earl.expect(allowedRegions(fixture)).toEqual([["north"], undefined]);
+        earl.expect(fixture.events("document-values-ignored")).toEqual([]);
+        const routes = [createRoute("a", ["nroth", "south"]), createRoute("b", ["nroth"]), createRoute("c", "north")];
+        await fixture.putDocument(2, ["records"], routes);
+        earl.expect(allowedRegions(fixture)).toEqual([["south"], undefined, undefined]);
+        earl.expect(fixture.events("document-values-ignored")).toEqual([{
+            version: 2,
+            count: 3,
+            values: "route c: allowedRegions is not a list of names,route a: unknown region nroth,"
+                + "route b: unknown region nroth, so it is unrestricted",
+        }]);
+        earl.expect(fixture.events("placement-unrestricted")).toEqual([]);
+        await fixture.owner.dispose();
+    });
+
+    test.it("are reported once if the routes to a keyed service have none in common", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putDocument(1, ["records"], [createRoute("a", ["north"]), createRoute("b", ["south"])]);
+        earl.expect(fixture.events("placement-unrestricted")).toEqual([{ version: 1, services: "records" }]);
+        await fixture.owner.dispose();
+    });
+});
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -1,4 +1,5 @@
 /** Sends one attempt of a request, and records its result in the upstream's health. */
+import type * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
@@ -9,6 +10,7 @@
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
 import type * as requestState from "./requestState";
+import * as sendEligibility from "./sendEligibility";
 import type * as upstreamNotice from "./upstreamNotice";
 import * as upstreamPool from "./upstreamPool";
 
@@ -17,6 +19,7 @@
     timers: foundation.TimerService;
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
+    eligibility: eligibilities.Eligibility;
     traffic: foundation.TrafficAccount;
     failures: foundation.FailureBoundary;
     onNotice: upstreamNotice.NoticeHandler;
@@ -37,7 +40,10 @@
 const silenceReason = "the upstream is silent";
 
 const healthSignalOf = (result: attemptResult.AttemptResult): scheduling.HealthSignalValue => {
-    if (result.kind === "notRun" && result.reason === upstreamPool.holdOffReason) {
+    if (
+        result.kind === "notRun"
+        && (result.reason === upstreamPool.holdOffReason || sendEligibility.isIneligibilityReason(result.reason))
+    ) {
         return scheduling.HealthSignal.none;
     }
     if (result.kind === "unknown" && result.reason === silenceReason) {
@@ -59,6 +65,14 @@
 const reportOf = (result: attemptResult.AttemptResult | undefined): scheduling.LoadReport | undefined =>
     result === undefined || result.kind === "unknown" ? undefined : result.report;
 
+const createUnsentResult = (ineligibility: eligibilities.Ineligibility): attemptResult.AttemptResult => ({
+    kind: "notRun",
+    reason: sendEligibility.toRefusal(ineligibility).reason,
+    isRefused: false,
+    isMisdirected: false,
+    report: undefined,
+});
+
 /**
  * Creates a sender of attempts.
  *
@@ -171,8 +185,16 @@
 
     return async (state, target, limit, body) => {
         const { upstream, health } = target;
-        const attemptOptions = toAttemptOptions(state, target, body);
         const now = timers.now();
+        // Time may have passed since the selection.
+        const ineligibility = sendEligibility.findIneligibility(options.eligibility, state, upstream, now);
+        if (ineligibility !== undefined) {
+            // Counted, so that selections that do not agree with this check come to an end.
+            state.attemptCount += 1;
+            return createUnsentResult(ineligibility);
+        }
+        options.eligibility.onSent(upstream, now);
+        const attemptOptions = toAttemptOptions(state, target, body);
         const outstandingAttempt = health.recordStart(now);
         let result: attemptResult.AttemptResult | undefined;
         let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
--- a/packages/relay/src/delegatedRequest.ts
+++ b/packages/relay/src/delegatedRequest.ts
@@ -21,6 +21,8 @@
     /** Time until the route's target, in milliseconds; negative once it has passed. */
     targetMilliseconds: number;
     documentVersion: number;
+    /** Regions that the route allows; undefined without a restriction. */
+    allowedRegions?: readonly string[];
 }
 
 /**
@@ -41,7 +43,10 @@
 ];
 
 const routeKinds: readonly string[] = Object.values(routing.RouteKind);
+/** Fields of an unrestricted route; a restricted one has its regions as a further field, which older versions do not accept. */
 const fieldCount = 7;
+const maxFieldCount = 8;
+const regionSeparator = ";";
 
 /**
  * Encodes the route of a request for the delegation header: its fields, separated by commas.
@@ -60,6 +65,9 @@
         route.maxAttempts,
         Math.round(arrivedAt + route.targetMilliseconds - now),
         documentVersion,
+        ...(route.allowedRegions === undefined
+            ? []
+            : [route.allowedRegions.map(encodeURIComponent).join(regionSeparator)]),
     ].join(",");
 };
 
@@ -72,8 +80,10 @@
 export const parseDelegation = (value: string): tsResults.Result<Delegation, string> => {
     const fields = value.split(",");
     const [service, route, kind] = fields;
-    const numbers = fields.slice(3).map(Number);
-    if (fields.length !== fieldCount || !routeKinds.includes(kind) || !numbers.every(Number.isFinite)) {
+    const numbers = fields.slice(3, fieldCount).map(Number);
+    const [regions] = fields.slice(fieldCount);
+    const hasFieldCount = fields.length === fieldCount || (fields.length === maxFieldCount && regions !== "");
+    if (!hasFieldCount || !routeKinds.includes(kind) || !numbers.every(Number.isFinite)) {
         return tsResults.Err(`malformed delegation: ${value.slice(0, 100)}`);
     }
     const [rank, maxAttempts, targetMilliseconds, documentVersion] = numbers;
@@ -86,6 +96,9 @@
             maxAttempts,
             targetMilliseconds,
             documentVersion,
+            ...(regions === undefined
+                ? {}
+                : { allowedRegions: regions.split(regionSeparator).map(decodeURIComponent) }),
         });
     }
     catch (error) {
@@ -137,4 +150,5 @@
     maxAttempts: delegation.maxAttempts,
     rank: delegation.rank,
     destinations: [{ service: delegation.service, weight: 1 }],
+    ...(delegation.allowedRegions === undefined ? {} : { allowedRegions: delegation.allowedRegions }),
 });
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -1,5 +1,6 @@
 /** Delegates requests to other instances of the failure domain. What cannot be delegated, the instance sends itself. */
 import type * as assignment from "@mulberryseam/assignment";
+import * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
@@ -23,6 +24,11 @@
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     /** Whether an upstream may get requests as far as this instance knows, which may know more of it than a delegate. */
     mayReceive: (incarnation: routing.Incarnation) => boolean;
+    /** Region of this instance and of its delegates; undefined if it is unknown. */
+    ownRegion: string | undefined;
+    /** Finds an upstream of which this instance knows where it is. */
+    findUpstream: (incarnation: routing.Incarnation) => routing.Upstream | undefined;
+    eligibility: eligibilities.Eligibility;
     /** Called with what an upstream says of itself in a response that came through a delegate. */
     onNotice: upstreamNotice.NoticeHandler;
     /** Number of upstreams of a service. */
@@ -113,6 +119,16 @@
             delegateCount: delegates.count(),
         });
 
+    /** Whether the owner of a request's key may get it, for all that this instance knows of the owner's place. */
+    const isPlaceEligible = ({ route }: requestState.RequestState, owner: routing.Incarnation): boolean => {
+        const upstream = options.findUpstream(owner);
+        const ineligibility = upstream === undefined
+            ? undefined
+            : options.eligibility.findIneligibility(upstream, route.allowedRegions, timers.now());
+        // The delegate has its own share of the rate of a cold upstream.
+        return ineligibility === undefined || ineligibility.reason === eligibilities.IneligibilityReason.warmup;
+    };
+
     const chooseDelegate = (
         state: requestState.RequestState,
         body: attempts.AttemptOptions["body"],
@@ -120,11 +136,12 @@
         const isSmall = body.kind === "whole" && body.bytes.length <= maxBodyBytes;
         if (
             !state.isKeyed || state.key === undefined || state.isDelegated || !isSmall || !isDelegating(state.service)
+            || !eligibilities.isRegionAllowed(options.ownRegion, state.route.allowedRegions)
         ) {
             return undefined;
         }
         const route = options.findOwner(state.service, state.key);
-        return route === undefined || !options.mayReceive(route.owner)
+        return route === undefined || !options.mayReceive(route.owner) || !isPlaceEligible(state, route.owner)
             ? undefined
             : delegates.choose(route.owner.identifier);
     };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,5 +1,6 @@
 /** Accepts requests, of callers and of other instances: route, body and deadline. */
 import * as assignment from "@mulberryseam/assignment";
+import type * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
@@ -35,6 +36,8 @@
     random: foundation.Random;
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
+    /** Decides which upstreams may get a request. */
+    eligibility: eligibilities.Eligibility;
     traffic: foundation.TrafficAccount;
     /** Records exceptions while a request is handled; the request still gets a response. */
     failures: foundation.FailureBoundary;
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -3,6 +3,7 @@
  * just before it is sent. The response is 503, which means that the request has not run, only if every attempt ended with `notRun`.
  */
 import type * as assignment from "@mulberryseam/assignment";
+import type * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
 import * as scheduling from "@mulberryseam/scheduling";
@@ -23,6 +24,8 @@
     random: foundation.Random;
     log: foundation.EventLog;
     pool: upstreamPool.UpstreamPool;
+    /** Decides which upstreams may get a request. */
+    eligibility: eligibilities.Eligibility;
     traffic: foundation.TrafficAccount;
     failures: foundation.FailureBoundary;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -162,7 +162,7 @@
             waitMilliseconds,
             remaining,
             random.fraction(),
-            reason === requestState.FailureReason.heldOff,
+            reason === requestState.FailureReason.heldOff || reason === requestState.FailureReason.warmup,
         );
         const extraHeaders = [
             ...(status === 503 ? retryAfterHeader(retryAfter) : []),
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -1,8 +1,10 @@
 /** Selects the upstream of an attempt: the owner of the request's key, or the candidate with the lowest cost. */
 import type * as assignment from "@mulberryseam/assignment";
+import * as eligibilities from "@mulberryseam/eligibility";
 import type * as foundation from "@mulberryseam/foundation";
 import * as scheduling from "@mulberryseam/scheduling";
 import * as requestState from "./requestState";
+import * as sendEligibility from "./sendEligibility";
 import type * as upstreamPool from "./upstreamPool";
 
 /** Result of a selection. */
@@ -20,6 +22,7 @@
 /** Configures a selector. */
 export interface SelectorOptions {
     pool: upstreamPool.UpstreamPool;
+    eligibility: eligibilities.Eligibility;
     random: foundation.Random;
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
 }
@@ -41,6 +44,12 @@
     waitMilliseconds,
 });
 
+const toIneligible = (ineligibility: eligibilities.Ineligibility): Selection => ({
+    kind: "none",
+    ...sendEligibility.toRefusal(ineligibility),
+    isTransient: false,
+});
+
 /**
  * Creates a selector.
  *
@@ -48,7 +57,26 @@
  * @returns a function that selects the upstream of a request's next attempt
  */
 export const createSelector = (options: SelectorOptions): (state: requestState.RequestState) => Selection => {
-    const { pool, random } = options;
+    const { pool, eligibility, random } = options;
+
+    const findIneligibility = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+    ): eligibilities.Ineligibility | undefined =>
+        sendEligibility.findIneligibility(eligibility, state, target.upstream, pool.now());
+
+    /** Returns why no upstream of a service may own the key of a request or get it, if that is so because of where they are. */
+    const findPlaceIneligibility = (state: requestState.RequestState): eligibilities.Ineligibility | undefined => {
+        const ineligibilities: eligibilities.Ineligibility[] = [];
+        for (const { upstream } of pool.ready(state.service)) {
+            const found = eligibility.findIneligibility(upstream, state.route.allowedRegions, pool.now());
+            if (found === undefined || found.reason === eligibilities.IneligibilityReason.warmup) {
+                return undefined;
+            }
+            ineligibilities.push(found);
+        }
+        return sendEligibility.mostHopeful(ineligibilities);
+    };
 
     const toHeldOff = (
         state: requestState.RequestState,
@@ -78,6 +106,10 @@
         // An owner that does not hold the key gets no further attempt until routing names another owner.
         const isStale = route !== undefined && route.token === state.misdirectedToken;
         if (target === undefined || isStale || target.health.isRejecting(pool.now())) {
+            const placeIneligibility = findPlaceIneligibility(state);
+            if (placeIneligibility !== undefined) {
+                return toIneligible(placeIneligibility);
+            }
             return {
                 kind: "none",
                 reason: requestState.FailureReason.noOwner,
@@ -85,6 +117,10 @@
                 isTransient: true,
             };
         }
+        const ineligibility = findIneligibility(state, target);
+        if (ineligibility !== undefined) {
+            return toIneligible(ineligibility);
+        }
         if (pool.holdOffMilliseconds(target.upstream) > 0) {
             return toHeldOff(state, target, route?.token);
         }
@@ -111,11 +147,23 @@
     };
 
     const selectAny = (state: requestState.RequestState): Selection => {
-        const usable = pool.usable(state.service);
-        const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service) : undefined;
+        const ineligibilities: eligibilities.Ineligibility[] = [];
+        const isEligible = (target: upstreamPool.PooledUpstream): boolean => {
+            const ineligibility = findIneligibility(state, target);
+            if (ineligibility !== undefined) {
+                ineligibilities.push(ineligibility);
+            }
+            return ineligibility === undefined;
+        };
+        const usable = pool.usable(state.service, isEligible);
+        const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service, isEligible) : undefined;
         if (firstHeldOff !== undefined) {
             return toHeldOff(state, firstHeldOff, undefined);
         }
+        const ineligibility = usable.length === 0 ? sendEligibility.mostHopeful(ineligibilities) : undefined;
+        if (ineligibility !== undefined) {
+            return toIneligible(ineligibility);
+        }
         const untried = usable.filter(target => !state.triedUpstreams.has(target.upstream.identifier));
         const available = (untried.length > 0 ? untried : usable).filter(target =>
             !pool.isConnectionUnavailable(target)
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -36,17 +36,19 @@
 export interface UpstreamPool {
     /** Current time of the pool's clock, in milliseconds. */
     now: () => number;
+    /** Returns the upstreams of a service that are not leaving. */
+    ready: (service: string) => PooledUpstream[];
     /**
-     * Returns the upstreams of a service that can get new requests: avoided ones only if there are no others, and none that is
-     * leaving or holds requests off.
+     * Returns the eligible upstreams of a service that can get new requests: avoided ones only if there are no others, and none that
+     * is leaving or holds requests off. Without a condition, all are eligible.
      */
-    usable: (service: string) => PooledUpstream[];
+    usable: (service: string, isEligible?: (pooled: PooledUpstream) => boolean) => PooledUpstream[];
     /** Holds off the requests to an upstream for a time, also those that wait for a connection. Returns whether it is longer than known. */
     holdOff: (incarnation: routing.Incarnation, milliseconds: number) => boolean;
     /** Returns the time until an upstream takes requests again, in milliseconds; 0 if it does so now. */
     holdOffMilliseconds: (incarnation: routing.Incarnation) => number;
-    /** Returns the upstream that takes requests first if every upstream of a service holds them off; undefined otherwise. */
-    firstHeldOff: (service: string) => PooledUpstream | undefined;
+    /** Returns the upstream that takes requests first if every eligible one of a service holds them off; undefined otherwise. */
+    firstHeldOff: (service: string, isEligible?: (pooled: PooledUpstream) => boolean) => PooledUpstream | undefined;
     /** Finds an upstream that can still get requests for its keys. */
     find: (identifier: string, startedAt: number) => PooledUpstream | undefined;
     /** Whether an upstream may get requests, as far as this instance knows. */
@@ -200,8 +202,11 @@
         now,
         mayReceive: incarnation => !hasLeft(incarnation) && holdOffMilliseconds(incarnation) === 0,
         keepsKeysAfterLeaving: incarnation => hasLeft(incarnation) && !directory.isStoreReachable(),
-        usable: service => {
-            const all = listReady(service).filter(pooled => holdOffMilliseconds(pooled.upstream) === 0);
+        ready: listReady,
+        usable: (service, isEligible = () => true) => {
+            const all = listReady(service).filter(pooled =>
+                isEligible(pooled) && holdOffMilliseconds(pooled.upstream) === 0
+            );
             const responsive = all.filter(pooled => !pooled.health.isAvoided(now()));
             return responsive.length > 0 ? responsive : all;
         },
@@ -216,8 +221,8 @@
             return isLonger;
         },
         holdOffMilliseconds,
-        firstHeldOff: service => {
-            const ready = listReady(service).map(pooled => ({
+        firstHeldOff: (service, isEligible = () => true) => {
+            const ready = listReady(service).filter(isEligible).map(pooled => ({
                 pooled,
                 milliseconds: holdOffMilliseconds(pooled.upstream),
             }));
--- a/packages/soak/src/documents.ts
+++ b/packages/soak/src/documents.ts
@@ -1,5 +1,6 @@
 /** Creates the versions of the routing document that operators publish during a run. */
 import type * as foundation from "@mulberryseam/foundation";
+import * as places from "./places";
 
 /** What a version has besides the routes that every version has. */
 export interface DocumentShape {
@@ -11,6 +12,8 @@
     additionalWeight: number;
     /** How much shorter than the longest the timeouts are, in milliseconds. */
     timeoutReductionMilliseconds: number;
+    /** Whether the restricted routes also name a region that the site does not have. */
+    hasUnknownRegion: boolean;
 }
 
 /** Names of services. */
@@ -42,6 +45,7 @@
     hasAdditionalServices: false,
     additionalWeight: 0,
     timeoutReductionMilliseconds: 0,
+    hasUnknownRegion: false,
 };
 
 /**
@@ -52,23 +56,37 @@
  */
 export const createShape = (random: foundation.Random): DocumentShape => {
     const hasAdditionalServices = random.below(2) === 0;
-    return {
+    const shape = {
         additionalRoutes: Array.from({ length: additionalRouteCount }, (...[, index]) => index)
             .filter(() => random.below(2) === 0),
         hasAdditionalServices,
         additionalWeight: hasAdditionalServices ? random.below(maxWeight) : 0,
         timeoutReductionMilliseconds: random.below(maxTimeoutReductionMilliseconds),
     };
+    return { ...shape, hasUnknownRegion: shape.timeoutReductionMilliseconds % 2 === 0 };
 };
 
 /** Path prefix of an additional route. */
 export const additionalPrefix = (index: number): string => `/additional-${index}/`;
 
+/** Whether an additional route allows only one region, in every version that has it. */
+const isRestrictedRoute = (additionalIndex: number): boolean => additionalIndex % 4 === 3;
+
+const additionalIndexOf = (requestPath: string): string | undefined => /^\/additional-(\d+)\//.exec(requestPath)?.[1];
+
+/** Returns the only region that a request to a path may reach; undefined if every version allows all. */
+export const restrictedRegionOf = (requestPath: string): string | undefined => {
+    const additionalIndex = additionalIndexOf(requestPath);
+    return additionalIndex !== undefined && isRestrictedRoute(Number(additionalIndex))
+        ? places.restrictedRegion
+        : undefined;
+};
+
 const isRepeatableRoute = (additionalIndex: number): boolean => additionalIndex % 2 === 0;
 
 /** Returns whether a request to a path may run more than once, in every version. */
 export const isRepeatablePath = (requestPath: string): boolean => {
-    const additionalIndex = /^\/additional-(\d+)\//.exec(requestPath)?.[1];
+    const additionalIndex = additionalIndexOf(requestPath);
     return additionalIndex === undefined
         ? !requestPath.startsWith(`/${ServiceName.unkeyed}/`)
         : isRepeatableRoute(Number(additionalIndex));
@@ -121,6 +139,7 @@
         },
     });
     const { keyed, unkeyed, additionalKeyed, additionalUnkeyed } = ServiceName;
+    const allowedRegions = [...(shape.hasUnknownRegion ? ["atlantis"] : []), places.restrictedRegion];
     const orderDestination = shape.additionalWeight === 0 ? { service: unkeyed } : {
         trafficSplit: [
             { service: unkeyed, weight: 1 },
@@ -137,7 +156,7 @@
                     `additional-${index}`,
                     additionalPrefix(index),
                     isRepeatableRoute(index) ? "safe" : "unsafe",
-                    { service: unkeyed },
+                    { service: unkeyed, ...(isRestrictedRoute(index) ? { allowedRegions } : {}) },
                 )
             ),
             createService(keyed, true),
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -7,6 +7,7 @@
 import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
+import * as places from "./places";
 import * as processMemory from "./processMemory";
 
 /** Configures an instance. */
@@ -121,7 +122,7 @@
         nodeName: name,
         ip: host,
         zone: "north-a",
-        zones: { "north-a": "north" },
+        zones: places.regions,
         internalPorts: [options.peerPort, options.peerPort + 10],
         listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
         bounds: {},
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -1,6 +1,7 @@
 /** Checks the product's guarantees against the requests and executions that callers and upstreams recorded. */
 
 import * as documents from "./documents";
+import * as places from "./places";
 import * as upstreamChecker from "./upstreamChecker";
 
 /** A request as recorded by its caller. */
@@ -119,6 +120,17 @@
     }).map(({ identifier, service }) => `${identifier}: executed by ${service}, to which no version sends it`);
 };
 
+/** Checks that each request ran only in a region that its route allows. */
+const checkRegions = ({ callers, executions }: Observations): string[] => {
+    const pathsByIdentifier = new Map(callers.map(record => [record.identifier, record.path]));
+    return executions.filter(({ identifier, upstream }) => {
+        const region = documents.restrictedRegionOf(pathsByIdentifier.get(identifier) ?? "");
+        return region !== undefined && places.regionOf(upstream) !== region;
+    }).map(({ identifier, upstream }) =>
+        `${identifier}: executed by ${upstream}, whose region its route does not allow`
+    );
+};
+
 /** Checks that requests that every version allows are not rejected as if they were wrong. */
 const checkRejections = ({ callers }: Observations): string[] =>
     callers.filter(({ status, path, isUnusual }) =>
@@ -181,6 +193,7 @@
     ...checkResponses(observations),
     ...checkExecutions(observations),
     ...checkRouting(observations),
+    ...checkRegions(observations),
     ...checkRejections(observations),
     ...checkLostRequests(observations),
     ...checkPlannedFaults(observations),
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -7,6 +7,7 @@
 import * as instances from "./instances";
 import type * as invariantChecker from "./invariantChecker";
 import * as oddEntries from "./oddEntries";
+import * as places from "./places";
 
 /** An upstream and the emulated network link through which instances connect to it. */
 export interface SoakUpstream {
@@ -110,7 +111,7 @@
             JSON.stringify({
                 service,
                 address: `127.0.0.1:${incarnation.link.port}`,
-                zone: "north-a",
+                zone: places.failureDomainOf(name),
                 slots: 4,
                 state: leaving.isRegistered ? "draining" : "ready",
                 version: "v1",
--- a/packages/soak/test/inputs.test.ts
+++ b/packages/soak/test/inputs.test.ts
@@ -15,10 +15,12 @@
             const parsed = platform.parseDocument(Buffer.from(soak.createDocument(index + 1, shape))).unwrap();
             const services = parsed.routes.flatMap(route => route.destinations.map(({ service }) => service));
             earl.expect(services.filter(service => !parsed.services.has(service))).toEqual([]);
+            earl.expect(parsed.ignored).toEqual(undefined);
             return parsed.routes.length;
         });
         earl.expect(new Set(routeCounts).size > 3).toEqual(true);
         earl.expect(shapes.some(shape => shape.additionalWeight > 0)).toEqual(true);
+        earl.expect(shapes.some(shape => shape.hasUnknownRegion)).toEqual(true);
     });
 });
 
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -77,6 +77,14 @@
         earl.expect(countViolations({ callers: [createRecord({ path: "/records/1" })], executions })).toEqual(0);
     });
 
+    test.it("report executions in a region that the route does not allow", () => {
+        const countIn = (path: string, upstream: string): number =>
+            countViolations({ callers: [createRecord({ path })], executions: [createExecution({ upstream })] });
+        earl.expect(countIn("/additional-3/1", "orders-3")).toEqual(0);
+        earl.expect(countIn("/additional-3/1", "orders-2")).toEqual(1);
+        earl.expect(countIn("/additional-2/1", "orders-2")).toEqual(0);
+    });
+
     test.it("report responses that belong to another request, are incomplete or lack an upstream's signature", () => {
         for (const changes of [{ echoedIdentifier: "b" }, { body: "answer" }, { isSigned: false }]) {
             earl.expect(countViolations({ callers: [createRecord(changes)] })).toEqual(1);
