Scheduling: the slowness of an upstream's machine counts for its expected time

Cause: a load report with a fourth figure was dropped as a whole, so that no load of such a service was known.

Change: three or four figures are read; the fourth is the slowness of the machine in percent. Known service times are those on a machine of average slowness. A malformed figure is left out with at most one log line a minute for an upstream. The average by service is a metric, the expected slowness and its age are in the log lines of requests. The emulated upstream and the upstreams of the soak report a slowness, and some requests of the soak take longer.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -67,6 +67,8 @@
 export interface EmulatedUpstreamOptions {
     /** Returns the service time of the next request, in milliseconds; 0 by default. */
     serviceTimeMilliseconds?: () => number;
+    /** Returns the current slowness of the machine in percent, which load reports then state and service times follow. */
+    slownessPercent?: () => number;
     /** Called when the execution of a request starts. */
     onExecution?: (execution: EmulatedExecution) => void;
     /** Chooses the responses that are malformed. */
@@ -137,7 +139,12 @@
         text = "",
     ): void => {
         const isLeaving = mode === UpstreamMode.leaving;
-        const sentHeaders = { ...headers, ...(isLeaving ? { "server-leaving": "1" } : {}) };
+        const slowness = headers["server-load"] === undefined ? undefined : options.slownessPercent?.();
+        const sentHeaders = {
+            ...headers,
+            ...(isLeaving ? { "server-leaving": "1" } : {}),
+            ...(slowness === undefined ? {} : { "server-load": `${String(headers["server-load"])},${slowness}` }),
+        };
         const retryAfterMilliseconds = Number(headers["retry-after"] ?? 0) * 1000;
         Object.assign(arrivals.get(response) ?? {}, {
             answeredAt: performance.now(),
@@ -258,9 +265,10 @@
                 key: key === undefined ? undefined : Number(key),
             });
             const signedHeaders = { ...commonHeaders, ...signature };
+            const slowness = options.slownessPercent?.() ?? 100;
             setTimeout(
                 () => sendResponse(response, 200, signedHeaders, `answer to ${requestIdentifier}`),
-                options.serviceTimeMilliseconds?.() ?? 0,
+                (options.serviceTimeMilliseconds?.() ?? 0) * slowness / 100,
             );
         });
     });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -197,6 +197,7 @@
             upstreams: () => [...directory.all()].length,
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
+            averageSlowness: pool.averageSlowness,
             traffic: traffic.totals,
         },
         log,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -16,6 +16,8 @@
     registryAge: () => number;
     /** Event loop delay of the process, in milliseconds. */
     eventLoopDelay: () => number;
+    /** Average slowness of the machines, in percent, of each service whose upstreams report it. */
+    averageSlowness: () => readonly (readonly [string, number])[];
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
 }
@@ -114,6 +116,18 @@
         "Resident memory of the process.",
         () => process.memoryUsage.rss(),
     );
+    const slowness: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_machine_slowness",
+        help: "Average slowness of the machines of a service, as its upstreams report it; 1 is usual.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            slowness.reset();
+            for (const [service, percent] of gauges.averageSlowness()) {
+                slowness.set({ service }, percent / 100);
+            }
+        },
+    });
     const trafficBytes: promClient.Counter = new promClient.Counter({
         name: "mulberryseam_traffic_bytes_total",
         help: "Bytes exchanged, by purpose, distance and direction.",
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -26,6 +26,7 @@
     "request-answered",
     "request-failed",
     "settings-reread",
+    "slowness-unreadable",
     "snapshot-too-large",
     "started",
     "stopped",
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -39,6 +39,8 @@
     failures: foundation.FailureBoundary;
     /** Called with the notice in the head of a response, before the result is known. */
     onNotice?: (notice: upstreamNotice.UpstreamNotice) => void;
+    /** Called with the fourth figure of a load report if it is malformed; the other three count. */
+    onMalformedSlowness?: (value: string) => void;
     /** Called for each interim response; without it, only a few of them are accepted. */
     onInterim?: () => void;
     /** Called at the end of a response that declares neither a length nor chunks. */
@@ -126,7 +128,7 @@
 /** Applies what the head of a response says of the upstream and the connection; returns the upstream's load. */
 const applyHead = (
     response: http.IncomingMessage,
-    { connections, requestIdentifier, onNotice }: AttemptOptions,
+    { connections, requestIdentifier, onNotice, onMalformedSlowness }: AttemptOptions,
     isNewConnection: boolean,
 ): scheduling.LoadReport | undefined => {
     const notice = noticeOf(response, !belongsTo(response, requestIdentifier, isNewConnection));
@@ -137,7 +139,11 @@
     if (keepAliveSeconds !== undefined) {
         connections.onKeepAliveTimeout(Number(keepAliveSeconds) * 1000);
     }
-    return platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
+    const load = platform.parseLoad(firstValue(response.headers[platform.HeaderName.load]));
+    if (load?.malformedSlowness !== undefined) {
+        onMalformedSlowness?.(load.malformedSlowness);
+    }
+    return load;
 };
 
 /** Returns a handler that does the same as another one, and never throws. */
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -35,6 +35,8 @@
 /** Interval at which requests without a response are checked, in milliseconds. */
 const silenceCheckMilliseconds = 50;
 const silenceReason = "the upstream is silent";
+/** Interval between log lines about malformed load reports of one upstream, in milliseconds. */
+const malformedLoadLogMilliseconds = 60_000;
 
 const healthSignalOf = (result: attemptResult.AttemptResult): scheduling.HealthSignalValue => {
     if (result.kind === "notRun" && result.reason === upstreamPool.holdOffReason) {
@@ -92,6 +94,19 @@
             }
         });
 
+    const logMalformedSlowness = (target: upstreamPool.PooledUpstream, slowness: string): void => {
+        const now = timers.now();
+        if (now - target.malformedLoadLoggedAt < malformedLoadLogMilliseconds) {
+            return;
+        }
+        target.malformedLoadLoggedAt = now;
+        log.write("slowness-unreadable", {
+            upstream: target.upstream.identifier,
+            service: target.upstream.service,
+            slowness,
+        });
+    };
+
     const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -127,6 +142,7 @@
                 state.notifiedBy = upstream;
                 options.onNotice(upstream, notice);
             },
+            onMalformedSlowness: slowness => logMalformedSlowness(target, slowness),
             onCloseDelimitedEnd: end =>
                 log.write("answer-without-length", {
                     request: state.requestIdentifier,
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -1,6 +1,7 @@
 /** State of a request in progress, and the reasons why a request can fail. */
 import * as platform from "@mulberryseam/platform";
 import type * as routing from "@mulberryseam/routing";
+import type * as scheduling from "@mulberryseam/scheduling";
 import type * as http from "node:http";
 import type * as attemptResult from "./attemptResult";
 import type * as byteBudget from "./byteBudget";
@@ -43,6 +44,8 @@
     reportAgeMilliseconds: number | undefined;
     serviceMilliseconds: number;
     waitMilliseconds: number;
+    /** Expected slowness of the upstream's machine when the work begins; undefined if it has reported none. */
+    slowness: scheduling.ExpectedSlowness | undefined;
 }
 
 /** A request in progress. */
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -91,6 +91,8 @@
             reportAge: rounded(decision?.reportAgeMilliseconds),
             serviceTime: rounded(decision?.serviceMilliseconds),
             expectedWait: rounded(decision?.waitMilliseconds),
+            slowness: rounded(decision?.slowness?.percent),
+            slownessAge: rounded(decision?.slowness?.ageMilliseconds),
             behind: rounded(options.eventLoopDelay.milliseconds()),
             delegate: state.delegate,
             isDelegated: state.isDelegated || undefined,
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -39,6 +39,7 @@
     reportAgeMilliseconds: candidate.reportAgeMilliseconds,
     serviceMilliseconds: candidate.serviceMilliseconds,
     waitMilliseconds,
+    slowness: candidate.slowness,
 });
 
 /**
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -14,6 +14,8 @@
     /** Attempts without a result. */
     openAttempts: Set<attemptResult.Attempt>;
     region: string;
+    /** Time of the newest log line about a malformed load report of the upstream; -Infinity before the first one. */
+    malformedLoadLoggedAt: number;
 }
 
 /** Configures an upstream pool. */
@@ -74,6 +76,8 @@
     onRefusal: (service: string) => void;
     /** Whether upstreams of a service are known to refuse such requests, and do not leave them without a response. */
     isRefusing: (service: string) => boolean;
+    /** Returns the average slowness of the machines, in percent, of each service whose upstreams report it. */
+    averageSlowness: () => [string, number][];
     /** Returns the identifier and service time, in milliseconds, of the upstreams measured since the last call. */
     collectServiceTimes: (services: readonly string[]) => [string, number][];
 }
@@ -122,6 +126,12 @@
     /** Service time of the measured upstreams of each service, for those that are not measured. */
     const typicalServiceTimes = new Map<string, number>();
     const refusingServices = new Set<string>();
+    const slownessAverages = new Map<string, scheduling.SlownessAverage>();
+    const slownessAverageOf = (service: string): scheduling.SlownessAverage => {
+        const average = slownessAverages.get(service) ?? scheduling.createSlownessAverage();
+        slownessAverages.set(service, average);
+        return average;
+    };
     const holdOffs = scheduling.createHoldOffs();
     const ownRegion = regions[options.failureDomain];
     /** Returns this instance's portion of a ratio of the connections that one upstream of a service accepts. */
@@ -142,7 +152,10 @@
         }
         const created = {
             upstream,
-            health: scheduling.createUpstreamHealth(() => typicalServiceTimes.get(upstream.service)),
+            health: scheduling.createUpstreamHealth(
+                () => typicalServiceTimes.get(upstream.service),
+                slownessAverageOf(upstream.service),
+            ),
             connections: upstreamConnections.createUpstreamConnections(
                 options.connectionLimit(upstream.service),
                 Math.max(1, connectionPortion(upstream.service, idleConnectionRatio)),
@@ -153,6 +166,7 @@
             ),
             openAttempts: new Set<attemptResult.Attempt>(),
             region: regions[upstream.failureDomain] ?? "",
+            malformedLoadLoggedAt: -Infinity,
         };
         pooledUpstreams.set(upstream.identifier, created);
         return created;
@@ -239,12 +253,22 @@
             const age = now() - (entry?.firstSeenAt ?? -Infinity);
             const isConnected = target.connections.hasIdle();
             const factor = age < upstream.warmupMilliseconds ? warmupFactor : 1;
+            const serviceMilliseconds = serviceTimeOf(target) * factor;
+            const queueLength = health.queueLength(now());
+            const waitMilliseconds = scheduling.estimateWait({
+                queueLength,
+                slots: upstream.slots,
+                serviceMilliseconds,
+            });
+            // The work begins after the wait, when what was reported of the machine is older.
+            const slowness = health.slowness(now() + waitMilliseconds);
             return {
                 identifier: upstream.identifier,
-                queueLength: health.queueLength(now()),
+                queueLength,
                 reportAgeMilliseconds: health.reportAge(now()),
                 slots: upstream.slots,
-                serviceMilliseconds: serviceTimeOf(target) * factor,
+                serviceMilliseconds: serviceMilliseconds * (slowness?.factor ?? 1),
+                slowness,
                 isMeasured: health.serviceMilliseconds() !== undefined,
                 roundTripMilliseconds: roundTripOf(target) * (isConnected ? 1 : 2),
                 failureRatio: health.failureRatio(now()),
@@ -276,6 +300,11 @@
         },
         onRefusal: service => refusingServices.add(service),
         isRefusing: service => refusingServices.has(service),
+        averageSlowness: () =>
+            [...slownessAverages].flatMap(([service, average]): [string, number][] => {
+                const percent = average.percent();
+                return percent === undefined ? [] : [[service, percent]];
+            }),
         collectServiceTimes: services => {
             const serviceTimes: [string, number][] = [];
             for (const [identifier, target] of pooledUpstreams) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,8 @@
 export type { ConcurrencyWindow, QueueLimit } from "./concurrencyWindow";
 export { createHoldOffs } from "./holdOff";
 export type { HoldOffs } from "./holdOff";
+export { createSlownessAverage, expectedSlowness } from "./machineSlowness";
+export type { ExpectedSlowness, SlownessAverage, SlownessReport } from "./machineSlowness";
 export { latestResponseAt } from "./silence";
 export type { SilenceInput } from "./silence";
 export { chooseUpstream, estimateResponseTime, estimateWait } from "./upstreamCost";
--- a/packages/scheduling/src/upstreamCost.ts
+++ b/packages/scheduling/src/upstreamCost.ts
@@ -1,5 +1,7 @@
 /** Chooses the upstream with the lowest expected cost: response time, failures and traffic between regions. */
 
+import type * as machineSlowness from "./machineSlowness";
+
 /** An upstream that can serve a request. */
 export interface Candidate {
     identifier: string;
@@ -8,8 +10,10 @@
     /** Age of the newest load report, in milliseconds; undefined before the first one. */
     reportAgeMilliseconds: number | undefined;
     slots: number;
-    /** Service time of one request, in milliseconds. */
+    /** Service time of one request, in milliseconds, at the expected slowness of the machine. */
     serviceMilliseconds: number;
+    /** Expected slowness of the machine; undefined if it is not known. */
+    slowness?: machineSlowness.ExpectedSlowness;
     /** Whether the service time was measured; before the first response a default is assumed. */
     isMeasured: boolean;
     /** Network round-trip time, in milliseconds. */
@@ -40,7 +44,7 @@
  * @param candidate - the upstream
  * @returns the wait in milliseconds
  */
-export const estimateWait = (candidate: Candidate): number =>
+export const estimateWait = (candidate: Pick<Candidate, "queueLength" | "slots" | "serviceMilliseconds">): number =>
     Math.max(0, candidate.queueLength + 1 - candidate.slots) * candidate.serviceMilliseconds / candidate.slots;
 
 /**
--- a/packages/scheduling/src/upstreamHealth.ts
+++ b/packages/scheduling/src/upstreamHealth.ts
@@ -1,10 +1,13 @@
 /** Health of one upstream as an instance observes it: service time, queue length, responsiveness and failure ratio. */
+import * as machineSlowness from "./machineSlowness";
 
 /** The load that an upstream reports with a response. */
 export interface LoadReport {
     running: number;
     waiting: number;
     slots: number;
+    /** How long work currently takes on the upstream's machine, in percent; undefined if it is not reported. */
+    slowness?: number;
 }
 
 /** Signal about an upstream's health, derived from the result of an attempt. */
@@ -35,6 +38,8 @@
      * reported after the request was sent has been served by then. Infinity before such a report.
      */
     latestStartAt: number;
+    /** The newest report of the machine's slowness when the attempt started; undefined before the first one. */
+    slownessReport: machineSlowness.SlownessReport | undefined;
 }
 
 /** Health record of one upstream. */
@@ -51,7 +56,12 @@
     queueLength: (now: number) => number;
     /** Time since the newest load report, in milliseconds; undefined before the first one. */
     reportAge: (now: number) => number | undefined;
-    /** Smoothed service time including the round trip, in milliseconds; undefined before the first response. */
+    /** Expected slowness of the machine at a time, which may lie ahead; undefined before the first report of it. */
+    slowness: (at: number) => machineSlowness.ExpectedSlowness | undefined;
+    /**
+     * Smoothed service time on a machine of average slowness, including the round trip, in milliseconds; undefined before the
+     * first response.
+     */
     serviceMilliseconds: () => number | undefined;
     /** Smoothed deviation of service times, in milliseconds; undefined before the first response. */
     deviationMilliseconds: () => number | undefined;
@@ -102,10 +112,12 @@
  * Creates the health record of an upstream without any attempts.
  *
  * @param typicalServiceMilliseconds - returns the service time of other upstreams of the service; undefined if unknown
+ * @param slownessAverage - average slowness of the machines of the service, which the reports of this upstream are recorded in
  * @returns the health record
  */
 export const createUpstreamHealth = (
     typicalServiceMilliseconds: () => number | undefined = () => undefined,
+    slownessAverage: machineSlowness.SlownessAverage = machineSlowness.createSlownessAverage(),
 ): UpstreamHealth => {
     const outstanding = new Set<OutstandingAttempt>();
     let smoothedServiceMilliseconds: number | undefined;
@@ -117,6 +129,7 @@
     let otherInstancesRequests = 0;
     let averageOtherRequests = 0;
     let reportedAt = -Infinity;
+    let slownessReport: machineSlowness.SlownessReport | undefined;
     let lastResponseAt = -Infinity;
     let lastStartAt = -Infinity;
     let consecutiveBroken = 0;
@@ -130,7 +143,20 @@
         const weight = Math.exp(-(now - reportedAt) / averageTimeConstantMilliseconds);
         return averageOtherRequests * weight + otherRequests * (1 - weight);
     };
+    const expectedSlowness = (
+        report: machineSlowness.SlownessReport | undefined,
+        at: number,
+    ): machineSlowness.ExpectedSlowness | undefined => {
+        const averagePercent = slownessAverage.percent();
+        return report === undefined || averagePercent === undefined
+            ? undefined
+            : machineSlowness.expectedSlowness(report, averagePercent, at);
+    };
     const applyReport = (report: LoadReport, now: number): void => {
+        if (report.slowness !== undefined) {
+            slownessAverage.record(report.slowness);
+            slownessReport = { percent: report.slowness, reportedAt: now };
+        }
         averageOtherRequests = reportedAt === -Infinity ? 0 : averageOf(now, otherInstancesRequests);
         otherInstancesRequests = Math.max(0, report.running + report.waiting - outstanding.size - 1);
         reportedAt = now;
@@ -139,6 +165,25 @@
             attempt.latestStartAt = Math.min(attempt.latestStartAt, now + queueMilliseconds);
         }
     };
+    /**
+     * Returns the service time on an average machine that a response without a wait shows. A wait outlasts the slowness that was known
+     * when the request was sent, so a response time with one is taken as it is.
+     */
+    const withoutSlowness = (attempt: OutstandingAttempt, report: LoadReport | undefined, now: number): number => {
+        const serviceMilliseconds = now - attempt.startedAt;
+        const averagePercent = slownessAverage.percent();
+        if (report?.slowness === undefined || report.waiting > 0 || averagePercent === undefined) {
+            return serviceMilliseconds;
+        }
+        return machineSlowness.onAverageMachine({
+            serviceMilliseconds,
+            knownServiceMilliseconds: smoothedServiceMilliseconds ?? typicalServiceMilliseconds(),
+            atStart: expectedSlowness(attempt.slownessReport, attempt.startedAt),
+            atEnd: expectedSlowness(attempt.slownessReport, now),
+            reportedPercent: report.slowness,
+            averagePercent,
+        });
+    };
     /**
      * Returns the service time that a response shows. Of a response time with a wait, only bounds are known. Divided among the requests that wait
      * at its end it is too low while the queue grows, and too high while it shrinks; as a whole it is too high. A known value
@@ -185,7 +230,7 @@
     };
     return {
         recordStart: now => {
-            const attempt = { startedAt: now, latestStartAt: Infinity };
+            const attempt = { startedAt: now, latestStartAt: Infinity, slownessReport };
             outstanding.add(attempt);
             lastStartAt = now;
             return attempt;
@@ -220,12 +265,13 @@
             lastResponseAt = now;
             avoidedUntil = -Infinity;
             if (signal === HealthSignal.answered) {
-                recordServiceTime(now - attempt.startedAt, report);
+                recordServiceTime(withoutSlowness(attempt, report, now), report);
             }
         },
         outstandingCount: () => outstanding.size,
         queueLength,
         reportAge: now => reportedAt === -Infinity ? undefined : now - reportedAt,
+        slowness: at => expectedSlowness(slownessReport, at),
         serviceMilliseconds: () => smoothedServiceMilliseconds,
         deviationMilliseconds: () => smoothedDeviation,
         consumeNewMeasurement: () => {
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -50,6 +50,16 @@
 const peerPort = 11_900;
 const heartbeatIntervalMilliseconds = 800;
 const maxServiceTimeMilliseconds = 60;
+/** Ratio of requests that take several times as long, and the bounds of how many times as long. */
+const tailRatio = 0.02;
+const minTailFactor = 3;
+const maxTailFactor = 5;
+/** Ratio of the machines that are slow at any moment, and slowness of these and of the others, in percent. */
+const slowMachineRatio = 0.2;
+const slowMachinePercent = 200;
+const usualMachinePercent = 100;
+/** Interval at which the slowness of machines is drawn anew, in milliseconds. */
+const machineRedrawMilliseconds = 400;
 /** Number of upstreams of each service that only some versions of the document know. */
 const additionalUpstreams = 2;
 const busyHeaders = { "not-executed": "1", "retry-after": "2" };
@@ -80,10 +90,24 @@
             }
         }
     };
-    const serviceTimeMilliseconds = (): number => random.below(maxServiceTimeMilliseconds);
+    const serviceTimeMilliseconds = (): number => {
+        const factor = random.fraction() < tailRatio
+            ? minTailFactor + random.fraction() * (maxTailFactor - minTailFactor)
+            : 1;
+        return random.below(maxServiceTimeMilliseconds) * factor;
+    };
+    let slowness = { percent: usualMachinePercent, drawnAt: -Infinity };
+    const slownessPercent = (): number => {
+        if (performance.now() - slowness.drawnAt >= machineRedrawMilliseconds) {
+            const percent = random.fraction() < slowMachineRatio ? slowMachinePercent : usualMachinePercent;
+            slowness = { percent, drawnAt: performance.now() };
+        }
+        return slowness.percent;
+    };
     const startIncarnation = async () => {
         const upstream = await emulator.startEmulatedUpstream(name, owner, {
             serviceTimeMilliseconds,
+            slownessPercent,
             onExecution,
             random: malformedRandom,
             busyHeaders,
