--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -42,6 +42,7 @@
     reportAgeMilliseconds: candidate.reportAgeMilliseconds,
     serviceMilliseconds: candidate.serviceMilliseconds,
     waitMilliseconds,
+    slowness: candidate.slowness,
 });
 
 const toIneligible = (ineligibility: eligibilities.Ineligibility): Selection => ({
