Eligibility: limit the rate of requests to cold upstreams

Nothing stood behind WarmupRates. createWarmupRates keeps, per incarnation of an upstream, until when it is cold (registry entry, new incarnation, end of an evacuation, response) and an interval between the requests of this instance.

With an equal share for each of 77 instances, the sum depends on chance.

--- a/packages/eligibility/src/index.ts
+++ b/packages/eligibility/src/index.ts
@@ -10,3 +10,7 @@
     IneligibilityReasonValue,
     WarmupRates,
 } from "./eligibility";
+export { createRateSharerFinder } from "./rateSharers";
+export type { RateSharerFinder, RateSharers, SiteInstances } from "./rateSharers";
+export { ColdCause, createWarmupRates } from "./warmupRates";
+export type { ColdCauseValue, LearningWarmupRates, WarmupRatesOptions } from "./warmupRates";
