Entry: notice when a registered upstream turns cold or warm

The fingerprint of a registry entry ignored the warm-up time, so an upstream that became cold again was neither applied nor relayed by the leader. For services with warmupPerS, the beginning, a later end and the end of a cold period now count as changes; other heartbeats and other services do not. Ends within 700 ms count as one, as a read delays them by up to that.

--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -6,6 +6,7 @@
 import * as documentEvent from "./documentEvent";
 import type * as topicExchange from "./topicExchange";
 import * as topicTask from "./topicTask";
+import * as warmupFingerprint from "./warmupFingerprint";
 
 /** Dependencies of the site view. */
 export interface SiteViewOptions {
@@ -20,6 +21,11 @@
     /** Relays changed records of a topic to the followers. */
     relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: number) => void;
     onDocument: (document: routing.RoutingDocument) => void;
+    /**
+     * Called with each registry entry that is applied, with the time at which it was received, and whether it belongs to the registry as
+     * first known to this instance.
+     */
+    onUpstreamEntry?: (upstream: routing.Upstream, isInitial: boolean, now: number) => void;
 }
 
 /** The document in force and the state of the registry, as known to one instance. */
@@ -66,6 +72,7 @@
 /** A registry entry of a service that the document does not name. */
 interface UnnamedEntry {
     upstream: routing.Upstream;
+    isInitial: boolean;
     seenAt: number;
 }
 
@@ -96,10 +103,23 @@
     /** By identifier; used once a document names their service. */
     const unnamedEntries = new Map<string, UnnamedEntry>();
 
-    /** Registry entries are rewritten periodically; only fields that affect the choice of an upstream count as a change. */
+    const coldPeriods = warmupFingerprint.createColdPeriods();
+    /**
+     * Registry entries are rewritten periodically; only fields that affect the choice of an upstream count as a change. Of the
+     * warm-up time, these are its beginning and end, and only where the rate of cold upstreams is limited.
+     */
     const upstreamFingerprint = (key: string, value: Buffer): string => {
         const parsed = parseUpstream(key, value);
-        return parsed.ok ? JSON.stringify({ ...parsed.val, warmupMilliseconds: 0 }) : value.toString("base64");
+        if (parsed.err) {
+            return value.toString("base64");
+        }
+        const isRateLimited = documentInForce?.document.services.get(parsed.val.service)?.warmup !== undefined;
+        const coldPeriod = isRateLimited ? coldPeriods.observe(parsed.val, timers.now()) : 0;
+        return JSON.stringify({ ...parsed.val, warmupMilliseconds: coldPeriod });
+    };
+    const addEntry = (upstream: routing.Upstream, isInitial: boolean, seenAt: number): void => {
+        directory.onEntry(upstream, seenAt);
+        options.onUpstreamEntry?.(upstream, isInitial, seenAt);
     };
 
     const onDocument = (record: platform.StoredRecord, origin: topicTask.ChangeOrigin): void => {
@@ -117,10 +137,10 @@
         }
         const previous = documentInForce?.document;
         documentInForce = { document, table: routing.createRouteTable(document.routes) };
-        for (const [identifier, { upstream, seenAt }] of unnamedEntries) {
+        for (const [identifier, { upstream, isInitial, seenAt }] of unnamedEntries) {
             if (isNamedBy(document, upstream.service)) {
                 unnamedEntries.delete(identifier);
-                directory.onEntry(upstream, seenAt);
+                addEntry(upstream, isInitial, seenAt);
             }
         }
         options.onDocument(document);
@@ -130,6 +150,7 @@
         const now = timers.now();
         unnamedEntries.delete(record.key);
         if (record.value === undefined) {
+            coldPeriods.forget(record.key);
             directory.onRemoval(record.key, now);
             return;
         }
@@ -140,7 +161,7 @@
         }
         const { service } = parsed.val;
         if (!isNamedBy(documentInForce?.document, service)) {
-            unnamedEntries.set(record.key, { upstream: parsed.val, seenAt: now });
+            unnamedEntries.set(record.key, { upstream: parsed.val, isInitial: !isRegistryKnown, seenAt: now });
             if (documentInForce !== undefined) {
                 const reason = `the document names no service ${service}`;
                 log.write("upstream-unreadable", { upstream: record.key, reason, offset: record.offset });
@@ -148,7 +169,7 @@
             return;
         }
         const previousLeavingSince = directory.find(record.key)?.leavingSince;
-        directory.onEntry(parsed.val, now);
+        addEntry(parsed.val, !isRegistryKnown, now);
         if (previousLeavingSince === undefined && parsed.val.isDraining) {
             log.write("upstream-draining", { upstream: record.key });
         }
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -6,25 +6,31 @@
 import * as test from "node:test";
 import * as siteView from "../src/siteView";
 
+type LogRecord = Record<string, unknown>;
+
 interface SiteViewFixture {
     directory: routing.UpstreamDirectory;
     /** Stores a registry entry, or removes it. */
     putEntry: (identifier: string, change: object | undefined) => Promise<void>;
-    putDocument: (version: number, services: readonly string[]) => Promise<void>;
+    putDocument: (version: number, services: readonly string[], warmup?: object) => Promise<void>;
     now: () => number;
+    /** Entries that were relayed to the followers. */
+    relayedEntries: () => LogRecord[];
+    /** Entries that were applied, and whether each was part of the first registry. */
+    appliedEntries: [routing.Upstream, boolean][];
     owner: foundation.Owner;
 }
 
 const stepMilliseconds = 50;
 
-const encodeDocument = (version: number, services: readonly string[]): Buffer =>
+const encodeDocument = (version: number, services: readonly string[], warmup: object): Buffer =>
     Buffer.from(JSON.stringify({
         version: `r${version}`,
         resources: [
             ...services.map(name => ({
                 resourceType: "services",
                 metadata: { name },
-                spec: { maxConnections: 110, sharded: true },
+                spec: { maxConnections: 110, sharded: true, ...warmup },
             })),
             {
                 resourceType: "limits",
@@ -34,12 +40,30 @@
         ],
     }));
 
-const createSiteViewFixture = (): SiteViewFixture => {
+const createSiteViewFixture = (initialUpstreams: readonly string[] = []): SiteViewFixture => {
     const timers = foundation.createVirtualTimerService(1000);
     const owner = foundation.createOwner();
     const directory = routing.createUpstreamDirectory();
     const records = new Map<platform.TopicName, platform.StoredRecord[]>();
+    const relayedRecords: platform.StoredRecord[] = [];
+    const appliedEntries: [routing.Upstream, boolean][] = [];
     const recordsOf = (topic: platform.TopicName): platform.StoredRecord[] => records.get(topic) ?? [];
+    const entry = {
+        service: "records",
+        address: "10.0.0.9:8080",
+        zone: "north-a",
+        slots: 6,
+        state: "ready",
+        version: "v1",
+        sequence: 1,
+        warmupLeft: "0ms",
+        born: 1000,
+    };
+    const encodeEntry = (change: object): Buffer => Buffer.from(JSON.stringify({ ...entry, ...change }));
+    records.set(
+        platform.Topic.upstreams,
+        initialUpstreams.map((key, offset) => ({ key, value: encodeEntry({}), offset })),
+    );
     const store: platform.StoreClient = {
         readSnapshot: topic => Promise.resolve({ records: recordsOf(topic), end: recordsOf(topic).length }),
         readFrom: async (topic, offset) => {
@@ -56,9 +80,10 @@
         random: foundation.createRandom(1),
         log: { write: () => undefined, sample: () => undefined },
         isLeading: () => true,
-        relayRecords: () => undefined,
+        relayRecords: (topic, changes) => topic === platform.Topic.upstreams && relayedRecords.push(...changes),
         failures: foundation.createTransparentFailureBoundary(),
         onDocument: () => undefined,
+        onUpstreamEntry: (upstream, isInitial) => appliedEntries.push([upstream, isInitial]),
     }, owner).start();
     const put = async (topic: platform.TopicName, key: string, value: Buffer | undefined): Promise<void> => {
         records.set(topic, [...recordsOf(topic), { key, value, offset: recordsOf(topic).length }]);
@@ -68,26 +93,17 @@
             directory.expire(timers.now());
         }
     };
-    const entry = {
-        service: "records",
-        address: "10.0.0.9:8080",
-        zone: "north-a",
-        slots: 6,
-        state: "ready",
-        version: "v1",
-        sequence: 1,
-        warmupLeft: "0ms",
-        born: 1000,
-    };
     return {
         directory,
         putEntry: (identifier, change) => {
-            const value = change === undefined ? undefined : Buffer.from(JSON.stringify({ ...entry, ...change }));
+            const value = change === undefined ? undefined : encodeEntry(change);
             return put(platform.Topic.upstreams, identifier, value);
         },
-        putDocument: (version, services) =>
-            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services)),
+        putDocument: (version, services, warmup = {}) =>
+            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services, warmup)),
         now: timers.now,
+        relayedEntries: () => relayedRecords.map(({ value }) => JSON.parse(value?.toString() ?? "{}") as LogRecord),
+        appliedEntries,
         owner,
     };
 };
@@ -122,4 +138,54 @@
         earl.expect([...fixture.directory.all()].length).toEqual(2);
         await fixture.owner.dispose();
     });
+
+    const warmup = { warmup: "3s", warmupPerS: 6 };
+    /** Puts the heartbeats of an upstream, each 500 ms, with the times that it stays cold. */
+    const putHeartbeats = async (
+        { putEntry }: SiteViewFixture,
+        warmupLeft: readonly number[],
+        change: object = {},
+    ): Promise<void> => {
+        for (const [index, milliseconds] of warmupLeft.entries()) {
+            await putEntry("upstream-1", { warmupLeft: `${milliseconds}ms`, sequence: index + 2, ...change });
+        }
+    };
+
+    test.it("relays the beginning, a later end and the end of a cold period, and not each heartbeat of it", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putDocument(1, ["records"], warmup);
+        await putHeartbeats(fixture, [0, 0, 0]);
+        earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["0ms"]);
+        await putHeartbeats(fixture, [3000, 2500, 2000, 1500, 1000, 500, 0, 0]);
+        earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["0ms", "3000ms", "0ms"]);
+        // It turns cold once more before its cold period has ended.
+        await putHeartbeats(fixture, [3000, 2500, 2000, 3000, 2500, 0]);
+        earl.expect(fixture.relayedEntries().slice(3).map(entry => entry.warmupLeft))
+            .toEqual(["3000ms", "3000ms", "0ms"]);
+        earl.expect(fixture.appliedEntries.length).toEqual(fixture.relayedEntries().length);
+        // It stays the same incarnation.
+        earl.expect((fixture.directory.find("upstream-1")?.firstSeenAt ?? Infinity) < 3000).toEqual(true);
+        await putHeartbeats(fixture, [2000], { born: 2000 });
+        earl.expect(fixture.relayedEntries().at(-1)?.born).toEqual(2000);
+        await fixture.owner.dispose();
+    });
+
+    test.it("relays no change of the warm-up time of a service whose rate is not limited", async () => {
+        for (const malformed of [{}, { warmup: "3s", warmupPerS: "many" }, { warmupPerS: -1 }, { warmup: "3s" }]) {
+            const fixture = createSiteViewFixture();
+            await fixture.putDocument(1, ["records"], malformed);
+            await putHeartbeats(fixture, [3000, 2500, 0, 3000, 0]);
+            earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["3000ms"]);
+            await fixture.owner.dispose();
+        }
+    });
+
+    test.it("tells the entries of the first registry from later ones, also if a document names their service later", async () => {
+        const fixture = createSiteViewFixture(["upstream-1"]);
+        await fixture.putEntry("upstream-2", { address: "10.0.0.9:8081" });
+        await fixture.putDocument(1, ["records"], warmup);
+        const applied = fixture.appliedEntries.map(([{ identifier }, isInitial]) => [identifier, isInitial]);
+        earl.expect(applied).toEqual([["upstream-1", true], ["upstream-2", false]]);
+        await fixture.owner.dispose();
+    });
 });
