Relay: prefer cold upstreams that may get a request, and learn of them from responses

A cold upstream with a limited rate gets few requests, which must not go elsewhere because another upstream is cheaper: of the upstreams that may get a request, the cold ones that can serve it at once and in time now come first. The estimate of a young upstream's service time is doubled only for services without warmupPerS. A response with Warmup-Remaining-Ms counts as a notice of its upstream. An instance without a share of the rate delegates requests for keys of a cold owner.

Nothing of this is connected yet; no service limits the rate.

--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -106,8 +106,8 @@
     && headers["transfer-encoding"] === undefined;
 
 /**
- * Returns what the head of a response says of its upstream. An upstream that is leaving stays so, but the time of a hold-off has begun
- * with the response: if it is sent once more, it must not begin again.
+ * Returns what the head of a response says of its upstream. An upstream that is leaving stays so, but the times of a hold-off and of a
+ * warm-up have begun with the response: if it is sent once more, they must not begin again.
  */
 const noticeOf = (
     response: http.IncomingMessage,
@@ -120,7 +120,7 @@
     if (notice === undefined || !mayBeRepeated) {
         return notice;
     }
-    return notice.isLeaving ? { ...notice, holdOffMilliseconds: 0 } : undefined;
+    return notice.isLeaving ? { isLeaving: true, holdOffMilliseconds: 0 } : undefined;
 };
 
 /** Applies what the head of a response says of the upstream and the connection; returns the upstream's load. */
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -23,6 +23,8 @@
     findOwner: (service: string, key: number) => assignment.KeyRoute | undefined;
     /** Whether an upstream may get requests as far as this instance knows, which may know more of it than a delegate. */
     mayReceive: (incarnation: routing.Incarnation) => boolean;
+    /** Whether only other instances may send requests to an upstream; by default, no upstream is left to others. */
+    isLeftToOthers?: (incarnation: routing.Incarnation) => boolean;
     /** Called with what an upstream says of itself in a response that came through a delegate. */
     onNotice: upstreamNotice.NoticeHandler;
     /** Number of upstreams of a service. */
@@ -118,12 +120,14 @@
         body: attempts.AttemptOptions["body"],
     ): delegatePool.PooledDelegate | undefined => {
         const isSmall = body.kind === "whole" && body.bytes.length <= maxBodyBytes;
-        if (
-            !state.isKeyed || state.key === undefined || state.isDelegated || !isSmall || !isDelegating(state.service)
-        ) {
+        if (!state.isKeyed || state.key === undefined || state.isDelegated || !isSmall) {
             return undefined;
         }
         const route = options.findOwner(state.service, state.key);
+        const isLeftToOthers = route !== undefined && options.isLeftToOthers?.(route.owner) === true;
+        if (!isLeftToOthers && !isDelegating(state.service)) {
+            return undefined;
+        }
         return route === undefined || !options.mayReceive(route.owner)
             ? undefined
             : delegates.choose(route.owner.identifier);
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -29,6 +29,9 @@
 /** Time after which a caller should retry if its key cannot get another owner before the store is reachable, in milliseconds. */
 const storeOutageRetryMilliseconds = 1000;
 
+/** Ratio of failed attempts from which a cold upstream is not preferred, so that one that has crashed gets no further requests. */
+const maxPreferredFailureRatio = 0.25;
+
 const toDecision = (
     { candidate, waitMilliseconds }: scheduling.Choice,
     token: number | undefined,
@@ -110,6 +113,24 @@
         return { kind: "chosen", target, choice: chosen };
     };
 
+    /**
+     * Returns the candidates that a request should use: the cold ones if there are any that can serve it at once and in time, as a new
+     * upstream would otherwise get no requests while others are cheaper.
+     */
+    const preferCold = (
+        state: requestState.RequestState,
+        available: readonly upstreamPool.PooledUpstream[],
+        candidates: readonly scheduling.Candidate[],
+    ): readonly scheduling.Candidate[] => {
+        const targetMilliseconds = state.arrivedAt + state.route.targetMilliseconds - pool.now();
+        const cold = candidates.filter((candidate, index) =>
+            pool.isCold(available[index]) && scheduling.estimateWait(candidate) === 0
+            && scheduling.estimateResponseTime(candidate) <= targetMilliseconds
+            && candidate.failureRatio <= maxPreferredFailureRatio
+        );
+        return cold.length > 0 ? cold : candidates;
+    };
+
     const selectAny = (state: requestState.RequestState): Selection => {
         const usable = pool.usable(state.service);
         const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service) : undefined;
@@ -121,7 +142,7 @@
             !pool.isConnectionUnavailable(target)
         );
         const candidates = available.map(target => pool.toCandidate(target, state.estimatedBytes));
-        const chosen = scheduling.chooseUpstream(candidates, random.fraction());
+        const chosen = scheduling.chooseUpstream(preferCold(state, available, candidates), random.fraction());
         const target = available[candidates.findIndex(candidate => candidate === chosen?.candidate)];
         if (chosen === undefined || target === undefined) {
             const reason = usable.length === 0
--- a/packages/relay/src/upstreamNotice.ts
+++ b/packages/relay/src/upstreamNotice.ts
@@ -7,6 +7,8 @@
     isLeaving: boolean;
     /** Time for which it wants no requests from this instance, in milliseconds; 0 if it has not said so. */
     holdOffMilliseconds: number;
+    /** Time for which it stays cold, in milliseconds; undefined if it has not said so. */
+    warmupMilliseconds?: number;
 }
 
 /** Called with the notice of an incarnation of an upstream. */
@@ -29,5 +31,8 @@
     const holdOffMilliseconds = status === unavailableStatus
         ? platform.parseRetryAfter(header(platform.HeaderName.retryAfter)) ?? 0
         : 0;
-    return isLeaving || holdOffMilliseconds > 0 ? { isLeaving, holdOffMilliseconds } : undefined;
+    const warmupMilliseconds = platform.parseWarmupRemaining(header(platform.HeaderName.warmupRemaining));
+    return isLeaving || holdOffMilliseconds > 0 || warmupMilliseconds > 0
+        ? { isLeaving, holdOffMilliseconds, ...(warmupMilliseconds > 0 ? { warmupMilliseconds } : {}) }
+        : undefined;
 };
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -1,4 +1,5 @@
 /** The upstreams that an instance sends requests to, with the health of each and the connections to it. */
+import type * as eligibility from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
 import * as scheduling from "@mulberryseam/scheduling";
@@ -30,6 +31,10 @@
     sharerCount: (service: string) => number;
     /** Time for which an upstream still gets requests for its keys after it was seen leaving, in milliseconds. */
     leavingGraceMilliseconds: () => number;
+    /** Whether a service limits the rate of requests to its cold upstreams; by default, none does. */
+    limitsWarmupRate?: (service: string) => boolean;
+    /** Which upstreams are cold; none by default. */
+    warmupRates?: eligibility.LearningWarmupRates;
 }
 
 /** Pool of the upstreams of an instance. */
@@ -53,6 +58,8 @@
     mayReceive: (incarnation: routing.Incarnation) => boolean;
     /** Whether an upstream is leaving, gets no more requests for its keys, and keeps them while the store is unreachable. */
     keepsKeysAfterLeaving: (incarnation: routing.Incarnation) => boolean;
+    /** Whether the upstream is cold and its service limits the rate of requests to it. */
+    isCold: (pooled: PooledUpstream) => boolean;
     /** Whether an upstream is in another region. */
     isRemote: (pooled: PooledUpstream) => boolean;
     /** Returns how far it is to an upstream. */
@@ -231,6 +238,7 @@
             }
             return hasLeft(entry.upstream) ? undefined : getOrCreate(entry.upstream);
         },
+        isCold: ({ upstream }) => options.warmupRates?.isCold(upstream, now()) === true,
         isRemote: target => target.region !== ownRegion,
         reachOf: ({ upstream }) => foundation.reachBetween(regions, options.failureDomain, upstream.failureDomain),
         toCandidate: (target, bytes) => {
@@ -238,7 +246,9 @@
             const entry = directory.find(upstream.identifier);
             const age = now() - (entry?.firstSeenAt ?? -Infinity);
             const isConnected = target.connections.hasIdle();
-            const factor = age < upstream.warmupMilliseconds ? warmupFactor : 1;
+            // A limited rate alone protects a cold upstream.
+            const isRateLimited = options.limitsWarmupRate?.(upstream.service) === true;
+            const factor = age < upstream.warmupMilliseconds && !isRateLimited ? warmupFactor : 1;
             return {
                 identifier: upstream.identifier,
                 queueLength: health.queueLength(now()),
