Relay: minimal check of the rates of cold upstreams before each send

Selection leaves out upstreams without a share left, a send records its use, and a request whose upstreams are all cold is refused as not run with the time to come back.

--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -178,6 +178,7 @@
         let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
         try {
             target.window.onSent(now);
+            pool.onSent(target);
             state.attemptCount += 1;
             state.triedUpstreams.add(upstream.identifier);
             state.notifiedBy = undefined;
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -183,6 +183,10 @@
                 responder.fail(state, requestState.FailureReason.deadlineUnreachable, retryMilliseconds);
                 return;
             }
+            if (options.pool.warmupWaitMilliseconds(target) > 0) {
+                // Another request has used the share of the upstream's rate since the selection.
+                continue;
+            }
             const result = await sendAttempt(state, target, limit, body);
             if (state.isFinished) {
                 return;
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -13,6 +13,7 @@
     noUpstream: "no upstream is ready",
     noOwner: "no upstream owns the key",
     deadlineUnreachable: "no answer is expected in time",
+    cold: "the upstreams are cold",
     heldOff: "upstreams want no requests for a time",
     noConnection: "no connection to an upstream is free",
     overloaded: "the instance is behind with its work",
@@ -68,6 +69,8 @@
     notifiedBy: routing.Incarnation | undefined;
     attemptCount: number;
     mayHaveRun: boolean;
+    /** Whether an upstream did not get the request because it is or may be cold. */
+    wasHeldBack: boolean;
     isFinished: boolean;
     currentAttempt: attemptResult.Attempt | undefined;
     /** Bytes of the request and its response that are buffered. */
@@ -137,6 +140,7 @@
         notifiedBy: undefined,
         attemptCount: 0,
         mayHaveRun: false,
+        wasHeldBack: false,
         isFinished: false,
         currentAttempt: undefined,
         estimatedBytes: typicalBytes,
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -19,6 +19,8 @@
     reason: string;
     durationMilliseconds: number;
     attempts: number;
+    /** Whether an upstream did not get the request because it is or may be cold. */
+    wasHeldBack: boolean;
 }
 
 /** Configures a responder. */
@@ -111,6 +113,7 @@
             reason,
             durationMilliseconds,
             attempts: state.attemptCount,
+            wasHeldBack: state.wasHeldBack || reason === requestState.FailureReason.cold,
         });
     };
 
@@ -162,7 +165,7 @@
             waitMilliseconds,
             remaining,
             random.fraction(),
-            reason === requestState.FailureReason.heldOff,
+            reason === requestState.FailureReason.heldOff || reason === requestState.FailureReason.cold,
         );
         const extraHeaders = [
             ...(status === 503 ? retryAfterHeader(retryAfter) : []),
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -65,6 +65,12 @@
         return { kind: "heldOff", target, choice, holdOffMilliseconds };
     };
 
+    /** Refuses a request whose upstreams are cold and may get no further request of this instance for a time. */
+    const toHeldBack = (state: requestState.RequestState, waitMilliseconds: number): Selection => {
+        state.wasHeldBack = true;
+        return { kind: "none", reason: requestState.FailureReason.cold, waitMilliseconds, isTransient: false };
+    };
+
     const selectOwner = (state: requestState.RequestState, key: number): Selection => {
         const route = options.findOwner(state.service, key);
         if (route !== undefined && pool.keepsKeysAfterLeaving(route.owner)) {
@@ -102,6 +108,10 @@
             };
         }
         state.decision = toDecision(chosen, route?.token);
+        const warmupWaitMilliseconds = pool.warmupWaitMilliseconds(target);
+        if (warmupWaitMilliseconds > 0) {
+            return toHeldBack(state, warmupWaitMilliseconds);
+        }
         if (pool.isConnectionUnavailable(target)) {
             return {
                 kind: "none",
@@ -132,7 +142,13 @@
     };
 
     const selectAny = (state: requestState.RequestState): Selection => {
-        const usable = pool.usable(state.service);
+        const usableOrCold = pool.usable(state.service);
+        const waits = usableOrCold.map(pool.warmupWaitMilliseconds);
+        const usable = usableOrCold.filter((...[, index]) => waits[index] === 0);
+        state.wasHeldBack ||= usable.length < usableOrCold.length;
+        if (usable.length === 0 && usableOrCold.length > 0) {
+            return toHeldBack(state, Math.min(...waits));
+        }
         const firstHeldOff = usable.length === 0 ? pool.firstHeldOff(state.service) : undefined;
         if (firstHeldOff !== undefined) {
             return toHeldOff(state, firstHeldOff, undefined);
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -60,6 +60,10 @@
     keepsKeysAfterLeaving: (incarnation: routing.Incarnation) => boolean;
     /** Whether the upstream is cold and its service limits the rate of requests to it. */
     isCold: (pooled: PooledUpstream) => boolean;
+    /** Returns the time until this instance may send a request to an upstream that is or may be cold, in milliseconds. */
+    warmupWaitMilliseconds: (pooled: PooledUpstream) => number;
+    /** Records that a request is sent to an upstream. */
+    onSent: (pooled: PooledUpstream) => void;
     /** Whether an upstream is in another region. */
     isRemote: (pooled: PooledUpstream) => boolean;
     /** Returns how far it is to an upstream. */
@@ -239,6 +243,8 @@
             return hasLeft(entry.upstream) ? undefined : getOrCreate(entry.upstream);
         },
         isCold: ({ upstream }) => options.warmupRates?.isCold(upstream, now()) === true,
+        warmupWaitMilliseconds: ({ upstream }) => options.warmupRates?.waitMilliseconds(upstream, now()) ?? 0,
+        onSent: ({ upstream }) => options.warmupRates?.onSent(upstream, now()),
         isRemote: target => target.region !== ownRegion,
         reachOf: ({ upstream }) => foundation.reachBetween(regions, options.failureDomain, upstream.failureDomain),
         toCandidate: (target, bytes) => {
