Entry: connect the rates of cold upstreams, with events, metrics and the leader's placement

The leader counts the capacity of a cold owner as warmupPerS. Events upstream-cold and upstream-warm; metrics mulberryseam_cold_upstreams and mulberryseam_requests_held_back_total.

--- a/packages/assignment/src/ownerCapacity.ts
+++ b/packages/assignment/src/ownerCapacity.ts
@@ -9,6 +9,8 @@
     slots: number;
     /** Service time in milliseconds; undefined before the first measurement. */
     serviceMilliseconds: number | undefined;
+    /** Requests a second that it tolerates however fast it is, as while it is cold; undefined without such a limit. */
+    maxRequestsPerSecond?: number;
 }
 
 /**
@@ -33,8 +35,8 @@
     const measured = upstreams.flatMap(({ serviceMilliseconds }) => serviceMilliseconds ?? [])
         .sort((left, right) => left - right);
     const median = measured[Math.floor(measured.length / 2)] ?? defaultServiceMilliseconds;
-    return upstreams.map(({ owner, slots, serviceMilliseconds }) => {
+    return upstreams.map(({ owner, slots, serviceMilliseconds, maxRequestsPerSecond = Infinity }) => {
         const believed = Math.max(serviceMilliseconds ?? median, median * minServiceTimeRatio);
-        return { owner, capacity: slots * 1000 / believed * seconds };
+        return { owner, capacity: Math.min(slots * 1000 / believed, maxRequestsPerSecond) * seconds };
     });
 };
--- a/packages/assignment/test/balance.test.ts
+++ b/packages/assignment/test/balance.test.ts
@@ -244,6 +244,19 @@
         earl.expect(capacities(undefined)).toEqual([25]);
     });
 
+    test.it("is the rate that a cold upstream tolerates, so that it does not get hot keys, and otherwise as without such rates", () => {
+        const [cold, ...others] = upstreams(100, 100, 100, 1000);
+        const limited = [{ ...cold, maxRequestsPerSecond: 6 }, ...others, { ...others[2], maxRequestsPerSecond: 6 }];
+        earl.expect(assignment.estimateCapacities(limited, 2, 120).map(({ capacity }) => capacity))
+            .toEqual([12, 60, 60, 6, 6]);
+        const unlimited = upstreams(100, 100, 100, 1000).map(upstream => ({
+            ...upstream,
+            maxRequestsPerSecond: undefined,
+        }));
+        earl.expect(assignment.estimateCapacities(unlimited, 2, 120).map(({ capacity }) => capacity))
+            .toEqual([60, 60, 60, 6]);
+    });
+
     test.it("is limited for an upstream that only served requests without work, so that it does not get all hot keys", () => {
         const candidates = assignment.estimateCapacities(upstreams(3, 160, 160, 160, 160, 160), 1, 120);
         const loads = (key: number): number => (key < 600 ? 0.1 : 0);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as coldUpstreams from "./coldUpstreams";
 import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
@@ -62,6 +63,41 @@
     await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
 };
 
+/** Creates the function that applies what upstreams say of themselves. */
+const createNoticeHandler = (
+    leaving: leavingUpstreams.LeavingUpstreams,
+    cold: coldUpstreams.ColdUpstreams,
+    pool: relay.UpstreamPool,
+    log: foundation.EventLog,
+): relay.NoticeHandler =>
+(incarnation, notice) => {
+    if (notice.isLeaving) {
+        leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+    }
+    if (notice.warmupMilliseconds !== undefined) {
+        cold.onReported(incarnation, notice.warmupMilliseconds);
+    }
+    if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+        const milliseconds = Math.round(notice.holdOffMilliseconds);
+        log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+    }
+};
+
+/** Logs the bytes exchanged so far at intervals, until the owner is disposed. */
+const startTrafficReports = (
+    timers: foundation.TimerService,
+    traffic: foundation.TrafficAccount,
+    log: foundation.EventLog,
+    owner: foundation.Owner,
+): void => {
+    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => {
+        for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
+            log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
+        }
+    });
+    owner.onCleanup(() => trafficReports.cancel());
+};
+
 /**
  * Starts an instance.
  *
@@ -102,8 +138,20 @@
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
+        onUpstreamEntry: (upstream, isInitial, now) => cold.rates.onEntry(upstream, isInitial, now),
     }, owner);
 
+    const cold = coldUpstreams.createColdUpstreams({
+        settings: settingsInForce,
+        directory,
+        timers,
+        random,
+        log,
+        view,
+        ownership: () => ownership,
+        evacuationEndedAt: () => undefined,
+    });
+
     const keyedServices = (): string[] => {
         const services = [...view.documentInForce()?.document.services.values() ?? []];
         return services.filter(service => service.isKeyed).map(service => service.name);
@@ -120,6 +168,7 @@
         keyedServices,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
+        toleratedPerSecond: upstream => cold.rates.toleratedPerSecond(upstream, timers.now()),
         topics: view.topics,
         traffic,
     }, owner);
@@ -137,16 +186,10 @@
         },
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
+        limitsWarmupRate: cold.limitsRate,
+        warmupRates: cold.rates,
     });
-    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
-        if (notice.isLeaving) {
-            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
-        }
-        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
-            const milliseconds = Math.round(notice.holdOffMilliseconds);
-            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
-        }
-    };
+    const onNotice = createNoticeHandler(leaving, cold, pool, log);
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
@@ -160,6 +203,7 @@
         }),
         findOwner: ownership.findOwner,
         mayReceive: pool.mayReceive,
+        isLeftToOthers: cold.isLeftToOthers,
         onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
@@ -195,6 +239,7 @@
             documentVersion: () => view.documentInForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
+            coldUpstreams: cold.count,
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
@@ -239,14 +284,10 @@
         updateIsolation();
         directory.expire(timers.now());
         pool.prune();
+        cold.update();
     });
     owner.onCleanup(() => housekeeping.cancel());
-    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => {
-        for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
-            log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
-        }
-    });
-    owner.onCleanup(() => trafficReports.cancel());
+    startTrafficReports(timers, traffic, log, owner);
     log.write("started", {
         callers: settings.callerAddress.port,
         readiness: settings.readinessAddress.port,
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -40,6 +40,8 @@
     unavailableLeader: () => string | undefined;
     /** Number of instances of the site, as reported by the leader. */
     instanceCount: () => number;
+    /** Number of instances of the site, as reported by a leader; 0 before any has done so. */
+    reportedInstanceCount: () => number;
     send: (message: protocol.RoutingMessage) => void;
     /** Tells the leader, and every later one, that this instance is about to stop. */
     announceStop: () => void;
@@ -82,6 +84,7 @@
     let confirmedAt = -Infinity;
     let confirmedRecord: { identifier: string; recordNumber: number; } | undefined;
     let instanceCount = assumedInstanceCount;
+    let reportedInstanceCount = 0;
     let isStopping = false;
 
     /** `topicEnds` holds the end of each topic that the leader last reported on the connection. */
@@ -129,6 +132,7 @@
                 lastConfirmedAt = Math.max(lastConfirmedAt, confirmedAt);
                 confirmedRecord = { identifier: leader.identifier, recordNumber: message.record };
                 instanceCount = Math.max(1, message.instances);
+                reportedInstanceCount = instanceCount;
                 return;
             case protocol.RoutingMessageKind.routing:
                 options.onRouting(message);
@@ -214,6 +218,7 @@
         },
         unavailableLeader: () => unavailableLeader,
         instanceCount: () => instanceCount,
+        reportedInstanceCount: () => reportedInstanceCount,
         send: message => openConnection?.connection.send(message),
         announceStop: () => {
             isStopping = true;
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -32,6 +32,8 @@
     maxLeaseMilliseconds: number;
     /** Names of the keyed services in the document in force. */
     keyedServices: () => string[];
+    /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
+    toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -235,6 +237,7 @@
             owner: toOwner(upstream),
             slots: upstream.slots,
             serviceMilliseconds: serviceTimes.get(upstream.identifier),
+            maxRequestsPerSecond: options.toleratedPerSecond?.(upstream),
         }));
         const loadSeconds = Math.max(minLoadSeconds, load.windowSeconds());
         return assignment.estimateCapacities(upstreams, loadSeconds, relay.assumedServiceMilliseconds);
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -12,6 +12,8 @@
     documentVersion: () => number;
     isLeading: () => boolean;
     upstreams: () => number;
+    /** Upstreams that count as cold, of services that limit the rate of requests to them. */
+    coldUpstreams: () => number;
     /** Time since the registry was last read, in milliseconds. */
     registryAge: () => number;
     /** Event loop delay of the process, in milliseconds. */
@@ -73,6 +75,12 @@
         labelNames: ["route"],
         registers,
     });
+    const heldBack = new promClient.Counter({
+        name: "mulberryseam_requests_held_back_total",
+        help: "Requests that an upstream did not get because it is or may be cold, by route and status.",
+        labelNames: ["route", "status"],
+        registers,
+    });
     const addGauge = (name: string, help: string, read: () => number): void => {
         const gauge: promClient.Gauge = new promClient.Gauge({
             name,
@@ -99,6 +107,7 @@
         () => gauges.isLeading() ? 1 : 0,
     );
     addGauge("mulberryseam_upstreams", "Upstreams that are known.", gauges.upstreams);
+    addGauge("mulberryseam_cold_upstreams", "Upstreams that count as cold.", gauges.coldUpstreams);
     addGauge(
         "mulberryseam_registry_age_seconds",
         "Time since the registry was last read.",
@@ -175,8 +184,12 @@
         log.write("metrics-unavailable", { port: metricsPort, reason: (error as Error).message });
     }
     return {
-        onRequestFinished: ({ route, status, reason, durationMilliseconds: milliseconds, attempts: count }) => {
+        onRequestFinished: result => {
+            const { route, status, reason, durationMilliseconds: milliseconds, attempts: count } = result;
             requests.inc({ route, status: String(status), reason });
+            if (result.wasHeldBack) {
+                heldBack.inc({ route, status: String(status) });
+            }
             durations.observe({ route }, milliseconds / 1000);
             attempts.inc({ route }, count);
         },
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -30,6 +30,8 @@
     keyedServices: () => string[];
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
+    /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
+    toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
     topics: topicExchange.TopicExchange;
     traffic: foundation.TrafficAccount;
 }
@@ -43,6 +45,8 @@
     isReady: () => boolean;
     /** Number of instances that share the site's limits, including this one. */
     instanceCount: () => number;
+    /** Number of instances as reported by a leader, or connected to this one if it leads; 0 if it is unknown. */
+    reportedInstanceCount: () => number;
     isLeading: () => boolean;
     /**
      * Time since the store last responded to this instance or to the leader that it follows, in milliseconds. Without either, it
@@ -223,6 +227,7 @@
             failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
+            toleratedPerSecond: options.toleratedPerSecond,
             broadcast,
             onSuperseded: () => {
                 session = undefined;
@@ -303,6 +308,7 @@
         onKeyRequest: sampler.onRequest,
         isReady: () => options.keyedServices().every(keyOwners.isInitialized),
         instanceCount: () => session === undefined ? link.instanceCount() : followers.count() + 1,
+        reportedInstanceCount: () => session === undefined ? link.reportedInstanceCount() : followers.count() + 1,
         isLeading: () => session !== undefined,
         identifier,
         delegates: () => delegates,
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -11,6 +11,7 @@
     documentVersion: () => 0,
     isLeading: () => false,
     upstreams: () => 0,
+    coldUpstreams: () => 0,
     registryAge: () => 0,
     eventLoopDelay: () => 0,
     traffic: () => [],
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -33,10 +33,12 @@
     "store-lost",
     "store-regained",
     "traffic",
+    "upstream-cold",
     "upstream-draining",
     "upstream-held-off",
     "upstream-leaving",
     "upstream-unreadable",
+    "upstream-warm",
 ] as const;
 
 /** One of {@link eventNames}. */
