--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -2,6 +2,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as coldRequests from "./coldRequests";
 import * as malformedAnswers from "./malformedAnswers";
 
 /** How an emulated upstream handles requests; it obeys lease commands in every mode but one. */
@@ -34,6 +35,10 @@
     /** Returns the number of requests executed. */
     executionCount: () => number;
     setMode: (mode: UpstreamModeValue) => void;
+    /** Starts or ends a cold period, in any mode; its requests are counted, and too many of them in a second stop the upstream. */
+    setCold: (isCold: boolean) => void;
+    /** Returns the most requests that reached it within one second of a cold period; those answered with 421 do not count. */
+    maxColdRequestsInOneSecond: () => number;
     /** Announces that the upstream is leaving, and stops it after a time. */
     leave: (servingMilliseconds: number) => Promise<void>;
     /** Stops the upstream immediately and closes its connections. */
@@ -75,6 +80,8 @@
     onArrival?: (arrival: EmulatedArrival) => void;
     /** Headers of the responses in busy mode; by default the request was not executed, and may be repeated after 1 s. */
     busyHeaders?: http.OutgoingHttpHeaders;
+    /** Requests within one second of a cold period that the upstream survives; not limited by default. */
+    maxColdRequestsPerSecond?: number;
 }
 
 interface HeldRange {
@@ -120,6 +127,7 @@
     /** Requests of callers, by their responses. */
     const arrivals = new WeakMap<http.ServerResponse, EmulatedArrival>();
     let executionCount = 0;
+    const cold = coldRequests.createColdRequests(options.maxColdRequestsPerSecond ?? Infinity);
     let mode: UpstreamModeValue = UpstreamMode.serving;
     const ownsKey = (key: number): boolean =>
         heldRanges.some(range => range.from <= key && range.target >= key && range.expiresAt > performance.now());
@@ -229,6 +237,12 @@
                 return;
             }
             recordArrival(request, response);
+            const key = request.headers["shard-key"];
+            const isKeyHeld = key === undefined || ownsKey(Number(key));
+            if (isKeyHeld && !cold.onRequest()) {
+                void stop();
+                return;
+            }
             const signature = { "response-signature": `signed by ${identifier}` };
             if (mode === UpstreamMode.silent) {
                 return;
@@ -244,8 +258,7 @@
                 sendEndlessly(request, response, { ...commonHeaders, ...signature });
                 return;
             }
-            const key = request.headers["shard-key"];
-            if (key !== undefined && !ownsKey(Number(key))) {
+            if (!isKeyHeld) {
                 sendResponse(response, misdirectedStatus, { ...commonHeaders, "not-executed": "1" });
                 return;
             }
@@ -280,6 +293,8 @@
         setMode: newMode => {
             mode = newMode;
         },
+        setCold: cold.setCold,
+        maxColdRequestsInOneSecond: cold.maxInOneSecond,
         leave: async servingMilliseconds => {
             mode = UpstreamMode.leaving;
             await new Promise(resolve => setTimeout(resolve, servingMilliseconds));
--- a/packages/emulator/test/upstream.test.ts
+++ b/packages/emulator/test/upstream.test.ts
@@ -62,6 +62,35 @@
             earl.expect((await send("/orders/1")).statusCode).toEqual(200);
         }));
 
+    test.it("that is cold counts the requests of a second that it runs, and stops when there are too many", async () => {
+        const owner = foundation.createOwner();
+        const cold = await emulator.startEmulatedUpstream("upstream-1", owner, { maxColdRequestsPerSecond: 3 });
+        const send = async (headers: http.OutgoingHttpHeaders = {}): Promise<number> => {
+            const response = await new Promise<http.IncomingMessage>((resolve, reject) =>
+                http.get({ port: cold.port, path: "/orders/1", headers, agent: false }, resolve).on("error", reject)
+            );
+            response.resume();
+            return response.statusCode ?? 0;
+        };
+        try {
+            for (let index = 0; index < 10; index += 1) {
+                await send();
+            }
+            earl.expect(cold.maxColdRequestsInOneSecond()).toEqual(0);
+            cold.setCold(true);
+            // Requests that it answers with 421 do not count.
+            earl.expect(await send({ "target-instance": "upstream-2" })).toEqual(421);
+            earl.expect(await send({ "shard-key": "7" })).toEqual(421);
+            earl.expect([await send(), await send(), await send()]).toEqual([200, 200, 200]);
+            await earl.expect(send()).toBeRejected();
+            await earl.expect(send()).toBeRejected();
+            earl.expect(cold.maxColdRequestsInOneSecond()).toEqual(4);
+        }
+        finally {
+            await owner.dispose();
+        }
+    });
+
     test.it("that sends without end stops when the connection closes before the response is its turn", () =>
         withUpstream(async ({ upstream, arrivals }) => {
             const countTimers = (): number =>
