--- a/packages/entry/src/documentEvent.ts
+++ b/packages/entry/src/documentEvent.ts
@@ -41,5 +41,6 @@
         removedServices: describeNames(services.removed),
         changedServices: describeNames(services.changed),
         limitsChanged: areLimitsChanged ? true : undefined,
+        ignored: describeNames(next.ignored ?? []),
     };
 };
--- a/packages/entry/test/coldUpstreams.test.ts
+++ b/packages/entry/test/coldUpstreams.test.ts
@@ -187,6 +187,8 @@
                 earl.expect(upstream.maxColdRequestsInOneSecond() > bound).toEqual(true);
                 const [instance] = site.instances;
                 earl.expect(instance.events("upstream-cold")).toEqual([]);
+                const isIgnored = instance.events("document-in-force").at(-1)?.ignored !== undefined;
+                earl.expect(isIgnored).toEqual(fields.warmupPerS === "many");
                 const metrics = await entrySite.sendRequest({ host: instance.host, port: 9464, target: "/metrics" });
                 earl.expect(metrics.body.includes("mulberryseam_requests_held_back_total{")).toEqual(false);
                 earl.expect(metrics.body.includes("mulberryseam_cold_upstreams 0")).toEqual(true);
