--- a/packages/soak/src/documents.ts
+++ b/packages/soak/src/documents.ts
@@ -33,6 +33,9 @@
 export const timeoutMilliseconds = 1200;
 /** Number of routes that versions may have in addition. */
 export const additionalRouteCount = 8;
+/** How long an upstream is cold after a restart, in milliseconds, and the requests a second that it tolerates then. */
+export const warmupMilliseconds = 3000;
+export const warmupRequestsPerSecond = 6;
 const maxTimeoutReductionMilliseconds = 400;
 const maxWeight = 4;
 
@@ -93,7 +96,12 @@
 const createService = (name: ServiceNameValue, isKeyed: boolean): object => ({
     resourceType: "services",
     metadata: { name },
-    spec: { maxConnections: 100, ...(isKeyed ? { sharded: true } : {}) },
+    spec: {
+        maxConnections: 100,
+        warmup: `${warmupMilliseconds}ms`,
+        warmupPerS: warmupRequestsPerSecond,
+        ...(isKeyed ? { sharded: true } : {}),
+    },
 });
 
 /**
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -59,6 +59,8 @@
     terminate: () => Promise<void>;
 }
 
+/** Settings that bound the requests to cold upstreams. */
+export const warmupBounds = { warmupOvershoot: 1.5, warmupSlack: 8 };
 const defaultRestartDelayMilliseconds = 300;
 const memorySampleMilliseconds = 200;
 /** Length of the error output kept for the description of an end, in characters. */
@@ -124,7 +126,7 @@
         zones: { "north-a": "north" },
         internalPorts: [options.peerPort, options.peerPort + 10],
         listen: { front: `${host}:${callerPort}`, ready: `${host}:${readinessPort}` },
-        bounds: {},
+        bounds: warmupBounds,
         platform: { address: `127.0.0.1:${storeLink.port}` },
     };
     const writeSettings = (content: SettingsContentValue): void => {
@@ -134,7 +136,11 @@
             changed: () =>
                 fs.writeFileSync(
                     settingsPath,
-                    JSON.stringify({ ...settings, zone: "south-a", bounds: { drain: "3s", retryBudgetSlack: 40 } }),
+                    JSON.stringify({
+                        ...settings,
+                        zone: "south-a",
+                        bounds: { ...warmupBounds, drain: "3s", retryBudgetSlack: 40 },
+                    }),
                 ),
             invalid: () => fs.writeFileSync(settingsPath, JSON.stringify({ ...settings, internalPorts: "none" })),
             truncated: () => fs.writeFileSync(settingsPath, text.slice(0, text.length / 2)),
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -7,6 +7,7 @@
 import * as instances from "./instances";
 import type * as invariantChecker from "./invariantChecker";
 import * as oddEntries from "./oddEntries";
+import type * as upstreamChecker from "./upstreamChecker";
 
 /** An upstream and the emulated network link through which instances connect to it. */
 export interface SoakUpstream {
@@ -29,6 +30,8 @@
     executions: invariantChecker.ExecutionRecord[];
     /** Requests that reached upstreams without keys; completed when they are answered. */
     arrivals: emulator.EmulatedArrival[];
+    /** The cold periods of upstreams. */
+    coldPeriods: upstreamChecker.ColdPeriodRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
     /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
@@ -98,7 +101,17 @@
         keyedUpstreams.add(upstream);
         return { upstream, link };
     };
+    /** Lets an incarnation that has replaced another one be cold for a time. */
+    const startColdPeriod = (upstream: emulator.EmulatedUpstream): number => {
+        const from = performance.now();
+        const until = from + documents.warmupMilliseconds;
+        upstream.setCold(true);
+        setTimeout(() => upstream.setCold(false), documents.warmupMilliseconds).unref();
+        site.coldPeriods.push({ upstream: name, from, until, maxInOneSecond: upstream.maxColdRequestsInOneSecond });
+        return until;
+    };
     let incarnation = await startIncarnation();
+    let coldUntil = -Infinity;
     let sequence = 0;
     /** An upstream that is leaving does not return to another mode. */
     let leaving = { isLeaving: false, isRegistered: false };
@@ -114,7 +127,7 @@
                 slots: 4,
                 state: leaving.isRegistered ? "draining" : "ready",
                 version: "v1",
-                warmupLeft: "0ms",
+                warmupLeft: `${Math.max(0, Math.round(coldUntil - performance.now()))}ms`,
                 sequence,
                 born: incarnation.upstream.startedAt,
             }),
@@ -129,6 +142,7 @@
         await incarnation.upstream.stop();
         incarnation = await startIncarnation();
         soakUpstream.link = incarnation.link;
+        coldUntil = startColdPeriod(incarnation.upstream);
         leaving = { isLeaving: false, isRegistered: false };
         publishHeartbeat();
     };
@@ -170,6 +184,7 @@
         upstreams: [],
         executions: [],
         arrivals: [],
+        coldPeriods: [],
         ownershipViolations: [],
         changeDocument: newShape => {
             version += 1;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -157,6 +157,7 @@
             identifier,
             upstream: `${upstream.identifier}@${upstream.startedAt}`,
         })),
+        coldPeriods: site.coldPeriods,
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         peakMemoryBytes: new Map(site.instances.map(({ name, peakMemoryBytes }) => [name, peakMemoryBytes()])),
--- a/packages/soak/src/upstreamChecker.ts
+++ b/packages/soak/src/upstreamChecker.ts
@@ -1,4 +1,6 @@
 /** Checks that instances respect what upstreams ask for: no requests after they have left, or while they are busy. */
+import * as documents from "./documents";
+import * as instances from "./instances";
 import type * as invariantChecker from "./invariantChecker";
 
 /** A request as an upstream received it, with its response. */
@@ -16,6 +18,15 @@
     retryAfterMilliseconds: number;
 }
 
+/** A cold period of an upstream. */
+export interface ColdPeriodRecord {
+    upstream: string;
+    from: number;
+    until: number;
+    /** Returns the most requests that reached it within one second of the period. */
+    maxInOneSecond: () => number;
+}
+
 /** An arrival with the record of its caller. */
 interface AttributedArrival extends ArrivalRecord {
     caller: invariantChecker.CallerRecord;
@@ -82,3 +93,15 @@
         })
     );
 };
+
+/** Requests that a cold upstream may get in one second from all instances. */
+const maxColdRequestsPerSecond = documents.warmupRequestsPerSecond * instances.warmupBounds.warmupOvershoot
+    + instances.warmupBounds.warmupSlack;
+
+/** Checks that cold upstreams got no more requests than they tolerate; a disturbed link may have held requests back. */
+export const checkColdUpstreams = ({ coldPeriods, wasLinkDisturbed }: invariantChecker.Observations): string[] =>
+    coldPeriods.filter(({ upstream, from, until, maxInOneSecond }) =>
+        maxInOneSecond() > maxColdRequestsPerSecond && !wasLinkDisturbed(`${upstream}@`, from, until)
+    ).map(({ upstream, maxInOneSecond }) =>
+        `${maxInOneSecond()} requests reached ${upstream} in one second while it was cold`
+    );
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -36,6 +36,7 @@
     callers: [createRecord()],
     executions: [createExecution()],
     arrivals: [],
+    coldPeriods: [],
     ownershipViolations: [],
     ownEnds: [],
     peakMemoryBytes: new Map(),
@@ -248,6 +249,18 @@
     });
 });
 
+test.describe("the soak check of cold upstreams", () => {
+    test.it("reports more requests in one second than the bound, unless the link to the upstream was disturbed", () => {
+        const countCold = (most: number, changes: Partial<soak.Observations> = {}): number =>
+            countViolations({
+                coldPeriods: [{ upstream: "orders-1", from: 0, until: 3000, maxInOneSecond: () => most }],
+                ...changes,
+            });
+        earl.expect([0, 17, 18].map(most => countCold(most))).toEqual([0, 0, 1]);
+        earl.expect(countCold(18, { wasLinkDisturbed: upstream => upstream.startsWith("orders-1@") })).toEqual(0);
+    });
+});
+
 test.describe("instances of a soak run", () => {
     test.it("report a process that ends by itself with its status and last error output", async () => {
         const ends = await runProgram("setTimeout(() => { throw new Error('broken record'); }, 10)", waitUntilEnded);
