--- a/packages/eligibility/test/warmupRates.test.ts
+++ b/packages/eligibility/test/warmupRates.test.ts
@@ -247,6 +247,34 @@
         }
     });
 
+    test.it("stays within the bound while instances join a new leader one after another, which knows only those", () => {
+        for (const seed of seeds) {
+            for (const joinMilliseconds of [100, 1000, 3000]) {
+                const instances = createSite(77, seed);
+                const order = foundation.createRandom(seed);
+                const joinsAt = instances.map(() => 2000 + order.below(joinMilliseconds));
+                const sites = instances.map(({ site }) => site);
+                learnNew(instances, 0, 10_000);
+                const onTime = (now: number): void => {
+                    const joined = new Set(sites.filter((...[, index]) => joinsAt[index] <= now));
+                    const names = new Set([...joined].map(({ identifier }) => identifier));
+                    if (joinsAt.includes(now)) {
+                        instances.forEach((instance, index) => {
+                            const site = sites[index];
+                            const neighbours = site.neighbours.filter(name => names.has(name));
+                            instance.site = joined.has(site)
+                                ? { ...site, neighbours, instanceCount: joined.size }
+                                : site;
+                        });
+                    }
+                };
+                const requestsPerSecond = (): number => 800;
+                const arrivals = simulate({ instances, seed, untilMilliseconds: 7000, requestsPerSecond, onTime });
+                earl.expect(maxInOneSecond(arrivals) <= bound).toEqual(true);
+            }
+        }
+    });
+
     test.it("stays within the bound when the registry is stale at some instances or at all, and still gets requests", () => {
         for (const seed of seeds) {
             for (const size of siteSizes) {
