--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,6 +4,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
+import * as coldUpstreams from "./coldUpstreams";
 import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
@@ -63,6 +64,76 @@
     await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
 };
 
+/** Creates the function that applies what upstreams say of themselves. */
+const createNoticeHandler = (
+    leaving: leavingUpstreams.LeavingUpstreams,
+    cold: coldUpstreams.ColdUpstreams,
+    pool: relay.UpstreamPool,
+    log: foundation.EventLog,
+): relay.NoticeHandler =>
+(incarnation, notice) => {
+    if (notice.isLeaving) {
+        leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
+    }
+    if (notice.warmupMilliseconds !== undefined) {
+        cold.onReported(incarnation, notice.warmupMilliseconds);
+    }
+    if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
+        const milliseconds = Math.round(notice.holdOffMilliseconds);
+        log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
+    }
+};
+
+/** Logs the bytes exchanged so far at intervals, until the owner is disposed. */
+const startTrafficReports = (
+    timers: foundation.TimerService,
+    traffic: foundation.TrafficAccount,
+    log: foundation.EventLog,
+    owner: foundation.Owner,
+): void => {
+    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => {
+        for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
+            log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
+        }
+    });
+    owner.onCleanup(() => trafficReports.cancel());
+};
+
+const listKeyedServices = (document: routing.RoutingDocument | undefined): string[] =>
+    [...document?.services.values() ?? []].filter(service => service.isKeyed).map(service => service.name);
+
+/** What a stop of an instance ends. */
+interface StopOptions {
+    signal: NodeJS.Signals;
+    gracePeriodMilliseconds: number;
+    timers: foundation.TimerService;
+    log: foundation.EventLog;
+    failures: foundation.FailureBoundary;
+    requestRelay: relay.Relay;
+    callerServer: relay.CallerServer;
+    ownership: ownershipTask.OwnershipTask;
+    owner: foundation.Owner;
+}
+
+/** Stops an instance within the grace period. */
+const stopInstance = async (options: StopOptions): Promise<void> => {
+    const { timers, log, requestRelay, callerServer, owner } = options;
+    const startedAt = timers.now();
+    log.write("stopping", { signal: options.signal, open: requestRelay.openRequestCount() });
+    const closeAt = startedAt + options.gracePeriodMilliseconds - stopMarginMilliseconds;
+    requestRelay.stopAt(closeAt - stopResponseMarginMilliseconds);
+    // The store may not respond, which must not keep the process beyond its grace time.
+    options.failures.watch("stop", options.ownership.resign());
+    await foundation.pause(timers, deregistrationMilliseconds);
+    callerServer.stopListening();
+    while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
+        callerServer.closeIdleConnections();
+        await foundation.pause(timers, stopPollMilliseconds);
+    }
+    log.write("stopped", { open: requestRelay.openRequestCount() });
+    await owner.dispose();
+};
+
 /**
  * Starts an instance.
  *
@@ -94,7 +165,6 @@
     let isStopping = false;
     let isIsolated = false;
     const { regions } = settings;
-    const places = sitePlaces.createSitePlaces({ regions, directory, documentInForce: () => view.documentInForce() });
     const view = siteView.createSiteView({
         store,
         directory,
@@ -106,13 +176,27 @@
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
+        onUpstreamEntry: (upstream, isInitial, now) => cold.rates.onEntry(upstream, isInitial, now),
     }, owner);
 
-    const keyedServices = (): string[] => {
-        const services = [...view.documentInForce()?.document.services.values() ?? []];
-        return services.filter(service => service.isKeyed).map(service => service.name);
-    };
+    const cold = coldUpstreams.createColdUpstreams({
+        settings: settingsInForce,
+        directory,
+        timers,
+        random,
+        log,
+        view,
+        ownership: () => ownership,
+        evacuationEndedAt: () => undefined,
+    });
+    const places = sitePlaces.createSitePlaces({
+        regions,
+        directory,
+        documentInForce: view.documentInForce,
+        warmupRates: cold.rates,
+    });
 
+    const keyedServices = (): string[] => listKeyedServices(view.documentInForce()?.document);
     const ownership = await ownershipTask.startOwnershipTask({
         settings,
         store,
@@ -125,6 +209,7 @@
         mayOwnKeys: places.mayOwnKeys,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
+        toleratedPerSecond: upstream => cold.rates.toleratedPerSecond(upstream, timers.now()),
         topics: view.topics,
         traffic,
     }, owner);
@@ -142,16 +227,10 @@
         },
         leavingGraceMilliseconds: () =>
             settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
+        limitsWarmupRate: cold.limitsRate,
+        warmupRates: cold.rates,
     });
-    const onNotice: relay.NoticeHandler = (incarnation, notice) => {
-        if (notice.isLeaving) {
-            leaving.learn(incarnation, leavingUpstreams.LeavingSource.answer);
-        }
-        if (notice.holdOffMilliseconds > 0 && pool.holdOff(incarnation, notice.holdOffMilliseconds)) {
-            const milliseconds = Math.round(notice.holdOffMilliseconds);
-            log.write("upstream-held-off", { upstream: incarnation.identifier, milliseconds });
-        }
-    };
+    const onNotice = createNoticeHandler(leaving, cold, pool, log);
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
     const delegator = relay.createDelegator({
         timers,
@@ -167,6 +246,7 @@
         mayReceive: pool.mayReceive,
         ownRegion: regions[settings.failureDomain],
         ...places,
+        isLeftToOthers: cold.isLeftToOthers,
         onNotice,
         upstreamCount: service => directory.findByService(service).length,
     });
@@ -203,6 +283,7 @@
             documentVersion: () => view.documentInForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
             upstreams: () => [...directory.all()].length,
+            coldUpstreams: cold.count,
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             averageSlowness: pool.averageSlowness,
@@ -248,14 +329,10 @@
         updateIsolation();
         directory.expire(timers.now());
         pool.prune();
+        cold.update();
     });
     owner.onCleanup(() => housekeeping.cancel());
-    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => {
-        for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
-            log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
-        }
-    });
-    owner.onCleanup(() => trafficReports.cancel());
+    startTrafficReports(timers, traffic, log, owner);
     log.write("started", {
         callers: settings.callerAddress.port,
         readiness: settings.readinessAddress.port,
@@ -264,22 +341,21 @@
         node: process.version,
     });
 
-    const stop = async (signal: NodeJS.Signals): Promise<void> => {
-        const startedAt = timers.now();
-        isStopping = true;
-        log.write("stopping", { signal, open: requestRelay.openRequestCount() });
-        const closeAt = startedAt + settingsInForce.current().gracePeriodMilliseconds - stopMarginMilliseconds;
-        requestRelay.stopAt(closeAt - stopResponseMarginMilliseconds);
-        // The store may not respond, which must not keep the process beyond its grace time.
-        failures.watch("stop", ownership.resign());
-        await foundation.pause(timers, deregistrationMilliseconds);
-        callerServer.stopListening();
-        while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
-            callerServer.closeIdleConnections();
-            await foundation.pause(timers, stopPollMilliseconds);
-        }
-        log.write("stopped", { open: requestRelay.openRequestCount() });
-        await owner.dispose();
+    return {
+        stop: signal => {
+            isStopping = true;
+            const { gracePeriodMilliseconds } = settingsInForce.current();
+            return stopInstance({
+                signal,
+                gracePeriodMilliseconds,
+                timers,
+                log,
+                failures,
+                requestRelay,
+                callerServer,
+                ownership,
+                owner,
+            });
+        },
     };
-    return { stop };
 };
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -34,6 +34,8 @@
     keyedServices: () => string[];
     /** Whether an upstream of a service may own keys, as far as its place decides that. */
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
+    /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
+    toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -237,6 +239,7 @@
             owner: toOwner(upstream),
             slots: upstream.slots,
             serviceMilliseconds: serviceTimes.get(upstream.identifier),
+            maxRequestsPerSecond: options.toleratedPerSecond?.(upstream),
         }));
         const loadSeconds = Math.max(minLoadSeconds, load.windowSeconds());
         return assignment.estimateCapacities(upstreams, loadSeconds, relay.assumedServiceMilliseconds);
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -32,6 +32,8 @@
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
+    /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
+    toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
     topics: topicExchange.TopicExchange;
     traffic: foundation.TrafficAccount;
 }
@@ -45,6 +47,8 @@
     isReady: () => boolean;
     /** Number of instances that share the site's limits, including this one. */
     instanceCount: () => number;
+    /** Number of instances as reported by a leader, or connected to this one if it leads; 0 if it is unknown. */
+    reportedInstanceCount: () => number;
     isLeading: () => boolean;
     /**
      * Time since the store last responded to this instance or to the leader that it follows, in milliseconds. Without either, it
@@ -226,6 +230,7 @@
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             mayOwnKeys: options.mayOwnKeys,
+            toleratedPerSecond: options.toleratedPerSecond,
             broadcast,
             onSuperseded: () => {
                 session = undefined;
@@ -306,6 +311,7 @@
         onKeyRequest: sampler.onRequest,
         isReady: () => options.keyedServices().every(keyOwners.isInitialized),
         instanceCount: () => session === undefined ? link.instanceCount() : followers.count() + 1,
+        reportedInstanceCount: () => session === undefined ? link.reportedInstanceCount() : followers.count() + 1,
         isLeading: () => session !== undefined,
         identifier,
         delegates: () => delegates,
--- a/packages/entry/src/sitePlaces.ts
+++ b/packages/entry/src/sitePlaces.ts
@@ -9,6 +9,7 @@
     regions: Readonly<Record<string, string>>;
     directory: routing.UpstreamDirectory;
     documentInForce: () => relay.DocumentInForce | undefined;
+    warmupRates: eligibilities.WarmupRates;
 }
 
 /** Where requests and keys may go. */
@@ -26,11 +27,13 @@
  * @param options - dependencies
  * @returns the places
  */
-export const createSitePlaces = ({ regions, directory, documentInForce }: SitePlacesOptions): SitePlaces => {
+export const createSitePlaces = (
+    { regions, directory, documentInForce, warmupRates }: SitePlacesOptions,
+): SitePlaces => {
     const eligibility = eligibilities.createEligibility({
         regions,
         evacuations: eligibilities.noEvacuations,
-        warmupRates: eligibilities.unlimitedWarmupRates,
+        warmupRates,
     });
     return {
         eligibility,
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -6,6 +6,15 @@
 import * as test from "node:test";
 import * as siteView from "../src/siteView";
 
+type LogRecord = Record<string, unknown>;
+
+/** What a document has beside its services. */
+interface DocumentChange {
+    /** Fields of each service that describe its warm-up. */
+    warmup?: object;
+    routes?: readonly object[];
+}
+
 interface SiteViewFixture {
     directory: routing.UpstreamDirectory;
     view: siteView.SiteView;
@@ -13,8 +22,12 @@
     events: (name: string) => (foundation.EventFields | undefined)[];
     /** Stores a registry entry, or removes it. */
     putEntry: (identifier: string, change: object | undefined) => Promise<void>;
-    putDocument: (version: number, services: readonly string[], routes?: readonly object[]) => Promise<void>;
+    putDocument: (version: number, services: readonly string[], change?: DocumentChange) => Promise<void>;
     now: () => number;
+    /** Entries that were relayed to the followers. */
+    relayedEntries: () => LogRecord[];
+    /** Entries that were applied, and whether each was part of the first registry. */
+    appliedEntries: [routing.Upstream, boolean][];
     owner: foundation.Owner;
 }
 
@@ -36,7 +49,11 @@
     },
 });
 
-const encodeDocument = (version: number, services: readonly string[], routes: readonly object[]): Buffer =>
+const encodeDocument = (
+    version: number,
+    services: readonly string[],
+    { warmup, routes = [] }: DocumentChange,
+): Buffer =>
     Buffer.from(JSON.stringify({
         version: `r${version}`,
         resources: [
@@ -44,7 +61,7 @@
             ...services.map(name => ({
                 resourceType: "services",
                 metadata: { name },
-                spec: { maxConnections: 110, sharded: true },
+                spec: { maxConnections: 110, sharded: true, ...warmup },
             })),
             {
                 resourceType: "limits",
@@ -54,12 +71,30 @@
         ],
     }));
 
-const createSiteViewFixture = (): SiteViewFixture => {
+const createSiteViewFixture = (initialUpstreams: readonly string[] = []): SiteViewFixture => {
     const timers = foundation.createVirtualTimerService(1000);
     const owner = foundation.createOwner();
     const directory = routing.createUpstreamDirectory();
     const records = new Map<platform.TopicName, platform.StoredRecord[]>();
+    const relayedRecords: platform.StoredRecord[] = [];
+    const appliedEntries: [routing.Upstream, boolean][] = [];
     const recordsOf = (topic: platform.TopicName): platform.StoredRecord[] => records.get(topic) ?? [];
+    const entry = {
+        service: "records",
+        address: "10.0.0.9:8080",
+        zone: "north-a",
+        slots: 6,
+        state: "ready",
+        version: "v1",
+        sequence: 1,
+        warmupLeft: "0ms",
+        born: 1000,
+    };
+    const encodeEntry = (change: object): Buffer => Buffer.from(JSON.stringify({ ...entry, ...change }));
+    records.set(
+        platform.Topic.upstreams,
+        initialUpstreams.map((key, offset) => ({ key, value: encodeEntry({}), offset })),
+    );
     const store: platform.StoreClient = {
         readSnapshot: topic => Promise.resolve({ records: recordsOf(topic), end: recordsOf(topic).length }),
         readFrom: async (topic, offset) => {
@@ -78,9 +113,10 @@
         random: foundation.createRandom(1),
         log: { write: (event, fields) => lines.push([event, fields]), sample: () => undefined },
         isLeading: () => true,
-        relayRecords: () => undefined,
+        relayRecords: (topic, changes) => topic === platform.Topic.upstreams && relayedRecords.push(...changes),
         failures: foundation.createTransparentFailureBoundary(),
         onDocument: () => undefined,
+        onUpstreamEntry: (upstream, isInitial) => appliedEntries.push([upstream, isInitial]),
     }, owner);
     view.start();
     const put = async (topic: platform.TopicName, key: string, value: Buffer | undefined): Promise<void> => {
@@ -91,28 +127,19 @@
             directory.expire(timers.now());
         }
     };
-    const entry = {
-        service: "records",
-        address: "10.0.0.9:8080",
-        zone: "north-a",
-        slots: 6,
-        state: "ready",
-        version: "v1",
-        sequence: 1,
-        warmupLeft: "0ms",
-        born: 1000,
-    };
     return {
         directory,
         view,
         events: name => lines.filter(([event]) => event === name).map(([, fields]) => fields),
         putEntry: (identifier, change) => {
-            const value = change === undefined ? undefined : Buffer.from(JSON.stringify({ ...entry, ...change }));
+            const value = change === undefined ? undefined : encodeEntry(change);
             return put(platform.Topic.upstreams, identifier, value);
         },
-        putDocument: (version, services, routes = []) =>
-            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services, routes)),
+        putDocument: (version, services, change = {}) =>
+            put(platform.Topic.documents, platform.documentKey, encodeDocument(version, services, change)),
         now: timers.now,
+        relayedEntries: () => relayedRecords.map(({ value }) => JSON.parse(value?.toString() ?? "{}") as LogRecord),
+        appliedEntries,
         owner,
     };
 };
@@ -147,6 +174,56 @@
         earl.expect([...fixture.directory.all()].length).toEqual(2);
         await fixture.owner.dispose();
     });
+
+    const warmup = { warmup: "3s", warmupPerS: 6 };
+    /** Puts the heartbeats of an upstream, each 500 ms, with the times that it stays cold. */
+    const putHeartbeats = async (
+        { putEntry }: SiteViewFixture,
+        warmupLeft: readonly number[],
+        change: object = {},
+    ): Promise<void> => {
+        for (const [index, milliseconds] of warmupLeft.entries()) {
+            await putEntry("upstream-1", { warmupLeft: `${milliseconds}ms`, sequence: index + 2, ...change });
+        }
+    };
+
+    test.it("relays the beginning, a later end and the end of a cold period, and not each heartbeat of it", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putDocument(1, ["records"], { warmup });
+        await putHeartbeats(fixture, [0, 0, 0]);
+        earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["0ms"]);
+        await putHeartbeats(fixture, [3000, 2500, 2000, 1500, 1000, 500, 0, 0]);
+        earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["0ms", "3000ms", "0ms"]);
+        // It turns cold once more before its cold period has ended.
+        await putHeartbeats(fixture, [3000, 2500, 2000, 3000, 2500, 0]);
+        earl.expect(fixture.relayedEntries().slice(3).map(entry => entry.warmupLeft))
+            .toEqual(["3000ms", "3000ms", "0ms"]);
+        earl.expect(fixture.appliedEntries.length).toEqual(fixture.relayedEntries().length);
+        // It stays the same incarnation.
+        earl.expect((fixture.directory.find("upstream-1")?.firstSeenAt ?? Infinity) < 3000).toEqual(true);
+        await putHeartbeats(fixture, [2000], { born: 2000 });
+        earl.expect(fixture.relayedEntries().at(-1)?.born).toEqual(2000);
+        await fixture.owner.dispose();
+    });
+
+    test.it("relays no change of the warm-up time of a service whose rate is not limited", async () => {
+        for (const malformed of [{}, { warmup: "3s", warmupPerS: "many" }, { warmupPerS: -1 }, { warmup: "3s" }]) {
+            const fixture = createSiteViewFixture();
+            await fixture.putDocument(1, ["records"], { warmup: malformed });
+            await putHeartbeats(fixture, [3000, 2500, 0, 3000, 0]);
+            earl.expect(fixture.relayedEntries().map(entry => entry.warmupLeft)).toEqual(["3000ms"]);
+            await fixture.owner.dispose();
+        }
+    });
+
+    test.it("tells the entries of the first registry from later ones, also if a document names their service later", async () => {
+        const fixture = createSiteViewFixture(["upstream-1"]);
+        await fixture.putEntry("upstream-2", { address: "10.0.0.9:8081" });
+        await fixture.putDocument(1, ["records"], { warmup });
+        const applied = fixture.appliedEntries.map(([{ identifier }, isInitial]) => [identifier, isInitial]);
+        earl.expect(applied).toEqual([["upstream-1", true], ["upstream-2", false]]);
+        await fixture.owner.dispose();
+    });
 });
 
 test.describe("the regions of a document as an instance sees it", () => {
@@ -156,11 +233,13 @@
     // Guards against a route that is refused everywhere because of a misspelt region, and against a line for each request.
     test.it("are those of the site; one line for each document names the others and malformed values", async () => {
         const fixture = createSiteViewFixture();
-        await fixture.putDocument(1, ["records"], [createRoute("a", ["north"]), createRoute("b", undefined)]);
+        await fixture.putDocument(1, ["records"], {
+            routes: [createRoute("a", ["north"]), createRoute("b", undefined)],
+        });
         earl.expect(allowedRegions(fixture)).toEqual([["north"], undefined]);
         earl.expect(fixture.events("document-values-ignored")).toEqual([]);
         const routes = [createRoute("a", ["nroth", "south"]), createRoute("b", ["nroth"]), createRoute("c", "north")];
-        await fixture.putDocument(2, ["records"], routes);
+        await fixture.putDocument(2, ["records"], { routes });
         earl.expect(allowedRegions(fixture)).toEqual([["south"], undefined, undefined]);
         earl.expect(fixture.events("document-values-ignored")).toEqual([{
             version: 2,
@@ -174,7 +253,9 @@
 
     test.it("are reported once if the routes to a keyed service have none in common", async () => {
         const fixture = createSiteViewFixture();
-        await fixture.putDocument(1, ["records"], [createRoute("a", ["north"]), createRoute("b", ["south"])]);
+        await fixture.putDocument(1, ["records"], {
+            routes: [createRoute("a", ["north"]), createRoute("b", ["south"])],
+        });
         earl.expect(fixture.events("placement-unrestricted")).toEqual([{ version: 1, services: "records" }]);
         await fixture.owner.dispose();
     });
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -29,6 +29,8 @@
     /** Finds an upstream of which this instance knows where it is. */
     findUpstream: (incarnation: routing.Incarnation) => routing.Upstream | undefined;
     eligibility: eligibilities.Eligibility;
+    /** Whether only other instances may send requests to an upstream; by default, no upstream is left to others. */
+    isLeftToOthers?: (incarnation: routing.Incarnation) => boolean;
     /** Called with what an upstream says of itself in a response that came through a delegate. */
     onNotice: upstreamNotice.NoticeHandler;
     /** Number of upstreams of a service. */
@@ -135,12 +137,16 @@
     ): delegatePool.PooledDelegate | undefined => {
         const isSmall = body.kind === "whole" && body.bytes.length <= maxBodyBytes;
         if (
-            !state.isKeyed || state.key === undefined || state.isDelegated || !isSmall || !isDelegating(state.service)
+            !state.isKeyed || state.key === undefined || state.isDelegated || !isSmall
             || !eligibilities.isRegionAllowed(options.ownRegion, state.route.allowedRegions)
         ) {
             return undefined;
         }
         const route = options.findOwner(state.service, state.key);
+        const isLeftToOthers = route !== undefined && options.isLeftToOthers?.(route.owner) === true;
+        if (!isLeftToOthers && !isDelegating(state.service)) {
+            return undefined;
+        }
         return route === undefined || !options.mayReceive(route.owner) || !isPlaceEligible(state, route.owner)
             ? undefined
             : delegates.choose(route.owner.identifier);
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -74,6 +74,8 @@
     notifiedBy: routing.Incarnation | undefined;
     attemptCount: number;
     mayHaveRun: boolean;
+    /** Whether an upstream did not get the request because it is or may be cold. */
+    wasHeldBack: boolean;
     isFinished: boolean;
     currentAttempt: attemptResult.Attempt | undefined;
     /** Bytes of the request and its response that are buffered. */
@@ -143,6 +145,7 @@
         notifiedBy: undefined,
         attemptCount: 0,
         mayHaveRun: false,
+        wasHeldBack: false,
         isFinished: false,
         currentAttempt: undefined,
         estimatedBytes: typicalBytes,
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -19,6 +19,8 @@
     reason: string;
     durationMilliseconds: number;
     attempts: number;
+    /** Whether an upstream did not get the request because it is or may be cold. */
+    wasHeldBack: boolean;
 }
 
 /** Configures a responder. */
@@ -113,6 +115,7 @@
             reason,
             durationMilliseconds,
             attempts: state.attemptCount,
+            wasHeldBack: state.wasHeldBack || reason === requestState.FailureReason.warmup,
         });
     };
 
