--- a/packages/entry/src/coldUpstreams.ts
+++ b/packages/entry/src/coldUpstreams.ts
@@ -38,9 +38,9 @@
 
 /**
  * Age of the registry from which every upstream of a service with a warm-up rate may be cold, in milliseconds: an instance reads the
- * registry itself once it is 800 ms old, and one failed read is repeated within this time.
+ * registry itself once it is 800 ms old, and one failed or late read is repeated within this time.
  */
-export const staleRegistryMilliseconds = 1500;
+export const staleRegistryMilliseconds = 2000;
 
 /**
  * Creates the cold upstreams of an instance.
