Evacuation: failure domains that operators evacuate get no requests after the bound

The keys evacuate/DOMAIN of keyed.op had no effect: requests and keys stayed in the failure domain.

Each instance follows the keys with the document (siteView), and keeps the evacuations in eligibility/evacuations.ts: since when it knows, the earliest time at which each can have begun, and when the last one was over. Upstreams without keys there get nothing new at once, and attempts that wait for a connection are cancelled as not run. Owners get requests for their keys, but no retries, until 700 ms before the bound, counted from the earliest begin; the leader treats them like owners that leave. A leader that was out of contact plans only after it has read the topic. A topic that is not recent is read without a wait. Log events evacuation-begun, evacuation-ended and evacuation-ignored; metric mulberryseam_evacuation_remaining by failure domain. The soak evacuates failure domains and checks that nothing reaches them after the bound.

--- a/packages/eligibility/src/index.ts
+++ b/packages/eligibility/src/index.ts
@@ -6,12 +6,13 @@
     restrictToKnownRegions,
 } from "./allowedRegions";
 export type { AllowedRegions, RestrictedDocument } from "./allowedRegions";
-export { createEligibility, IneligibilityReason, noEvacuations, unlimitedWarmupRates } from "./eligibility";
+export { createEligibility, IneligibilityReason, unlimitedWarmupRates } from "./eligibility";
 export type {
     Eligibility,
     EligibilityOptions,
-    Evacuations,
     Ineligibility,
     IneligibilityReasonValue,
     WarmupRates,
 } from "./eligibility";
+export { createEvacuations, noEvacuations } from "./evacuations";
+export type { Evacuation, EvacuationRecord, Evacuations } from "./evacuations";
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -63,6 +63,21 @@
     await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
 };
 
+const writeTraffic = (log: foundation.EventLog, traffic: foundation.TrafficAccount): void => {
+    for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
+        log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
+    }
+};
+
+const writeStart = (log: foundation.EventLog, settings: platform.InstanceSettings): void =>
+    log.write("started", {
+        callers: settings.callerAddress.port,
+        readiness: settings.readinessAddress.port,
+        process: process.pid,
+        program: foundation.programVersion,
+        node: process.version,
+    });
+
 /**
  * Starts an instance.
  *
@@ -94,7 +109,8 @@
     let isStopping = false;
     let isIsolated = false;
     const { regions } = settings;
-    const places = sitePlaces.createSitePlaces({ regions, directory, documentInForce: () => view.documentInForce() });
+    const documentInForce = (): relay.DocumentInForce | undefined => view.documentInForce();
+    const places = sitePlaces.createSitePlaces({ settings, directory, timers, log, documentInForce });
     const view = siteView.createSiteView({
         store,
         directory,
@@ -106,6 +122,7 @@
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
+        onEvacuationRecord: places.onEvacuationRecord,
     }, owner);
 
     const keyedServices = (): string[] => {
@@ -123,11 +140,13 @@
         failures,
         keyedServices,
         mayOwnKeys: places.mayOwnKeys,
+        areEvacuationsRecent: view.isDocumentTopicRecent,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         topics: view.topics,
         traffic,
     }, owner);
+    places.eligibility.onChange(ownership.planNow);
     const domainCount = Object.keys(regions).length;
     const pool: relay.UpstreamPool = relay.createUpstreamPool({
         directory,
@@ -206,6 +225,7 @@
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
+            evacuationRemains: () => places.listRemains({ ...pool, ...ownership }),
         },
         log,
         failures,
@@ -249,19 +269,9 @@
         pool.prune();
     });
     owner.onCleanup(() => housekeeping.cancel());
-    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => {
-        for (const { purpose, reach, sentBytes, receivedBytes } of traffic.totals()) {
-            log.write("traffic", { purpose, reach, sentBytes, receivedBytes });
-        }
-    });
+    const trafficReports = timers.onInterval(trafficReportIntervalMilliseconds, () => writeTraffic(log, traffic));
     owner.onCleanup(() => trafficReports.cancel());
-    log.write("started", {
-        callers: settings.callerAddress.port,
-        readiness: settings.readinessAddress.port,
-        process: process.pid,
-        program: foundation.programVersion,
-        node: process.version,
-    });
+    writeStart(log, settings);
 
     const stop = async (signal: NodeJS.Signals): Promise<void> => {
         const startedAt = timers.now();
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -34,6 +34,8 @@
     keyedServices: () => string[];
     /** Whether an upstream of a service may own keys, as far as its place decides that. */
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
+    /** Whether the evacuations are known as they were a short time ago. */
+    areEvacuationsRecent: () => boolean;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -47,6 +49,8 @@
     onReport: (report: protocol.FollowerReport) => void;
     /** Plans the assignment anew at the next {@link LeaderSession.tick}. */
     planNow: () => void;
+    /** Number of keys whose owner is counted. */
+    ownedKeyCount: (isCounted: (owner: assignment.Owner) => boolean) => number;
     /** Messages with the routing of every key, sent to a follower when it joins. */
     routingMessages: () => protocol.RoutingMessage[];
     /** Resigns leadership, so that a successor need not wait for the leader lease to expire. */
@@ -189,6 +193,7 @@
     let confirmedAt = options.confirmation.sentAt;
     let isCommitting = false;
     let isStopped = false;
+    let areEvacuationsKnown = false;
     let nextCommitAt = startedAt;
     let lastDecayAt = startedAt;
     let unconfirmedPlans: assignment.ServiceAssignment[] = [];
@@ -295,7 +300,9 @@
             return;
         }
         const hasUnconfirmedPlans = writer.hasUnconfirmedPlans();
-        const plans = hasUnconfirmedPlans
+        // A leader that was out of contact before must not give keys to a failure domain that has been evacuated since.
+        areEvacuationsKnown ||= options.areEvacuationsRecent();
+        const plans = hasUnconfirmedPlans || !areEvacuationsKnown
             ? []
             : options.keyedServices().map(name =>
                 failures.run("assignment", () => planService(name), { service: name })
@@ -373,6 +380,11 @@
             options.leaving.learnReported(report);
             recordLoad(report, services, serviceTimes);
         },
+        ownedKeyCount: isCounted =>
+            [...services.values()]
+                .flatMap(({ leaseManager }) => leaseManager.routing())
+                .filter(({ owner }) => owner !== undefined && isCounted(owner))
+                .reduce((sum, { first, last }) => sum + last - first + 1, 0),
         routingMessages: () =>
             [...services].map(([service, { leaseManager }]) => createRoutingMessage(service, leaseManager.routing())),
         resign: async () => {
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -3,6 +3,7 @@
 import * as relay from "@mulberryseam/relay";
 import * as http from "node:http";
 import * as promClient from "prom-client";
+import type * as sitePlaces from "./sitePlaces";
 
 /** Values that are read each time the metrics are collected. */
 export interface MetricsGauges {
@@ -18,6 +19,8 @@
     eventLoopDelay: () => number;
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
+    /** What is left in the failure domains that are evacuated. */
+    evacuationRemains: () => readonly sitePlaces.EvacuationRemains[];
 }
 
 /** Records requests in the metrics of an instance. */
@@ -127,6 +130,20 @@
             }
         },
     });
+    const evacuationRemains: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_evacuation_remaining",
+        help:
+            "Open requests of the instance to an evacuated failure domain, and keys still owned there, counted by the leader.",
+        labelNames: ["failureDomain", "kind"],
+        registers,
+        collect: () => {
+            evacuationRemains.reset();
+            for (const { failureDomain, requests: open, keys } of gauges.evacuationRemains()) {
+                evacuationRemains.set({ failureDomain, kind: "requests" }, open);
+                evacuationRemains.set({ failureDomain, kind: "keys" }, keys);
+            }
+        },
+    });
     const internalErrors: promClient.Counter = new promClient.Counter({
         name: "mulberryseam_internal_errors_total",
         help: "Exceptions that were contained, by the part of the instance.",
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -30,6 +30,8 @@
     keyedServices: () => string[];
     /** Whether an upstream of a service may own keys, as far as its place decides that. */
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
+    /** Whether the evacuations are known as they were a short time ago. */
+    areEvacuationsRecent: () => boolean;
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
     topics: topicExchange.TopicExchange;
@@ -46,6 +48,10 @@
     /** Number of instances that share the site's limits, including this one. */
     instanceCount: () => number;
     isLeading: () => boolean;
+    /** Plans the assignment anew, if this instance leads. */
+    planNow: () => void;
+    /** Number of keys whose owner is counted, if this instance leads; 0 otherwise. */
+    ownedKeyCount: (isCounted: (owner: assignment.Owner) => boolean) => number;
     /**
      * Time since the store last responded to this instance or to the leader that it follows, in milliseconds. Without either, it
      * does not learn of moved keys, draining upstreams and new documents, even if it hears from instances that are cut off too.
@@ -226,6 +232,7 @@
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
             keyedServices: options.keyedServices,
             mayOwnKeys: options.mayOwnKeys,
+            areEvacuationsRecent: options.areEvacuationsRecent,
             broadcast,
             onSuperseded: () => {
                 session = undefined;
@@ -307,6 +314,8 @@
         isReady: () => options.keyedServices().every(keyOwners.isInitialized),
         instanceCount: () => session === undefined ? link.instanceCount() : followers.count() + 1,
         isLeading: () => session !== undefined,
+        planNow: () => session?.planNow(),
+        ownedKeyCount: isCounted => session?.ownedKeyCount(isCounted) ?? 0,
         identifier,
         delegates: () => delegates,
         contactAge: () =>
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -23,6 +23,8 @@
     /** Relays changed records of a topic to the followers. */
     relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: number) => void;
     onDocument: (document: routing.RoutingDocument) => void;
+    /** Called with each record of an evacuation; it is over once the record is deleted. */
+    onEvacuationRecord: (failureDomain: string, isEvacuated: boolean, origin: topicTask.ChangeOrigin) => void;
 }
 
 /** The document in force and the state of the registry, as known to one instance. */
@@ -30,6 +32,8 @@
     /** Returns the document in force, or undefined until the first one is known. */
     documentInForce: () => relay.DocumentInForce | undefined;
     isRegistryKnown: () => boolean;
+    /** Whether the documents and evacuations are known as they were a short time ago. */
+    isDocumentTopicRecent: () => boolean;
     /** Time since this instance or the leader last read the registry, in milliseconds; Infinity if it is unknown. */
     registryAge: () => number;
     /** The topics as exchanged with other instances. */
@@ -58,6 +62,9 @@
 /** Age of the document topic at which an instance reads it itself, in milliseconds: two reads by the leader. */
 const maxDocumentAgeMilliseconds = 1300;
 
+/** Age up to which the document topic counts as recent, in milliseconds: that at which it is read, and the time of the read. */
+const maxRecentDocumentAgeMilliseconds = 1700;
+
 /** Whether a document names a service; an entry of any other service may come from another writer. */
 const isNamedBy = (document: routing.RoutingDocument | undefined, service: string): boolean =>
     document !== undefined
@@ -106,6 +113,15 @@
         return parsed.ok ? JSON.stringify({ ...parsed.val, warmupMilliseconds: 0 }) : value.toString("base64");
     };
 
+    const onOperatorRecord = (record: platform.StoredRecord, origin: topicTask.ChangeOrigin): void => {
+        const failureDomain = platform.parseEvacuationKey(record.key);
+        if (failureDomain === undefined) {
+            onDocument(record, origin);
+        }
+        else {
+            options.onEvacuationRecord(failureDomain, record.value !== undefined, origin);
+        }
+    };
     const onDocument = (record: platform.StoredRecord, origin: topicTask.ChangeOrigin): void => {
         if (record.key !== platform.documentKey || record.value === undefined) {
             return;
@@ -186,6 +202,9 @@
         }
     };
 
+    const isDocumentTopicRecent = (): boolean =>
+        (tasks.get(platform.Topic.documents)?.position()?.age ?? Infinity) <= maxRecentDocumentAgeMilliseconds;
+
     const waitForLeader = (): number => isLeading() ? 0 : initialWaitMilliseconds;
     const documentTaskOptions: topicTask.TopicTaskOptions = {
         store,
@@ -195,10 +214,11 @@
         failures,
         maxAgeMilliseconds: () => isLeading() ? 0 : maxDocumentAgeMilliseconds,
         initialWaitMilliseconds: waitForLeader,
-        waitMilliseconds: () => isLeading() ? leaderDocumentWaitMilliseconds : 0,
+        // A new leader that knows only an old state must not wait for a change of it before it plans.
+        waitMilliseconds: () => isLeading() && isDocumentTopicRecent() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
         onChanges: (records, end, origin) => {
-            applyRecords(platform.Topic.documents, records, record => onDocument(record, origin));
+            applyRecords(platform.Topic.documents, records, record => onOperatorRecord(record, origin));
             options.relayRecords(platform.Topic.documents, records, end);
         },
         onContact: () => undefined,
@@ -225,6 +245,7 @@
     return {
         documentInForce: () => documentInForce,
         isRegistryKnown: () => isRegistryKnown,
+        isDocumentTopicRecent,
         registryAge: () => tasks.get(platform.Topic.upstreams)?.position()?.age ?? Infinity,
         topics: {
             positions: () =>
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -147,6 +147,7 @@
                 maxLeaseMilliseconds,
                 keyedServices: () => ["records"],
                 mayOwnKeys: () => true,
+                areEvacuationsRecent: () => true,
                 broadcast: () => undefined,
                 onSuperseded: () => undefined,
             });
--- a/packages/entry/test/leaseCommandFailures.test.ts
+++ b/packages/entry/test/leaseCommandFailures.test.ts
@@ -87,6 +87,7 @@
         maxLeaseMilliseconds: 10_000,
         keyedServices: () => [],
         mayOwnKeys: () => true,
+        areEvacuationsRecent: () => true,
         broadcast: () => undefined,
         onSuperseded: () => undefined,
     });
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -14,6 +14,7 @@
     registryAge: () => 0,
     eventLoopDelay: () => 0,
     traffic: () => [],
+    evacuationRemains: () => [{ failureDomain: "north-a", requests: 2, keys: 256 }],
 };
 
 /** Address of the server: no instance of another test uses it. */
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -296,3 +296,94 @@
         earl.expect(held[0]).toEqual(held[1]);
     });
 });
+
+test.describe("the keys of an evacuated failure domain", () => {
+    const places = { failureDomains: ["north-a", "north-b"] };
+    const inDomainA = [0, 2];
+    /** Time until the leader has moved the keys of two upstreams of four, in milliseconds. */
+    const moveMilliseconds = 3000;
+
+    const keysInDomainA = (simulation: ownershipSimulation.OwnershipSimulation): number =>
+        inDomainA.reduce((sum, index) => sum + simulation.heldKeyCountOf(index), 0);
+
+    // Guards against requests after the bound, as keys that have not been moved by then have no owner that may be asked.
+    test.it("move to the other failure domains in time under load, and come back after the end", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(21, noFaults, 4, places);
+        await simulation.run(6000);
+        earl.expect(keysInDomainA(simulation) > 0).toEqual(true);
+        earl.expect(simulation.ownedKeyCountIn("north-a")).toEqual(keysInDomainA(simulation));
+        simulation.setEvacuated("north-a", true);
+        for (let elapsed = 0; elapsed < moveMilliseconds; elapsed += 200) {
+            simulation.requestKeys(0, 60_000);
+            await simulation.run(200);
+        }
+        earl.expect(keysInDomainA(simulation)).toEqual(0);
+        earl.expect(simulation.ownedKeyCountIn("north-a")).toEqual(0);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        for (let elapsed = 0; elapsed < 4000; elapsed += 200) {
+            simulation.requestKeys(0, 60_000);
+            await simulation.run(200);
+            earl.expect(keysInDomainA(simulation)).toEqual(0);
+        }
+        simulation.setEvacuated("north-a", false);
+        for (let elapsed = 0; elapsed < 5000; elapsed += 200) {
+            simulation.requestKeys(0, 60_000);
+            await simulation.run(200);
+        }
+        earl.expect(keysInDomainA(simulation) > 0).toEqual(true);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
+    // Guards against an evacuation that stands still, or gives keys back, when its leader is lost.
+    test.it("are moved by the successor of a leader that is lost halfway", async () => {
+        for (const isStillRunning of [false, true]) {
+            const simulation = await ownershipSimulation.createOwnershipSimulation(22, noFaults, 4, places);
+            await simulation.run(6000);
+            simulation.setEvacuated("north-a", true);
+            const before = keysInDomainA(simulation);
+            for (let elapsed = 0; keysInDomainA(simulation) === before && elapsed < moveMilliseconds; elapsed += 40) {
+                await simulation.run(40);
+            }
+            const left = keysInDomainA(simulation);
+            earl.expect(left > 0 && left < before).toEqual(true);
+            await simulation.replaceLeader(isStillRunning);
+            await simulation.run(assignment.normalKeyLeaseMilliseconds + moveMilliseconds);
+            earl.expect(keysInDomainA(simulation)).toEqual(0);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+            earl.expect(simulation.violations()).toEqual([]);
+        }
+    });
+
+    // Guards against a new leader that plans by evacuations that it knew before it lost contact.
+    test.it("are not planned by a leader that does not know the evacuations as they are", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(23, noFaults, 4, places);
+        simulation.setEvacuationsRecent(false);
+        await simulation.run(6000);
+        earl.expect(simulation.heldKeyCount()).toEqual(0);
+        simulation.setEvacuated("north-a", true);
+        simulation.setEvacuationsRecent(true);
+        await simulation.run(3000);
+        // What is known once remains known while the leader leads.
+        simulation.setEvacuationsRecent(false);
+        simulation.setEvacuated("north-a", false);
+        simulation.setEvacuated("north-b", true);
+        await simulation.run(moveMilliseconds);
+        earl.expect(keysInDomainA(simulation)).toEqual(everyKey);
+    });
+
+    // Guards against keys without an owner, and against moves between upstreams none of which may own keys.
+    test.it("stay with their owners while every failure domain is evacuated, and move once there is another", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(24, noFaults, 4, places);
+        await simulation.run(6000);
+        const held = [0, 1, 2, 3].map(simulation.heldKeyCountOf);
+        simulation.setEvacuated("north-a", true);
+        simulation.setEvacuated("north-b", true);
+        await simulation.run(6000);
+        earl.expect([0, 1, 2, 3].map(simulation.heldKeyCountOf)).toEqual(held);
+        simulation.setEvacuated("north-b", false);
+        await simulation.run(moveMilliseconds);
+        earl.expect(keysInDomainA(simulation)).toEqual(0);
+        earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+});
--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -48,6 +48,7 @@
         failures: foundation.createTransparentFailureBoundary(),
         keyedServices: () => [],
         mayOwnKeys: () => true,
+        areEvacuationsRecent: () => true,
         collectServiceTimes: () => [],
         topics: {
             positions: () => [],
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -4,11 +4,19 @@
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as test from "node:test";
+import * as sitePlaces from "../src/sitePlaces";
 import * as siteView from "../src/siteView";
 
 interface SiteViewFixture {
     directory: routing.UpstreamDirectory;
     view: siteView.SiteView;
+    places: sitePlaces.SitePlaces;
+    /** Stores the record of an evacuation, or deletes it. */
+    putEvacuation: (failureDomain: string, isEvacuated: boolean) => Promise<void>;
+    /** Discards the history behind records that are appended without being read. */
+    expireHistory: (appendLast: () => void) => Promise<void>;
+    /** Deletes the record of an evacuation; the instance has not read it afterwards. */
+    appendEvacuationEnd: (failureDomain: string) => void;
     /** Returns the lines of an event. */
     events: (name: string) => (foundation.EventFields | undefined)[];
     /** Stores a registry entry, or removes it. */
@@ -54,37 +62,64 @@
         ],
     }));
 
-const createSiteViewFixture = (): SiteViewFixture => {
+const createSiteViewFixture = ({ initialEvacuation }: { initialEvacuation?: string; } = {}): SiteViewFixture => {
     const timers = foundation.createVirtualTimerService(1000);
     const owner = foundation.createOwner();
     const directory = routing.createUpstreamDirectory();
     const records = new Map<platform.TopicName, platform.StoredRecord[]>();
+    if (initialEvacuation !== undefined) {
+        const record = { key: `evacuate/${initialEvacuation}`, value: Buffer.from("{}"), offset: 0 };
+        records.set(platform.Topic.documents, [record]);
+    }
     const recordsOf = (topic: platform.TopicName): platform.StoredRecord[] => records.get(topic) ?? [];
+    /** Offset from which the history of each topic is kept. */
+    let historyStart = 0;
     const store: platform.StoreClient = {
-        readSnapshot: topic => Promise.resolve({ records: recordsOf(topic), end: recordsOf(topic).length }),
+        readSnapshot: topic => {
+            const newest = new Map(recordsOf(topic).map(record => [record.key, record]));
+            const present = [...newest.values()].filter(record => record.value !== undefined);
+            return Promise.resolve({ records: present, end: recordsOf(topic).length });
+        },
         readFrom: async (topic, offset) => {
             await foundation.pause(timers, stepMilliseconds);
-            return { records: recordsOf(topic).slice(offset), end: recordsOf(topic).length, isHistoryExpired: false };
+            const end = recordsOf(topic).length;
+            return { records: recordsOf(topic).slice(offset), end, isHistoryExpired: offset < historyStart };
         },
         append: () => Promise.reject(new Error("not used")),
         close: () => undefined,
     };
     const lines: [string, foundation.EventFields | undefined][] = [];
+    const log: foundation.EventLog = { write: (event, fields) => lines.push([event, fields]), sample: () => undefined };
+    const regions = { "north-a": "north", "south-a": "south" };
+    const places = sitePlaces.createSitePlaces({
+        settings: { regions, evacuationMilliseconds: 5000 },
+        directory,
+        timers,
+        log,
+        documentInForce: () => undefined,
+    });
     const view = siteView.createSiteView({
         store,
         directory,
-        regions: { "north-a": "north", "south-a": "south" },
+        regions,
         timers,
         random: foundation.createRandom(1),
-        log: { write: (event, fields) => lines.push([event, fields]), sample: () => undefined },
+        log,
         isLeading: () => true,
         relayRecords: () => undefined,
         failures: foundation.createTransparentFailureBoundary(),
         onDocument: () => undefined,
+        onEvacuationRecord: places.onEvacuationRecord,
     }, owner);
     view.start();
-    const put = async (topic: platform.TopicName, key: string, value: Buffer | undefined): Promise<void> => {
+    const appendRecord = (topic: platform.TopicName, key: string, value: Buffer | undefined): void => {
         records.set(topic, [...recordsOf(topic), { key, value, offset: recordsOf(topic).length }]);
+    };
+    const put = async (topic: platform.TopicName, key: string, value: Buffer | undefined): Promise<void> => {
+        appendRecord(topic, key, value);
+        await settle();
+    };
+    const settle = async (): Promise<void> => {
         for (let elapsed = 0; elapsed < 500; elapsed += stepMilliseconds) {
             timers.advance(stepMilliseconds);
             await new Promise(resolve => setImmediate(resolve));
@@ -105,6 +140,16 @@
     return {
         directory,
         view,
+        places,
+        putEvacuation: (failureDomain, isEvacuated) =>
+            put(platform.Topic.documents, `evacuate/${failureDomain}`, isEvacuated ? Buffer.from("{}") : undefined),
+        expireHistory: async appendLast => {
+            appendLast();
+            historyStart = recordsOf(platform.Topic.documents).length;
+            await settle();
+        },
+        appendEvacuationEnd: failureDomain =>
+            appendRecord(platform.Topic.documents, `evacuate/${failureDomain}`, undefined),
         events: name => lines.filter(([event]) => event === name).map(([, fields]) => fields),
         putEntry: (identifier, change) => {
             const value = change === undefined ? undefined : Buffer.from(JSON.stringify({ ...entry, ...change }));
@@ -179,3 +224,66 @@
         await fixture.owner.dispose();
     });
 });
+
+test.describe("the evacuations as an instance sees them", () => {
+    const evacuated = ({ places }: SiteViewFixture): string[] =>
+        places.evacuations.list().map(({ failureDomain }) => failureDomain);
+
+    test.it("begin with the record of a failure domain and end when it is deleted, with a line each", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putDocument(1, ["records"]);
+        const before = fixture.now();
+        await fixture.putEvacuation("south-a", true);
+        earl.expect(evacuated(fixture)).toEqual(["south-a"]);
+        // It cannot have begun before the last state without it.
+        earl.expect((fixture.places.evacuations.find("south-a")?.earliestBeginAt ?? 0) >= before - 100).toEqual(true);
+        earl.expect(fixture.events("evacuation-begun").map(line => [line?.failureDomain, line?.source])).toEqual([
+            ["south-a", "store"],
+        ]);
+        await fixture.putDocument(2, ["records"]);
+        await fixture.putEvacuation("south-a", false);
+        earl.expect(evacuated(fixture)).toEqual([]);
+        earl.expect(fixture.events("evacuation-ended").map(line => line?.failureDomain)).toEqual(["south-a"]);
+        earl.expect((fixture.places.evacuations.endedAt("south-a") ?? 0) > before).toEqual(true);
+        earl.expect(fixture.places.evacuations.endedAt("north-a")).toEqual(undefined);
+        await fixture.owner.dispose();
+    });
+
+    // Guards against a misspelt name that evacuates nothing without a word, or throws.
+    test.it("leave out a failure domain that the site does not have, with one line", async () => {
+        const fixture = createSiteViewFixture();
+        for (const name of ["south-z", "", "toString"]) {
+            await fixture.putEvacuation(name, true);
+            await fixture.putEvacuation(name, false);
+        }
+        earl.expect(evacuated(fixture)).toEqual([]);
+        earl.expect(fixture.events("evacuation-ignored").map(line => line?.failureDomain)).toEqual([
+            "south-z",
+            "",
+            "toString",
+        ]);
+        earl.expect(fixture.events("evacuation-ended")).toEqual([]);
+        earl.expect(fixture.events("internal-error")).toEqual([]);
+        await fixture.owner.dispose();
+    });
+
+    // Guards against an evacuation that never ends because its end was compacted away.
+    test.it("end when the record is missing in a snapshot", async () => {
+        const fixture = createSiteViewFixture();
+        await fixture.putEvacuation("south-a", true);
+        await fixture.putEvacuation("north-a", true);
+        await fixture.expireHistory(() => fixture.appendEvacuationEnd("south-a"));
+        earl.expect(evacuated(fixture)).toEqual(["north-a"]);
+        earl.expect(fixture.events("evacuation-ended").map(line => line?.failureDomain)).toEqual(["south-a"]);
+        await fixture.owner.dispose();
+    });
+
+    // Guards against requests to owners by an instance that starts long after the evacuation, and cannot know its age.
+    test.it("of the first snapshot are known with the document, and may have begun at any time", async () => {
+        const fixture = createSiteViewFixture({ initialEvacuation: "south-a" });
+        await fixture.putDocument(1, ["records"]);
+        earl.expect(evacuated(fixture)).toEqual(["south-a"]);
+        earl.expect(fixture.places.evacuations.find("south-a")?.earliestBeginAt).toEqual(-Infinity);
+        await fixture.owner.dispose();
+    });
+});
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -1,5 +1,5 @@
 /** Sends one attempt of a request, and records its result in the upstream's health. */
-import type * as eligibilities from "@mulberryseam/eligibility";
+import * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
@@ -106,6 +106,23 @@
             }
         });
 
+    /** Cancels an attempt that has not been sent when its upstream may no longer get the request because of where it is. */
+    const cancelIfIneligible = (
+        state: requestState.RequestState,
+        { upstream }: upstreamPool.PooledUpstream,
+        isRetry: boolean,
+        attempt: attemptResult.Attempt,
+    ): foundation.Subscription =>
+        options.eligibility.onChange(() => {
+            const now = timers.now();
+            const found = sendEligibility.findIneligibility(options.eligibility, state, upstream, now, isRetry);
+            // The attempt itself has used a part of the rate of a cold upstream.
+            const isInPlace = found === undefined || found.reason === eligibilities.IneligibilityReason.warmup;
+            if (!isInPlace && !attempt.mayHaveBeenSent()) {
+                attempt.cancel(sendEligibility.toRefusal(found).reason);
+            }
+        });
+
     const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -187,7 +204,8 @@
         const { upstream, health } = target;
         const now = timers.now();
         // Time may have passed since the selection.
-        const ineligibility = sendEligibility.findIneligibility(options.eligibility, state, upstream, now);
+        const isRetry = sendEligibility.hasBeenSent(state);
+        const ineligibility = sendEligibility.findIneligibility(options.eligibility, state, upstream, now, isRetry);
         if (ineligibility !== undefined) {
             // Counted, so that selections that do not agree with this check come to an end.
             state.attemptCount += 1;
@@ -208,10 +226,12 @@
                 const silenceCheck = state.route.kind === routing.RouteKind.idempotent && body.kind === "whole"
                     ? abortIfSilent(state, target, outstandingAttempt, attempt)
                     : undefined;
+                const eligibilityCheck = cancelIfIneligible(state, target, isRetry, attempt);
                 target.openAttempts.add(attempt);
                 return {
                     cancel: () => {
                         target.openAttempts.delete(attempt);
+                        eligibilityCheck.cancel();
                         silenceCheck?.cancel();
                     },
                 };
--- a/packages/relay/src/delegator.ts
+++ b/packages/relay/src/delegator.ts
@@ -124,7 +124,7 @@
         const upstream = options.findUpstream(owner);
         const ineligibility = upstream === undefined
             ? undefined
-            : options.eligibility.findIneligibility(upstream, route.allowedRegions, timers.now());
+            : options.eligibility.findOwnerIneligibility(upstream, route.allowedRegions, timers.now(), false);
         // The delegate has its own share of the rate of a cold upstream.
         return ineligibility === undefined || ineligibility.reason === eligibilities.IneligibilityReason.warmup;
     };
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -105,7 +105,10 @@
             : pool.find(route.owner.identifier, route.owner.startedAt);
         // An owner that does not hold the key gets no further attempt until routing names another owner.
         const isStale = route !== undefined && route.token === state.misdirectedToken;
-        if (target === undefined || isStale || target.health.isRejecting(pool.now())) {
+        const ineligibility = target === undefined ? undefined : findIneligibility(state, target);
+        const isMoving = target !== undefined && ineligibility !== undefined
+            && sendEligibility.isOwnerMoving(eligibility, state, target.upstream, pool.now());
+        if (target === undefined || isStale || isMoving || target.health.isRejecting(pool.now())) {
             const placeIneligibility = findPlaceIneligibility(state);
             if (placeIneligibility !== undefined) {
                 return toIneligible(placeIneligibility);
@@ -117,7 +120,6 @@
                 isTransient: true,
             };
         }
-        const ineligibility = findIneligibility(state, target);
         if (ineligibility !== undefined) {
             return toIneligible(ineligibility);
         }
--- a/packages/relay/src/sendEligibility.ts
+++ b/packages/relay/src/sendEligibility.ts
@@ -25,6 +25,14 @@
     eligibilities.IneligibilityReason.region,
 ];
 
+/**
+ * Whether a request may have been sent to an upstream, by this instance or by its delegate.
+ *
+ * @param state - the request
+ */
+export const hasBeenSent = ({ triedUpstreams, mayHaveRun }: requestState.RequestState): boolean =>
+    triedUpstreams.size > 0 || mayHaveRun;
+
 /**
  * Returns why an upstream may not get a request now.
  *
@@ -32,14 +40,37 @@
  * @param state - the request
  * @param upstream - the owner of the request's key, or any upstream of its service if it has none
  * @param now - current time
+ * @param isRetry - whether an attempt of the request has been started before the one in question
  * @returns undefined if the upstream may get the request
  */
 export const findIneligibility = (
     eligibility: eligibilities.Eligibility,
-    { route }: requestState.RequestState,
+    state: requestState.RequestState,
+    upstream: routing.Upstream,
+    now: number,
+    isRetry = hasBeenSent(state),
+): eligibilities.Ineligibility | undefined => {
+    const { allowedRegions } = state.route;
+    return state.isKeyed && state.key !== undefined
+        ? eligibility.findOwnerIneligibility(upstream, allowedRegions, now, isRetry)
+        : eligibility.findIneligibility(upstream, allowedRegions, now);
+};
+
+/**
+ * Whether only retries may not reach the owner of a request's key, because the owner is still being moved out of an evacuated failure
+ * domain. Another owner is worth waiting for then.
+ *
+ * @param eligibility - the decision of the instance
+ * @param state - the request, which the owner may not get
+ * @param upstream - the owner
+ * @param now - current time
+ */
+export const isOwnerMoving = (
+    eligibility: eligibilities.Eligibility,
+    state: requestState.RequestState,
     upstream: routing.Upstream,
     now: number,
-): eligibilities.Ineligibility | undefined => eligibility.findIneligibility(upstream, route.allowedRegions, now);
+): boolean => findIneligibility(eligibility, state, upstream, now, false) === undefined;
 
 /**
  * Returns the reason that ends first, which is the one that a refusal names.
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -70,6 +70,8 @@
      * the upstream has a long queue and would reset a new connection.
      */
     isConnectionUnavailable: (pooled: PooledUpstream) => boolean;
+    /** Number of attempts without a result at the upstreams of a failure domain. */
+    openAttemptCount: (failureDomain: string) => number;
     /** Removes upstreams that are no longer in the directory; responses in progress go on. */
     prune: () => void;
     /** Records that an upstream of a service refused a request for which it had no room. */
@@ -270,6 +272,10 @@
             return target.health.outstandingCount() >= instanceConnectionLimit(target.upstream.service)
                 || (isQueueLong && !target.connections.hasIdle());
         },
+        openAttemptCount: failureDomain =>
+            [...pooledUpstreams.values()]
+                .filter(({ upstream }) => upstream.failureDomain === failureDomain)
+                .reduce((sum, { openAttempts }) => sum + openAttempts.size, 0),
         prune: () => {
             holdOffs.prune(now());
             for (const [identifier, { connections, health }] of pooledUpstreams) {
--- a/packages/relay/test/allowedRegions.test.ts
+++ b/packages/relay/test/allowedRegions.test.ts
@@ -209,6 +209,8 @@
 test.describe("a request of an unrestricted route", () => {
     const everywhere: eligibilities.Eligibility = {
         findIneligibility: () => undefined,
+        findOwnerIneligibility: () => undefined,
+        onChange: () => ({ cancel: () => undefined }),
         onSent: () => undefined,
         mayOwnKeys: () => true,
     };
@@ -222,6 +224,7 @@
                     failureDomains: [north, "north-b", south, "unknown"],
                     isKeyed,
                     eligibility,
+                    evacuations: eligibilities.createEvacuations(),
                 };
                 await withRelay(options, async fixture => {
                     const bodies = await sendRequests(fixture, 40);
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -33,6 +33,7 @@
     upstreamLeaving: "upstreamLeaving",
     upstreamBusy: "upstreamBusy",
     upstreamMisdirecting: "upstreamMisdirecting",
+    domainEvacuated: "domainEvacuated",
 } as const;
 
 /** A value of {@link FaultKind}. */
@@ -64,12 +65,15 @@
 export const withdrawalKinds: readonly FaultKindValue[] = [FaultKind.upstreamLeaving, FaultKind.upstreamBusy];
 /** Upstreams that hold keys and answer lease commands as another process would. */
 export const leaseRefusalKinds: readonly FaultKindValue[] = [FaultKind.upstreamMisdirecting];
+/** Operators that evacuate a failure domain for a time. */
+export const evacuationKinds: readonly FaultKindValue[] = [FaultKind.domainEvacuated];
 const separateKinds: readonly FaultKindValue[] = [
     ...upstreamModeKinds,
     ...oddInputKinds,
     ...seriesKinds,
     ...withdrawalKinds,
     ...leaseRefusalKinds,
+    ...evacuationKinds,
 ];
 
 /** A scheduled fault. */
@@ -101,12 +105,14 @@
 const meanWithdrawalGapMilliseconds = 2500;
 const meanSeriesGapMilliseconds = 2500;
 const meanLeaseRefusalGapMilliseconds = 4000;
+const meanEvacuationGapMilliseconds = 6000;
 /** Distinguish the random numbers of these faults from those of the others. */
 const upstreamModeSeedOffset = 500_000;
 const oddInputSeedOffset = 600_000;
 const seriesSeedOffset = 700_000;
 const withdrawalSeedOffset = 900_000;
 const leaseRefusalSeedOffset = 1_100_000;
+const evacuationSeedOffset = 1_300_000;
 
 const createFaults = (
     random: foundation.Random,
@@ -146,6 +152,7 @@
     const faults = [
         ...createGroup(0, isPlanned ? plannedFaultKinds : kinds, meanGapMilliseconds),
         ...createGroup(seriesSeedOffset, seriesKinds, meanSeriesGapMilliseconds),
+        ...createGroup(evacuationSeedOffset, evacuationKinds, meanEvacuationGapMilliseconds),
         ...(isPlanned ? [] : [
             ...createGroup(upstreamModeSeedOffset, upstreamModeKinds, meanUpstreamModeGapMilliseconds),
             ...createGroup(oddInputSeedOffset, oddInputKinds, meanOddInputGapMilliseconds),
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,6 +1,14 @@
 /** Randomized soak test with fault injection that runs the real programs as separate processes on loopback. */
 export { createDocument, createShape, plainShape } from "./documents";
-export { createSchedule, FaultKind, leaseRefusalKinds, oddInputKinds, seriesKinds, withdrawalKinds } from "./faults";
+export {
+    createSchedule,
+    evacuationKinds,
+    FaultKind,
+    leaseRefusalKinds,
+    oddInputKinds,
+    seriesKinds,
+    withdrawalKinds,
+} from "./faults";
 export type { Fault, FaultKindValue, Schedule } from "./faults";
 export { startInstance } from "./instances";
 export type { InstanceOptions, SoakInstance } from "./instances";
@@ -11,4 +19,4 @@
 export type { Site, SiteOptions } from "./site";
 export { runSoak } from "./soakRun";
 export type { SoakOptions, SoakResult } from "./soakRun";
-export type { ArrivalRecord } from "./upstreamChecker";
+export type { ArrivalRecord, EvacuationSpan } from "./upstreamChecker";
--- a/packages/soak/src/injections.ts
+++ b/packages/soak/src/injections.ts
@@ -5,6 +5,7 @@
 import * as documents from "./documents";
 import * as faults from "./faults";
 import * as instances from "./instances";
+import * as places from "./places";
 import type * as sites from "./site";
 
 /** Configures the injection of a fault. */
@@ -33,6 +34,9 @@
 /** How long an upstream still serves after its announcement, besides the duration of the fault, in milliseconds. */
 const leavingMilliseconds = 3000;
 
+/** How long an evacuation lasts, besides the duration of the fault, in milliseconds: longer than the time that instances have for it. */
+const evacuationMilliseconds = 6000;
+
 /** Calls an action repeatedly until a number of calls is reached or the returned function is called. */
 const repeat = (count: number, intervalMilliseconds: number, action: (index: number) => void): () => void => {
     let index = 0;
@@ -138,6 +142,13 @@
             await upstream.restart();
         };
     };
+    const injectEvacuation = (): () => Promise<void> => {
+        const end = site.evacuate(places.evacuableDomain(fault.targetIndex));
+        return async () => {
+            await new Promise(resolve => setTimeout(resolve, evacuationMilliseconds));
+            end();
+        };
+    };
     const injections: Record<faults.FaultKindValue, () => () => void | Promise<void>> = {
         storeBusy: () => injectStoreMode(emulator.StoreMode.busy),
         storeLosing: () => injectStoreMode(emulator.StoreMode.losing),
@@ -177,6 +188,7 @@
         upstreamLeaving: injectLeaving,
         upstreamBusy: () => injectUpstreamMode(emulator.UpstreamMode.busy),
         upstreamMisdirecting: () => injectUpstreamMode(emulator.UpstreamMode.misdirecting),
+        domainEvacuated: injectEvacuation,
         callersUnusual: () => startUnusualCallers(instance, fault),
     };
     return injections[fault.kind]();
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -37,6 +37,9 @@
     executions: readonly ExecutionRecord[];
     /** Requests that reached upstreams without keys, in order. Keyed ones may have come through a second instance. */
     arrivals: readonly upstreamChecker.ArrivalRecord[];
+    /** Requests that reached any upstream. */
+    allArrivals: readonly upstreamChecker.ArrivalRecord[];
+    evacuations: readonly upstreamChecker.EvacuationSpan[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: readonly string[];
     /** Descriptions of processes that ended although nothing had asked them to. */
@@ -53,6 +56,8 @@
     wasDisrupted: (span: Pick<CallerRecord, "instance" | "sentAt" | "endedAt">) => boolean;
     /** Whether a new process of an instance was started between two times. */
     wasRestarted: (instance: string, from: number, until: number) => boolean;
+    /** Whether an instance may have been without contact to the store or to the leader, or suspended. */
+    wasOutOfContact: (from: number, until: number) => boolean;
     /** Whether responses of an upstream may have been lost or delayed. */
     wasLinkDisturbed: (upstream: string, from: number, until: number) => boolean;
 }
@@ -199,5 +204,6 @@
     ...checkPlannedFaults(observations),
     ...upstreamChecker.checkLeavingUpstreams(observations),
     ...upstreamChecker.checkBusyUpstreams(observations),
+    ...upstreamChecker.checkEvacuations(observations),
     ...checkTiming(observations),
 ];
--- a/packages/soak/src/places.ts
+++ b/packages/soak/src/places.ts
@@ -8,6 +8,13 @@
 
 const failureDomains = Object.keys(regions);
 
+/**
+ * Returns a failure domain that may be evacuated; the first one is not, so that upstreams of each service are left.
+ *
+ * @param index - selects it
+ */
+export const evacuableDomain = (index: number): string => failureDomains[1 + index % (failureDomains.length - 1)];
+
 /**
  * Returns the failure domain of an upstream.
  *
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -8,6 +8,7 @@
 import type * as invariantChecker from "./invariantChecker";
 import * as oddEntries from "./oddEntries";
 import * as places from "./places";
+import type * as upstreamChecker from "./upstreamChecker";
 
 /** An upstream and the emulated network link through which instances connect to it. */
 export interface SoakUpstream {
@@ -30,12 +31,17 @@
     executions: invariantChecker.ExecutionRecord[];
     /** Requests that reached upstreams without keys; completed when they are answered. */
     arrivals: emulator.EmulatedArrival[];
+    /** Requests that reached any upstream; completed when they are answered. */
+    allArrivals: emulator.EmulatedArrival[];
+    evacuations: upstreamChecker.EvacuationSpan[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
     /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
     changeDocument: (shape?: documents.DocumentShape) => void;
     /** Puts an odd entry into the registry, and returns the function that removes it. */
     putOddEntry: (index: number) => () => void;
+    /** Evacuates a failure domain, and returns the function that ends the evacuation. */
+    evacuate: (failureDomain: string) => () => void;
 }
 
 /** Configures a site. */
@@ -88,7 +94,12 @@
             onExecution,
             random: malformedRandom,
             busyHeaders,
-            onArrival: arrival => documents.isKeyedService(service) || site.arrivals.push(arrival),
+            onArrival: arrival => {
+                site.allArrivals.push(arrival);
+                if (!documents.isKeyedService(service)) {
+                    site.arrivals.push(arrival);
+                }
+            },
         });
         const link = await standins.createLinkStandIn({
             port: 0,
@@ -171,6 +182,8 @@
         upstreams: [],
         executions: [],
         arrivals: [],
+        allArrivals: [],
+        evacuations: [],
         ownershipViolations: [],
         changeDocument: newShape => {
             version += 1;
@@ -183,6 +196,22 @@
             store.put(upstreamsTopic, key, value);
             return () => store.put(upstreamsTopic, key, "");
         },
+        evacuate: failureDomain => {
+            const running = site.evacuations.find(span =>
+                span.failureDomain === failureDomain && span.until === Infinity
+            );
+            if (running !== undefined) {
+                // The evacuation that goes on is ended by the one who began it.
+                return () => undefined;
+            }
+            const span = { failureDomain, from: performance.now(), until: Infinity };
+            site.evacuations.push(span);
+            store.put(documentsTopic, `evacuate/${failureDomain}`, "{}");
+            return () => {
+                span.until = performance.now();
+                store.put(documentsTopic, `evacuate/${failureDomain}`, "");
+            };
+        },
     };
     publishDocument();
     const startUpstreams = async (service: documents.ServiceNameValue, count: number): Promise<SoakUpstream[]> => {
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -1,4 +1,5 @@
 /** Executes a soak run: starts a site and callers, injects the faults of a seed and checks the invariants. */
+import type * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import * as callers from "./callers";
@@ -8,6 +9,7 @@
 import * as invariantChecker from "./invariantChecker";
 import * as sites from "./site";
 import * as unusualCallers from "./unusualCallers";
+import type * as upstreamChecker from "./upstreamChecker";
 
 /** Configures a soak run. */
 export interface SoakOptions {
@@ -109,6 +111,14 @@
     await Promise.all(reverts);
 };
 
+const toArrivalRecord = (
+    { upstream, requestIdentifier: identifier, ...arrival }: emulator.EmulatedArrival,
+): upstreamChecker.ArrivalRecord => ({
+    ...arrival,
+    identifier,
+    upstream: `${upstream.identifier}@${upstream.startedAt}`,
+});
+
 const runOnSite = async (options: SoakOptions, site: sites.Site): Promise<SoakResult> => {
     const wholeSchedule = faults.createSchedule(options.seed, options.faultPeriodMilliseconds);
     const schedule = {
@@ -152,11 +162,9 @@
     const violations = invariantChecker.checkInvariants({
         callers: records,
         executions: site.executions,
-        arrivals: site.arrivals.map(({ upstream, requestIdentifier: identifier, ...arrival }) => ({
-            ...arrival,
-            identifier,
-            upstream: `${upstream.identifier}@${upstream.startedAt}`,
-        })),
+        arrivals: site.arrivals.map(toArrivalRecord),
+        allArrivals: site.allArrivals.map(toArrivalRecord),
+        evacuations: site.evacuations,
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         peakMemoryBytes: new Map(site.instances.map(({ name, peakMemoryBytes }) => [name, peakMemoryBytes()])),
@@ -167,6 +175,12 @@
             site.instances.some(instance =>
                 instance.name === name && instance.startTimes().some(time => time >= from && time <= until)
             ),
+        wasOutOfContact: (from, until) =>
+            schedule.faults.some(({ kind, startMilliseconds, durationMilliseconds }) =>
+                (kind.startsWith("store") || kind === faults.FaultKind.instancePaused)
+                && startedAt + startMilliseconds <= until
+                && startedAt + startMilliseconds + durationMilliseconds + settleMilliseconds >= from
+            ),
         wasLinkDisturbed: (upstream, from, until) =>
             linkDisturbances.some(disturbance =>
                 upstream.startsWith(`${disturbance.upstream}@`) && disturbance.from <= until
--- a/packages/soak/src/upstreamChecker.ts
+++ b/packages/soak/src/upstreamChecker.ts
@@ -1,5 +1,6 @@
 /** Checks that instances respect what upstreams ask for: no requests after they have left, or while they are busy. */
 import type * as invariantChecker from "./invariantChecker";
+import * as places from "./places";
 
 /** A request as an upstream received it, with its response. */
 export interface ArrivalRecord {
@@ -16,6 +17,13 @@
     retryAfterMilliseconds: number;
 }
 
+/** Time for which a failure domain was evacuated. */
+export interface EvacuationSpan {
+    failureDomain: string;
+    from: number;
+    until: number;
+}
+
 /** An arrival with the record of its caller. */
 interface AttributedArrival extends ArrivalRecord {
     caller: invariantChecker.CallerRecord;
@@ -23,11 +31,18 @@
 
 /** Time after an announcement in which requests may still reach an upstream that leaves, in milliseconds. */
 export const drainMilliseconds = 2500;
+/** Time after which no request may reach an evacuated failure domain, in milliseconds. */
+export const evacuationMilliseconds = 5000;
+/** Status by which an upstream says that it has not run a request, as it is not the one that was meant or does not hold the key. */
+const misdirectedStatus = 421;
 /** Time that an instance has to act on the response of a busy upstream, in milliseconds. */
 const busyToleranceMilliseconds = 500;
 /** Requests that may reach a busy upstream from one instance after that time. */
 const maxBusyArrivals = 2;
 
+/** Returns the name of an upstream without its start. */
+const nameOf = (upstream: string): string => upstream.split("@")[0];
+
 /** Groups the arrivals by instance and upstream. Requests that were not sent by a known instance are left out. */
 const groupArrivals = ({ arrivals, callers }: invariantChecker.Observations): AttributedArrival[][] => {
     const callersByIdentifier = new Map(callers.map(record => [record.identifier, record]));
@@ -62,6 +77,22 @@
         );
     });
 
+/**
+ * Checks that nothing reaches an evacuated failure domain after the time that instances have for an evacuation, unless instances were out
+ * of contact or the link to the upstream held the request back.
+ */
+export const checkEvacuations = (observations: invariantChecker.Observations): string[] =>
+    observations.evacuations.flatMap(({ failureDomain, from, until }) =>
+        observations.allArrivals.filter(({ upstream, arrivedAt, status }) =>
+            places.failureDomainOf(nameOf(upstream)) === failureDomain && status !== misdirectedStatus
+            && arrivedAt > from + evacuationMilliseconds && arrivedAt < until
+            && !observations.wasOutOfContact(from, arrivedAt)
+            && !observations.wasLinkDisturbed(upstream, from, arrivedAt)
+        ).map(({ identifier, upstream, arrivedAt }) =>
+            `${identifier}: reached ${upstream} ${Math.round(arrivedAt - from)} ms after ${failureDomain} was evacuated`
+        )
+    );
+
 /** Checks that an instance that was refused with a time to wait sends at most two requests in the rest of that time. */
 export const checkBusyUpstreams = (observations: invariantChecker.Observations): string[] => {
     if (observations.timeoutMilliseconds === undefined) {
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -36,6 +36,8 @@
     callers: [createRecord()],
     executions: [createExecution()],
     arrivals: [],
+    allArrivals: [],
+    evacuations: [],
     ownershipViolations: [],
     ownEnds: [],
     peakMemoryBytes: new Map(),
@@ -43,6 +45,7 @@
     recoveredAt: 0,
     timeoutMilliseconds: 1200,
     wasDisrupted: () => false,
+    wasOutOfContact: () => false,
     wasLinkDisturbed: () => false,
     wasRestarted: () => false,
     ...changes,
@@ -85,6 +88,28 @@
         earl.expect(countIn("/additional-2/1", "orders-2")).toEqual(0);
     });
 
+    test.it("report requests that reach an evacuated failure domain after the bound", () => {
+        const evacuations = [{ failureDomain: "north-b", from: 1000, until: 9000 }];
+        const countAt = (arrivedAt: number, change: Partial<soak.ArrivalRecord> & Partial<soak.Observations> = {}) => {
+            const arrival = {
+                identifier: "a",
+                upstream: "records-2@1",
+                arrivedAt,
+                answeredAt: arrivedAt,
+                status: 200,
+                isLeaving: false,
+                retryAfterMilliseconds: 0,
+                ...change,
+            };
+            return countViolations({ evacuations, allArrivals: [arrival], ...change });
+        };
+        earl.expect([countAt(5999), countAt(6001), countAt(8999), countAt(9001)]).toEqual([0, 1, 1, 0]);
+        earl.expect(countAt(7000, { upstream: "records-1@1" })).toEqual(0);
+        earl.expect(countAt(7000, { status: 421 })).toEqual(0);
+        earl.expect(countAt(7000, { wasOutOfContact: () => true })).toEqual(0);
+        earl.expect(countAt(7000, { wasLinkDisturbed: () => true })).toEqual(0);
+    });
+
     test.it("report responses that belong to another request, are incomplete or lack an upstream's signature", () => {
         for (const changes of [{ echoedIdentifier: "b" }, { body: "answer" }, { isSigned: false }]) {
             earl.expect(countViolations({ callers: [createRecord(changes)] })).toEqual(1);
@@ -333,7 +358,13 @@
 
     test.it("have separate random numbers for separate groups of faults", () => {
         const kinds = soak.createSchedule(7, 10_000).faults.map(fault => fault.kind);
-        for (const kind of [...soak.oddInputKinds, ...soak.seriesKinds, ...soak.leaseRefusalKinds]) {
+        const separateKinds = [
+            ...soak.oddInputKinds,
+            ...soak.seriesKinds,
+            ...soak.leaseRefusalKinds,
+            ...soak.evacuationKinds,
+        ];
+        for (const kind of separateKinds) {
             earl.expect(soak.createSchedule(8, 60_000).faults.some(fault => fault.kind === kind)).toEqual(true);
         }
         earl.expect(kinds.filter(kind => kind.startsWith("store")).length > 0).toEqual(true);
@@ -349,6 +380,7 @@
         [3, properInputKinds],
         [5, properInputKinds],
         [102, undefined],
+        [7, [...soak.evacuationKinds, soak.FaultKind.instanceKilled, soak.FaultKind.documentStorm]],
     ];
     for (const [seed, kinds] of runs) {
         test.it(`keep every guarantee under the faults of seed ${seed}`, async () => {
