--- a/packages/eligibility/src/index.ts
+++ b/packages/eligibility/src/index.ts
@@ -6,15 +6,16 @@
     restrictToKnownRegions,
 } from "./allowedRegions";
 export type { AllowedRegions, RestrictedDocument } from "./allowedRegions";
-export { createEligibility, IneligibilityReason, noEvacuations, unlimitedWarmupRates } from "./eligibility";
+export { createEligibility, IneligibilityReason, unlimitedWarmupRates } from "./eligibility";
 export type {
     Eligibility,
     EligibilityOptions,
-    Evacuations,
     Ineligibility,
     IneligibilityReasonValue,
     WarmupRates,
 } from "./eligibility";
+export { createEvacuations, noEvacuations } from "./evacuations";
+export type { Evacuation, EvacuationRecord, Evacuations } from "./evacuations";
 export { createRateSharerFinder } from "./rateSharers";
 export type { RateSharerFinder, RateSharers, SiteInstances } from "./rateSharers";
 export { ColdCause, createWarmupRates } from "./warmupRates";
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -99,6 +99,28 @@
     owner.onCleanup(() => trafficReports.cancel());
 };
 
+/** Whether an instance is cut off from the store. */
+interface Isolation {
+    isIsolated: () => boolean;
+    update: () => void;
+}
+
+/** An isolated instance sends requests to former owners of moved keys, so callers are better served by others. */
+const createIsolation = (log: foundation.EventLog, contactAge: () => number): Isolation => {
+    let isIsolated = false;
+    return {
+        isIsolated: () => isIsolated,
+        update: () => {
+            const age = contactAge();
+            const wasIsolated = isIsolated;
+            isIsolated = age > maxContactAgeMilliseconds;
+            if (isIsolated !== wasIsolated) {
+                log.write(isIsolated ? "isolated" : "isolation-ended", { contactAge: Math.round(age) });
+            }
+        },
+    };
+};
+
 const listKeyedServices = (document: routing.RoutingDocument | undefined): string[] =>
     [...document?.services.values() ?? []].filter(service => service.isKeyed).map(service => service.name);
 
@@ -134,6 +156,15 @@
     await owner.dispose();
 };
 
+const writeStart = (log: foundation.EventLog, settings: platform.InstanceSettings): void =>
+    log.write("started", {
+        callers: settings.callerAddress.port,
+        readiness: settings.readinessAddress.port,
+        process: process.pid,
+        program: foundation.programVersion,
+        node: process.version,
+    });
+
 /**
  * Starts an instance.
  *
@@ -163,7 +194,7 @@
     const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
-    let isIsolated = false;
+    const isolation = createIsolation(log, () => ownership.contactAge());
     const { regions } = settings;
     const view = siteView.createSiteView({
         store,
@@ -177,6 +208,7 @@
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
         onDocument: document => callerServer.setLimits(document.limits),
         onUpstreamEntry: (upstream, isInitial, now) => cold.rates.onEntry(upstream, isInitial, now),
+        onEvacuationRecord: (...record) => places.onEvacuationRecord(...record),
     }, owner);
 
     const cold = coldUpstreams.createColdUpstreams({
@@ -187,11 +219,13 @@
         log,
         view,
         ownership: () => ownership,
-        evacuationEndedAt: () => undefined,
+        evacuationEndedAt: failureDomain => places.evacuations.endedAt(failureDomain),
     });
     const places = sitePlaces.createSitePlaces({
-        regions,
+        settings,
         directory,
+        timers,
+        log,
         documentInForce: view.documentInForce,
         warmupRates: cold.rates,
     });
@@ -207,12 +241,14 @@
         failures,
         keyedServices,
         mayOwnKeys: places.mayOwnKeys,
+        areEvacuationsRecent: view.isDocumentTopicRecent,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         toleratedPerSecond: upstream => cold.rates.toleratedPerSecond(upstream, timers.now()),
         topics: view.topics,
         traffic,
     }, owner);
+    places.eligibility.onChange(ownership.planNow);
     const domainCount = Object.keys(regions).length;
     const pool: relay.UpstreamPool = relay.createUpstreamPool({
         directory,
@@ -263,7 +299,7 @@
         onKeyRequested: ownership.onKeyRequest,
         onNotice,
         delegator,
-        acceptsDelegated: () => !isIsolated,
+        acceptsDelegated: () => !isolation.isIsolated(),
         retryBudget: {
             windowMilliseconds: settings.retryBudgetWindowMilliseconds,
             ratio: () => settingsInForce.current().retryBudgetRatio,
@@ -272,7 +308,7 @@
         },
         eventLoopDelay,
         maxBufferedBytes: settings.memoryBytes * maxBufferedRatio,
-        shouldCloseConnections: () => isStopping || isIsolated,
+        shouldCloseConnections: () => isStopping || isolation.isIsolated(),
         onFinished: result => requestMetrics.onRequestFinished(result),
     });
     const requestMetrics = await metrics.startMetrics(
@@ -288,6 +324,7 @@
             eventLoopDelay: eventLoopDelay.milliseconds,
             averageSlowness: pool.averageSlowness,
             traffic: traffic.totals,
+            evacuationRemains: () => places.listRemains({ ...pool, ...ownership }),
         },
         log,
         failures,
@@ -310,36 +347,20 @@
 
     view.start();
 
-    // An isolated instance sends requests to former owners of moved keys, so callers are better served by others.
-    const updateIsolation = (): void => {
-        const contactAge = ownership.contactAge();
-        const wasIsolated = isIsolated;
-        isIsolated = contactAge > maxContactAgeMilliseconds;
-        if (isIsolated !== wasIsolated) {
-            log.write(isIsolated ? "isolated" : "isolation-ended", { contactAge: Math.round(contactAge) });
-        }
-    };
-
     const isReady = (): boolean =>
-        !isStopping && !isIsolated && view.documentInForce() !== undefined && view.isRegistryKnown()
+        !isStopping && !isolation.isIsolated() && view.documentInForce() !== undefined && view.isRegistryKnown()
         && ownership.isReady();
     await startReadinessServer(settings.readinessAddress, isReady, failures, owner);
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
-        updateIsolation();
+        isolation.update();
         directory.expire(timers.now());
         pool.prune();
         cold.update();
     });
     owner.onCleanup(() => housekeeping.cancel());
     startTrafficReports(timers, traffic, log, owner);
-    log.write("started", {
-        callers: settings.callerAddress.port,
-        readiness: settings.readinessAddress.port,
-        process: process.pid,
-        program: foundation.programVersion,
-        node: process.version,
-    });
+    writeStart(log, settings);
 
     return {
         stop: signal => {
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -36,6 +36,8 @@
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
     /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
     toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
+    /** Whether the evacuations are known as they were a short time ago. */
+    areEvacuationsRecent: () => boolean;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -49,6 +51,8 @@
     onReport: (report: protocol.FollowerReport) => void;
     /** Plans the assignment anew at the next {@link LeaderSession.tick}. */
     planNow: () => void;
+    /** Number of keys whose owner is counted. */
+    ownedKeyCount: (isCounted: (owner: assignment.Owner) => boolean) => number;
     /** Messages with the routing of every key, sent to a follower when it joins. */
     routingMessages: () => protocol.RoutingMessage[];
     /** Resigns leadership, so that a successor need not wait for the leader lease to expire. */
@@ -191,6 +195,7 @@
     let confirmedAt = options.confirmation.sentAt;
     let isCommitting = false;
     let isStopped = false;
+    let areEvacuationsKnown = false;
     let nextCommitAt = startedAt;
     let lastDecayAt = startedAt;
     let unconfirmedPlans: assignment.ServiceAssignment[] = [];
@@ -298,7 +303,9 @@
             return;
         }
         const hasUnconfirmedPlans = writer.hasUnconfirmedPlans();
-        const plans = hasUnconfirmedPlans
+        // A leader that was out of contact before must not give keys to a failure domain that has been evacuated since.
+        areEvacuationsKnown ||= options.areEvacuationsRecent();
+        const plans = hasUnconfirmedPlans || !areEvacuationsKnown
             ? []
             : options.keyedServices().map(name =>
                 failures.run("assignment", () => planService(name), { service: name })
@@ -376,6 +383,11 @@
             options.leaving.learnReported(report);
             recordLoad(report, services, serviceTimes);
         },
+        ownedKeyCount: isCounted =>
+            [...services.values()]
+                .flatMap(({ leaseManager }) => leaseManager.routing())
+                .filter(({ owner }) => owner !== undefined && isCounted(owner))
+                .reduce((sum, { first, last }) => sum + last - first + 1, 0),
         routingMessages: () =>
             [...services].map(([service, { leaseManager }]) => createRoutingMessage(service, leaseManager.routing())),
         resign: async () => {
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -30,6 +30,8 @@
     keyedServices: () => string[];
     /** Whether an upstream of a service may own keys, as far as its place decides that. */
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
+    /** Whether the evacuations are known as they were a short time ago. */
+    areEvacuationsRecent: () => boolean;
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
     /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
@@ -50,6 +52,10 @@
     /** Number of instances as reported by a leader, or connected to this one if it leads; 0 if it is unknown. */
     reportedInstanceCount: () => number;
     isLeading: () => boolean;
+    /** Plans the assignment anew, if this instance leads. */
+    planNow: () => void;
+    /** Number of keys whose owner is counted, if this instance leads; 0 otherwise. */
+    ownedKeyCount: (isCounted: (owner: assignment.Owner) => boolean) => number;
     /**
      * Time since the store last responded to this instance or to the leader that it follows, in milliseconds. Without either, it
      * does not learn of moved keys, draining upstreams and new documents, even if it hears from instances that are cut off too.
@@ -219,18 +225,10 @@
         }
         link.close();
         session = leaderSession.createLeaderSession({
+            ...options,
             ...won,
-            store,
             leaseClient,
-            directory: options.directory,
-            leaving: options.leaving,
-            timers,
-            log,
-            failures,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
-            keyedServices: options.keyedServices,
-            mayOwnKeys: options.mayOwnKeys,
-            toleratedPerSecond: options.toleratedPerSecond,
             broadcast,
             onSuperseded: () => {
                 session = undefined;
@@ -313,6 +311,8 @@
         instanceCount: () => session === undefined ? link.instanceCount() : followers.count() + 1,
         reportedInstanceCount: () => session === undefined ? link.reportedInstanceCount() : followers.count() + 1,
         isLeading: () => session !== undefined,
+        planNow: () => session?.planNow(),
+        ownedKeyCount: isCounted => session?.ownedKeyCount(isCounted) ?? 0,
         identifier,
         delegates: () => delegates,
         contactAge: () =>
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -16,6 +16,7 @@
     eventLoopDelay: () => 0,
     averageSlowness: () => [["orders", 140]],
     traffic: () => [],
+    evacuationRemains: () => [{ failureDomain: "north-a", requests: 2, keys: 256 }],
 };
 
 /** Address of the server: no instance of another test uses it. */
