Metrics: a test of what is left in an evacuated failure domain

The metric was read only while it was 0. The test of the metrics server now names requests and keys that are left; it passes, as do the other tests of the server and of the site view.

--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -40,6 +40,10 @@
         await new Promise(resolve => socket.once("close", resolve));
         earl.expect(received.split("HTTP/1.1 200 OK").length - 1).toEqual(1);
         earl.expect(received.includes("mulberryseam_open_requests 0")).toEqual(true);
+        const remaining = (kind: string, value: number): string =>
+            `mulberryseam_evacuation_remaining{failureDomain="north-a",kind="${kind}"} ${value}`;
+        earl.expect(received.includes(remaining("requests", 2))).toEqual(true);
+        earl.expect(received.includes(remaining("keys", 256))).toEqual(true);
     });
 
     // Guards against metrics that are cut off and look complete, as when the instance is killed while it sends them.
