--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -15,6 +15,7 @@
     registryAge: () => 0,
     eventLoopDelay: () => 0,
     averageSlowness: () => [["orders", 140]],
+    tailFactors: () => [["orders", 7]],
     traffic: () => [],
     evacuationRemains: () => [{ failureDomain: "north-a", requests: 2, keys: 256 }],
 };
@@ -47,6 +48,7 @@
             `mulberryseam_evacuation_remaining{failureDomain="north-a",kind="${kind}"} ${value}`;
         earl.expect(received.includes(remaining("requests", 2))).toEqual(true);
         earl.expect(received.includes(remaining("keys", 256))).toEqual(true);
+        earl.expect(received.includes("mulberryseam_service_tail_factor{service=\"orders\"} 7")).toEqual(true);
     });
 
     // Guards against metrics that are cut off and look complete, as when the instance is killed while it sends them.
