Scheduling: learn the tail of a service also from responses that waited a little

Cause: the tail was learned only from responses without a wait. Near the capacity there are few, and the service counted as even.

Change: responses that waited for up to one service time count as well, without that wait.

--- a/packages/scheduling/src/upstreamHealth.ts
+++ b/packages/scheduling/src/upstreamHealth.ts
@@ -113,9 +113,18 @@
 const misdirectedThreshold = 3;
 /** Interval between probes of such an upstream, in milliseconds: about the time in which routing is updated. */
 const misdirectedProbeIntervalMilliseconds = 300;
+/**
+ * Longest wait of a response that shows something of the tail, in service times: the estimate of a longer wait is often wrong by as much as
+ * a request of the tail takes.
+ */
+const maxTailWaitServiceTimes = 1;
 /** Consecutive broken attempts after which an upstream is avoided. */
 const brokenThreshold = 2;
 
+/** Returns the wait of a request by the queues at its start and at its end, in service times. */
+const waitServiceTimes = (attempt: OutstandingAttempt, report: LoadReport): number =>
+    Math.max(0, report.waiting, attempt.queueLength + 1 - report.slots) / Math.max(1, report.slots);
+
 /**
  * Creates the health record of an upstream without any attempts.
  *
@@ -299,11 +308,14 @@
             lastResponseAt = now;
             avoidedUntil = -Infinity;
             if (signal === HealthSignal.answered) {
-                const hasWaited = report === undefined || report.waiting > 0 || attempt.queueLength >= report.slots;
-                if (!hasWaited && measurementCount >= minMeasurements && smoothedServiceMilliseconds !== undefined) {
-                    tail.record((now - attempt.startedAt) / smoothedServiceMilliseconds);
+                const wait = report === undefined ? Infinity : waitServiceTimes(attempt, report);
+                if (
+                    wait <= maxTailWaitServiceTimes && measurementCount >= minMeasurements
+                    && smoothedServiceMilliseconds !== undefined
+                ) {
+                    tail.record((now - attempt.startedAt) / smoothedServiceMilliseconds - wait);
                 }
-                recordServiceTime(withoutSlowness(attempt, report, now), report, hasWaited);
+                recordServiceTime(withoutSlowness(attempt, report, now), report, wait > 0);
             }
         },
         recordOverdue: now => recordAttempt(false, now),
