Relay: send an upstream that is silent when it is full no more requests than it holds

Cause: a full upstream of some services never responds. Instances knew what it serves in time, but not what it holds, and forgot a silent request although it may still run there. Change: queueCapacity learns the slots and the queue of a service's upstreams from silence, reports and refusals, and limits nothing before the first silence. The concurrency window adapts its share to the lower of both limits; selection and retries skip full upstreams. A silent request occupies its upstream until its deadline. Event upstream-silent, metrics mulberryseam_queue_capacity and mulberryseam_silent_attempts_total. The emulated upstreams get a queue, which the soak uses and checks.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -2,6 +2,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as executionQueue from "./executionQueue";
 import * as malformedAnswers from "./malformedAnswers";
 
 /** How an emulated upstream handles requests; it obeys lease commands in every mode but one. */
@@ -75,6 +76,10 @@
     onArrival?: (arrival: EmulatedArrival) => void;
     /** Headers of the responses in busy mode; by default the request was not executed, and may be repeated after 1 s. */
     busyHeaders?: http.OutgoingHttpHeaders;
+    /** Slots and queue; without it, every request is executed at once. */
+    queue?: executionQueue.EmulatedQueue;
+    /** Called when a request of a caller finds no room in the queue. */
+    onFull?: (arrival: EmulatedArrival) => void;
 }
 
 interface HeldRange {
@@ -119,6 +124,9 @@
     const random = options.random ?? foundation.createRandom(0);
     /** Requests of callers, by their responses. */
     const arrivals = new WeakMap<http.ServerResponse, EmulatedArrival>();
+    const queue = executionQueue.createExecutionQueue(options.queue);
+    /** Connections on which nothing is answered any more. */
+    const silencedSockets = new WeakSet<net.Socket>();
     let executionCount = 0;
     let mode: UpstreamModeValue = UpstreamMode.serving;
     const ownsKey = (key: number): boolean =>
@@ -159,7 +167,7 @@
         const answer = { status, headers: sentHeaders, text, earlierIdentifier, send };
         malformedAnswers.sendMalformedAnswer(socket, answer, random);
     };
-    const recordArrival = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+    const recordArrival = (request: http.IncomingMessage, response: http.ServerResponse): EmulatedArrival => {
         const arrival: EmulatedArrival = {
             upstream,
             requestIdentifier: String(request.headers["request-id"]),
@@ -171,6 +179,7 @@
         };
         arrivals.set(response, arrival);
         options.onArrival?.(arrival);
+        return arrival;
     };
     const sendEndlessly = (
         { socket }: http.IncomingMessage,
@@ -209,8 +218,11 @@
             const echoedIdentifier = request.headers["request-id"];
             const commonHeaders = {
                 ...(echoedIdentifier === undefined ? {} : { "request-id": echoedIdentifier }),
-                "server-load": "0,0,4",
+                "server-load": queue.load(),
             };
+            if (silencedSockets.has(request.socket)) {
+                return;
+            }
             const isLeaseCommand = request.url?.startsWith(leaseCommandPrefix) === true;
             const isMisdirected = targetInstance !== undefined && targetInstance !== identifier;
             if (isMisdirected || (isLeaseCommand && mode === UpstreamMode.misdirecting)) {
@@ -228,7 +240,7 @@
                 sendResponse(response, 200, { "duty-handover": `from ${identifier}` });
                 return;
             }
-            recordArrival(request, response);
+            const arrival = recordArrival(request, response);
             const signature = { "response-signature": `signed by ${identifier}` };
             if (mode === UpstreamMode.silent) {
                 return;
@@ -249,19 +261,26 @@
                 sendResponse(response, misdirectedStatus, { ...commonHeaders, "not-executed": "1" });
                 return;
             }
-            executionCount += 1;
+            if (queue.isFull()) {
+                silencedSockets.add(request.socket);
+                options.onFull?.(arrival);
+                return;
+            }
             const requestIdentifier = String(request.headers["request-id"]);
-            options.onExecution?.({
-                upstream,
-                requestIdentifier,
-                method: request.method ?? "",
-                key: key === undefined ? undefined : Number(key),
+            queue.add(finish => {
+                executionCount += 1;
+                options.onExecution?.({
+                    upstream,
+                    requestIdentifier,
+                    method: request.method ?? "",
+                    key: key === undefined ? undefined : Number(key),
+                });
+                setTimeout(() => {
+                    const signedHeaders = { ...commonHeaders, ...signature, "server-load": queue.load() };
+                    finish();
+                    sendResponse(response, 200, signedHeaders, `answer to ${requestIdentifier}`);
+                }, options.serviceTimeMilliseconds?.() ?? 0);
             });
-            const signedHeaders = { ...commonHeaders, ...signature };
-            setTimeout(
-                () => sendResponse(response, 200, signedHeaders, `answer to ${requestIdentifier}`),
-                options.serviceTimeMilliseconds?.() ?? 0,
-            );
         });
     });
     await foundation.listenOn(server, "127.0.0.1", 0);
--- a/packages/emulator/test/upstream.test.ts
+++ b/packages/emulator/test/upstream.test.ts
@@ -12,10 +12,14 @@
     send: (path: string, body?: string) => Promise<http.IncomingMessage>;
 }
 
-const withUpstream = async (use: (fixture: Fixture) => Promise<void>): Promise<void> => {
+const withUpstream = async (
+    use: (fixture: Fixture) => Promise<void>,
+    options: emulator.EmulatedUpstreamOptions = {},
+): Promise<void> => {
     const owner = foundation.createOwner();
     const arrivals: emulator.EmulatedArrival[] = [];
     const upstream = await emulator.startEmulatedUpstream("upstream-1", owner, {
+        ...options,
         onArrival: arrival => arrivals.push(arrival),
     });
     const send = (path: string, body?: string): Promise<http.IncomingMessage> =>
@@ -62,6 +66,32 @@
             earl.expect((await send("/orders/1")).statusCode).toEqual(200);
         }));
 
+    test.it("that is full never responds, nor to anything after it on the connection, and reports its load", async () => {
+        const fullIdentifiers: string[] = [];
+        await withUpstream(async ({ upstream, arrivals, send }) => {
+            const accepted = [send("/orders/1"), send("/orders/2")];
+            while (arrivals.length < 2) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            const socket = net.connect(upstream.port, "127.0.0.1");
+            let received = "";
+            socket.on("data", chunk => {
+                received += String(chunk);
+            });
+            socket.write("GET /orders/3 HTTP/1.1\r\nHost: a\r\nRequest-Id: full\r\n\r\n");
+            const [first, second] = await Promise.all(accepted);
+            earl.expect([first.headers["server-load"], second.headers["server-load"]]).toEqual(["1,1,1", "1,0,1"]);
+            socket.write("GET /orders/4 HTTP/1.1\r\nHost: a\r\nRequest-Id: next\r\n\r\n");
+            earl.expect((await send("/orders/5")).statusCode).toEqual(200);
+            socket.destroy();
+            earl.expect([received, fullIdentifiers, upstream.executionCount()]).toEqual(["", ["full"], 3]);
+        }, {
+            queue: { slots: 1, maxWaiting: 1 },
+            serviceTimeMilliseconds: () => 100,
+            onFull: ({ requestIdentifier }) => fullIdentifiers.push(requestIdentifier),
+        });
+    });
+
     test.it("that sends without end stops when the connection closes before the response is its turn", () =>
         withUpstream(async ({ upstream, arrivals }) => {
             const countTimers = (): number =>
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -198,6 +198,7 @@
             registryAge: view.registryAge,
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
+            capacities: pool.capacities,
         },
         log,
         failures,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -18,6 +18,8 @@
     eventLoopDelay: () => number;
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
+    /** What is known of how many requests the upstreams of each service hold. */
+    capacities: () => readonly relay.ServiceCapacity[];
 }
 
 /** Records requests in the metrics of an instance. */
@@ -127,6 +129,32 @@
             }
         },
     });
+    const queueCapacity: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_queue_capacity",
+        help: "Requests that an upstream of a service is known to hold, by service; absent before any evidence.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            queueCapacity.reset();
+            for (const { service, requests: held } of gauges.capacities()) {
+                if (held !== undefined) {
+                    queueCapacity.set({ service }, held);
+                }
+            }
+        },
+    });
+    const silentAttempts: promClient.Counter = new promClient.Counter({
+        name: "mulberryseam_silent_attempts_total",
+        help: "Attempts that upstreams have not responded to although a response was due, by service.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            silentAttempts.reset();
+            for (const { service, silentAttempts: count } of gauges.capacities()) {
+                silentAttempts.inc({ service }, count);
+            }
+        },
+    });
     const internalErrors: promClient.Counter = new promClient.Counter({
         name: "mulberryseam_internal_errors_total",
         help: "Exceptions that were contained, by the part of the instance.",
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -14,6 +14,7 @@
     registryAge: () => 0,
     eventLoopDelay: () => 0,
     traffic: () => [],
+    capacities: () => [{ service: "orders", requests: 30, silentAttempts: 2 }],
 };
 
 /** Address of the server: no instance of another test uses it. */
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -8,7 +8,7 @@
 import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
-import type * as requestState from "./requestState";
+import * as requestState from "./requestState";
 import type * as upstreamNotice from "./upstreamNotice";
 import * as upstreamPool from "./upstreamPool";
 
@@ -69,29 +69,64 @@
     const { timers, log, pool } = options;
     const silenceChecks = foundation.createSharedInterval(timers, silenceCheckMilliseconds);
 
+    /** Whether the response to a request was due already. */
+    const isOverdue = (
+        state: requestState.RequestState,
+        { health, upstream }: upstreamPool.PooledUpstream,
+        { latestStartAt }: scheduling.OutstandingAttempt,
+    ): boolean =>
+        timers.now() > scheduling.latestResponseAt({
+            latestStartAt,
+            serviceMilliseconds: health.serviceMilliseconds() ?? Infinity,
+            deviationMilliseconds: health.deviationMilliseconds() ?? 0,
+            attempt: state.attemptCount,
+            isRefusing: pool.isRefusing(upstream.service),
+        });
+
     /**
      * Aborts an attempt that its upstream has no room for, so that the request can be sent again. If it cannot, it is better waited for: the
      * upstream may be working on it.
      */
     const abortIfSilent = (
         state: requestState.RequestState,
-        { health, upstream }: upstreamPool.PooledUpstream,
+        target: upstreamPool.PooledUpstream,
         outstandingAttempt: scheduling.OutstandingAttempt,
         attempt: attemptResult.Attempt,
     ): foundation.Subscription =>
         silenceChecks.add(() => {
-            const expectedUntil = scheduling.latestResponseAt({
-                latestStartAt: outstandingAttempt.latestStartAt,
-                serviceMilliseconds: health.serviceMilliseconds() ?? Infinity,
-                deviationMilliseconds: health.deviationMilliseconds() ?? 0,
-                attempt: state.attemptCount,
-                isRefusing: pool.isRefusing(upstream.service),
-            });
-            if (timers.now() > expectedUntil && options.canSendAgain(state)) {
+            if (isOverdue(state, target, outstandingAttempt) && options.canSendAgain(state)) {
                 attempt.cancel(silenceReason);
             }
         });
 
+    /** Whether an attempt ended without a response that was due: it was aborted, or the time of its request is over. */
+    const wasSilent = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        outstandingAttempt: scheduling.OutstandingAttempt,
+        result: attemptResult.AttemptResult,
+    ): boolean =>
+        result.kind === "unknown"
+        && (result.reason === silenceReason
+            || (result.reason === requestState.FailureReason.timeout && isOverdue(state, target, outstandingAttempt)));
+
+    const recordSilence = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        queueLength: number,
+        sentDeadlineAt: number,
+    ): void => {
+        const isFull = pool.onSilence(target, queueLength, sentDeadlineAt);
+        log.write("upstream-silent", {
+            request: state.requestIdentifier,
+            upstream: target.upstream.identifier,
+            service: target.upstream.service,
+            queue: Math.round(queueLength),
+            isFull,
+            capacity: pool.capacityOf(target),
+        });
+    };
+
     const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -150,6 +185,15 @@
         if (signal === scheduling.HealthSignal.shed && (report?.waiting ?? 0) > 0) {
             pool.onRefusal(upstream.service);
         }
+        if (report !== undefined) {
+            const capacity = pool.queueCapacity(upstream.service);
+            if (pool.isRefusing(upstream.service) && signal === scheduling.HealthSignal.shed) {
+                capacity.onRefusal(report);
+            }
+            else {
+                capacity.onReport(report);
+            }
+        }
         if (report !== undefined) {
             window.onReport(report, limit, timers.now());
         }
@@ -173,6 +217,8 @@
         const { upstream, health } = target;
         const attemptOptions = toAttemptOptions(state, target, body);
         const now = timers.now();
+        const queueLength = health.queueLength(now);
+        const sentDeadlineAt = state.deadlineAt;
         const outstandingAttempt = health.recordStart(now);
         let result: attemptResult.AttemptResult | undefined;
         let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
@@ -199,6 +245,9 @@
         finally {
             health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
         }
+        if (wasSilent(state, target, outstandingAttempt, result)) {
+            recordSilence(state, target, queueLength, sentDeadlineAt);
+        }
         if (result.kind === "unknown") {
             state.mayHaveRun = true;
         }
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -112,17 +112,29 @@
         serviceMilliseconds: candidate.serviceMilliseconds,
     });
 
+    /** Returns how many requests of all instances an upstream serves in time, and holds. */
+    const queueLimitOf = (
+        target: upstreamPool.PooledUpstream,
+        input: scheduling.QueueLimitInput,
+    ): scheduling.QueueLimit =>
+        scheduling.limitToCapacity(scheduling.queueLimit(input), options.pool.capacityOf(target));
+
     /** Whether an upstream should get a request now. One that may have run is refused only if no response can come in time. */
     const isAccepted = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
         input: scheduling.QueueLimitInput,
     ): boolean => {
+        if (!options.pool.hasCapacity(target)) {
+            return false;
+        }
         if (state.mayHaveRun) {
             return input.expectedMilliseconds <= input.remainingMilliseconds;
         }
-        const limit = scheduling.queueLimit(input);
-        return target.window.hasRoom(target.health.outstandingCount(), limit, timers.now())
+        const limit = queueLimitOf(target, input);
+        const { health, window } = target;
+        const outstandingCount = health.outstandingCount() + health.occupyingCount(timers.now());
+        return window.hasRoom(outstandingCount, limit, timers.now())
             && scheduling.isAdmissible(input);
     };
 
@@ -147,7 +159,7 @@
         state: requestState.RequestState,
         { target, choice, holdOffMilliseconds }: Extract<selection.Selection, { kind: "heldOff"; }>,
     ): void => {
-        const limit = scheduling.queueLimit(toAdmissionInput(state, choice));
+        const limit = queueLimitOf(target, toAdmissionInput(state, choice));
         const retryMilliseconds = holdOffMilliseconds + target.window.bookRetry(limit, timers.now());
         responder.fail(state, requestState.FailureReason.heldOff, retryMilliseconds);
     };
@@ -174,7 +186,7 @@
             }
             const { target, choice } = selected;
             const input = toAdmissionInput(state, choice);
-            const limit = scheduling.queueLimit(input);
+            const limit = queueLimitOf(target, input);
             if (!isAccepted(state, target, input)) {
                 const retryMilliseconds = Math.max(
                     input.waitMilliseconds,
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -120,9 +120,12 @@
         const available = (untried.length > 0 ? untried : usable).filter(target =>
             !pool.isConnectionUnavailable(target)
         );
-        const candidates = available.map(target => pool.toCandidate(target, state.estimatedBytes));
+        // If none has capacity, one is chosen all the same: its queue says when the caller should retry.
+        const withCapacity = available.filter(pool.hasCapacity);
+        const considered = withCapacity.length > 0 ? withCapacity : available;
+        const candidates = considered.map(target => pool.toCandidate(target, state.estimatedBytes));
         const chosen = scheduling.chooseUpstream(candidates, random.fraction());
-        const target = available[candidates.findIndex(candidate => candidate === chosen?.candidate)];
+        const target = considered[candidates.findIndex(candidate => candidate === chosen?.candidate)];
         if (chosen === undefined || target === undefined) {
             const reason = usable.length === 0
                 ? requestState.FailureReason.noUpstream
--- a/packages/scheduling/src/concurrencyWindow.ts
+++ b/packages/scheduling/src/concurrencyWindow.ts
@@ -10,8 +10,25 @@
     /** Requests of all instances that may run or wait at the upstream. */
     requests: number;
     serviceMilliseconds: number;
+    /**
+     * Whether the upstream never responds to requests beyond its capacity, so that a share must not grow ahead of the reports; false by
+     * default.
+     */
+    isSilentWhenFull?: boolean;
 }
 
+/**
+ * Lowers a limit to the requests that an upstream holds.
+ *
+ * @param limit - what the upstream can serve in time
+ * @param capacity - the requests that it holds; undefined if that is not limited
+ * @returns the lower one of both
+ */
+export const limitToCapacity = (limit: QueueLimit, capacity: number | undefined): QueueLimit =>
+    capacity === undefined
+        ? limit
+        : { ...limit, requests: Math.min(limit.requests, capacity), isSilentWhenFull: true };
+
 /** Concurrency window of one instance at one upstream. */
 export interface ConcurrencyWindow {
     /** Whether the instance may send another request beside those that it has at the upstream. */
@@ -45,6 +62,8 @@
 const minReductionFactor = 0.5;
 /** Longest time for which retries are booked ahead, in service times: the load will be another one by then. */
 const maxBookedServiceTimes = 10;
+/** Age up to which a report of an upstream that is silent when it is full is recent, in service times: many instances get few each. */
+const maxReportServiceTimes = 60;
 /** Time in which a share without reports returns most of the way to the initial one, in service times. */
 const recoveryServiceTimes = 8;
 
@@ -61,12 +80,21 @@
     let lastSentAt = -Infinity;
     let lastReducedAt = -Infinity;
     let bookedUntil = -Infinity;
+    let lastReportAt = -Infinity;
 
-    const initialShare = (limit: QueueLimit): number =>
-        Math.min(1, Math.max(slots / limit.requests, initialShareFactor / Math.max(1, sharerCount())));
+    /** Whether shares follow the reports of an upstream that is silent when it is full. Without recent ones they would stay small. */
+    const isCautious = (limit: QueueLimit, now: number): boolean =>
+        limit.isSilentWhenFull === true && now - lastReportAt < limit.serviceMilliseconds * maxReportServiceTimes;
+    /** Returns the share that is taken without reports: enough for the slots or, if caution is needed, for one request. */
+    const initialShare = (limit: QueueLimit, now: number): number => {
+        const minShareOfSlots = slots / limit.requests;
+        const minShareOfOne = 1 / (slots + Math.max(0, limit.requests - slots) * minQueueRatio);
+        const lowest = isCautious(limit, now) ? minShareOfOne : minShareOfSlots;
+        return Math.min(1, Math.max(lowest, initialShareFactor / Math.max(1, sharerCount())));
+    };
     const currentShare = (limit: QueueLimit, now: number): number => {
-        const initial = initialShare(limit);
-        if (share === undefined || share >= initial) {
+        const initial = initialShare(limit, now);
+        if (share === undefined || (share >= initial && !isCautious(limit, now))) {
             return share ?? initial;
         }
         const weight = Math.exp((updatedAt - now) / (limit.serviceMilliseconds * recoveryServiceTimes));
@@ -102,13 +130,16 @@
         },
         onReport: (report, limit, now) => {
             const total = report.running + report.waiting;
+            lastReportAt = now;
             const previous = currentShare(limit, now);
             const maxTotal = requestLimit(limit, now);
             if (total > maxTotal) {
                 setShare(previous * Math.max(minReductionFactor, maxTotal / total), now);
             }
             else if (report.waiting === 0) {
-                setShare(previous + idleShareStep, now);
+                // Many instances may see an upstream idle at the same time.
+                const step = isCautious(limit, now) ? 1 / limit.requests : idleShareStep;
+                setShare(previous + step, now);
             }
             else if (total < maxTotal * roomRatio) {
                 setShare(previous + shareStep, now);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,10 +1,12 @@
 /** Decides which upstream gets a request, how many requests it may have, and which request goes first. */
 export { isAdmissible, queueLimit, retryAfterMilliseconds } from "./admission";
 export type { AdmissionInput, QueueLimitInput } from "./admission";
-export { createConcurrencyWindow } from "./concurrencyWindow";
+export { createConcurrencyWindow, limitToCapacity } from "./concurrencyWindow";
 export type { ConcurrencyWindow, QueueLimit } from "./concurrencyWindow";
 export { createHoldOffs } from "./holdOff";
 export type { HoldOffs } from "./holdOff";
+export { createQueueCapacity } from "./queueCapacity";
+export type { QueueCapacity, SilenceEvidence } from "./queueCapacity";
 export { latestResponseAt } from "./silence";
 export type { SilenceInput } from "./silence";
 export { chooseUpstream, estimateResponseTime, estimateWait } from "./upstreamCost";
--- a/packages/scheduling/src/upstreamHealth.ts
+++ b/packages/scheduling/src/upstreamHealth.ts
@@ -47,6 +47,14 @@
         now: number,
     ) => void;
     outstandingCount: () => number;
+    /**
+     * Counts a request that its upstream has not responded to as one that may still run there, although its connection is closed.
+     *
+     * @param until - the deadline that the request was sent with
+     */
+    occupyUntil: (until: number) => void;
+    /** Number of requests that {@link occupyUntil} counts. */
+    occupyingCount: (now: number) => number;
     /** Estimated requests at the upstream, including those of other instances according to its load reports. */
     queueLength: (now: number) => number;
     /** Time since the newest load report, in milliseconds; undefined before the first one. */
@@ -108,6 +116,8 @@
     typicalServiceMilliseconds: () => number | undefined = () => undefined,
 ): UpstreamHealth => {
     const outstanding = new Set<OutstandingAttempt>();
+    /** Deadlines of the requests without a response that may still run at the upstream. */
+    let occupyingUntil: number[] = [];
     let smoothedServiceMilliseconds: number | undefined;
     let measurementCount = 0;
     let smoothedDeviation: number | undefined;
@@ -130,9 +140,16 @@
         const weight = Math.exp(-(now - reportedAt) / averageTimeConstantMilliseconds);
         return averageOtherRequests * weight + otherRequests * (1 - weight);
     };
+    const occupyingCount = (now: number): number => {
+        if (occupyingUntil.some(until => until <= now)) {
+            occupyingUntil = occupyingUntil.filter(until => until > now);
+        }
+        return occupyingUntil.length;
+    };
     const applyReport = (report: LoadReport, now: number): void => {
         averageOtherRequests = reportedAt === -Infinity ? 0 : averageOf(now, otherInstancesRequests);
-        otherInstancesRequests = Math.max(0, report.running + report.waiting - outstanding.size - 1);
+        const ownRequests = outstanding.size + occupyingCount(now) + 1;
+        otherInstancesRequests = Math.max(0, report.running + report.waiting - ownRequests);
         reportedAt = now;
         const queueMilliseconds = report.waiting * (smoothedServiceMilliseconds ?? 0) / Math.max(1, report.slots);
         for (const attempt of outstanding) {
@@ -181,7 +198,7 @@
         );
         const weight = Math.exp(-(now - reportedAt) / decayMilliseconds);
         const average = averageOf(now, 0);
-        return outstanding.size + average + (otherInstancesRequests - average) * weight;
+        return outstanding.size + occupyingCount(now) + average + (otherInstancesRequests - average) * weight;
     };
     return {
         recordStart: now => {
@@ -224,6 +241,10 @@
             }
         },
         outstandingCount: () => outstanding.size,
+        occupyUntil: until => {
+            occupyingUntil.push(until);
+        },
+        occupyingCount,
         queueLength,
         reportAge: now => reportedAt === -Infinity ? undefined : now - reportedAt,
         serviceMilliseconds: () => smoothedServiceMilliseconds,
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -36,6 +36,8 @@
     executions: readonly ExecutionRecord[];
     /** Requests that reached upstreams without keys, in order. Keyed ones may have come through a second instance. */
     arrivals: readonly upstreamChecker.ArrivalRecord[];
+    /** Requests that found an upstream without room, in order. */
+    fullArrivals: readonly upstreamChecker.ArrivalRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: readonly string[];
     /** Descriptions of processes that ended although nothing had asked them to. */
@@ -186,5 +188,6 @@
     ...checkPlannedFaults(observations),
     ...upstreamChecker.checkLeavingUpstreams(observations),
     ...upstreamChecker.checkBusyUpstreams(observations),
+    ...upstreamChecker.checkFullUpstreams(observations),
     ...checkTiming(observations),
 ];
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -29,6 +29,8 @@
     executions: invariantChecker.ExecutionRecord[];
     /** Requests that reached upstreams without keys; completed when they are answered. */
     arrivals: emulator.EmulatedArrival[];
+    /** Requests that found an upstream without room. */
+    fullArrivals: emulator.EmulatedArrival[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
     /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
@@ -52,6 +54,7 @@
 const maxServiceTimeMilliseconds = 60;
 /** Number of upstreams of each service that only some versions of the document know. */
 const additionalUpstreams = 2;
+const upstreamQueue: emulator.EmulatedQueue = { slots: 4, maxWaiting: 16 };
 const busyHeaders = { "not-executed": "1", "retry-after": "2" };
 const documentsTopic = "keyed.op";
 const upstreamsTopic = "keyed.servers";
@@ -87,6 +90,8 @@
             onExecution,
             random: malformedRandom,
             busyHeaders,
+            queue: upstreamQueue,
+            onFull: arrival => site.fullArrivals.push(arrival),
             onArrival: arrival => documents.isKeyedService(service) || site.arrivals.push(arrival),
         });
         const link = await standins.createLinkStandIn({
@@ -111,7 +116,7 @@
                 service,
                 address: `127.0.0.1:${incarnation.link.port}`,
                 zone: "north-a",
-                slots: 4,
+                slots: upstreamQueue.slots,
                 state: leaving.isRegistered ? "draining" : "ready",
                 version: "v1",
                 warmupLeft: "0ms",
@@ -170,6 +175,7 @@
         upstreams: [],
         executions: [],
         arrivals: [],
+        fullArrivals: [],
         ownershipViolations: [],
         changeDocument: newShape => {
             version += 1;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -1,4 +1,5 @@
 /** Executes a soak run: starts a site and callers, injects the faults of a seed and checks the invariants. */
+import type * as emulator from "@mulberryseam/emulator";
 import * as foundation from "@mulberryseam/foundation";
 import * as http from "node:http";
 import * as callers from "./callers";
@@ -8,6 +9,7 @@
 import * as invariantChecker from "./invariantChecker";
 import * as sites from "./site";
 import * as unusualCallers from "./unusualCallers";
+import type * as upstreamChecker from "./upstreamChecker";
 
 /** Configures a soak run. */
 export interface SoakOptions {
@@ -94,6 +96,14 @@
     return affectsInstances ? names.map(instance => ({ instance, from, until })) : [];
 };
 
+const toArrivalRecord = (
+    { upstream, requestIdentifier: identifier, ...arrival }: emulator.EmulatedArrival,
+): upstreamChecker.ArrivalRecord => ({
+    ...arrival,
+    identifier,
+    upstream: `${upstream.identifier}@${upstream.startedAt}`,
+});
+
 const injectFaults = async (
     site: sites.Site,
     schedule: faults.Schedule,
@@ -152,11 +162,8 @@
     const violations = invariantChecker.checkInvariants({
         callers: records,
         executions: site.executions,
-        arrivals: site.arrivals.map(({ upstream, requestIdentifier: identifier, ...arrival }) => ({
-            ...arrival,
-            identifier,
-            upstream: `${upstream.identifier}@${upstream.startedAt}`,
-        })),
+        arrivals: site.arrivals.map(toArrivalRecord),
+        fullArrivals: site.fullArrivals.map(toArrivalRecord),
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         peakMemoryBytes: new Map(site.instances.map(({ name, peakMemoryBytes }) => [name, peakMemoryBytes()])),
--- a/packages/soak/src/upstreamChecker.ts
+++ b/packages/soak/src/upstreamChecker.ts
@@ -28,8 +28,18 @@
 /** Requests that may reach a busy upstream from one instance after that time. */
 const maxBusyArrivals = 2;
 
+/**
+ * Time that an instance needs to learn how many requests an upstream holds, in milliseconds: the first silences are only known at the
+ * deadlines of their requests.
+ */
+const learningMilliseconds = 10_000;
+/** Requests of one instance that may reach a full upstream after that time: the limit is raised from time to time. */
+const maxFullArrivals = 3;
+
 /** Groups the arrivals by instance and upstream. Requests that were not sent by a known instance are left out. */
-const groupArrivals = ({ arrivals, callers }: invariantChecker.Observations): AttributedArrival[][] => {
+const groupArrivals = (
+    { arrivals, callers }: Pick<invariantChecker.Observations, "arrivals" | "callers">,
+): AttributedArrival[][] => {
     const callersByIdentifier = new Map(callers.map(record => [record.identifier, record]));
     const groups = new Map<string, AttributedArrival[]>();
     for (const arrival of arrivals) {
@@ -82,3 +92,16 @@
         })
     );
 };
+
+/** Checks that an instance whose requests have found an upstream without room soon sends it no more than it holds. */
+export const checkFullUpstreams = (observations: invariantChecker.Observations): string[] =>
+    groupArrivals({ callers: observations.callers, arrivals: observations.fullArrivals }).flatMap(group => {
+        const [{ arrivedAt: firstAt, caller, upstream }] = group;
+        const late = group.filter(({ arrivedAt }) =>
+            arrivedAt > firstAt + learningMilliseconds
+            && !observations.wasRestarted(caller.instance, firstAt, arrivedAt)
+        );
+        return late.length <= maxFullArrivals
+            ? []
+            : [`${late.length} requests of ${caller.instance} reached ${upstream} long after it was first full`];
+    });
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -36,6 +36,7 @@
     callers: [createRecord()],
     executions: [createExecution()],
     arrivals: [],
+    fullArrivals: [],
     ownershipViolations: [],
     ownEnds: [],
     peakMemoryBytes: new Map(),
@@ -54,6 +55,22 @@
 test.describe("soak invariant checks", () => {
     test.it("report no violation if every guarantee is kept", () => earl.expect(countViolations({})).toEqual(0));
 
+    test.it("report an instance that goes on sending an upstream more than it holds", () => {
+        const createArrivals = (count: number, from: number): soak.ArrivalRecord[] =>
+            [...Array.from({ length: count }).keys()].map(index => ({
+                identifier: "a",
+                upstream: "orders-1@1",
+                arrivedAt: from + index,
+                answeredAt: undefined,
+                status: 0,
+                isLeaving: false,
+                retryAfterMilliseconds: 0,
+            }));
+        const first = createArrivals(20, 1000);
+        earl.expect(countViolations({ fullArrivals: [...first, ...createArrivals(3, 20_000)] })).toEqual(0);
+        earl.expect(countViolations({ fullArrivals: [...first, ...createArrivals(4, 20_000)] })).toEqual(1);
+    });
+
     test.it("report requests executed twice, never sent, or executed after a response that denies execution", () => {
         earl.expect(countViolations({ executions: [createExecution(), createExecution({ upstream: "orders-2" })] }))
             .toEqual(1);
