Relay, gateway: no part of an early response as the whole, and no status beyond 599

Cause: an upstream that answers an upload at once without a length, ends its side and only then resets the connection looked complete: at the end, the reset was visible to the writing side only, later. The client library of the gateway accepts status 600 to 999. Change: no end of a connection completes a response without a length while its request is still being sent. The gateway takes a status above 599 for a lost response. Held before: resets with the part, status 000, 0, 099 and the like in the relay, direct and delegated, and responses without a length in the gateway.

--- a/packages/foundation/src/httpConnections.ts
+++ b/packages/foundation/src/httpConnections.ts
@@ -52,14 +52,17 @@
 };
 
 /**
- * Destroys a response without a length if its connection does not end regularly, as {@link judgeEnd} says.
+ * Destroys a response without a length if its connection does not end regularly, as {@link judgeEnd} says. While the request is still being
+ * sent, no end is regular: the sender may have closed the connection with unread bytes, and the reset follows the end.
  *
  * @param response - a response whose end only the end of its connection marks, before the end
  * @param onEnd - called once with how the connection has ended
+ * @param isRequestSent - whether the whole request has been sent
  */
 export const requireRegularEnd = (
     response: http.IncomingMessage,
     onEnd: (end: ConnectionEnd) => void = () => undefined,
+    isRequestSent: () => boolean = () => true,
 ): void => {
     const { socket } = response;
     let isJudged = false;
@@ -71,7 +74,8 @@
     };
     // The parser, which listens for the same event, would complete the response.
     socket.prependOnceListener("end", () => {
-        const end = judgeEnd(socket);
+        const judged = judgeEnd(socket);
+        const end = { ...judged, isRegular: judged.isRegular && judged.isWritable !== undefined && isRequestSent() };
         if (!end.isRegular) {
             response.destroy(new Error("the connection was reset"));
         }
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -35,6 +35,9 @@
 
 const notSentErrorCodes = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT", "UND_ERR_CLOSED"];
 
+/** Largest status code that HTTP defines; `undici` also accepts those from 600 to 999. */
+const maxStatus = 599;
+
 /**
  * Whether a response declares a length or chunks. The end of any other cannot be told from a connection that breaks: `undici` takes also a
  * reset for the end.
@@ -81,6 +84,10 @@
                     body: request.body,
                     signal: request.signal,
                 });
+                if (response.statusCode > maxStatus) {
+                    response.body.on("error", () => undefined).destroy();
+                    return { result: traffic.AttemptResult.lost, response: undefined, reason: "malformed status" };
+                }
                 const refusal = response.headers[headers.HeaderName.notRun];
                 if (refusal !== undefined) {
                     await response.body.dump();
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -150,6 +150,7 @@
     response: http.IncomingMessage,
     guard: Guard,
     onCloseDelimitedEnd: AttemptOptions["onCloseDelimitedEnd"],
+    isRequestSent: () => boolean,
 ): { onStreamed: () => void; } => {
     let bodyBytes = 0;
     let isStreamed = false;
@@ -159,6 +160,7 @@
     foundation.requireRegularEnd(
         response,
         guard(end => onCloseDelimitedEnd({ ...end, status: response.statusCode ?? 0, bodyBytes, isStreamed })),
+        isRequestSent,
     );
     return {
         onStreamed: () => {
@@ -397,7 +399,12 @@
                 const report = applyHead(response, options, isNewConnection);
                 const isRequestUnfinished = !request.writableFinished;
                 const closeDelimitedEnd = isCloseDelimited(response, options.method)
-                    ? watchCloseDelimitedEnd(response, guard, options.onCloseDelimitedEnd)
+                    ? watchCloseDelimitedEnd(
+                        response,
+                        guard,
+                        options.onCloseDelimitedEnd,
+                        () => request.writableFinished,
+                    )
                     : undefined;
                 const isOnlyRequest = isNewConnection && !isRequestUnfinished;
                 const fault = abortReason ?? (belongsTo(response, options.requestIdentifier, isOnlyRequest)
