Relay: bound the bytes of requests that an instance has at one upstream

Cause: an upstream crashes when the requests that it holds exceed its memory. Nothing limited their bytes. Change: upstreamMemory takes an upstream to have memory for as many uploads of mean size (60 KB) as it holds requests, divided by the number of instances, and never refuses a request while the instance has no other large one there. Bodies of up to 8 KB are neither counted nor limited. A lost connection halves the bound for a time. Selection and retries skip upstreams without memory. Event upstream-memory, metric mulberryseam_outstanding_bytes. The decisions on room of the pool are in relay/src/upstreamRoom.ts.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -199,6 +199,7 @@
             eventLoopDelay: eventLoopDelay.milliseconds,
             traffic: traffic.totals,
             capacities: pool.capacities,
+            outstandingBytes: pool.outstandingBytes,
         },
         log,
         failures,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -20,6 +20,8 @@
     traffic: () => readonly foundation.TrafficTotal[];
     /** What is known of how many requests the upstreams of each service hold. */
     capacities: () => readonly relay.ServiceCapacity[];
+    /** Bytes of requests at the upstreams of each service. */
+    outstandingBytes: () => ReadonlyMap<string, number>;
 }
 
 /** Records requests in the metrics of an instance. */
@@ -155,6 +157,16 @@
             }
         },
     });
+    const outstandingBytes: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_outstanding_bytes",
+        help: "Bytes of requests above 8 KB at upstreams, by service.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            outstandingBytes.reset();
+            gauges.outstandingBytes().forEach((bytes, service) => outstandingBytes.set({ service }, bytes));
+        },
+    });
     const internalErrors: promClient.Counter = new promClient.Counter({
         name: "mulberryseam_internal_errors_total",
         help: "Exceptions that were contained, by the part of the instance.",
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -15,6 +15,7 @@
     eventLoopDelay: () => 0,
     traffic: () => [],
     capacities: () => [{ service: "orders", requests: 30, silentAttempts: 2 }],
+    outstandingBytes: () => new Map([["orders", 60_000]]),
 };
 
 /** Address of the server: no instance of another test uses it. */
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -36,6 +36,7 @@
     "upstream-draining",
     "upstream-held-off",
     "upstream-leaving",
+    "upstream-memory",
     "upstream-silent",
     "upstream-unreadable",
 ] as const;
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -127,6 +127,21 @@
         });
     };
 
+    /** Ends the count of a request's bytes. A lost connection may show that the upstream has crashed of them. */
+    const recordMemory = (
+        state: requestState.RequestState,
+        { upstream, memory }: upstreamPool.PooledUpstream,
+        result: attemptResult.AttemptResult | undefined,
+        signal: scheduling.HealthSignalValue,
+    ): void => {
+        const bytes = memory.outstandingBytes(timers.now());
+        const isLost = result?.kind === "unknown" && signal === scheduling.HealthSignal.broken;
+        if (isLost && memory.onBroken(timers.now())) {
+            log.write("upstream-memory", { upstream: upstream.identifier, service: upstream.service, bytes });
+        }
+        memory.onEnd(state.bodyBytes);
+    };
+
     const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -224,6 +239,7 @@
         let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
         try {
             target.window.onSent(now);
+            target.memory.onSent(state.bodyBytes);
             state.attemptCount += 1;
             state.triedUpstreams.add(upstream.identifier);
             state.notifiedBy = undefined;
@@ -244,8 +260,10 @@
         }
         finally {
             health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
+            recordMemory(state, target, result, signal);
         }
         if (wasSilent(state, target, outstandingAttempt, result)) {
+            target.memory.occupyUntil(state.bodyBytes, sentDeadlineAt);
             recordSilence(state, target, queueLength, sentDeadlineAt);
         }
         if (result.kind === "unknown") {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -27,4 +27,5 @@
 export { parseNotice } from "./upstreamNotice";
 export type { NoticeHandler, UpstreamNotice } from "./upstreamNotice";
 export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
-export type { PooledUpstream, ServiceCapacity, UpstreamPool, UpstreamPoolOptions } from "./upstreamPool";
+export type { PooledUpstream, UpstreamPool, UpstreamPoolOptions } from "./upstreamPool";
+export type { ServiceCapacity, UpstreamRoom } from "./upstreamRoom";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,6 +3,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import type * as http from "node:http";
 import * as arrival from "./arrival";
 import * as byteBudget from "./byteBudget";
@@ -205,6 +206,10 @@
         if (state.isFinished || request.socket.destroyed || request.socket.readableEnded) {
             return;
         }
+        const declaredBytes = request.headers["content-length"];
+        state.bodyBytes = body.kind === "whole"
+            ? body.bytes.length
+            : Number(declaredBytes ?? scheduling.largestUploadBytes);
         state.estimatedBytes += body.kind === "whole"
             ? body.bytes.length
             : Number(request.headers["content-length"] ?? 0);
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -125,7 +125,7 @@
         target: upstreamPool.PooledUpstream,
         input: scheduling.QueueLimitInput,
     ): boolean => {
-        if (!options.pool.hasCapacity(target)) {
+        if (!options.pool.hasCapacity(target) || !options.pool.hasMemory(target, state.bodyBytes)) {
             return false;
         }
         if (state.mayHaveRun) {
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -74,6 +74,8 @@
     reservation: byteBudget.ByteReservation;
     /** Estimated size of the request and its response, in bytes. */
     estimatedBytes: number;
+    /** Size of the request's body, in bytes; that of a large one if it is not known. */
+    bodyBytes: number;
     /** Estimates of the newest selection; undefined before the first one. */
     decision: Decision | undefined;
     /** Whether another instance delegated the request to this one. */
@@ -140,6 +142,7 @@
         isFinished: false,
         currentAttempt: undefined,
         estimatedBytes: typicalBytes,
+        bodyBytes: 0,
         decision: undefined,
         delegate: undefined,
     };
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -121,7 +121,9 @@
             !pool.isConnectionUnavailable(target)
         );
         // If none has capacity, one is chosen all the same: its queue says when the caller should retry.
-        const withCapacity = available.filter(pool.hasCapacity);
+        const withCapacity = available.filter(target =>
+            pool.hasCapacity(target) && pool.hasMemory(target, state.bodyBytes)
+        );
         const considered = withCapacity.length > 0 ? withCapacity : available;
         const candidates = considered.map(target => pool.toCandidate(target, state.estimatedBytes));
         const chosen = scheduling.chooseUpstream(candidates, random.fraction());
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -4,6 +4,7 @@
 import * as scheduling from "@mulberryseam/scheduling";
 import type * as attemptResult from "./attemptResult";
 import * as upstreamConnections from "./upstreamConnections";
+import * as upstreamRoom from "./upstreamRoom";
 
 /** An upstream with its health and connections. */
 export interface PooledUpstream {
@@ -11,6 +12,7 @@
     health: scheduling.UpstreamHealth;
     connections: upstreamConnections.UpstreamConnections;
     window: scheduling.ConcurrencyWindow;
+    memory: scheduling.UpstreamMemory;
     /** Attempts without a result. */
     openAttempts: Set<attemptResult.Attempt>;
     region: string;
@@ -32,16 +34,8 @@
     leavingGraceMilliseconds: () => number;
 }
 
-/** What an instance has learned of the upstreams of a service. */
-export interface ServiceCapacity {
-    service: string;
-    /** Requests that an upstream is known to hold; undefined before any evidence. */
-    requests: number | undefined;
-    silentAttempts: number;
-}
-
 /** Pool of the upstreams of an instance. */
-export interface UpstreamPool {
+export interface UpstreamPool extends upstreamRoom.UpstreamRoom {
     /** Current time of the pool's clock, in milliseconds. */
     now: () => number;
     /**
@@ -80,16 +74,6 @@
     prune: () => void;
     /** Records that an upstream of a service refused a request for which it had no room. */
     onRefusal: (service: string) => void;
-    /** What is known of how many requests the upstreams of a service hold. */
-    queueCapacity: (service: string) => scheduling.QueueCapacity;
-    /** Returns how many requests of all instances may be at an upstream; undefined if that is not limited. */
-    capacityOf: (pooled: PooledUpstream) => number | undefined;
-    /** Whether an upstream holds a further request, as far as this instance knows. */
-    hasCapacity: (pooled: PooledUpstream) => boolean;
-    /** Returns the known capacity of the upstreams of each service and the number of silent attempts. */
-    capacities: () => readonly ServiceCapacity[];
-    /** Records an attempt that its upstream has not responded to, and until when the request may still run there. */
-    onSilence: (pooled: PooledUpstream, queueLength: number, until: number) => boolean;
     /** Whether upstreams of a service are known to refuse such requests, and do not leave them without a response. */
     isRefusing: (service: string) => boolean;
     /** Returns the identifier and service time, in milliseconds, of the upstreams measured since the last call. */
@@ -140,15 +124,6 @@
     /** Service time of the measured upstreams of each service, for those that are not measured. */
     const typicalServiceTimes = new Map<string, number>();
     const refusingServices = new Set<string>();
-    const queueCapacities = new Map<string, scheduling.QueueCapacity>();
-    const silentAttempts = new Map<string, number>();
-    const queueCapacity = (service: string): scheduling.QueueCapacity => {
-        const capacity = queueCapacities.get(service) ?? scheduling.createQueueCapacity();
-        queueCapacities.set(service, capacity);
-        return capacity;
-    };
-    const capacityOf = ({ upstream }: PooledUpstream): number | undefined =>
-        queueCapacity(upstream.service).limit(upstream.slots, now());
     const holdOffs = scheduling.createHoldOffs();
     const ownRegion = regions[options.failureDomain];
     /** Returns this instance's portion of a ratio of the connections that one upstream of a service accepts. */
@@ -178,6 +153,7 @@
                 upstream.slots,
                 () => options.sharerCount(upstream.service),
             ),
+            memory: scheduling.createUpstreamMemory(() => options.sharerCount(upstream.service)),
             openAttempts: new Set<attemptResult.Attempt>(),
             region: regions[upstream.failureDomain] ?? "",
         };
@@ -301,30 +277,12 @@
                 }
             }
         },
-        queueCapacity,
-        capacityOf,
-        hasCapacity: target => {
-            const capacity = capacityOf(target);
-            return capacity === undefined || target.health.queueLength(now()) + 1 <= capacity;
-        },
-        capacities: () =>
-            [...queueCapacities].map(([service, capacity]) => ({
-                service,
-                requests: capacity.known(
-                    Math.max(0, ...directory.findByService(service).map(({ upstream }) => upstream.slots)),
-                    now(),
-                ),
-                silentAttempts: silentAttempts.get(service) ?? 0,
-            })),
-        onSilence: ({ upstream, health }, queueLength, until) => {
-            const { service, slots } = upstream;
-            silentAttempts.set(service, (silentAttempts.get(service) ?? 0) + 1);
-            if (refusingServices.has(service)) {
-                return false;
-            }
-            health.occupyUntil(until);
-            return queueCapacity(service).onSilence({ slots, queueLength }, now());
-        },
+        ...upstreamRoom.createUpstreamRoom({
+            now,
+            slots: service => Math.max(0, ...directory.findByService(service).map(({ upstream }) => upstream.slots)),
+            pooledUpstreams: () => pooledUpstreams.values(),
+            isRefusing: service => refusingServices.has(service),
+        }),
         onRefusal: service => refusingServices.add(service),
         isRefusing: service => refusingServices.has(service),
         collectServiceTimes: services => {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -13,3 +13,5 @@
 export type { Candidate, Choice } from "./upstreamCost";
 export { createUpstreamHealth, HealthSignal } from "./upstreamHealth";
 export type { HealthSignalValue, LoadReport, OutstandingAttempt, UpstreamHealth } from "./upstreamHealth";
+export { assumedCapacity, createUpstreamMemory, largestUploadBytes } from "./upstreamMemory";
+export type { UpstreamLoad, UpstreamMemory } from "./upstreamMemory";
