--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -268,6 +268,12 @@
             }
             const requestIdentifier = String(request.headers["request-id"]);
             queue.add(finish => {
+                // The key may have been released or granted to another upstream while the request waited.
+                if (key !== undefined && !ownsKey(Number(key))) {
+                    finish();
+                    sendResponse(response, misdirectedStatus, { ...commonHeaders, "not-executed": "1" });
+                    return;
+                }
                 executionCount += 1;
                 options.onExecution?.({
                     upstream,
