--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -326,6 +326,8 @@
             tailFactors: pool.observations.tailFactors,
             traffic: traffic.totals,
             evacuationRemains: () => places.listRemains({ ...pool, ...ownership }),
+            capacities: pool.capacities,
+            outstandingBytes: pool.outstandingBytes,
         },
         log,
         failures,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -27,6 +27,10 @@
     traffic: () => readonly foundation.TrafficTotal[];
     /** What is left in the failure domains that are evacuated. */
     evacuationRemains: () => readonly sitePlaces.EvacuationRemains[];
+    /** What is known of how many requests the upstreams of each service hold. */
+    capacities: () => readonly relay.ServiceCapacity[];
+    /** Bytes of requests at the upstreams of each service. */
+    outstandingBytes: () => ReadonlyMap<string, number>;
 }
 
 /** Records requests in the metrics of an instance. */
@@ -179,6 +183,42 @@
             }
         },
     });
+    const queueCapacity: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_queue_capacity",
+        help: "Requests that an upstream of a service is known to hold, by service; absent before any evidence.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            queueCapacity.reset();
+            for (const { service, requests: held } of gauges.capacities()) {
+                if (held !== undefined) {
+                    queueCapacity.set({ service }, held);
+                }
+            }
+        },
+    });
+    const silentAttempts: promClient.Counter = new promClient.Counter({
+        name: "mulberryseam_silent_attempts_total",
+        help: "Attempts that upstreams have not responded to although a response was due, by service.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            silentAttempts.reset();
+            for (const { service, silentAttempts: count } of gauges.capacities()) {
+                silentAttempts.inc({ service }, count);
+            }
+        },
+    });
+    const outstandingBytes: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_outstanding_bytes",
+        help: "Bytes of requests above 8 KB at upstreams, by service.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            outstandingBytes.reset();
+            gauges.outstandingBytes().forEach((bytes, service) => outstandingBytes.set({ service }, bytes));
+        },
+    });
     const internalErrors: promClient.Counter = new promClient.Counter({
         name: "mulberryseam_internal_errors_total",
         help: "Exceptions that were contained, by the part of the instance.",
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -18,6 +18,8 @@
     tailFactors: () => [["orders", 7]],
     traffic: () => [],
     evacuationRemains: () => [{ failureDomain: "north-a", requests: 2, keys: 256 }],
+    capacities: () => [{ service: "orders", requests: 30, silentAttempts: 2 }],
+    outstandingBytes: () => new Map([["orders", 60_000]]),
 };
 
 /** Address of the server: no instance of another test uses it. */
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -43,6 +43,8 @@
     "upstream-draining",
     "upstream-held-off",
     "upstream-leaving",
+    "upstream-memory",
+    "upstream-silent",
     "upstream-unreadable",
     "upstream-warm",
 ] as const;
--- a/packages/relay/src/attemptSender.ts
+++ b/packages/relay/src/attemptSender.ts
@@ -9,7 +9,7 @@
 import * as currentAttempt from "./currentAttempt";
 import * as delegatedRequest from "./delegatedRequest";
 import * as headers from "./headers";
-import type * as requestState from "./requestState";
+import * as requestState from "./requestState";
 import * as sendEligibility from "./sendEligibility";
 import type * as upstreamNotice from "./upstreamNotice";
 import * as upstreamPool from "./upstreamPool";
@@ -37,6 +37,15 @@
     body: attempts.AttemptOptions["body"],
 ) => Promise<attemptResult.AttemptResult>;
 
+/** An attempt and what was known when it was sent. */
+interface SentAttempt {
+    outstandingAttempt: scheduling.OutstandingAttempt;
+    /** Requests taken to be at the upstream. */
+    queueLength: number;
+    /** Deadline that the upstream was told. */
+    deadlineAt: number;
+}
+
 /** Interval at which requests without a response are checked, in milliseconds. */
 const silenceCheckMilliseconds = 50;
 const silenceReason = "the upstream is silent";
@@ -123,29 +132,39 @@
     const { timers, log, pool } = options;
     const silenceChecks = foundation.createSharedInterval(timers, silenceCheckMilliseconds);
 
+    /** Whether a response should have come by now, or by `latestAt` if that is earlier. */
+    const isResponseOverdue = (
+        state: requestState.RequestState,
+        { health, upstream }: upstreamPool.PooledUpstream,
+        { latestStartAt }: scheduling.OutstandingAttempt,
+        latestAt = Infinity,
+    ): boolean => {
+        const tail = pool.observations.tail(upstream.service);
+        return timers.now() > scheduling.latestResponseAt({
+            latestStartAt,
+            serviceMilliseconds: health.serviceMilliseconds() ?? Infinity,
+            deviationMilliseconds: health.deviationMilliseconds() ?? 0,
+            attempt: state.attemptCount,
+            isRefusing: pool.isRefusing(upstream.service),
+            tailFactor: tail.isSilenceLikely() ? undefined : tail.limitFactor(),
+            latestRetryAt: latestAt,
+        });
+    };
+
     /**
      * Calls back once an attempt has been silent for so long that its upstream probably has no room for it, and the request can be sent
      * again.
      */
     const watchForSilence = (
         state: requestState.RequestState,
-        { health, upstream }: upstreamPool.PooledUpstream,
+        target: upstreamPool.PooledUpstream,
         outstandingAttempt: scheduling.OutstandingAttempt,
         onSilent: () => void,
     ): foundation.Subscription =>
         silenceChecks.add(() => {
-            const serviceMilliseconds = health.serviceMilliseconds() ?? Infinity;
-            const tail = pool.observations.tail(upstream.service);
-            const expectedUntil = scheduling.latestResponseAt({
-                latestStartAt: outstandingAttempt.latestStartAt,
-                serviceMilliseconds,
-                deviationMilliseconds: health.deviationMilliseconds() ?? 0,
-                attempt: state.attemptCount,
-                isRefusing: pool.isRefusing(upstream.service),
-                tailFactor: tail.isSilenceLikely() ? undefined : tail.limitFactor(),
-                latestRetryAt: state.deadlineAt - serviceMilliseconds * retryServiceTimes,
-            });
-            if (timers.now() > expectedUntil && options.canSendAgain(state)) {
+            const serviceMilliseconds = target.health.serviceMilliseconds() ?? Infinity;
+            const latestRetryAt = state.deadlineAt - serviceMilliseconds * retryServiceTimes;
+            if (isResponseOverdue(state, target, outstandingAttempt, latestRetryAt) && options.canSendAgain(state)) {
                 onSilent();
             }
         });
@@ -154,7 +173,7 @@
     const keepOverdue = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
-        outstandingAttempt: scheduling.OutstandingAttempt,
+        { outstandingAttempt, queueLength, deadlineAt }: SentAttempt,
         attempt: attemptResult.Attempt,
     ): void => {
         target.health.recordOverdue(timers.now());
@@ -164,9 +183,14 @@
             recordIfOverdue(pool, target, outstandingAttempt, isAnswered);
             const signal = state.isFinished && !isAnswered ? scheduling.HealthSignal.none : healthSignalOf(result);
             target.health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
+            recordMemory(state, target, result, signal);
             if (isAnswered) {
                 options.onLateAnswer(state, result.response);
             }
+            else if (state.isFinished) {
+                // The request has ended before a response came.
+                recordSilence(state, target, queueLength, deadlineAt);
+            }
         }).catch(error => options.failures.report("attempt", error, { request: state.requestIdentifier }))
             .finally(() => state.overdueAttempts.delete(attempt));
         state.overdueAttempts.set(attempt, handled);
@@ -189,6 +213,51 @@
             }
         });
 
+    /** Whether an attempt ended without a response that was due: it was aborted, or the time of its request is over. */
+    const wasSilent = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        outstandingAttempt: scheduling.OutstandingAttempt,
+        result: attemptResult.AttemptResult,
+    ): boolean =>
+        result.kind === "unknown"
+        && (result.reason === silenceReason
+            || (result.reason === requestState.FailureReason.timeout
+                && isResponseOverdue(state, target, outstandingAttempt)));
+
+    const recordSilence = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        queueLength: number,
+        sentDeadlineAt: number,
+    ): void => {
+        target.memory.occupyUntil(state.bodyBytes, sentDeadlineAt);
+        const isFull = pool.onSilence(target, queueLength, sentDeadlineAt);
+        log.write("upstream-silent", {
+            request: state.requestIdentifier,
+            upstream: target.upstream.identifier,
+            service: target.upstream.service,
+            queue: Math.round(queueLength),
+            isFull,
+            capacity: pool.capacityOf(target),
+        });
+    };
+
+    /** Ends the count of a request's bytes. A lost connection may show that the upstream has crashed of them. */
+    const recordMemory = (
+        state: requestState.RequestState,
+        { upstream, memory }: upstreamPool.PooledUpstream,
+        result: attemptResult.AttemptResult | undefined,
+        signal: scheduling.HealthSignalValue,
+    ): void => {
+        const bytes = memory.outstandingBytes(timers.now());
+        const isLost = result?.kind === "unknown" && signal === scheduling.HealthSignal.broken;
+        if (isLost && memory.onBroken(timers.now())) {
+            log.write("upstream-memory", { upstream: upstream.identifier, service: upstream.service, bytes });
+        }
+        memory.onEnd(state.bodyBytes);
+    };
+
     const toAttemptOptions = (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -248,6 +317,15 @@
         if (signal === scheduling.HealthSignal.shed && (report?.waiting ?? 0) > 0) {
             pool.onRefusal(upstream.service);
         }
+        if (report !== undefined) {
+            const capacity = pool.queueCapacity(upstream.service);
+            if (pool.isRefusing(upstream.service) && signal === scheduling.HealthSignal.shed) {
+                capacity.onRefusal(report);
+            }
+            else {
+                capacity.onReport(report);
+            }
+        }
         if (report !== undefined) {
             window.onReport(report, limit, timers.now());
         }
@@ -280,12 +358,15 @@
         }
         options.eligibility.onSent(upstream, now);
         const attemptOptions = toAttemptOptions(state, target, body);
+        const queueLength = health.queueLength(now);
         const outstandingAttempt = health.recordStart(now);
         let result: attemptResult.AttemptResult | undefined;
         let signal: scheduling.HealthSignalValue = scheduling.HealthSignal.none;
-        let isOverdue = false;
+        const sent = { outstandingAttempt, queueLength, deadlineAt: state.deadlineAt };
+        let isSetAside = false;
         try {
             target.window.onSent(now);
+            target.memory.onSent(state.bodyBytes);
             state.attemptCount += 1;
             state.triedUpstreams.add(upstream.identifier);
             state.notifiedBy = undefined;
@@ -295,9 +376,9 @@
                         attempt.cancel(silenceReason);
                         return;
                     }
-                    if (!isOverdue) {
-                        isOverdue = true;
-                        keepOverdue(state, target, outstandingAttempt, attempt);
+                    if (!isSetAside) {
+                        isSetAside = true;
+                        keepOverdue(state, target, sent, attempt);
                         setAside(silenceReason);
                     }
                 };
@@ -311,7 +392,7 @@
                     cancel: () => {
                         eligibilityCheck.cancel();
                         silenceCheck?.cancel();
-                        if (!isOverdue) {
+                        if (!isSetAside) {
                             target.openAttempts.delete(attempt);
                         }
                     },
@@ -320,11 +401,15 @@
             signal = state.isFinished ? scheduling.HealthSignal.none : healthSignalOf(result);
         }
         finally {
-            if (!isOverdue) {
+            if (!isSetAside) {
                 recordIfOverdue(pool, target, outstandingAttempt, result?.kind === "answered");
                 health.recordResult(outstandingAttempt, signal, reportOf(result), timers.now());
+                recordMemory(state, target, result, signal);
             }
         }
+        if (!isSetAside && wasSilent(state, target, outstandingAttempt, result)) {
+            recordSilence(state, target, sent.queueLength, sent.deadlineAt);
+        }
         if (result.kind === "unknown") {
             state.mayHaveRun = true;
         }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -28,3 +28,4 @@
 export type { NoticeHandler, UpstreamNotice } from "./upstreamNotice";
 export { assumedServiceMilliseconds, createUpstreamPool } from "./upstreamPool";
 export type { PooledUpstream, UpstreamPool, UpstreamPoolOptions } from "./upstreamPool";
+export type { ServiceCapacity, UpstreamRoom } from "./upstreamRoom";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
+import * as scheduling from "@mulberryseam/scheduling";
 import type * as http from "node:http";
 import * as arrival from "./arrival";
 import * as byteBudget from "./byteBudget";
@@ -209,6 +210,10 @@
         if (state.isFinished || request.socket.destroyed || request.socket.readableEnded) {
             return;
         }
+        const declaredBytes = request.headers["content-length"];
+        state.bodyBytes = body.kind === "whole"
+            ? body.bytes.length
+            : Number(declaredBytes ?? scheduling.largestUploadBytes);
         state.estimatedBytes += body.kind === "whole"
             ? body.bytes.length
             : Number(request.headers["content-length"] ?? 0);
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -88,6 +88,8 @@
     reservation: byteBudget.ByteReservation;
     /** Estimated size of the request and its response, in bytes. */
     estimatedBytes: number;
+    /** Size of the request's body, in bytes; that of a large one if it is not known. */
+    bodyBytes: number;
     /** Estimates of the newest selection; undefined before the first one. */
     decision: Decision | undefined;
     /** Whether another instance delegated the request to this one. */
@@ -156,6 +158,7 @@
         currentAttempt: undefined,
         overdueAttempts: new Map(),
         estimatedBytes: typicalBytes,
+        bodyBytes: 0,
         decision: undefined,
         delegate: undefined,
     };
--- a/packages/relay/src/selection.ts
+++ b/packages/relay/src/selection.ts
@@ -194,13 +194,18 @@
         const available = (untried.length > 0 ? untried : usable).filter(target =>
             !pool.isConnectionUnavailable(target)
         );
-        const candidates = available.map(target => pool.toCandidate(target, state.estimatedBytes));
+        // If none has capacity, one is chosen all the same: its queue says when the caller should retry.
+        const withCapacity = available.filter(target =>
+            pool.hasCapacity(target) && pool.hasMemory(target, state.bodyBytes)
+        );
+        const considered = withCapacity.length > 0 ? withCapacity : available;
+        const candidates = considered.map(target => pool.toCandidate(target, state.estimatedBytes));
         const chosen = scheduling.chooseUpstream(
-            preferCold(state, available, candidates),
+            preferCold(state, considered, candidates),
             random.fraction(),
             pool.observations.isUneven(state.service),
         );
-        const target = available[candidates.findIndex(candidate => candidate === chosen?.candidate)];
+        const target = considered[candidates.findIndex(candidate => candidate === chosen?.candidate)];
         if (chosen === undefined || target === undefined) {
             const reason = usable.length === 0
                 ? requestState.FailureReason.noUpstream
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -5,6 +5,7 @@
 import * as scheduling from "@mulberryseam/scheduling";
 import type * as attemptResult from "./attemptResult";
 import * as upstreamConnections from "./upstreamConnections";
+import * as upstreamRoom from "./upstreamRoom";
 
 /** An upstream with its health and connections. */
 export interface PooledUpstream {
@@ -12,6 +13,7 @@
     health: scheduling.UpstreamHealth;
     connections: upstreamConnections.UpstreamConnections;
     window: scheduling.ConcurrencyWindow;
+    memory: scheduling.UpstreamMemory;
     /** Attempts without a result. */
     openAttempts: Set<attemptResult.Attempt>;
     region: string;
@@ -40,7 +42,7 @@
 }
 
 /** Pool of the upstreams of an instance. */
-export interface UpstreamPool {
+export interface UpstreamPool extends upstreamRoom.UpstreamRoom {
     /** Current time of the pool's clock, in milliseconds. */
     now: () => number;
     /** Returns the upstreams of a service that are not leaving. */
@@ -171,6 +173,7 @@
                 upstream.slots,
                 () => options.sharerCount(upstream.service),
             ),
+            memory: scheduling.createUpstreamMemory(() => options.sharerCount(upstream.service)),
             openAttempts: new Set<attemptResult.Attempt>(),
             region: regions[upstream.failureDomain] ?? "",
             malformedLoadLoggedAt: -Infinity,
@@ -316,6 +319,12 @@
                 }
             }
         },
+        ...upstreamRoom.createUpstreamRoom({
+            now,
+            slots: service => Math.max(0, ...directory.findByService(service).map(({ upstream }) => upstream.slots)),
+            pooledUpstreams: () => pooledUpstreams.values(),
+            isRefusing: service => refusingServices.has(service),
+        }),
         onRefusal: service => refusingServices.add(service),
         isRefusing: service => refusingServices.has(service),
         observations,
--- a/packages/scheduling/src/upstreamHealth.ts
+++ b/packages/scheduling/src/upstreamHealth.ts
@@ -60,6 +60,14 @@
      */
     recordOverdue: (now: number) => void;
     outstandingCount: () => number;
+    /**
+     * Counts a request that its upstream has not responded to as one that may still run there, although its connection is closed.
+     *
+     * @param until - the deadline that the request was sent with
+     */
+    occupyUntil: (until: number) => void;
+    /** Number of requests that {@link occupyUntil} counts. */
+    occupyingCount: (now: number) => number;
     /** Estimated requests at the upstream, including those of other instances according to its load reports. */
     queueLength: (now: number) => number;
     /** Time since the newest load report, in milliseconds; undefined before the first one. */
@@ -139,6 +147,8 @@
     tail: serviceTime.ServiceTail = serviceTime.createServiceTail(),
 ): UpstreamHealth => {
     const outstanding = new Set<OutstandingAttempt>();
+    /** Deadlines of the requests without a response that may still run at the upstream. */
+    let occupyingUntil: number[] = [];
     let smoothedServiceMilliseconds: number | undefined;
     let measurementCount = 0;
     /** Service times of the tail in a row: two of them show that the upstream itself has become slow. */
@@ -173,13 +183,20 @@
             ? undefined
             : machineSlowness.expectedSlowness(report, averagePercent, at);
     };
+    const occupyingCount = (now: number): number => {
+        if (occupyingUntil.some(until => until <= now)) {
+            occupyingUntil = occupyingUntil.filter(until => until > now);
+        }
+        return occupyingUntil.length;
+    };
     const applyReport = (report: LoadReport, now: number): void => {
         if (report.slowness !== undefined) {
             slownessAverage.record(report.slowness);
             slownessReport = { percent: report.slowness, reportedAt: now };
         }
         averageOtherRequests = reportedAt === -Infinity ? 0 : averageOf(now, otherInstancesRequests);
-        otherInstancesRequests = Math.max(0, report.running + report.waiting - outstanding.size - 1);
+        const ownRequests = outstanding.size + occupyingCount(now) + 1;
+        otherInstancesRequests = Math.max(0, report.running + report.waiting - ownRequests);
         reportedAt = now;
         const queueMilliseconds = report.waiting * (smoothedServiceMilliseconds ?? 0) / Math.max(1, report.slots);
         for (const attempt of outstanding) {
@@ -267,7 +284,7 @@
         );
         const weight = Math.exp(-(now - reportedAt) / decayMilliseconds);
         const average = averageOf(now, 0);
-        return outstanding.size + average + (otherInstancesRequests - average) * weight;
+        return outstanding.size + occupyingCount(now) + average + (otherInstancesRequests - average) * weight;
     };
     return {
         recordStart: now => {
@@ -320,6 +337,10 @@
         },
         recordOverdue: now => recordAttempt(false, now),
         outstandingCount: () => outstanding.size,
+        occupyUntil: until => {
+            occupyingUntil.push(until);
+        },
+        occupyingCount,
         queueLength,
         reportAge: now => reportedAt === -Infinity ? undefined : now - reportedAt,
         slowness: at => expectedSlowness(slownessReport, at),
--- a/packages/soak/src/invariantChecker.ts
+++ b/packages/soak/src/invariantChecker.ts
@@ -41,6 +41,8 @@
     /** Requests that reached any upstream. */
     allArrivals: readonly upstreamChecker.ArrivalRecord[];
     evacuations: readonly upstreamChecker.EvacuationSpan[];
+    /** Requests that found an upstream without room, in order. */
+    fullArrivals: readonly upstreamChecker.ArrivalRecord[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: readonly string[];
     /** Descriptions of processes that ended although nothing had asked them to. */
@@ -207,5 +209,6 @@
     ...upstreamChecker.checkBusyUpstreams(observations),
     ...upstreamChecker.checkColdUpstreams(observations),
     ...upstreamChecker.checkEvacuations(observations),
+    ...upstreamChecker.checkFullUpstreams(observations),
     ...checkTiming(observations),
 ];
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -36,6 +36,8 @@
     /** Requests that reached any upstream; completed when they are answered. */
     allArrivals: emulator.EmulatedArrival[];
     evacuations: upstreamChecker.EvacuationSpan[];
+    /** Requests that found an upstream without room. */
+    fullArrivals: emulator.EmulatedArrival[];
     /** Descriptions of keys that two upstreams held when one of them started to execute a request. */
     ownershipViolations: string[];
     /** Publishes a new version of the document; without a shape, it differs from the one before slightly in its timeouts. */
@@ -71,6 +73,7 @@
 const machineRedrawMilliseconds = 400;
 /** Number of upstreams of each service that only some versions of the document know. */
 const additionalUpstreams = 2;
+const upstreamQueue: emulator.EmulatedQueue = { slots: 4, maxWaiting: 16 };
 const busyHeaders = { "not-executed": "1", "retry-after": "2" };
 const documentsTopic = "keyed.op";
 const upstreamsTopic = "keyed.servers";
@@ -120,6 +123,8 @@
             onExecution,
             random: malformedRandom,
             busyHeaders,
+            queue: upstreamQueue,
+            onFull: arrival => site.fullArrivals.push(arrival),
             onArrival: arrival => {
                 site.allArrivals.push(arrival);
                 if (!documents.isKeyedService(service)) {
@@ -159,7 +164,7 @@
                 service,
                 address: `127.0.0.1:${incarnation.link.port}`,
                 zone: places.failureDomainOf(name),
-                slots: 4,
+                slots: upstreamQueue.slots,
                 state: leaving.isRegistered ? "draining" : "ready",
                 version: "v1",
                 warmupLeft: `${Math.max(0, Math.round(coldUntil - performance.now()))}ms`,
@@ -222,6 +227,7 @@
         coldPeriods: [],
         allArrivals: [],
         evacuations: [],
+        fullArrivals: [],
         ownershipViolations: [],
         changeDocument: newShape => {
             version += 1;
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -96,6 +96,14 @@
     return affectsInstances ? names.map(instance => ({ instance, from, until })) : [];
 };
 
+const toArrivalRecord = (
+    { upstream, requestIdentifier: identifier, ...arrival }: emulator.EmulatedArrival,
+): upstreamChecker.ArrivalRecord => ({
+    ...arrival,
+    identifier,
+    upstream: `${upstream.identifier}@${upstream.startedAt}`,
+});
+
 const injectFaults = async (
     site: sites.Site,
     schedule: faults.Schedule,
@@ -111,14 +119,6 @@
     await Promise.all(reverts);
 };
 
-const toArrivalRecord = (
-    { upstream, requestIdentifier: identifier, ...arrival }: emulator.EmulatedArrival,
-): upstreamChecker.ArrivalRecord => ({
-    ...arrival,
-    identifier,
-    upstream: `${upstream.identifier}@${upstream.startedAt}`,
-});
-
 const runOnSite = async (options: SoakOptions, site: sites.Site): Promise<SoakResult> => {
     const wholeSchedule = faults.createSchedule(options.seed, options.faultPeriodMilliseconds);
     const schedule = {
@@ -166,6 +166,7 @@
         allArrivals: site.allArrivals.map(toArrivalRecord),
         coldPeriods: site.coldPeriods,
         evacuations: site.evacuations,
+        fullArrivals: site.fullArrivals.map(toArrivalRecord),
         ownershipViolations: site.ownershipViolations,
         ownEnds: site.instances.flatMap(instance => instance.ownEnds()),
         peakMemoryBytes: new Map(site.instances.map(({ name, peakMemoryBytes }) => [name, peakMemoryBytes()])),
