Relay, entry: requests wait in the instance for room at their upstreams

With pressure, the request that came first was sent, whatever its rank, deadline or work, and every other one was refused. Adds log fields, the event capacity-insufficient and metrics.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -191,6 +191,7 @@
         settings.host,
         {
             openRequests: requestRelay.openRequestCount,
+            waitingRequests: requestRelay.waitingCounts,
             callerConnections: () => callerServer.connectionCount(),
             documentVersion: () => view.documentInForce()?.document.version ?? 0,
             isLeading: ownership.isLeading,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -7,6 +7,8 @@
 /** Values that are read each time the metrics are collected. */
 export interface MetricsGauges {
     openRequests: () => number;
+    /** Requests of each service that wait for room at its upstreams. */
+    waitingRequests: () => ReadonlyMap<string, number>;
     /** Open connections of callers. */
     callerConnections: () => number;
     documentVersion: () => number;
@@ -32,6 +34,8 @@
 const maxReaders = 16;
 /** Time without traffic after which a connection is closed, in milliseconds. */
 const readerTimeoutMilliseconds = 5000;
+/** Bucket bounds of the wait histogram, in seconds: most waits are shorter than the work of a request. */
+const waitBuckets = [0.005, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 /** Bucket bounds of the request duration histogram, in seconds, chosen around the target latencies of the routes. */
 const durationBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 3, 6];
 
@@ -73,6 +77,31 @@
         labelNames: ["route"],
         registers,
     });
+    const waits = new promClient.Histogram({
+        name: "mulberryseam_wait_seconds",
+        help: "Time that requests waited in the instance for room, by service and whether they were refused then.",
+        labelNames: ["service", "refused"],
+        buckets: waitBuckets,
+        registers,
+    });
+    const refusals = new promClient.Counter({
+        name: "mulberryseam_refusals_total",
+        help: "Requests refused for a lack of room, by route and whether the caller had come back after a refusal.",
+        labelNames: ["route", "returned"],
+        registers,
+    });
+    const waitingRequests: promClient.Gauge = new promClient.Gauge({
+        name: "mulberryseam_waiting_requests",
+        help: "Requests that wait in the instance for room, by service.",
+        labelNames: ["service"],
+        registers,
+        collect: () => {
+            waitingRequests.reset();
+            for (const [service, count] of gauges.waitingRequests()) {
+                waitingRequests.set({ service }, count);
+            }
+        },
+    });
     const addGauge = (name: string, help: string, read: () => number): void => {
         const gauge: promClient.Gauge = new promClient.Gauge({
             name,
@@ -175,10 +204,21 @@
         log.write("metrics-unavailable", { port: metricsPort, reason: (error as Error).message });
     }
     return {
-        onRequestFinished: ({ route, status, reason, durationMilliseconds: milliseconds, attempts: count }) => {
+        onRequestFinished: (
+            { route, status, reason, durationMilliseconds: milliseconds, attempts: count, waiting },
+        ) => {
             requests.inc({ route, status: String(status), reason });
             durations.observe({ route }, milliseconds / 1000);
             attempts.inc({ route }, count);
+            if (waiting !== undefined) {
+                waits.observe(
+                    { service: waiting.service, refused: String(waiting.isRefused) },
+                    waiting.milliseconds / 1000,
+                );
+            }
+            if (waiting?.isRefused === true) {
+                refusals.inc({ route, returned: String(waiting.hasReturned) });
+            }
         },
     };
 };
--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -7,6 +7,7 @@
 
 const gauges: metrics.MetricsGauges = {
     openRequests: () => 0,
+    waitingRequests: () => new Map([["orders", 3]]),
     callerConnections: () => 0,
     documentVersion: () => 0,
     isLeading: () => false,
@@ -57,4 +58,28 @@
         const [head, body] = received.split("\r\n\r\n");
         earl.expect(/^content-length: (\d+)$/im.exec(head)?.[1]).toEqual(String(Buffer.byteLength(body)));
     });
+
+    test.it("counts waits, and refusals by whether the caller had come back", async context => {
+        const owner = foundation.createOwner();
+        context.after(owner.dispose);
+        const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
+        const failures = foundation.createTransparentFailureBoundary();
+        const entryMetrics = await metrics.startMetrics(host, gauges, log, failures, owner);
+        const finished = { route: "bulk", status: 503, reason: "r", durationMilliseconds: 60, attempts: 0 };
+        const waiting = { service: "orders", milliseconds: 60, hasReturned: true, isRefused: true };
+        entryMetrics.onRequestFinished({ ...finished, waiting });
+        entryMetrics.onRequestFinished({ ...finished, status: 200, waiting: { ...waiting, isRefused: false } });
+        entryMetrics.onRequestFinished(finished);
+        const response = await fetch(`http://${host}:${metrics.metricsPort}/metrics`, {
+            headers: { connection: "close" },
+        });
+        const lines = (await response.text()).split("\n");
+        const expected = [
+            "mulberryseam_waiting_requests{service=\"orders\"} 3",
+            "mulberryseam_refusals_total{route=\"bulk\",returned=\"true\"} 1",
+            "mulberryseam_wait_seconds_count{service=\"orders\",refused=\"true\"} 1",
+            "mulberryseam_wait_seconds_count{service=\"orders\",refused=\"false\"} 1",
+        ];
+        earl.expect(expected.filter(line => !lines.includes(line))).toEqual([]);
+    });
 });
--- a/packages/foundation/src/eventNames.ts
+++ b/packages/foundation/src/eventNames.ts
@@ -7,6 +7,7 @@
     "attempt-failed",
     "caller-malformed",
     "campaign-failed",
+    "capacity-insufficient",
     "delegation-failed",
     "document-in-force",
     "document-read-failed",
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -22,6 +22,7 @@
 import * as splitCost from "./splitCost";
 import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
+import * as waitingSwitch from "./waitingSwitch";
 
 /** The document in force for new requests, with its route table. */
 export interface DocumentInForce {
@@ -64,6 +65,8 @@
     handleDelegated: (request: http.IncomingMessage, response: http.ServerResponse) => void;
     /** Returns the number of requests without a complete response. */
     openRequestCount: () => number;
+    /** Number of requests of each service that wait for room at its upstreams. */
+    waitingCounts: () => ReadonlyMap<string, number>;
     /**
      * Prepares a stop at a time of the relay's clock: later deadlines of open requests are moved forward to it, and new requests with a later
      * deadline are refused, as the stop could cut them while an upstream works on them.
@@ -92,7 +95,7 @@
     const budget = byteBudget.createByteBudget(options.maxBufferedBytes);
     const signsOfLife = foundation.createSharedInterval(timers, delegateHealth.signOfLifeMilliseconds);
     const exceptions = requestExceptions.createRequestExceptions({ failures, responder });
-    const serve = requestServing.createRequestServing({ ...options, responder });
+    const serving = requestServing.createRequestServing({ ...options, responder });
     const splitCostOf = splitCost.createSplitCostEstimator(options);
     const openRequests = openRequestSet.createOpenRequests({
         timers,
@@ -154,6 +157,7 @@
             arrivedAt: timers.now(),
             reservation: budget.createReservation(),
             isDelegated: false,
+            mayWait: waitingSwitch.mayWait(document, service),
         });
         if (state.isKeyed && state.key !== undefined) {
             options.onKeyRequested(service, state.key);
@@ -208,7 +212,7 @@
         state.estimatedBytes += body.kind === "whole"
             ? body.bytes.length
             : Number(request.headers["content-length"] ?? 0);
-        await serve(state, body);
+        await serving.serve(state, body);
     };
 
     /** Tells the delegating instance at intervals that a request is still being served. */
@@ -242,6 +246,7 @@
             arrivedAt: timers.now(),
             reservation: budget.createReservation(),
             isDelegated: true,
+            mayWait: waitingSwitch.mayWait(options.documentInForce()?.document, parsed.val.service),
         });
         sendSignsOfLife(response);
         runRequest(state, Infinity);
@@ -292,6 +297,7 @@
         handleDelegated: guardArrival(acceptDelegated, true),
         handle: guardArrival(accept, false),
         openRequestCount: openRequests.count,
+        waitingCounts: serving.waitingCounts,
         stopAt: openRequests.limitDeadlines,
     };
 };
--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -16,6 +16,7 @@
 import * as selection from "./selection";
 import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
+import * as waitingServing from "./waitingServing";
 
 /** Configures how requests are served. */
 export interface RequestServingOptions {
@@ -34,11 +35,13 @@
     responder: responders.Responder;
 }
 
-/** Serves a request: resolves once it has ended. */
-export type RequestServing = (
-    state: requestState.RequestState,
-    body: attempts.AttemptOptions["body"],
-) => Promise<void>;
+/** Serves requests. */
+export interface RequestServing {
+    /** Serves a request: resolves once it has ended. */
+    serve: (state: requestState.RequestState, body: attempts.AttemptOptions["body"]) => Promise<void>;
+    /** Number of requests of each service that wait for room at its upstreams. */
+    waitingCounts: () => ReadonlyMap<string, number>;
+}
 
 /** Interval between lookups of a key's owner, in milliseconds. */
 const ownerPollMilliseconds = 25;
@@ -154,6 +157,27 @@
 
     const sendAttempt = attemptSender.createAttemptSender({ ...options, canSendAgain });
 
+    const waiting = waitingServing.createWaitingServing({ ...options, select, toInput: toAdmissionInput, sendAttempt });
+
+    /** Sends a request at once, or refuses it, and then returns undefined. */
+    const sendAtOnce = async (
+        state: requestState.RequestState,
+        { target, choice }: Extract<selection.Selection, { kind: "chosen"; }>,
+        body: attempts.AttemptOptions["body"],
+    ): Promise<waitingServing.SentAttempt | undefined> => {
+        const input = toAdmissionInput(state, choice);
+        const limit = scheduling.queueLimit(input);
+        if (!isAccepted(state, target, input)) {
+            const retryMilliseconds = Math.max(
+                input.waitMilliseconds,
+                target.window.bookRetry(limit, timers.now()),
+            );
+            responder.fail(state, requestState.FailureReason.deadlineUnreachable, retryMilliseconds);
+            return undefined;
+        }
+        return { result: await sendAttempt(state, target, limit, body), waitMilliseconds: input.waitMilliseconds };
+    };
+
     const serveByAttempts = async (
         state: requestState.RequestState,
         body: attempts.AttemptOptions["body"],
@@ -164,7 +188,8 @@
             if (state.isFinished) {
                 return;
             }
-            if (selected.kind === "none") {
+            const set = waiting.findSet(state, selected);
+            if (selected.kind === "none" && set === undefined) {
                 responder.fail(state, selected.reason, selected.waitMilliseconds);
                 return;
             }
@@ -172,21 +197,13 @@
                 refuseHeldOff(state, selected);
                 return;
             }
-            const { target, choice } = selected;
-            const input = toAdmissionInput(state, choice);
-            const limit = scheduling.queueLimit(input);
-            if (!isAccepted(state, target, input)) {
-                const retryMilliseconds = Math.max(
-                    input.waitMilliseconds,
-                    target.window.bookRetry(limit, timers.now()),
-                );
-                responder.fail(state, requestState.FailureReason.deadlineUnreachable, retryMilliseconds);
-                return;
-            }
-            const result = await sendAttempt(state, target, limit, body);
-            if (state.isFinished) {
-                return;
+            const sent = set === undefined && selected.kind === "chosen"
+                ? await sendAtOnce(state, selected, body)
+                : await waiting.send(state, set as string, body);
+            if (sent === undefined || state.isFinished) {
+                continue;
             }
+            const { result } = sent;
             if (result.kind === "answered") {
                 responder.forward(state, result.response);
                 return;
@@ -200,7 +217,7 @@
                 responder.fail(
                     state,
                     result.kind === "notRun" ? requestState.FailureReason.refused : requestState.FailureReason.lost,
-                    input.waitMilliseconds,
+                    sent.waitMilliseconds,
                 );
                 return;
             }
@@ -256,11 +273,15 @@
         }
     };
 
-    return async (state, body) => {
-        if (await serveByDelegate(state, body)) {
-            return;
-        }
-        retryBudgetOf(state.service).onRequest(timers.now());
-        await serveByAttempts(state, body);
+    return {
+        waitingCounts: waiting.counts,
+        serve: async (state, body) => {
+            waiting.onRequest(state);
+            if (await serveByDelegate(state, body)) {
+                return;
+            }
+            retryBudgetOf(state.service).onRequest(timers.now());
+            await serveByAttempts(state, body);
+        },
     };
 };
--- a/packages/relay/src/requestState.ts
+++ b/packages/relay/src/requestState.ts
@@ -80,6 +80,16 @@
     isDelegated: boolean;
     /** Identifier of the instance that the request was delegated to, if any. */
     delegate: string | undefined;
+    /** Whether the request may wait in the instance for room at its upstreams. */
+    mayWait: boolean;
+    /** Time for which the caller has been under way with earlier attempts, as far as it is known, in milliseconds. */
+    underWayMilliseconds: number;
+    /** Time for which the request has waited for room, without the wait in progress, in milliseconds. */
+    waitedMilliseconds: number;
+    /** Start of the wait in progress. */
+    waitingSince: number | undefined;
+    /** Why the request was refused instead of waiting. */
+    refusalCause: string | undefined;
 }
 
 /** What is known of a request when it arrives. */
@@ -95,6 +105,7 @@
     | "arrivedAt"
     | "reservation"
     | "isDelegated"
+    | "mayWait"
 >;
 
 /** Typical size of a response with its headers, in bytes. */
@@ -142,5 +153,9 @@
         estimatedBytes: typicalBytes,
         decision: undefined,
         delegate: undefined,
+        underWayMilliseconds: 0,
+        waitedMilliseconds: 0,
+        waitingSince: undefined,
+        refusalCause: undefined,
     };
 };
--- a/packages/relay/src/responder.ts
+++ b/packages/relay/src/responder.ts
@@ -19,6 +19,18 @@
     reason: string;
     durationMilliseconds: number;
     attempts: number;
+    /** Only of requests that may wait for room in the instance. */
+    waiting?: WaitOutcome;
+}
+
+/** How a request waited for room. */
+export interface WaitOutcome {
+    service: string;
+    milliseconds: number;
+    /** Whether the caller had come back after a refusal, as far as it is known. */
+    hasReturned: boolean;
+    /** Whether it was refused for a lack of room. */
+    isRefused: boolean;
 }
 
 /** Configures a responder. */
@@ -67,11 +79,22 @@
     const responseHeaders = ({ req: request }: http.ServerResponse, extraHeaders: string[]): string[] =>
         options.shouldCloseConnections() && request.complete ? [...extraHeaders, "Connection", "close"] : extraHeaders;
 
+    const waitOutcomeOf = (state: requestState.RequestState): WaitOutcome | undefined =>
+        state.mayWait
+            ? {
+                service: state.service,
+                milliseconds: state.waitedMilliseconds + timers.now() - (state.waitingSince ?? timers.now()),
+                hasReturned: state.underWayMilliseconds > 0,
+                isRefused: state.refusalCause !== undefined,
+            }
+            : undefined;
+
     const writeOutcome = (state: requestState.RequestState, status: number, reason: string): void => {
         const durationMilliseconds = timers.now() - state.arrivedAt;
         const { decision } = state;
         const rounded = (value: number | undefined): number | undefined =>
             value === undefined ? undefined : Math.round(value);
+        const waiting = waitOutcomeOf(state);
         const fields = {
             request: state.requestIdentifier,
             route: state.route.name,
@@ -94,6 +117,9 @@
             behind: rounded(options.eventLoopDelay.milliseconds()),
             delegate: state.delegate,
             isDelegated: state.isDelegated || undefined,
+            waited: rounded(waiting?.milliseconds),
+            refusal: state.refusalCause,
+            underWay: state.underWayMilliseconds > 0 ? Math.round(state.underWayMilliseconds) : undefined,
         };
         if (reason === "") {
             log.sample("request-answered", fields);
@@ -111,6 +137,7 @@
             reason,
             durationMilliseconds,
             attempts: state.attemptCount,
+            ...(waiting === undefined ? {} : { waiting }),
         });
     };
 
@@ -162,7 +189,7 @@
             waitMilliseconds,
             remaining,
             random.fraction(),
-            reason === requestState.FailureReason.heldOff,
+            reason === requestState.FailureReason.heldOff || state.refusalCause !== undefined,
         );
         const extraHeaders = [
             ...(status === 503 ? retryAfterHeader(retryAfter) : []),
--- /dev/null
+++ b/packages/relay/src/waitingSwitch.ts
@@ -0,0 +1,31 @@
+/** Whether the requests of a service wait in the instance for room at its upstreams, as the operators' document decides. */
+import type * as routing from "@mulberryseam/routing";
+
+const decided = new WeakMap<routing.RoutingDocument, Map<string, boolean>>();
+
+/** Whether the routes to a service differ in what a refusal or a delay costs their callers. */
+const hasDifferentKinds = ({ routes }: routing.RoutingDocument, service: string): boolean => {
+    const [first, ...others] = routes.filter(route =>
+        route.destinations.some(destination => destination.service === service)
+    );
+    return others.some(route => route.rank !== first.rank || route.targetMilliseconds !== first.targetMilliseconds);
+};
+
+/**
+ * Whether the requests for a service may wait in the instance and be reordered. With routes of one priority and one target there is
+ * nothing to reorder, and requests are sent or refused at once.
+ *
+ * @param document - the document in force; without one, nothing waits
+ * @param service - name of the service
+ * @returns whether requests may wait
+ */
+export const mayWait = (document: routing.RoutingDocument | undefined, service: string): boolean => {
+    if (document === undefined) {
+        return false;
+    }
+    const services = decided.get(document) ?? new Map<string, boolean>();
+    decided.set(document, services);
+    const known = services.get(service) ?? hasDifferentKinds(document, service);
+    services.set(service, known);
+    return known;
+};
