Entry: the test of the wait metrics uses an address of its own

It compared the metrics of another run of the same test on the machine when both were started at once: 4 of 4 lines missing in one of six runs.

--- a/packages/entry/test/metricsServer.test.ts
+++ b/packages/entry/test/metricsServer.test.ts
@@ -19,6 +19,8 @@
 
 /** Address of the server: no instance of another test uses it. */
 const host = "127.77.0.9";
+/** Address that no other run of this test on the machine uses, as the values of the metrics are compared. */
+const ownHost = `127.78.${process.pid >> 8 & 255}.${(process.pid & 255) || 1}`;
 const maxTestMilliseconds = 60_000;
 
 test.describe("the metrics server", () => {
@@ -64,13 +66,13 @@
         context.after(owner.dispose);
         const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
         const failures = foundation.createTransparentFailureBoundary();
-        const entryMetrics = await metrics.startMetrics(host, gauges, log, failures, owner);
+        const entryMetrics = await metrics.startMetrics(ownHost, gauges, log, failures, owner);
         const finished = { route: "bulk", status: 503, reason: "r", durationMilliseconds: 60, attempts: 0 };
         const waiting = { service: "orders", milliseconds: 60, hasReturned: true, isRefused: true };
         entryMetrics.onRequestFinished({ ...finished, waiting });
         entryMetrics.onRequestFinished({ ...finished, status: 200, waiting: { ...waiting, isRefused: false } });
         entryMetrics.onRequestFinished(finished);
-        const response = await fetch(`http://${host}:${metrics.metricsPort}/metrics`, {
+        const response = await fetch(`http://${ownHost}:${metrics.metricsPort}/metrics`, {
             headers: { connection: "close" },
         });
         const lines = (await response.text()).split("\n");
