--- a/packages/scheduling/src/waitingOrder.ts
+++ b/packages/scheduling/src/waitingOrder.ts
@@ -115,14 +115,19 @@
 const maxLateWaitWorks = 2;
 /** Return times that are booked ahead of the newest one at most. */
 const maxBookings = 64;
+/** Rank from which requests are valued alike, but still ordered by their ranks where these are compared. */
+const maxRank = 15;
 /** Kinds of requests that are counted; names come from the document, so there are few. */
 const maxKinds = 256;
 
+/** Returns a rank with which values and gaps can be computed; documents may contain any integer. */
+const boundRank = (rank: number): number => Math.min(maxRank, Math.max(0, rank));
+
 const canBeInTime = (request: QueuedRequest, now: number): boolean =>
     now + request.workMilliseconds <= Math.min(request.targetAt, request.deadlineAt);
 
 const valueOf = (request: QueuedRequest, now: number): number =>
-    rankFactor ** -request.rank * (canBeInTime(request, now) ? 1 : lateValueRatio)
+    rankFactor ** -boundRank(request.rank) * (canBeInTime(request, now) ? 1 : lateValueRatio)
     * (request.hasReturned ? returnedFactor : 1);
 
 /** The policies that were compared; `floorWithShares` is the one in use. */
@@ -225,7 +230,7 @@
             }
         }
         // Less urgent callers leave gaps for more urgent ones, which may be refused after them.
-        const step = interval * (rank + 1);
+        const step = interval * (boundRank(rank) + 1);
         for (let index = 1; index <= maxBookings; index += 1) {
             const time = from + index * step;
             const isFree = [...booked].every(other => Math.abs(other - time) >= interval * 0.5);
--- a/packages/scheduling/test/waitingOrder.test.ts
+++ b/packages/scheduling/test/waitingOrder.test.ts
@@ -200,4 +200,19 @@
             true,
         );
     });
+
+    // Guards against values and return times that are no numbers, as a document may contain any integer as a priority.
+    test.it("orders requests with any rank and target", () => {
+        const order = scheduling.createWaitingOrder();
+        const ranks = [-1_000_000, -1, 0, 40, 1_000_000];
+        const arriving = ranks.flatMap(rank =>
+            [Infinity, now + 210, -Infinity].map(targetAt => createRequest({ kind: `kind ${rank}`, rank, targetAt }))
+        );
+        const { next, refused } = order.decide({ waiting: [], arriving, room: oneFree, now });
+        earl.expect(next?.rank).toEqual(-1_000_000);
+        earl.expect(refused.length > 0).toEqual(true);
+        earl.expect(
+            refused.filter(({ returnMilliseconds }) => !Number.isFinite(returnMilliseconds) || returnMilliseconds <= 0),
+        ).toEqual([]);
+    });
 });
