--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -18,6 +18,7 @@
 import * as selection from "./selection";
 import type * as upstreamNotice from "./upstreamNotice";
 import type * as upstreamPool from "./upstreamPool";
+import * as waitingServing from "./waitingServing";
 
 /** Configures how requests are served. */
 export interface RequestServingOptions {
@@ -39,11 +40,13 @@
     exceptions: requestExceptions.RequestExceptions;
 }
 
-/** Serves a request: resolves once it has ended. */
-export type RequestServing = (
-    state: requestState.RequestState,
-    body: attempts.AttemptOptions["body"],
-) => Promise<void>;
+/** Serves requests. */
+export interface RequestServing {
+    /** Serves a request: resolves once it has ended. */
+    serve: (state: requestState.RequestState, body: attempts.AttemptOptions["body"]) => Promise<void>;
+    /** Number of requests of each service that wait for room at its upstreams. */
+    waitingCounts: () => ReadonlyMap<string, number>;
+}
 
 /** Interval between lookups of a key's owner, in milliseconds. */
 const ownerPollMilliseconds = 25;
@@ -191,6 +194,25 @@
     };
 
     const sendAttempt = attemptSender.createAttemptSender({ ...options, canSendAgain, onLateAnswer });
+    const waiting = waitingServing.createWaitingServing({ ...options, select, toInput: toAdmissionInput, sendAttempt });
+
+    /** Sends a request at once, or returns the function that refuses it. */
+    const sendAtOnce = async (
+        state: requestState.RequestState,
+        { target, choice }: Extract<selection.Selection, { kind: "chosen"; }>,
+        body: attempts.AttemptOptions["body"],
+    ): Promise<waitingServing.SentAttempt | (() => void)> => {
+        const input = toAdmissionInput(state, choice);
+        const limit = queueLimitOf(target, input);
+        if (!isAccepted(state, target, input)) {
+            const retryMilliseconds = Math.max(
+                input.waitMilliseconds,
+                target.window.bookRetry(limit, timers.now()),
+            );
+            return () => responder.fail(state, requestState.FailureReason.deadlineUnreachable, retryMilliseconds);
+        }
+        return { result: await sendAttempt(state, target, limit, body), waitMilliseconds: input.waitMilliseconds };
+    };
 
     /** Serves a request by attempts. Without a response, returns the function that ends the request. */
     const tryAttempts = async (
@@ -203,26 +225,23 @@
             if (state.isFinished) {
                 return undefined;
             }
-            if (selected.kind === "none") {
+            const set = waiting.findSet(state, selected);
+            if (selected.kind === "none" && set === undefined) {
                 return () => responder.fail(state, selected.reason, selected.waitMilliseconds);
             }
             if (selected.kind === "heldOff") {
                 return () => refuseHeldOff(state, selected);
             }
-            const { target, choice } = selected;
-            const input = toAdmissionInput(state, choice);
-            const limit = queueLimitOf(target, input);
-            if (!isAccepted(state, target, input)) {
-                const retryMilliseconds = Math.max(
-                    input.waitMilliseconds,
-                    target.window.bookRetry(limit, timers.now()),
-                );
-                return () => responder.fail(state, requestState.FailureReason.deadlineUnreachable, retryMilliseconds);
+            const sent = set === undefined && selected.kind === "chosen"
+                ? await sendAtOnce(state, selected, body)
+                : await waiting.send(state, set as string, body);
+            if (typeof sent === "function") {
+                return sent;
             }
-            const result = await sendAttempt(state, target, limit, body);
-            if (state.isFinished) {
-                return undefined;
+            if (sent === undefined || state.isFinished) {
+                continue;
             }
+            const { result } = sent;
             if (result.kind === "answered") {
                 responder.forward(state, result.response);
                 return undefined;
@@ -236,7 +255,7 @@
                     responder.fail(
                         state,
                         result.kind === "notRun" ? requestState.FailureReason.refused : requestState.FailureReason.lost,
-                        input.waitMilliseconds,
+                        sent.waitMilliseconds,
                     );
             }
             if (state.isKeyed) {
@@ -304,11 +323,15 @@
         }
     };
 
-    return async (state, body) => {
-        if (await serveByDelegate(state, body)) {
-            return;
-        }
-        retryBudgetOf(state.service).onRequest(timers.now());
-        await serveByAttempts(state, body);
+    return {
+        waitingCounts: waiting.counts,
+        serve: async (state, body) => {
+            waiting.onRequest(state);
+            if (await serveByDelegate(state, body)) {
+                return;
+            }
+            retryBudgetOf(state.service).onRequest(timers.now());
+            await serveByAttempts(state, body);
+        },
     };
 };
--- a/packages/relay/test/allowedRegions.test.ts
+++ b/packages/relay/test/allowedRegions.test.ts
@@ -161,7 +161,7 @@
                 ...delegatedRequest.toRoute({ ...delegation, targetMilliseconds: 400 }),
                 ...(allowedRegions === undefined ? {} : { allowedRegions }),
             };
-            const state = { service: "orders", route, arrivedAt: 0, documentVersion: 7 };
+            const state = { service: "orders", route, arrivedAt: 0, underWayMilliseconds: 0, documentVersion: 7 };
             return delegatedRequest.encodeDelegation(state as requestState.RequestState, 100);
         };
         earl.expect(encode()).toEqual("orders,a%2Cb,once,1,2,300,7");
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,6 +9,8 @@
 export type { ExpectedSlowness, SlownessAverage, SlownessReport } from "./machineSlowness";
 export { createQueueCapacity } from "./queueCapacity";
 export type { QueueCapacity, SilenceEvidence } from "./queueCapacity";
+export { createReturningCallers } from "./returningCallers";
+export type { ReturningCallers } from "./returningCallers";
 export { createServiceObservations } from "./serviceObservations";
 export type { ServiceObservations } from "./serviceObservations";
 export { createServiceTail, tailStartFactor } from "./serviceTime";
@@ -21,3 +23,13 @@
 export type { HealthSignalValue, LoadReport, OutstandingAttempt, UpstreamHealth } from "./upstreamHealth";
 export { assumedCapacity, createUpstreamMemory, largestUploadBytes } from "./upstreamMemory";
 export type { UpstreamLoad, UpstreamMemory } from "./upstreamMemory";
+export { createWaitingOrder, OrderPolicies } from "./waitingOrder";
+export type {
+    OrderDecision,
+    OrderInput,
+    OrderPolicy,
+    QueuedRequest,
+    RefusedRequest,
+    Room,
+    WaitingOrder,
+} from "./waitingOrder";
