--- a/packages/relay/src/requestServing.ts
+++ b/packages/relay/src/requestServing.ts
@@ -6,11 +6,13 @@
 import type * as eligibilities from "@mulberryseam/eligibility";
 import * as foundation from "@mulberryseam/foundation";
 import * as routing from "@mulberryseam/routing";
-import * as scheduling from "@mulberryseam/scheduling";
+import * as admissions from "./admission";
 import type * as attempts from "./attempt";
 import type * as attemptResult from "./attemptResult";
 import * as attemptSender from "./attemptSender";
+import * as delegateServing from "./delegateServing";
 import type * as delegator from "./delegator";
+import * as ownerWait from "./ownerWait";
 import type * as requestExceptions from "./requestExceptions";
 import * as requestState from "./requestState";
 import type * as responders from "./responder";
@@ -48,21 +50,10 @@
     waitingCounts: () => ReadonlyMap<string, number>;
 }
 
-/** Interval between lookups of a key's owner, in milliseconds. */
-const ownerPollMilliseconds = 25;
 /** Delay before a request is retried at the owner of its key, in milliseconds. */
 const sameOwnerRetryMilliseconds = 30;
 /** Attempts of one request, including those without a connection: enough to get past a failed failure domain. */
 const maxAttempts = 5;
-/** Longest wait for a key to get an owner, as a ratio of the route's target. */
-const maxOwnerWaitRatio = 0.6;
-
-/** Returns until when a request waits for its key to get an owner. */
-const ownerWaitUntil = (state: requestState.RequestState): number =>
-    Math.min(
-        state.deadlineAt,
-        state.arrivedAt + state.route.targetMilliseconds * maxOwnerWaitRatio + ownerPollMilliseconds,
-    );
 
 /** Waits until a request has ended, or no overdue attempt is left that may still be answered. */
 const waitForOverdueAttempts = async (state: requestState.RequestState): Promise<void> => {
@@ -80,6 +71,7 @@
 export const createRequestServing = (options: RequestServingOptions): RequestServing => {
     const { timers, responder } = options;
     const select = selection.createSelector(options);
+    const admission = admissions.createAdmission(options);
     const retryBudgets = new Map<string, retryBudget.RetryBudget>();
 
     const retryBudgetOf = (service: string): retryBudget.RetryBudget => {
@@ -88,15 +80,17 @@
         return budget;
     };
 
+    const serveByDelegate = delegateServing.createDelegateServing({ ...options, retryBudgetOf });
+
     /** Selects an upstream; while there is none for a transient reason, polls up to the maximum wait. */
     const waitForSelection = async (state: requestState.RequestState): Promise<selection.Selection> => {
-        const waitUntil = ownerWaitUntil(state);
+        const waitUntil = ownerWait.ownerWaitUntil(state);
         for (;;) {
             const selected = select(state);
             if (selected.kind !== "none" || !selected.isTransient || state.isFinished || timers.now() >= waitUntil) {
                 return selected;
             }
-            await foundation.pause(timers, ownerPollMilliseconds);
+            await foundation.pause(timers, ownerWait.ownerPollMilliseconds);
         }
     };
 
@@ -114,45 +108,6 @@
             && !state.isFinished && (!hasReachedUpstream || retryBudgetOf(state.service).tryAcquire(timers.now()));
     };
 
-    const toAdmissionInput = (
-        state: requestState.RequestState,
-        { candidate, expectedMilliseconds, waitMilliseconds }: scheduling.Choice,
-    ): scheduling.QueueLimitInput => ({
-        isMeasured: candidate.isMeasured,
-        expectedMilliseconds,
-        waitMilliseconds,
-        remainingMilliseconds: state.deadlineAt - timers.now(),
-        targetMilliseconds: state.arrivedAt + state.route.targetMilliseconds - timers.now(),
-        slots: candidate.slots,
-        serviceMilliseconds: candidate.serviceMilliseconds,
-    });
-
-    /** Returns how many requests of all instances an upstream serves in time, and holds. */
-    const queueLimitOf = (
-        target: upstreamPool.PooledUpstream,
-        input: scheduling.QueueLimitInput,
-    ): scheduling.QueueLimit =>
-        scheduling.limitToCapacity(scheduling.queueLimit(input), options.pool.capacityOf(target));
-
-    /** Whether an upstream should get a request now. One that may have run is refused only if no response can come in time. */
-    const isAccepted = (
-        state: requestState.RequestState,
-        target: upstreamPool.PooledUpstream,
-        input: scheduling.QueueLimitInput,
-    ): boolean => {
-        if (!options.pool.hasCapacity(target) || !options.pool.hasMemory(target, state.bodyBytes)) {
-            return false;
-        }
-        if (state.mayHaveRun) {
-            return input.expectedMilliseconds <= input.remainingMilliseconds;
-        }
-        const limit = queueLimitOf(target, input);
-        const { health, window } = target;
-        const outstandingCount = health.outstandingCount() + health.occupyingCount(timers.now());
-        return window.hasRoom(outstandingCount, limit, timers.now())
-            && scheduling.isAdmissible(input);
-    };
-
     /** Returns what would be selected now, without recording it. */
     const preselect = (state: requestState.RequestState): selection.Selection => {
         const { decision } = state;
@@ -166,7 +121,7 @@
         return selected.kind === "chosen" && state.attemptCount < maxAttempts
             && state.triedUpstreams.size < state.route.maxAttempts
             && retryBudgetOf(state.service).canAcquire(timers.now())
-            && isAccepted(state, selected.target, toAdmissionInput(state, selected.choice));
+            && admission.isAccepted(state, selected.target, admission.toInput(state, selected.choice));
     };
 
     /** Refuses a request until its upstream takes requests again; callers return one after another. */
@@ -174,7 +129,7 @@
         state: requestState.RequestState,
         { target, choice, holdOffMilliseconds }: Extract<selection.Selection, { kind: "heldOff"; }>,
     ): void => {
-        const limit = queueLimitOf(target, toAdmissionInput(state, choice));
+        const limit = admission.limitOf(target, admission.toInput(state, choice));
         const retryMilliseconds = holdOffMilliseconds + target.window.bookRetry(limit, timers.now());
         responder.fail(state, requestState.FailureReason.heldOff, retryMilliseconds);
     };
@@ -194,7 +149,12 @@
     };
 
     const sendAttempt = attemptSender.createAttemptSender({ ...options, canSendAgain, onLateAnswer });
-    const waiting = waitingServing.createWaitingServing({ ...options, select, toInput: toAdmissionInput, sendAttempt });
+    const waiting = waitingServing.createWaitingServing({
+        ...options,
+        select,
+        toInput: admission.toInput,
+        sendAttempt,
+    });
 
     /** Sends a request at once, or returns the function that refuses it. */
     const sendAtOnce = async (
@@ -202,9 +162,9 @@
         { target, choice }: Extract<selection.Selection, { kind: "chosen"; }>,
         body: attempts.AttemptOptions["body"],
     ): Promise<waitingServing.SentAttempt | (() => void)> => {
-        const input = toAdmissionInput(state, choice);
-        const limit = queueLimitOf(target, input);
-        if (!isAccepted(state, target, input)) {
+        const input = admission.toInput(state, choice);
+        const limit = admission.limitOf(target, input);
+        if (!admission.isAccepted(state, target, input)) {
             const retryMilliseconds = Math.max(
                 input.waitMilliseconds,
                 target.window.bookRetry(limit, timers.now()),
@@ -277,52 +237,6 @@
         }
     };
 
-    /**
-     * Waits until the owner of a delegated request's key is known. Otherwise the requests that wait for a hot key would reach its new
-     * owner at once, from every instance.
-     */
-    const waitForOwner = async (state: requestState.RequestState): Promise<void> => {
-        const waitUntil = ownerWaitUntil(state);
-        const hasOwner = (): boolean =>
-            state.key === undefined || options.findOwner(state.service, state.key) !== undefined;
-        while (!state.isFinished && !hasOwner() && timers.now() < waitUntil) {
-            await foundation.pause(timers, ownerPollMilliseconds);
-        }
-    };
-
-    /** Delegates a request if that is worthwhile; returns false if this instance has to send it itself. */
-    const serveByDelegate = async (
-        state: requestState.RequestState,
-        body: attempts.AttemptOptions["body"],
-    ): Promise<boolean> => {
-        if (state.isKeyed && !state.isDelegated && options.delegator?.isDelegating(state.service) === true) {
-            await waitForOwner(state);
-        }
-        if (state.isFinished) {
-            return true;
-        }
-        const result = await options.delegator?.delegate(state, body);
-        if (result === undefined || state.isFinished) {
-            return state.isFinished;
-        }
-        switch (result.kind) {
-            case "answered":
-                responder.forward(state, result.response);
-                return true;
-            case "failed":
-                state.mayHaveRun ||= result.mayHaveRun;
-                responder.fail(state, result.reason, result.waitMilliseconds);
-                return true;
-            case "notDelegated":
-                state.mayHaveRun ||= result.mayHaveRun;
-                if (result.mayHaveRun && !retryBudgetOf(state.service).tryAcquire(timers.now())) {
-                    responder.fail(state, requestState.FailureReason.lost, selection.defaultRetryAfterMilliseconds);
-                    return true;
-                }
-                return false;
-        }
-    };
-
     return {
         waitingCounts: waiting.counts,
         serve: async (state, body) => {
