Scheduling, emulator: split upstream health and the emulated upstream

The measured service time of an upstream is now in measuredServiceTime.ts, the estimate of other instances' requests in otherInstanceRequests.ts, and the keys that an emulated upstream holds by its lease commands in heldKeys.ts. Behaviour is unchanged; sums of floating-point numbers keep their order.

Measured: tests of packages/emulator and packages/scheduling, 89 passed, 1 failed, the known one: queueCapacity.test.ts "lose fewer requests in bursts to all upstreams at once". The tests of packages/relay and packages/entry were not run on this change.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -4,6 +4,7 @@
 import type * as net from "node:net";
 import * as coldRequests from "./coldRequests";
 import * as executionQueue from "./executionQueue";
+import * as heldKeys from "./heldKeys";
 import * as malformedAnswers from "./malformedAnswers";
 
 /** How an emulated upstream handles requests; it obeys lease commands in every mode but one. */
@@ -91,20 +92,6 @@
     onFull?: (arrival: EmulatedArrival) => void;
 }
 
-interface HeldRange {
-    from: number;
-    target: number;
-    fence: number;
-    expiresAt: number;
-}
-
-interface LeaseCommandBody {
-    from: number;
-    target: number;
-    fence: number;
-    hold_time?: string;
-}
-
 /** Interval and size of what an upstream in endless mode sends, in milliseconds and bytes. */
 const endlessIntervalMilliseconds = 5;
 const endlessChunkBytes = 16 * 1024;
@@ -114,6 +101,23 @@
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
 
+const sendEndlessly = (
+    { socket }: http.IncomingMessage,
+    response: http.ServerResponse,
+    headers: http.OutgoingHttpHeaders,
+): void => {
+    if (socket.destroyed) {
+        return;
+    }
+    response.writeHead(200, headers);
+    const interval = setInterval(
+        () => response.write(Buffer.alloc(endlessChunkBytes)),
+        endlessIntervalMilliseconds,
+    );
+    // A response that waits for the one before it has no connection yet, and does not report that it closes.
+    socket.once("close", () => clearInterval(interval));
+};
+
 /**
  * Starts an emulated upstream on a free port of 127.0.0.1.
  *
@@ -127,8 +131,7 @@
     owner: foundation.Owner,
     options: EmulatedUpstreamOptions = {},
 ): Promise<EmulatedUpstream> => {
-    let heldRanges: HeldRange[] = [];
-    const appliedCommands: HeldRange[] = [];
+    const held = heldKeys.createHeldKeys();
     const lastIdentifiers = new WeakMap<net.Socket, string>();
     const random = options.random ?? foundation.createRandom(0);
     /** Requests of callers, by their responses. */
@@ -139,15 +142,6 @@
     let executionCount = 0;
     const cold = coldRequests.createColdRequests(options.maxColdRequestsPerSecond ?? Infinity);
     let mode: UpstreamModeValue = UpstreamMode.serving;
-    const ownsKey = (key: number): boolean =>
-        heldRanges.some(range => range.from <= key && range.target >= key && range.expiresAt > performance.now());
-    const excludeRange = (body: LeaseCommandBody): HeldRange[] =>
-        heldRanges.flatMap(range =>
-            [
-                { ...range, target: Math.min(range.target, body.from - 1) },
-                { ...range, from: Math.max(range.from, body.target + 1) },
-            ].filter(subrange => subrange.from <= subrange.target)
-        );
     const sendResponse = (
         response: http.ServerResponse,
         status: number,
@@ -196,35 +190,6 @@
         options.onArrival?.(arrival);
         return arrival;
     };
-    const sendEndlessly = (
-        { socket }: http.IncomingMessage,
-        response: http.ServerResponse,
-        headers: http.OutgoingHttpHeaders,
-    ): void => {
-        if (socket.destroyed) {
-            return;
-        }
-        response.writeHead(200, headers);
-        const interval = setInterval(
-            () => response.write(Buffer.alloc(endlessChunkBytes)),
-            endlessIntervalMilliseconds,
-        );
-        // A response that waits for the one before it has no connection yet, and does not report that it closes.
-        socket.once("close", () => clearInterval(interval));
-    };
-    const handleGrant = (body: LeaseCommandBody, response: http.ServerResponse): void => {
-        const isFenced = appliedCommands.some(command =>
-            command.from <= body.target && command.target >= body.from && command.fence > body.fence
-        );
-        if (isFenced) {
-            sendResponse(response, conflictStatus, {});
-            return;
-        }
-        const heldRange = { ...body, expiresAt: performance.now() + Number.parseInt(body.hold_time ?? "0", 10) };
-        heldRanges = [...excludeRange(body), heldRange];
-        appliedCommands.push(heldRange);
-        sendResponse(response, 200, {});
-    };
     const server = http.createServer((request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", chunk => chunks.push(chunk as Buffer));
@@ -245,19 +210,18 @@
                 return;
             }
             if (request.url === "/mulberryseam/grant") {
-                handleGrant(JSON.parse(Buffer.concat(chunks).toString()) as LeaseCommandBody, response);
+                const isGranted = held.grant(JSON.parse(Buffer.concat(chunks).toString()) as heldKeys.LeaseCommandBody);
+                sendResponse(response, isGranted ? 200 : conflictStatus, {});
                 return;
             }
             if (request.url === "/mulberryseam/release") {
-                const body = JSON.parse(Buffer.concat(chunks).toString()) as LeaseCommandBody;
-                heldRanges = excludeRange(body);
-                appliedCommands.push({ ...body, expiresAt: 0 });
+                held.release(JSON.parse(Buffer.concat(chunks).toString()) as heldKeys.LeaseCommandBody);
                 sendResponse(response, 200, { "duty-handover": `from ${identifier}` });
                 return;
             }
             const arrival = recordArrival(request, response);
             const key = request.headers["shard-key"];
-            const isKeyHeld = key === undefined || ownsKey(Number(key));
+            const isKeyHeld = key === undefined || held.owns(Number(key));
             if (isKeyHeld && !cold.onRequest()) {
                 void stop();
                 return;
@@ -289,7 +253,7 @@
             const requestIdentifier = String(request.headers["request-id"]);
             queue.add(finish => {
                 // The key may have been released or granted to another upstream while the request waited.
-                if (key !== undefined && !ownsKey(Number(key))) {
+                if (key !== undefined && !held.owns(Number(key))) {
                     finish();
                     sendResponse(response, misdirectedStatus, { ...commonHeaders, "not-executed": "1" });
                     return;
@@ -320,7 +284,7 @@
         identifier,
         port: (server.address() as net.AddressInfo).port,
         startedAt: Date.now(),
-        ownsKey,
+        ownsKey: held.owns,
         executionCount: () => executionCount,
         setMode: newMode => {
             mode = newMode;
--- a/packages/scheduling/src/upstreamHealth.ts
+++ b/packages/scheduling/src/upstreamHealth.ts
@@ -1,5 +1,7 @@
 /** Health of one upstream as an instance observes it: service time, queue length, responsiveness and failure ratio. */
 import * as machineSlowness from "./machineSlowness";
+import * as measuredServiceTime from "./measuredServiceTime";
+import * as otherInstanceRequests from "./otherInstanceRequests";
 import * as serviceTime from "./serviceTime";
 
 /** The load that an upstream reports with a response. */
@@ -91,23 +93,9 @@
     isAvoided: (now: number) => boolean;
 }
 
-const serviceTimeSmoothing = 0.15;
-/** Weight of a response time while requests queue, when it says less about the service time. */
-const queueingSmoothing = 0.08;
-/** Responses after which the service time counts as known. */
-const minMeasurements = 4;
-/** Lower bound of a sample, as a ratio of the known service time: some requests involve hardly any work. */
-const minSampleRatio = 0.5;
-const deviationSmoothing = 0.25;
 const failureRatioSmoothing = 0.15;
 /** Half-life of the failure ratio without new results, in milliseconds. */
 const failureHalfLifeMilliseconds = 2000;
-/** Time constant with which other instances' requests in a load report decay, in service times. */
-const reportDecayServiceTimes = 3.5;
-/** Time constant of the average of other instances' requests, in milliseconds. */
-const averageTimeConstantMilliseconds = 1500;
-/** Lower bound of this time constant, in milliseconds. */
-const minReportDecayMilliseconds = 300;
 /** Lower bound of the time after which an upstream counts as unresponsive, in milliseconds. */
 const minUnresponsiveMilliseconds = 450;
 /** Time without a response after which an upstream counts as unresponsive, in service times. */
@@ -147,19 +135,12 @@
     tail: serviceTime.ServiceTail = serviceTime.createServiceTail(),
 ): UpstreamHealth => {
     const outstanding = new Set<OutstandingAttempt>();
+    const measured = measuredServiceTime.createMeasuredServiceTime(typicalServiceMilliseconds, tail);
+    const otherInstances = otherInstanceRequests.createOtherInstanceRequests();
     /** Deadlines of the requests without a response that may still run at the upstream. */
     let occupyingUntil: number[] = [];
-    let smoothedServiceMilliseconds: number | undefined;
-    let measurementCount = 0;
-    /** Service times of the tail in a row: two of them show that the upstream itself has become slow. */
-    let consecutiveTailSamples = 0;
-    let smoothedDeviation: number | undefined;
-    let hasNewMeasurement = false;
     let smoothedFailureRatio = 0;
     let failureRatioUpdatedAt = -Infinity;
-    let otherInstancesRequests = 0;
-    let averageOtherRequests = 0;
-    let reportedAt = -Infinity;
     let slownessReport: machineSlowness.SlownessReport | undefined;
     let lastResponseAt = -Infinity;
     let lastStartAt = -Infinity;
@@ -170,10 +151,6 @@
 
     const decayedFailureRatio = (now: number): number =>
         smoothedFailureRatio * 0.5 ** ((now - failureRatioUpdatedAt) / failureHalfLifeMilliseconds);
-    const averageOf = (now: number, otherRequests: number): number => {
-        const weight = Math.exp(-(now - reportedAt) / averageTimeConstantMilliseconds);
-        return averageOtherRequests * weight + otherRequests * (1 - weight);
-    };
     const expectedSlowness = (
         report: machineSlowness.SlownessReport | undefined,
         at: number,
@@ -194,11 +171,9 @@
             slownessAverage.record(report.slowness);
             slownessReport = { percent: report.slowness, reportedAt: now };
         }
-        averageOtherRequests = reportedAt === -Infinity ? 0 : averageOf(now, otherInstancesRequests);
         const ownRequests = outstanding.size + occupyingCount(now) + 1;
-        otherInstancesRequests = Math.max(0, report.running + report.waiting - ownRequests);
-        reportedAt = now;
-        const queueMilliseconds = report.waiting * (smoothedServiceMilliseconds ?? 0) / Math.max(1, report.slots);
+        otherInstances.onReport(Math.max(0, report.running + report.waiting - ownRequests), now);
+        const queueMilliseconds = report.waiting * (measured.serviceMilliseconds() ?? 0) / Math.max(1, report.slots);
         for (const attempt of outstanding) {
             attempt.latestStartAt = Math.min(attempt.latestStartAt, now + queueMilliseconds);
         }
@@ -215,60 +190,13 @@
         }
         return machineSlowness.onAverageMachine({
             serviceMilliseconds,
-            knownServiceMilliseconds: smoothedServiceMilliseconds ?? typicalServiceMilliseconds(),
+            knownServiceMilliseconds: measured.serviceMilliseconds() ?? typicalServiceMilliseconds(),
             atStart: expectedSlowness(attempt.slownessReport, attempt.startedAt),
             atEnd: expectedSlowness(attempt.slownessReport, now),
             reportedPercent: report.slowness,
             averagePercent,
         });
     };
-    /**
-     * Returns the service time that a response shows. Of a response time with a wait, only bounds are known. Divided among the requests that wait
-     * at its end it is too low while the queue grows, and too high while it shrinks; as a whole it is too high. A known value
-     * between the former and the geometric mean of both stays.
-     */
-    const measureServiceTime = (milliseconds: number, report: LoadReport | undefined): number => {
-        if (report === undefined || report.waiting === 0) {
-            return milliseconds;
-        }
-        const lowerBound = milliseconds / (1 + report.waiting / Math.max(1, report.slots));
-        const known = smoothedServiceMilliseconds ?? typicalServiceMilliseconds() ?? lowerBound;
-        return Math.min(Math.sqrt(lowerBound * milliseconds), Math.max(lowerBound, known));
-    };
-    /**
-     * Returns a service time without the part that only single requests of the tail need: the upstream would look slow for long otherwise,
-     * while it is the requests that differ.
-     */
-    const withoutTail = (milliseconds: number): number => {
-        const usual = measurementCount >= minMeasurements
-            ? smoothedServiceMilliseconds
-            : tail.hasTail()
-            ? Math.max(smoothedServiceMilliseconds ?? 0, typicalServiceMilliseconds() ?? Infinity)
-            : undefined;
-        const limit = (usual ?? Infinity) * serviceTime.tailStartFactor;
-        consecutiveTailSamples = milliseconds > limit ? consecutiveTailSamples + 1 : 0;
-        return consecutiveTailSamples === 1 ? limit : milliseconds;
-    };
-    const recordServiceTime = (milliseconds: number, report: LoadReport | undefined, hasWaited: boolean): void => {
-        const isQueueing = report !== undefined && report.waiting > 0;
-        const measuredWhole = measureServiceTime(milliseconds, report);
-        const measured = hasWaited ? measuredWhole : withoutTail(measuredWhole);
-        const previous = smoothedServiceMilliseconds ?? measured;
-        const weight = Math.max(
-            isQueueing ? queueingSmoothing : serviceTimeSmoothing,
-            1 / (measurementCount + 1),
-        );
-        const isKnown = measurementCount >= minMeasurements;
-        const sample = isKnown ? Math.max(measured, previous * minSampleRatio) : measured;
-        smoothedServiceMilliseconds = previous + (sample - previous) * weight;
-        measurementCount += 1;
-        hasNewMeasurement = true;
-        if (!isQueueing) {
-            const deviation = measurementCount === 1 ? measured : Math.abs(sample - previous);
-            const previousDeviation = smoothedDeviation ?? deviation;
-            smoothedDeviation = previousDeviation + (deviation - previousDeviation) * deviationSmoothing;
-        }
-    };
     const recordAttempt = (isSuccess: boolean, now: number): void => {
         const previousRatio = failureRatioUpdatedAt === -Infinity ? 0 : decayedFailureRatio(now);
         smoothedFailureRatio = previousRatio + ((isSuccess ? 0 : 1) - previousRatio) * failureRatioSmoothing;
@@ -277,15 +205,8 @@
     const isRejecting = (now: number): boolean =>
         consecutiveMisdirected >= misdirectedThreshold
         && now - Math.max(lastMisdirectedAt, lastStartAt) < misdirectedProbeIntervalMilliseconds;
-    const queueLength = (now: number): number => {
-        const decayMilliseconds = Math.max(
-            minReportDecayMilliseconds,
-            (smoothedServiceMilliseconds ?? 0) * reportDecayServiceTimes,
-        );
-        const weight = Math.exp(-(now - reportedAt) / decayMilliseconds);
-        const average = averageOf(now, 0);
-        return outstanding.size + occupyingCount(now) + average + (otherInstancesRequests - average) * weight;
-    };
+    const queueLength = (now: number): number =>
+        otherInstances.addRequests(outstanding.size + occupyingCount(now), measured.serviceMilliseconds(), now);
     return {
         recordStart: now => {
             const attempt = {
@@ -326,13 +247,11 @@
             avoidedUntil = -Infinity;
             if (signal === HealthSignal.answered) {
                 const wait = report === undefined ? Infinity : waitServiceTimes(attempt, report);
-                if (
-                    wait <= maxTailWaitServiceTimes && measurementCount >= minMeasurements
-                    && smoothedServiceMilliseconds !== undefined
-                ) {
-                    tail.record((now - attempt.startedAt) / smoothedServiceMilliseconds - wait);
+                const serviceMilliseconds = measured.serviceMilliseconds();
+                if (wait <= maxTailWaitServiceTimes && measured.isKnown() && serviceMilliseconds !== undefined) {
+                    tail.record((now - attempt.startedAt) / serviceMilliseconds - wait);
                 }
-                recordServiceTime(withoutSlowness(attempt, report, now), report, wait > 0);
+                measured.record(withoutSlowness(attempt, report, now), report, wait > 0);
             }
         },
         recordOverdue: now => recordAttempt(false, now),
@@ -342,15 +261,11 @@
         },
         occupyingCount,
         queueLength,
-        reportAge: now => reportedAt === -Infinity ? undefined : now - reportedAt,
+        reportAge: otherInstances.reportAge,
         slowness: at => expectedSlowness(slownessReport, at),
-        serviceMilliseconds: () => smoothedServiceMilliseconds,
-        deviationMilliseconds: () => smoothedDeviation,
-        consumeNewMeasurement: () => {
-            const isNew = hasNewMeasurement;
-            hasNewMeasurement = false;
-            return isNew;
-        },
+        serviceMilliseconds: measured.serviceMilliseconds,
+        deviationMilliseconds: measured.deviationMilliseconds,
+        consumeNewMeasurement: measured.consumeNewMeasurement,
         failureRatio: now => (failureRatioUpdatedAt === -Infinity ? 0 : decayedFailureRatio(now)),
         isRejecting,
         isAvoided: now => {
@@ -359,8 +274,8 @@
             }
             const thresholdMilliseconds = Math.max(
                 minUnresponsiveMilliseconds,
-                unresponsiveServiceTimes * (smoothedServiceMilliseconds ?? 0),
-                tail.hasTail() ? tail.limitFactor() * (smoothedServiceMilliseconds ?? 0) : 0,
+                unresponsiveServiceTimes * (measured.serviceMilliseconds() ?? 0),
+                tail.hasTail() ? tail.limitFactor() * (measured.serviceMilliseconds() ?? 0) : 0,
             );
             const [oldest] = outstanding;
             const isUnresponsive = oldest !== undefined
