--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,6 +5,8 @@
 import * as routing from "@mulberryseam/routing";
 import * as http from "node:http";
 import * as coldUpstreams from "./coldUpstreams";
+import * as instanceStop from "./instanceStop";
+import * as isolations from "./isolation";
 import * as leavingUpstreams from "./leavingUpstreams";
 import * as metrics from "./metrics";
 import * as ownershipTask from "./ownershipTask";
@@ -25,23 +27,8 @@
 const housekeepingIntervalMilliseconds = 200;
 /** Interval between log lines with the bytes exchanged so far, in milliseconds. */
 const trafficReportIntervalMilliseconds = 10_000;
-/** Time between the responses to requests that are still open and the end of their connections, in milliseconds. */
-const stopResponseMarginMilliseconds = 250;
-/** Time left when a stopping process closes all open connections before the platform terminates it, in milliseconds. */
-const stopMarginMilliseconds = 250;
-/**
- * Time after SIGTERM in which callers still connect, in milliseconds: the platform checks readiness once a second and
- * needs two failed checks.
- */
-const deregistrationMilliseconds = 3000;
-const stopPollMilliseconds = 50;
 /** Ratio of the process's memory that buffered bodies may use: sockets and streams hold copies of them for a time. */
 const maxBufferedRatio = 1 / 8;
-/**
- * Time without contact to the store, its own or the leader's, after which an instance counts as isolated, in milliseconds:
- * longer than a change of leader takes.
- */
-const maxContactAgeMilliseconds = 3000;
 /** Portion of the drain time reserved for calls to the registry and the upstream, in milliseconds. */
 const drainMarginMilliseconds = 350;
 
@@ -84,6 +71,42 @@
     }
 };
 
+/** What the pool of upstreams of an instance depends on. */
+interface PoolOptions {
+    settings: platform.InstanceSettings;
+    settingsInForce: inForce.SettingsInForce;
+    directory: routing.UpstreamDirectory;
+    timers: foundation.TimerService;
+    view: siteView.SiteView;
+    cold: coldUpstreams.ColdUpstreams;
+    ownership: ownershipTask.OwnershipTask;
+    /** Whether the requests of a service are delegated. */
+    isDelegating: (service: string) => boolean;
+}
+
+const createPool = (
+    { settings, settingsInForce, directory, timers, view, cold, ownership, isDelegating }: PoolOptions,
+): relay.UpstreamPool => {
+    const { failureDomain, regions } = settings;
+    const domainCount = Object.keys(regions).length;
+    return relay.createUpstreamPool({
+        directory,
+        now: timers.now,
+        failureDomain,
+        regions,
+        connectionLimit: service => view.documentInForce()?.document.services.get(service)?.maxConnections ?? 16,
+        sharerCount: service => {
+            const instanceCount = ownership.instanceCount();
+            // One instance of each failure domain sends the requests of the others; another may step in for it.
+            return isDelegating(service) ? Math.min(instanceCount, domainCount * 2) : instanceCount;
+        },
+        leavingGraceMilliseconds: () =>
+            settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
+        limitsWarmupRate: cold.limitsRate,
+        warmupRates: cold.rates,
+    });
+};
+
 /** Logs the bytes exchanged so far at intervals, until the owner is disposed. */
 const startTrafficReports = (
     timers: foundation.TimerService,
@@ -99,63 +122,9 @@
     owner.onCleanup(() => trafficReports.cancel());
 };
 
-/** Whether an instance is cut off from the store. */
-interface Isolation {
-    isIsolated: () => boolean;
-    update: () => void;
-}
-
-/** An isolated instance sends requests to former owners of moved keys, so callers are better served by others. */
-const createIsolation = (log: foundation.EventLog, contactAge: () => number): Isolation => {
-    let isIsolated = false;
-    return {
-        isIsolated: () => isIsolated,
-        update: () => {
-            const age = contactAge();
-            const wasIsolated = isIsolated;
-            isIsolated = age > maxContactAgeMilliseconds;
-            if (isIsolated !== wasIsolated) {
-                log.write(isIsolated ? "isolated" : "isolation-ended", { contactAge: Math.round(age) });
-            }
-        },
-    };
-};
-
 const listKeyedServices = (document: routing.RoutingDocument | undefined): string[] =>
     [...document?.services.values() ?? []].filter(service => service.isKeyed).map(service => service.name);
 
-/** What a stop of an instance ends. */
-interface StopOptions {
-    signal: NodeJS.Signals;
-    gracePeriodMilliseconds: number;
-    timers: foundation.TimerService;
-    log: foundation.EventLog;
-    failures: foundation.FailureBoundary;
-    requestRelay: relay.Relay;
-    callerServer: relay.CallerServer;
-    ownership: ownershipTask.OwnershipTask;
-    owner: foundation.Owner;
-}
-
-/** Stops an instance within the grace period. */
-const stopInstance = async (options: StopOptions): Promise<void> => {
-    const { timers, log, requestRelay, callerServer, owner } = options;
-    const startedAt = timers.now();
-    log.write("stopping", { signal: options.signal, open: requestRelay.openRequestCount() });
-    const closeAt = startedAt + options.gracePeriodMilliseconds - stopMarginMilliseconds;
-    requestRelay.stopAt(closeAt - stopResponseMarginMilliseconds);
-    // The store may not respond, which must not keep the process beyond its grace time.
-    options.failures.watch("stop", options.ownership.resign());
-    await foundation.pause(timers, deregistrationMilliseconds);
-    callerServer.stopListening();
-    while (requestRelay.openRequestCount() > 0 && timers.now() < closeAt) {
-        callerServer.closeIdleConnections();
-        await foundation.pause(timers, stopPollMilliseconds);
-    }
-    log.write("stopped", { open: requestRelay.openRequestCount() });
-    await owner.dispose();
-};
-
 const writeStart = (log: foundation.EventLog, settings: platform.InstanceSettings): void =>
     log.write("started", {
         callers: settings.callerAddress.port,
@@ -194,7 +163,7 @@
     const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
     let isStopping = false;
-    const isolation = createIsolation(log, () => ownership.contactAge());
+    const isolation = isolations.createIsolation(log, () => ownership.contactAge());
     const { regions } = settings;
     const view = siteView.createSiteView({
         store,
@@ -249,22 +218,15 @@
         traffic,
     }, owner);
     places.eligibility.onChange(ownership.planNow);
-    const domainCount = Object.keys(regions).length;
-    const pool: relay.UpstreamPool = relay.createUpstreamPool({
+    const pool: relay.UpstreamPool = createPool({
+        settings,
+        settingsInForce,
         directory,
-        now: timers.now,
-        failureDomain: settings.failureDomain,
-        regions,
-        connectionLimit: service => view.documentInForce()?.document.services.get(service)?.maxConnections ?? 16,
-        sharerCount: service => {
-            const instanceCount = ownership.instanceCount();
-            // One instance of each failure domain sends the requests of the others; another may step in for it.
-            return delegator.isDelegating(service) ? Math.min(instanceCount, domainCount * 2) : instanceCount;
-        },
-        leavingGraceMilliseconds: () =>
-            settingsInForce.current().drainMilliseconds - siteView.maxRegistryAgeMilliseconds - drainMarginMilliseconds,
-        limitsWarmupRate: cold.limitsRate,
-        warmupRates: cold.rates,
+        timers,
+        view,
+        cold,
+        ownership,
+        isDelegating: service => delegator.isDelegating(service),
     });
     const onNotice = createNoticeHandler(leaving, cold, pool, log);
     const eventLoopDelay = relay.createEventLoopDelay(timers, owner);
@@ -370,7 +332,7 @@
         stop: signal => {
             isStopping = true;
             const { gracePeriodMilliseconds } = settingsInForce.current();
-            return stopInstance({
+            return instanceStop.stopInstance({
                 signal,
                 gracePeriodMilliseconds,
                 timers,
