--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,9 +4,9 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
-import * as scheduling from "@mulberryseam/scheduling";
 import type * as http from "node:http";
 import * as arrival from "./arrival";
+import * as bodyServing from "./bodyServing";
 import * as byteBudget from "./byteBudget";
 import * as delegatedRequest from "./delegatedRequest";
 import * as delegateHealth from "./delegateHealth";
@@ -100,6 +100,7 @@
     const signsOfLife = foundation.createSharedInterval(timers, delegateHealth.signOfLifeMilliseconds);
     const exceptions = requestExceptions.createRequestExceptions({ failures, responder });
     const serving = requestServing.createRequestServing({ ...options, responder, exceptions });
+    const serveRequest = bodyServing.createBodyServing({ responder, serving });
     const splitCostOf = splitCost.createSplitCostEstimator(options);
     const openRequests = openRequestSet.createOpenRequests({
         timers,
@@ -177,53 +178,6 @@
         serveRequest(state, maxBodyBytes, refusal).catch(error => exceptions.end(state, error));
     };
 
-    /** Reads the body of a request, then serves it. */
-    const serveRequest = async (
-        state: requestState.RequestState,
-        maxBodyBytes: number,
-        refusal: requestState.FailureReasonValue | undefined,
-    ): Promise<void> => {
-        const { request, response } = state;
-        if (refusal !== undefined) {
-            // What has arrived of the body is parsed by then, so that it is known whether the request was read whole.
-            await eventLoopDelay.waitForPendingReads();
-            responder.fail(state, refusal, selection.defaultRetryAfterMilliseconds);
-            return;
-        }
-        const body = await requestBody.readBody(request, maxBodyBytes, state.reservation);
-        if (state.isFinished) {
-            return;
-        }
-        if (body.kind === "tooLarge") {
-            state.isFinished = true;
-            responder.recordOutcome(state, 413, requestState.FailureReason.bodyTooLarge);
-            responder.reply(response, 413, ["Connection", "close"], requestState.FailureReason.bodyTooLarge);
-            return;
-        }
-        if (body.kind === "noMemory") {
-            responder.fail(state, requestState.FailureReason.noMemory, selection.defaultRetryAfterMilliseconds);
-            return;
-        }
-        if (body.kind === "broken") {
-            response.destroy();
-            return;
-        }
-        if (!state.isDelegated) {
-            await eventLoopDelay.waitForPendingReads();
-        }
-        if (state.isFinished || request.socket.destroyed || request.socket.readableEnded) {
-            return;
-        }
-        const declaredBytes = request.headers["content-length"];
-        state.bodyBytes = body.kind === "whole"
-            ? body.bytes.length
-            : Number(declaredBytes ?? scheduling.largestUploadBytes);
-        state.estimatedBytes += body.kind === "whole"
-            ? body.bytes.length
-            : Number(request.headers["content-length"] ?? 0);
-        await serving.serve(state, body);
-    };
-
     /** Tells the delegating instance at intervals that a request is still being served. */
     const sendSignsOfLife = (response: http.ServerResponse): void => {
         const subscription = signsOfLife.add(() => {
--- a/packages/relay/src/upstreamPool.ts
+++ b/packages/relay/src/upstreamPool.ts
@@ -4,6 +4,7 @@
 import * as routing from "@mulberryseam/routing";
 import * as scheduling from "@mulberryseam/scheduling";
 import type * as attemptResult from "./attemptResult";
+import * as roundTripTimes from "./roundTrips";
 import * as upstreamConnections from "./upstreamConnections";
 import * as upstreamRoom from "./upstreamRoom";
 
@@ -101,9 +102,6 @@
 const restartedReason = "the upstream has started again";
 /** Service time assumed before the first response of any upstream of a service, in milliseconds. */
 export const assumedServiceMilliseconds = 120;
-/** Round-trip times to another region and within a region assumed before the first connection, in milliseconds. */
-const assumedCrossRegionRoundTripMilliseconds = 60;
-const assumedIntraRegionRoundTripMilliseconds = 2;
 /** Cost of a kilobyte to another region or failure domain, in milliseconds of response time: this traffic is billed. */
 const regionCostMillisecondsPerKilobyte = 5;
 const domainCostMillisecondsPerKilobyte = 0.5;
@@ -115,7 +113,6 @@
 const warmupFactor = 2;
 /** Timeout for a new connection beyond the round-trip time, in milliseconds. */
 const connectTimeoutMarginMilliseconds = 250;
-const roundTripSmoothing = 0.2;
 const typicalSmoothing = 0.05;
 /** Ratio of an upstream's connections that instances use; not all, as the number of instances is known with a delay. */
 const usedConnectionRatio = 0.85;
@@ -135,13 +132,13 @@
 export const createUpstreamPool = (options: UpstreamPoolOptions): UpstreamPool => {
     const { directory, now, regions } = options;
     const pooledUpstreams = new Map<string, PooledUpstream>();
-    const roundTrips = new Map<string, number>();
+    const ownRegion = regions[options.failureDomain];
+    const roundTrips = roundTripTimes.createRoundTrips(ownRegion);
     /** Service time of the measured upstreams of each service, for those that are not measured. */
     const typicalServiceTimes = new Map<string, number>();
     const refusingServices = new Set<string>();
     const observations = scheduling.createServiceObservations();
     const holdOffs = scheduling.createHoldOffs();
-    const ownRegion = regions[options.failureDomain];
     /** Returns this instance's portion of a ratio of the connections that one upstream of a service accepts. */
     const connectionPortion = (service: string, ratio: number): number =>
         Math.floor(options.connectionLimit(service) * ratio / Math.max(1, options.sharerCount(service)));
@@ -181,13 +178,6 @@
         pooledUpstreams.set(upstream.identifier, created);
         return created;
     };
-    const roundTripKey = (target: PooledUpstream): string =>
-        target.region === ownRegion ? `domain ${target.upstream.failureDomain}` : `region ${target.region}`;
-    const roundTripOf = (target: PooledUpstream): number =>
-        roundTrips.get(roundTripKey(target))
-            ?? (target.region === ownRegion
-                ? assumedIntraRegionRoundTripMilliseconds
-                : assumedCrossRegionRoundTripMilliseconds);
     /** Returns the service time without the round trip, which measured times include. */
     const serviceTimeOf = (target: PooledUpstream): number => {
         const { service } = target.upstream;
@@ -196,7 +186,7 @@
         if (measured === undefined) {
             return typical ?? assumedServiceMilliseconds;
         }
-        const serviceTime = Math.max(1, measured - roundTripOf(target));
+        const serviceTime = Math.max(1, measured - roundTrips.milliseconds(target));
         typicalServiceTimes.set(
             service,
             (typical ?? serviceTime) * (1 - typicalSmoothing) + serviceTime * typicalSmoothing,
@@ -287,20 +277,14 @@
                 serviceMilliseconds: serviceMilliseconds * (slowness?.factor ?? 1),
                 slowness,
                 isMeasured: health.serviceMilliseconds() !== undefined,
-                roundTripMilliseconds: roundTripOf(target) * (isConnected ? 1 : 2),
+                roundTripMilliseconds: roundTrips.milliseconds(target) * (isConnected ? 1 : 2),
                 failureRatio: health.failureRatio(now()),
                 pathCostMilliseconds: costPerKilobyte(target) * bytes / 1024
                     + (isConnected ? 0 : newConnectionCostMilliseconds),
             };
         },
-        onConnected: (target, milliseconds) => {
-            const key = roundTripKey(target);
-            const previous = roundTrips.get(key) ?? milliseconds;
-            // A busy upstream accepts connections late, so a long connection time does not measure the round trip.
-            const sample = Math.min(milliseconds, previous * 2);
-            roundTrips.set(key, previous + (sample - previous) * roundTripSmoothing);
-        },
-        connectTimeoutMilliseconds: target => roundTripOf(target) + connectTimeoutMarginMilliseconds,
+        onConnected: roundTrips.onConnected,
+        connectTimeoutMilliseconds: target => roundTrips.milliseconds(target) + connectTimeoutMarginMilliseconds,
         isConnectionUnavailable: target => {
             const isQueueLong = target.health.queueLength(now()) >= target.upstream.slots * longQueueFactor;
             return target.health.outstandingCount() >= instanceConnectionLimit(target.upstream.service)
