Relay: a request is sent again as early as before, while its earlier attempt goes on

As the earlier attempt stays open and its response counts, nothing is lost by sending again earlier. Only the evidence of a full queue waits until the tail is ruled out.

--- a/packages/relay/src/overdueAttempts.ts
+++ b/packages/relay/src/overdueAttempts.ts
@@ -29,10 +29,7 @@
 
 /** Watches for attempts whose response is overdue. */
 export interface OverdueAttempts {
-    /**
-     * Calls back once an attempt has been silent for so long that its upstream probably has no room for it, and the request can be sent
-     * again.
-     */
+    /** Calls back once a response takes longer than usual, and the request can be sent again. */
     watchForSilence: (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
@@ -57,8 +54,6 @@
 
 /** Interval at which requests without a response are checked, in milliseconds. */
 const silenceCheckMilliseconds = 50;
-/** Service times that a further attempt is expected to need at most. */
-const retryServiceTimes = 2;
 
 /**
  * Creates what watches for overdue attempts.
@@ -70,33 +65,38 @@
     const { timers, pool, recorder } = options;
     const silenceChecks = foundation.createSharedInterval(timers, silenceCheckMilliseconds);
 
-    /** Whether a response should have come by now, or by `latestAt` if that is earlier. */
+    /** Whether a response should have come by now; `tailFactor` allows for responses of the tail. */
     const isResponseOverdue = (
         state: requestState.RequestState,
         { health, upstream }: upstreamPool.PooledUpstream,
         { latestStartAt }: scheduling.OutstandingAttempt,
-        latestAt = Infinity,
-    ): boolean => {
-        const tail = pool.observations.tail(upstream.service);
-        return timers.now() > scheduling.latestResponseAt({
+        tailFactor?: number,
+    ): boolean =>
+        timers.now() > scheduling.latestResponseAt({
             latestStartAt,
             serviceMilliseconds: health.serviceMilliseconds() ?? Infinity,
             deviationMilliseconds: health.deviationMilliseconds() ?? 0,
             attempt: state.attemptCount,
             isRefusing: pool.isRefusing(upstream.service),
-            tailFactor: tail.isSilenceLikely() ? undefined : tail.limitFactor(),
-            latestRetryAt: latestAt,
+            tailFactor,
         });
+
+    /** Whether the upstream has probably ignored a request: not even a response of the tail takes so long. */
+    const isSilent = (
+        state: requestState.RequestState,
+        target: upstreamPool.PooledUpstream,
+        outstandingAttempt: scheduling.OutstandingAttempt,
+    ): boolean => {
+        const tail = pool.observations.tail(target.upstream.service);
+        const tailFactor = tail.isSilenceLikely() ? undefined : tail.limitFactor();
+        return isResponseOverdue(state, target, outstandingAttempt, tailFactor);
     };
 
     return {
         watchForSilence: (state, target, outstandingAttempt, onSilent) =>
             silenceChecks.add(() => {
-                const serviceMilliseconds = target.health.serviceMilliseconds() ?? Infinity;
-                const latestRetryAt = state.deadlineAt - serviceMilliseconds * retryServiceTimes;
-                if (
-                    isResponseOverdue(state, target, outstandingAttempt, latestRetryAt) && options.canSendAgain(state)
-                ) {
+                // A response of the tail still counts if it comes, so the request is sent again before one is ruled out.
+                if (isResponseOverdue(state, target, outstandingAttempt) && options.canSendAgain(state)) {
                     onSilent();
                 }
             }),
@@ -113,8 +113,8 @@
                     options.onLateAnswer(state, result.response);
                 }
                 else if (state.isFinished) {
-                    // The request has ended before a response came.
-                    recorder.recordSilence(state, target, queueLength, deadlineAt);
+                    const evidence = isSilent(state, target, outstandingAttempt) ? queueLength : undefined;
+                    recorder.recordSilence(state, target, evidence, deadlineAt);
                 }
             }).catch(error => options.failures.report("attempt", error, { request: state.requestIdentifier }))
                 .finally(() => state.overdueAttempts.delete(attempt));
@@ -124,6 +124,6 @@
             result.kind === "unknown"
             && (result.reason === resultRecorder.silenceReason
                 || (result.reason === requestState.FailureReason.timeout
-                    && isResponseOverdue(state, target, outstandingAttempt))),
+                    && isSilent(state, target, outstandingAttempt))),
     };
 };
--- a/packages/relay/src/resultRecorder.ts
+++ b/packages/relay/src/resultRecorder.ts
@@ -27,7 +27,7 @@
     recordSilence: (
         state: requestState.RequestState,
         target: upstreamPool.PooledUpstream,
-        queueLength: number,
+        queueLength: number | undefined,
         sentDeadlineAt: number,
     ) => void;
     /** Updates the records of the upstream and its service with a result whose attempt is no longer outstanding, and logs a failure. */
@@ -124,7 +124,7 @@
                 request: state.requestIdentifier,
                 upstream: target.upstream.identifier,
                 service: target.upstream.service,
-                queue: Math.round(queueLength),
+                queue: queueLength === undefined ? undefined : Math.round(queueLength),
                 isFull,
                 capacity: pool.capacityOf(target),
             });
--- a/packages/relay/src/upstreamRoom.ts
+++ b/packages/relay/src/upstreamRoom.ts
@@ -24,8 +24,11 @@
     outstandingBytes: () => ReadonlyMap<string, number>;
     /** Returns the known capacity of the upstreams of each service and the number of silent attempts. */
     capacities: () => readonly ServiceCapacity[];
-    /** Records an attempt that its upstream has not responded to, and until when the request may still run there. */
-    onSilence: (pooled: upstreamPool.PooledUpstream, queueLength: number, until: number) => boolean;
+    /**
+     * Records an attempt that its upstream has not responded to, and until when the request may still run there. `queueLength` is
+     * undefined if a response of the tail cannot be ruled out, so that the silence says nothing about the capacity.
+     */
+    onSilence: (pooled: upstreamPool.PooledUpstream, queueLength: number | undefined, until: number) => boolean;
 }
 
 /** Configures {@link createUpstreamRoom}. */
@@ -95,7 +98,7 @@
                 return false;
             }
             health.occupyUntil(until);
-            return queueCapacity(service).onSilence({ slots, queueLength }, now());
+            return queueLength !== undefined && queueCapacity(service).onSilence({ slots, queueLength }, now());
         },
     };
 };
