--- a/packages/entry/src/coldUpstreams.ts
+++ b/packages/entry/src/coldUpstreams.ts
@@ -2,7 +2,7 @@
 import * as eligibility from "@mulberryseam/eligibility";
 import type * as foundation from "@mulberryseam/foundation";
 import type * as protocol from "@mulberryseam/protocol";
-import type * as routing from "@mulberryseam/routing";
+import * as routing from "@mulberryseam/routing";
 import type * as ownershipTask from "./ownershipTask";
 import type * as inForce from "./settingsInForce";
 import type * as siteView from "./siteView";
@@ -86,21 +86,17 @@
             }),
         onWarm: ({ identifier }) => log.write("upstream-warm", { upstream: identifier }),
     });
-    const find = ({ identifier, startedAt }: routing.Incarnation): routing.Upstream | undefined => {
-        const upstream = directory.find(identifier)?.upstream;
-        return upstream?.startedAt === startedAt ? upstream : undefined;
-    };
     return {
         rates,
         limitsRate: service => findService(service)?.warmup !== undefined,
         onReported: (incarnation, milliseconds) => {
-            const upstream = find(incarnation);
+            const upstream = routing.findIncarnation(directory, incarnation);
             if (upstream !== undefined) {
                 rates.onReported(upstream, milliseconds, timers.now());
             }
         },
         isLeftToOthers: incarnation => {
-            const upstream = find(incarnation);
+            const upstream = routing.findIncarnation(directory, incarnation);
             return upstream !== undefined && rates.isLeftToOthers(upstream, timers.now());
         },
         update: () => {
--- a/packages/entry/src/sitePlaces.ts
+++ b/packages/entry/src/sitePlaces.ts
@@ -3,7 +3,7 @@
 import type * as foundation from "@mulberryseam/foundation";
 import type * as platform from "@mulberryseam/platform";
 import type * as relay from "@mulberryseam/relay";
-import type * as routing from "@mulberryseam/routing";
+import * as routing from "@mulberryseam/routing";
 import type * as topicTask from "./topicTask";
 
 /** Dependencies of the places of a site. */
@@ -69,10 +69,7 @@
         ownerGraceMilliseconds,
         warmupRates: options.warmupRates,
     });
-    const findUpstream: SitePlaces["findUpstream"] = ({ identifier, startedAt }) => {
-        const upstream = directory.find(identifier)?.upstream;
-        return upstream?.startedAt === startedAt ? upstream : undefined;
-    };
+    const findUpstream: SitePlaces["findUpstream"] = incarnation => routing.findIncarnation(directory, incarnation);
     const begin = (failureDomain: string, { source, maxAgeMilliseconds }: topicTask.ChangeOrigin): void => {
         const now = timers.now();
         const earliestBeginAt = now - maxAgeMilliseconds;
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -203,3 +203,18 @@
         all: () => usedEntries.values(),
     };
 };
+
+/**
+ * Finds a registered incarnation of an upstream.
+ *
+ * @param directory - the registered upstreams
+ * @param incarnation - the incarnation
+ * @returns the upstream, or undefined if another incarnation or none is registered
+ */
+export const findIncarnation = (
+    directory: Pick<UpstreamDirectory, "find">,
+    { identifier, startedAt }: Incarnation,
+): documents.Upstream | undefined => {
+    const upstream = directory.find(identifier)?.upstream;
+    return upstream?.startedAt === startedAt ? upstream : undefined;
+};
