Review: a confirmed desired state never comes into force after the store returns from a copy

Order of events: instances know versions 2 and 3; the store is away for 1 s and comes back from a copy without them; the operator writes version 3 again and sends version 4, which gets the offset that version 3 had; instances read on after it and never see version 4.

--- a/review/harness-2/store.mjs
+++ b/review/harness-2/store.mjs
@@ -138,16 +138,19 @@
             isAway = true;
             server.closeAllConnections();
         },
-        /** The store comes back from the copy that was made at `copiedAt`; operators and upstreams write again what they wrote since. */
+        /**
+         * The store comes back from the copy that was made at `copiedAt`. Operators and upstreams write again what they wrote since: the
+         * newest record of each key, as one that it has replaced says nothing any more.
+         */
         returnFromCopy: copiedAt => {
             for (const topic of topics.values()) {
                 topic.records = topic.records.filter(({ at }) => at <= copiedAt);
             }
             era += 1;
             isAway = false;
-            outsideWrites
-                .filter(({ at }) => at > copiedAt)
-                .forEach(({ topic, key, value }) => append(topic, [{ key, value }]));
+            const lost = outsideWrites.filter(({ at }) => at > copiedAt);
+            const newest = new Map(lost.map(write => [`${write.topic} ${write.key}`, write]));
+            newest.forEach(({ topic, key, value }) => append(topic, [{ key, value }]));
         },
         endOf: topic => topicOf(topic).records.length,
     };
