Review: number the cases by gravity

The case of two holders after a move of keys becomes number 7, the one of a lost desired state number 8, so that a graver one can come before them.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,7 +1,8 @@
 /**
- * The operator sends desired states in quick succession, and the store comes back from a copy that is older than two of them. Checks that
- * the version that is confirmed last comes into force at every instance.
+ * The keys of an upstream that drains move to others; shortly after, the store comes back from a copy that is older than the move.
+ * Checks that no two upstreams hold a key for over half a second, and that each owner of a key has a higher token than those before it.
  */
+import * as http from "node:http";
 import * as caller from "../harness-2/caller.mjs";
 import * as document from "../harness-2/document.mjs";
 import * as instances from "../harness-2/instance.mjs";
@@ -11,54 +12,83 @@
 
 const regions = { "tunis-medina": "tunis", "tunis-charguia": "tunis", "tunis-port": "tunis" };
 const zones = Object.keys(regions);
+const service = "desk";
 const host = "desk.example";
-const oldService = "proof";
-const newService = "order";
-/** Time between two desired states, in milliseconds. */
-const gapMilliseconds = 330;
+const upstreamCount = 5;
+const requestsPerSecond = 60;
+const workMilliseconds = 40;
+/** Time from the notice of the draining upstream until the store is away: the keys have moved by then. */
+const moveMilliseconds = 1500;
 /** For how long the store is away, and how old its copy is when it comes back. */
-const awayMilliseconds = 1000;
-const copyAgeMilliseconds = 2500;
-/** Time from the return of the store to the next desired state. */
-const nextVersionMilliseconds = 100;
-/** Bounds of the settings: after the one, machines are in touch again; after the other, a version is in force. */
-const stableWindowMilliseconds = 4000;
-const configApplyMilliseconds = 2500;
-/** Time for which requests are sent once both bounds have passed. */
-const watchMilliseconds = 8000;
-const requestIntervalMilliseconds = 100;
+const awayMilliseconds = 800;
+const copyAgeMilliseconds = 3000;
+/** Time for which an upstream that drains goes on serving. */
+const servingMilliseconds = 5000;
+/** Time for which the site is watched after the store is back. */
+const watchMilliseconds = 12_000;
+const maxSharedMilliseconds = 500;
 
-/** Publishes a version: the last one moves a route to the other service and adds a route. */
-const publish = (store, version, isLast) =>
-    document.publish(store, version, [
-        document.createRoute("sign", host, "/sign/", "unsafe", isLast ? newService : oldService, `${1000 + version}ms`),
-        ...(isLast ? [document.createRoute("cut", host, "/cut/", "unsafe", newService, "1s")] : []),
-        document.createService(oldService, false),
-        document.createService(newService, false),
-    ]);
+const findViolations = (all, untilAt) => {
+    const violations = [];
+    const spans = all.flatMap(({ identifier, spans: own }) =>
+        own.filter(span => span.until > span.since).map(span => ({ ...span, identifier }))
+    ).sort((left, right) => left.since - right.since);
+    spans.forEach((later, index) => {
+        for (const earlier of spans.slice(0, index)) {
+            const first = Math.max(earlier.from, later.from);
+            const last = Math.min(earlier.target, later.target);
+            if (earlier.identifier === later.identifier || first > last) {
+                continue;
+            }
+            const shared = Math.min(earlier.until, later.until, untilAt) - later.since;
+            const keys = `keys ${first} to ${last}`;
+            if (shared > maxSharedMilliseconds) {
+                violations.push({
+                    kind: "holders",
+                    at: later.since,
+                    text: `${keys}: held by ${earlier.identifier} (token ${earlier.fence}) and ${later.identifier} `
+                        + `(token ${later.fence}) for ${Math.round(shared)} ms`,
+                });
+            }
+            if (later.fence <= earlier.fence) {
+                violations.push({
+                    kind: "token",
+                    at: later.since,
+                    text: `${keys}: ${later.identifier} took them with token ${later.fence}, after ${earlier.identifier} `
+                        + `had had them with token ${earlier.fence}`,
+                });
+            }
+        }
+    });
+    return violations;
+};
 
 await runCase.runCase(import.meta.url, async ({ record, onCleanup, folder }) => {
     const store = await stores.startStore(onCleanup);
-    /** The service that ran each request. */
-    const ranAt = new Map();
-    for (const service of [oldService, newService]) {
-        for (let index = 1; index <= 3; index += 1) {
+    const runs = [];
+    const all = [];
+    for (let index = 1; index <= upstreamCount; index += 1) {
+        all.push(
             await upstreams.startUpstream({
-                identifier: `${service}-${index}`,
+                identifier: `i-${index}`,
                 service,
                 zone: zones[index % zones.length],
                 store,
-                isKeyed: false,
-                onRun: ({ request }) => ranAt.set(request, service),
+                isKeyed: true,
+                onRun: run => runs.push({ ...run, at: performance.now() }),
                 respond: async ({ response, headers }) => {
-                    await runCase.pause(20);
-                    response.writeHead(200, { ...headers, "Content-Length": 2 });
-                    response.end("ok");
+                    await runCase.pause(workMilliseconds);
+                    const text = "drawing";
+                    response.writeHead(200, { ...headers, "Content-Length": text.length });
+                    response.end(text);
                 },
-            }, onCleanup);
-        }
+            }, onCleanup),
+        );
     }
-    publish(store, 1, false);
+    document.publish(store, 1, [
+        document.createRoute("lookup", host, "/lookup/", "safe", service, "2s"),
+        document.createService(service, true),
+    ]);
     const fronts = await instances.startInstances({ zones, regions, storePort: store.port, folder }, onCleanup);
     let readyCount = 0;
     const readiness = setInterval(async () => {
@@ -67,63 +97,59 @@
     await runCase.waitUntil(() => readyCount === fronts.length, "all instances are ready", 30_000);
     clearInterval(readiness);
     record("all instances are ready");
-    await runCase.pause(5000);
 
-    publish(store, 2, false);
-    await runCase.pause(gapMilliseconds);
-    publish(store, 3, false);
-    record("versions 2 and 3 are confirmed");
-    const confirmedAt = performance.now();
-    await runCase.pause(copyAgeMilliseconds - awayMilliseconds - gapMilliseconds - 200);
+    const agent = new http.Agent({ keepAlive: true });
+    onCleanup(() => agent.destroy());
+    const statuses = new Map();
+    const traffic = setInterval(async () => {
+        const instance = fronts[Math.floor(Math.random() * fronts.length)];
+        const { status } = await caller.send(instance, {
+            path: "/lookup/drawing",
+            host,
+            key: Math.floor(Math.random() * 65_536),
+            deadlineMilliseconds: 1000,
+            identifier: caller.createIdentifier(),
+            agent,
+        });
+        statuses.set(status, (statuses.get(status) ?? 0) + 1);
+    }, 1000 / requestsPerSecond);
+    onCleanup(() => clearInterval(traffic));
+    // Grants of the start have been renewed, and nothing moves.
+    await runCase.pause(9000);
+
+    const drainedAt = performance.now();
+    const [leaving] = all;
+    leaving.drain();
+    record(`${leaving.identifier} announces that it is leaving`);
+    setTimeout(() => {
+        leaving.leave();
+        record(`${leaving.identifier} has left`);
+    }, servingMilliseconds);
+    await runCase.pause(moveMilliseconds);
+    const heldByLeaving = leaving.spans.filter(({ until }) => until > performance.now()).length;
+    record(`${leaving.identifier} holds ${heldByLeaving} ranges ${Math.round(performance.now() - drainedAt)} ms later`);
     if (runCase.hasTrouble) {
         store.leave();
-        record(`the store is away; keyed.op ends at ${store.endOf("keyed.op")}`);
+        const lostFrom = performance.now() + awayMilliseconds - copyAgeMilliseconds;
+        record(`the store is away; keyed.ownership ends at ${store.endOf("keyed.ownership")}`);
         await runCase.pause(awayMilliseconds);
-        store.returnFromCopy(performance.now() - copyAgeMilliseconds);
+        store.returnFromCopy(lostFrom);
         record(
-            `the store is back from a copy that is ${copyAgeMilliseconds} ms old, ${
-                Math.round(performance.now() - confirmedAt)
-            } ms after version 3; keyed.op ends at ${store.endOf("keyed.op")}, with version 3 written again`,
+            `the store is back from a copy that is ${copyAgeMilliseconds} ms old; keyed.ownership ends at `
+                + `${store.endOf("keyed.ownership")}`,
         );
     }
-    await runCase.pause(nextVersionMilliseconds);
-    publish(store, 4, true);
-    record(`version 4 is confirmed; keyed.op ends at ${store.endOf("keyed.op")}`);
-    await runCase.pause(Math.max(stableWindowMilliseconds, configApplyMilliseconds) + 1000);
-
-    const violations = [];
-    const results = new Map();
-    const until = performance.now() + watchMilliseconds;
-    while (performance.now() < until) {
-        await Promise.all(fronts.flatMap(front =>
-            ["/sign/1", "/cut/1"].map(async path => {
-                const identifier = caller.createIdentifier();
-                const { status } = await caller.send(front, {
-                    method: "POST",
-                    path,
-                    host,
-                    deadlineMilliseconds: 1000,
-                    identifier,
-                    agent: false,
-                    body: "proof",
-                });
-                const service = ranAt.get(identifier);
-                const result = `${front.name} ${path}: status ${status}, run by ${service ?? "none"}`;
-                results.set(result, (results.get(result) ?? 0) + 1);
-                if (status === 404 || service === oldService) {
-                    violations.push(`${identifier}, sent after the bounds had passed: ${result}`);
-                }
-            })
-        ));
-        await runCase.pause(requestIntervalMilliseconds);
-    }
-    results.forEach((count, result) => record(`${count} times ${result}`));
+    await runCase.pause(watchMilliseconds);
+    clearInterval(traffic);
+    record(`statuses: ${[...statuses].map(([status, count]) => `${status}: ${count}`).join(", ")}; ${runs.length} runs`);
     for (const { name, events } of fronts) {
         for (const { time, event, ...fields } of events()) {
-            if (["document-in-force", "document-read-failed", "leadership-won"].includes(event)) {
+            if (["leadership-won", "leadership-lost", "append-failed", "assignment", "internal-error"].includes(event)) {
                 record(`${name} ${time} ${event} ${JSON.stringify(fields)}`);
             }
         }
     }
-    return violations;
+    const endedItself = fronts.filter(({ end }) => end() !== undefined);
+    endedItself.forEach(({ name }) => record(`${name} ended by itself`));
+    return findViolations(all, performance.now()).map(({ text }) => text);
 });
