--- a/review/harness-2/instance.mjs
+++ b/review/harness-2/instance.mjs
@@ -119,3 +119,14 @@
         };
     });
 };
+
+/**
+ * Finds the instance that won the leadership last.
+ *
+ * @param fronts - the instances
+ * @returns the instance and its term, as its log says; undefined if none has won
+ */
+export const findLeader = fronts =>
+    fronts.flatMap(front =>
+        front.events().filter(({ event }) => event === "leadership-won").map(({ term }) => ({ front, term }))
+    ).sort((left, right) => right.term - left.term)[0];
