--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -13,18 +13,27 @@
     previousCommandsEndAt,
     previousLeaderTimes,
     previousLeasesEndAt,
+    undisputedMilliseconds,
 } from "./leaderLease";
 export type { LeaderLease, PreviousLeader, PreviousLeaderTimes } from "./leaderLease";
 export {
     campaignDelay,
+    claimLeadership,
     isLeaderMissing,
     isSameAddress,
+    LeadershipClaim,
     LeadershipStep,
     leaderTimeoutMilliseconds,
     nextLeadershipStep,
     recordStoredBy,
 } from "./leadership";
-export type { LeaderRead, LeadershipInput, LeadershipStepValue, LeaderSuitability } from "./leadership";
+export type {
+    LeaderRead,
+    LeadershipClaimValue,
+    LeadershipInput,
+    LeadershipStepValue,
+    LeaderSuitability,
+} from "./leadership";
 export { CommandKind, CommandOutcome } from "./leaseCommands";
 export type { CommandOutcomeValue, LeaseCommand } from "./leaseCommands";
 export {
@@ -44,9 +53,11 @@
     decodeLeader,
     encodeAssignment,
     encodeLeader,
+    isOfOtherEra,
     leaderKey,
     serviceOfKey,
 } from "./records";
-export type { LeaderRecord } from "./records";
+export type { LeaderRecord, StoredAssignment } from "./records";
 export { createRoutingView } from "./routingView";
 export type { KeyRoute, RoutingView } from "./routingView";
+export { firstTokenAt, renewTokens } from "./tokens";
--- a/packages/assignment/src/leaderLease.ts
+++ b/packages/assignment/src/leaderLease.ts
@@ -15,6 +15,12 @@
 /** Maximum time from sending a lease command to its arrival, in milliseconds. */
 const maxCommandDeliveryMilliseconds = 750;
 
+/**
+ * Time after a confirmation in which no successor can have changed an assignment, in milliseconds: one waits longer for the commands of its
+ * predecessor, and as long before it assigns keys for the first time.
+ */
+export const undisputedMilliseconds = 2500;
+
 /** What is known about the previous leader. */
 export interface PreviousLeader {
     /** The last leader record; undefined at the first start of a site. */
@@ -26,6 +32,8 @@
     recordSeenAt: number;
     /** Time by which the previous leader's process had terminated; undefined if it may still run. */
     terminatedBy: number | undefined;
+    /** Whether records that it stored may have been lost, so that nobody knows all owners that it chose. */
+    areAssignmentsUncertain: boolean;
 }
 
 /**
@@ -75,6 +83,8 @@
     previousCommandsUntil: number;
     /** Time by which all leases that they may have granted have expired. */
     previousLeasesUntil: number;
+    /** Time until which owners that no stored assignment names may hold keys; -Infinity unless records may have been lost. */
+    unknownLeasesUntil: number;
 }
 
 /**
@@ -90,6 +100,9 @@
 ): PreviousLeaderTimes => ({
     previousCommandsUntil: previousCommandsEndAt(previousLeader),
     previousLeasesUntil: previousLeasesEndAt(previousLeader, maxLeaseMilliseconds),
+    unknownLeasesUntil: previousLeader.areAssignmentsUncertain
+        ? previousLeasesEndAt(previousLeader, maxLeaseMilliseconds)
+        : previousLeader.recordSeenAt + (previousLeader.record?.unknownLeasesMilliseconds ?? -Infinity),
 });
 
 /**
@@ -100,11 +113,15 @@
  * @returns the fields of the record
  */
 export const passOnPreviousLeaders = (
-    { previousCommandsUntil, previousLeasesUntil }: PreviousLeaderTimes,
+    { previousCommandsUntil, previousLeasesUntil, unknownLeasesUntil }: PreviousLeaderTimes,
     now: number,
-): Pick<records.LeaderRecord, "previousCommandsMilliseconds" | "previousLeasesMilliseconds"> => ({
+): Pick<
+    records.LeaderRecord,
+    "previousCommandsMilliseconds" | "previousLeasesMilliseconds" | "unknownLeasesMilliseconds"
+> => ({
     previousCommandsMilliseconds: Math.max(0, previousCommandsUntil - now),
     previousLeasesMilliseconds: Math.max(0, previousLeasesUntil - now),
+    unknownLeasesMilliseconds: Math.max(0, unknownLeasesUntil - now),
 });
 
 /** Tracks whether a leader is allowed to send lease commands. */
@@ -114,6 +131,8 @@
     /** Ends the lease if the process was suspended since the last call; must be called often. */
     detectSuspension: (now: number, wallClock: number) => void;
     canSendCommands: (now: number) => boolean;
+    /** Whether no successor can have changed an assignment before a time. */
+    isUndisputedAt: (time: number) => boolean;
     /** Duration of the leases on keys to grant now, in milliseconds. */
     keyLeaseMilliseconds: (now: number) => number;
     /** Duration of the longest lease on keys granted recently, in milliseconds. */
@@ -155,6 +174,7 @@
             lastWallClock = wallClock;
         },
         canSendCommands: now => now - confirmedAt < leaderLeaseMilliseconds,
+        isUndisputedAt: time => time - confirmedAt < undisputedMilliseconds,
         keyLeaseMilliseconds: now => {
             if (now - confirmedAt < overdueConfirmationMilliseconds) {
                 return normalLeaseMilliseconds;
--- a/packages/assignment/src/leadership.ts
+++ b/packages/assignment/src/leadership.ts
@@ -17,6 +17,11 @@
     lastReadAt: number;
     /** Time by which the record was stored; see {@link recordStoredBy}. */
     unchangedSince: number;
+    /**
+     * Whether another leader than that of the record, or any at all if there is none, may have led before the store returned from an older
+     * copy. It may still live and store its record again.
+     */
+    isLeaderUncertain: boolean;
     /** Whether messages of the leader are arriving. */
     isReceivingUpdates: boolean;
     /** Whether the leader's address refused a connection or responded that it does not lead; it may still send commands. */
@@ -66,6 +71,42 @@
     return (isWeak ? weakDelayMilliseconds : 0) + (isRemote ? remoteDelayMilliseconds : 0);
 };
 
+/** What a leader record in the store says about the leadership of an instance that leads. */
+export const LeadershipClaim = {
+    /** It is the record of the instance. */
+    confirmed: "confirmed",
+    /** The record of the instance is lost, and no other instance can have changed an assignment: it stores its records again. */
+    reclaimable: "reclaimable",
+    /** Another instance leads, or may have led. */
+    lost: "lost",
+} as const;
+
+/** One of {@link LeadershipClaim}. */
+export type LeadershipClaimValue = typeof LeadershipClaim[keyof typeof LeadershipClaim];
+
+/**
+ * Decides whether an instance goes on leading after it has read the store.
+ *
+ * @param own - its last leader record
+ * @param stored - the leader record in the store; undefined if there is none
+ * @param era - era of the store
+ * @param isUndisputed - whether the store's last confirmation of the leadership is so recent that no successor can have changed an assignment
+ * @returns the claim to the leadership
+ */
+export const claimLeadership = (
+    own: records.LeaderRecord,
+    stored: records.LeaderRecord | undefined,
+    era: number,
+    isUndisputed: boolean,
+): LeadershipClaimValue => {
+    const isOwn = stored?.identifier === own.identifier && stored.term === own.term;
+    if (stored !== undefined && !records.isOfOtherEra(stored, era)) {
+        return isOwn ? LeadershipClaim.confirmed : LeadershipClaim.lost;
+    }
+    const isSucceeded = stored !== undefined && !isOwn && stored.term >= own.term;
+    return isUndisputed && !isSucceeded ? LeadershipClaim.reclaimable : LeadershipClaim.lost;
+};
+
 /** A read of the leader record; times are on the clock of the reader. */
 export interface LeaderRead {
     leader: records.LeaderRecord | undefined;
@@ -87,7 +128,7 @@
     { leader, endedAt, confirmedAt }: LeaderRead,
 ): number => {
     const isUnchanged = leader?.identifier === previous.leader?.identifier && leader?.beat === previous.leader?.beat
-        && leader?.term === previous.leader?.term;
+        && leader?.term === previous.leader?.term && leader?.era === previous.leader?.era;
     return isUnchanged ? previous.storedBy : Math.min(endedAt, confirmedAt ?? endedAt);
 };
 
@@ -129,9 +170,11 @@
  * @returns false before the first read of the store
  */
 export const isLeaderMissing = (input: LeadershipInput): boolean => {
-    const { now, leader } = input;
-    const isVacant = leader === undefined || leader.isResigned || isSameAddress(leader, input);
-    const isLost = input.isLeaderUnavailable || now - input.unchangedSince >= leaderTimeoutMilliseconds;
+    const { now, leader, isLeaderUncertain } = input;
+    const isVacant = !isLeaderUncertain
+        && (leader === undefined || leader.isResigned || isSameAddress(leader, input));
+    const isLost = (input.isLeaderUnavailable && !isLeaderUncertain)
+        || now - input.unchangedSince >= leaderTimeoutMilliseconds;
     return input.hasRead && (isVacant || (isLost && !input.isReceivingUpdates));
 };
 
--- a/packages/assignment/src/records.ts
+++ b/packages/assignment/src/records.ts
@@ -17,6 +17,11 @@
     port: number;
     /** Increases with each leader. */
     term: number;
+    /**
+     * Era of the store that the writer knew: leadership holds in the era of its record only. Undefined in records of releases that do not
+     * know eras.
+     */
+    era: number | undefined;
     /** Record number: increases with each record of a leader, so that other instances see that it is alive. */
     beat: number;
     /** Whether the leader has resigned and sends no more grants. */
@@ -27,6 +32,8 @@
     previousCommandsMilliseconds: number;
     /** Time after this record in which leases that earlier leaders granted may still run, in milliseconds. */
     previousLeasesMilliseconds: number;
+    /** Time after this record in which owners that no stored assignment names may hold keys, in milliseconds. */
+    unknownLeasesMilliseconds: number;
 }
 
 const leaderSchema = zod.object({
@@ -34,20 +41,40 @@
     host: zod.string(),
     port: zod.int(),
     term: zod.int(),
+    era: zod.int().min(0).optional(),
     beat: zod.int(),
     isResigned: zod.boolean(),
     longestLeaseMilliseconds: zod.number(),
     previousCommandsMilliseconds: zod.number().default(0),
     previousLeasesMilliseconds: zod.number().default(0),
+    unknownLeasesMilliseconds: zod.number().default(0),
 });
 
 const assignmentSchema = zod.object({
+    era: zod.int().min(0).optional(),
     nextToken: zod.int(),
     owners: zod.array(zod.tuple([zod.string(), zod.number(), zod.string(), zod.int()])),
     /** First key, index of the owner, token, index of the previous owner; an index of -1 means none. */
     ranges: zod.array(zod.tuple([zod.int(), zod.int(), zod.int(), zod.int()])).min(1),
 });
 
+/** An assignment as stored. */
+export interface StoredAssignment extends keyRange.ServiceAssignment {
+    /** Era of the store that the writer knew; undefined in records of releases that do not know eras. */
+    era: number | undefined;
+}
+
+/**
+ * Whether a record belongs to another era than the topic that contains it. It is then left over from before the store returned from an older
+ * copy, or its append took effect late, and records that were stored after it may have been lost.
+ *
+ * @param record - the record
+ * @param era - era of the topic
+ * @returns false also for records of releases that do not know eras
+ */
+export const isOfOtherEra = (record: Pick<StoredAssignment, "era">, era: number): boolean =>
+    record.era !== undefined && record.era !== era;
+
 /**
  * Returns the record key of a service's assignment.
  *
@@ -81,7 +108,8 @@
  */
 export const decodeLeader = (bytes: Buffer): tsResults.Result<LeaderRecord, string> => {
     try {
-        return tsResults.Ok(leaderSchema.parse(cbor.decode(bytes)));
+        const leader = leaderSchema.parse(cbor.decode(bytes));
+        return tsResults.Ok({ ...leader, era: leader.era });
     }
     catch (error) {
         return tsResults.Err((error as Error).message);
@@ -92,9 +120,10 @@
  * Encodes an assignment.
  *
  * @param assignment - the assignment of a service
+ * @param era - era of the store that the writer knows
  * @returns the value to store, in CBOR
  */
-export const encodeAssignment = (assignment: keyRange.ServiceAssignment): Buffer => {
+export const encodeAssignment = (assignment: keyRange.ServiceAssignment, era: number | undefined): Buffer => {
     const indexByName = new Map<string, number>();
     const owners: [string, number, string, number][] = [];
     const indexOf = (owner: keyRange.Owner | undefined): number => {
@@ -112,7 +141,7 @@
     const ranges = assignment.ranges.map(
         range => [range.first, indexOf(range.owner), range.token, indexOf(range.previousOwner)],
     );
-    return cbor.encode({ nextToken: assignment.nextToken, owners, ranges });
+    return cbor.encode({ era, nextToken: assignment.nextToken, owners, ranges });
 };
 
 /**
@@ -125,7 +154,7 @@
 export const decodeAssignment = (
     service: string,
     bytes: Buffer,
-): tsResults.Result<keyRange.ServiceAssignment, string> => {
+): tsResults.Result<StoredAssignment, string> => {
     try {
         const stored = assignmentSchema.parse(cbor.decode(bytes));
         const owners = stored.owners.map(([identifier, startedAt, host, port]) => ({
@@ -141,7 +170,7 @@
             token,
             previousOwner: owners[previousOwnerIndex],
         }));
-        return tsResults.Ok({ service, nextToken: stored.nextToken, ranges });
+        return tsResults.Ok({ service, era: stored.era, nextToken: stored.nextToken, ranges });
     }
     catch (error) {
         return tsResults.Err((error as Error).message);
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -8,19 +8,30 @@
     host: "10.0.0.1",
     port: 7200,
     term: 3,
+    era: 2,
     beat: 9,
     isResigned: false,
     longestLeaseMilliseconds: 3500,
     previousCommandsMilliseconds: 0,
     previousLeasesMilliseconds: 0,
+    unknownLeasesMilliseconds: 0,
 };
 
+const createPreviousLeader = (change: Partial<assignment.PreviousLeader>): assignment.PreviousLeader => ({
+    record,
+    recordSeenAt: 5000,
+    terminatedBy: undefined,
+    areAssignmentsUncertain: false,
+    ...change,
+});
+
 const createInput = (change: Partial<assignment.LeadershipInput>): assignment.LeadershipInput => ({
     now: 10_000,
     leader: record,
     hasRead: true,
     lastReadAt: 9900,
     unchangedSince: 9800,
+    isLeaderUncertain: false,
     isReceivingUpdates: false,
     isLeaderUnavailable: false,
     host: "10.0.0.2",
@@ -146,7 +157,7 @@
     });
 
     test.it("makes a successor wait, counted from the time at which the last record was stored", () => {
-        const previousLeader = { record, recordSeenAt: 5000, terminatedBy: undefined };
+        const previousLeader = createPreviousLeader({});
         const commandsEndAt = assignment.previousCommandsEndAt(previousLeader);
         earl.expect(commandsEndAt >= 5000 + assignment.leaderLeaseMilliseconds).toEqual(true);
         earl.expect(
@@ -167,19 +178,20 @@
     });
 
     test.it("passes on how long commands and leases of earlier leaders last, also if the leader resigns at once", () => {
-        const previousLeader = { record, recordSeenAt: 5000, terminatedBy: undefined };
+        const previousLeader = createPreviousLeader({});
         const times = {
             previousCommandsUntil: assignment.previousCommandsEndAt(previousLeader),
             previousLeasesUntil: assignment.previousLeasesEndAt(previousLeader, maxLeaseMilliseconds),
+            unknownLeasesUntil: -Infinity,
         };
         for (const isResigned of [false, true]) {
             for (const resignedAt of [5050, 9000, 30_000]) {
                 const passedOn = assignment.passOnPreviousLeaders(times, resignedAt);
-                const successor = {
+                const successor = createPreviousLeader({
                     record: { ...record, ...passedOn, isResigned },
                     recordSeenAt: resignedAt + 10,
                     terminatedBy: resignedAt,
-                };
+                });
                 earl.expect(assignment.previousCommandsEndAt(successor) >= times.previousCommandsUntil).toEqual(true);
                 earl.expect(assignment.previousLeasesEndAt(successor, 1000) >= times.previousLeasesUntil).toEqual(true);
             }
@@ -191,11 +203,9 @@
     });
 
     test.it("waits for the longest lease of a leader that had a longer limit in its settings", () => {
-        const previousLeader = {
+        const previousLeader = createPreviousLeader({
             record: { ...record, longestLeaseMilliseconds: maxLeaseMilliseconds },
-            recordSeenAt: 5000,
-            terminatedBy: undefined,
-        };
+        });
         earl.expect(assignment.previousLeasesEndAt(previousLeader, 4000))
             .toEqual(assignment.previousLeasesEndAt(previousLeader, maxLeaseMilliseconds));
     });
--- a/packages/emulator/src/store.ts
+++ b/packages/emulator/src/store.ts
@@ -12,8 +12,20 @@
     losing: "losing",
     /** Neither processes requests nor responds. */
     silent: "silent",
+    /** Resets its connections and every new one. */
+    away: "away",
 } as const;
 
+/** When operators and upstreams write again the records that a return from a copy has lost. */
+export const Rewrite = {
+    atOnce: "atOnce",
+    /** A second after the return. */
+    later: "later",
+} as const;
+
+/** A value of {@link Rewrite}. */
+export type RewriteValue = typeof Rewrite[keyof typeof Rewrite];
+
 /** A value of {@link StoreMode}. */
 export type StoreModeValue = typeof StoreMode[keyof typeof StoreMode];
 
@@ -25,15 +37,28 @@
     setMode: (mode: StoreModeValue) => void;
     /** Discards the history of a topic but keeps the newest record of each key. */
     dropHistory: (topic: string) => void;
+    /**
+     * Returns from a copy that is as old as told, in milliseconds, and starts the next era. Records that were put since are put again, the
+     * newest one of each key.
+     */
+    returnFromCopy: (ageMilliseconds: number, rewrite: RewriteValue) => void;
+    /** Returns the offset behind the last record of a topic. */
+    endOffset: (topic: string) => number;
     /** Returns the number of requests received. */
     requestCount: () => number;
 }
 
-interface StoredRecord {
+interface EncodedRecord {
     key: string;
     value: Buffer;
 }
 
+interface StoredRecord extends EncodedRecord {
+    appendedAt: number;
+    /** Whether an operator or an upstream has put it. */
+    isPut: boolean;
+}
+
 interface Topic {
     records: StoredRecord[];
     firstOffset: number;
@@ -43,8 +68,11 @@
 const lengthBytes = 4;
 const offsetBytes = 8;
 
-const decodeRecords = (bytes: Buffer): StoredRecord[] => {
-    const records: StoredRecord[] = [];
+/** Time after a return from a copy at which lost records are put again with {@link Rewrite.later}, in milliseconds. */
+const rewriteDelayMilliseconds = 1000;
+
+const decodeRecords = (bytes: Buffer): EncodedRecord[] => {
+    const records: EncodedRecord[] = [];
     for (let position = 0; position + lengthBytes <= bytes.length;) {
         const length = bytes.readUInt32BE(position);
         const content = bytes.subarray(position + lengthBytes, position + lengthBytes + length);
@@ -55,7 +83,7 @@
     return records;
 };
 
-const encodeRecord = ({ key, value }: StoredRecord): Buffer => {
+const encodeRecord = ({ key, value }: EncodedRecord): Buffer => {
     const keyBytes = Buffer.from(key);
     const header = Buffer.alloc(lengthBytes + 1);
     header.writeUInt32BE(1 + keyBytes.length + value.length, 0);
@@ -78,17 +106,18 @@
         topics.set(name, topic);
         return topic;
     };
-    const append = (topic: Topic, records: readonly StoredRecord[]): void => {
-        topic.records.push(...records);
+    let era = 1;
+    const append = (topic: Topic, records: readonly EncodedRecord[], isPut: boolean): void => {
+        topic.records.push(...records.map(record => ({ ...record, appendedAt: performance.now(), isPut })));
         topic.waiters.splice(0).forEach(notify => notify());
     };
     const sendResponse = (response: http.ServerResponse, status: number, body: Buffer | object): void => {
-        if (mode === StoreMode.losing) {
+        if (mode === StoreMode.losing || mode === StoreMode.away) {
             response.destroy();
             return;
         }
         const bytes = Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body));
-        response.writeHead(status, { "content-length": bytes.length });
+        response.writeHead(status, { "content-length": bytes.length, "store-era": era });
         response.end(bytes);
     };
     const handleAppend = (query: URLSearchParams, topic: Topic, body: Buffer, response: http.ServerResponse): void => {
@@ -98,7 +127,7 @@
             sendResponse(response, 412, { end: endOffset });
             return;
         }
-        append(topic, decodeRecords(body));
+        append(topic, decodeRecords(body), false);
         sendResponse(response, 200, { offset: endOffset, end: topic.records.length });
     };
     const handleNewest = (topic: Topic, response: http.ServerResponse): void => {
@@ -111,16 +140,17 @@
     };
     const handleRead = async (query: URLSearchParams, topic: Topic, response: http.ServerResponse): Promise<void> => {
         const fromOffset = Number(query.get("from"));
-        if (fromOffset < topic.firstOffset) {
-            sendResponse(response, 410, { first: topic.firstOffset });
-            return;
-        }
-        if (fromOffset >= topic.records.length) {
+        const isMissing = (): boolean => fromOffset < topic.firstOffset || fromOffset > topic.records.length;
+        if (!isMissing() && fromOffset === topic.records.length) {
             await new Promise<void>(resolve => {
                 topic.waiters.push(resolve);
                 setTimeout(resolve, Number(query.get("waitMs") ?? 0)).unref();
             });
         }
+        if (isMissing()) {
+            sendResponse(response, 410, { first: topic.firstOffset });
+            return;
+        }
         const header = Buffer.alloc(2 * offsetBytes);
         header.writeBigUInt64BE(BigInt(topic.records.length), 0);
         header.writeBigUInt64BE(BigInt(topic.firstOffset), offsetBytes);
@@ -134,6 +164,10 @@
             if (mode === StoreMode.silent) {
                 return;
             }
+            if (mode === StoreMode.away) {
+                response.destroy();
+                return;
+            }
             if (mode === StoreMode.busy) {
                 sendResponse(response, 503, {});
                 return;
@@ -158,10 +192,41 @@
     });
     return {
         port: (server.address() as net.AddressInfo).port,
-        put: (topic, key, value) => append(getOrCreateTopic(topic), [{ key, value: Buffer.from(value) }]),
+        put: (topic, key, value) => append(getOrCreateTopic(topic), [{ key, value: Buffer.from(value) }], true),
         setMode: newMode => {
             mode = newMode;
+            if (mode === StoreMode.away) {
+                server.closeAllConnections();
+            }
+        },
+        returnFromCopy: (ageMilliseconds, rewrite) => {
+            const copiedAt = performance.now() - ageMilliseconds;
+            const putAgain: (() => void)[] = [];
+            for (const topic of topics.values()) {
+                const lost = topic.records.filter(({ appendedAt }) => appendedAt > copiedAt);
+                topic.records = topic.records.filter(({ appendedAt }) => appendedAt <= copiedAt);
+                topic.firstOffset = Math.min(topic.firstOffset, topic.records.length);
+                const newest = new Map(lost.filter(({ isPut }) => isPut).map(record => [record.key, record]));
+                for (const record of newest.values()) {
+                    putAgain.push(() => {
+                        // A record that was put meanwhile is newer.
+                        if (!topic.records.some(({ key, appendedAt }) => key === record.key && appendedAt > copiedAt)) {
+                            append(topic, [record], true);
+                        }
+                    });
+                }
+            }
+            era += 1;
+            mode = StoreMode.serving;
+            topics.forEach(topic => topic.waiters.splice(0).forEach(notify => notify()));
+            if (rewrite === Rewrite.atOnce) {
+                putAgain.forEach(put => put());
+            }
+            else {
+                setTimeout(() => putAgain.forEach(put => put()), rewriteDelayMilliseconds).unref();
+            }
         },
+        endOffset: topic => getOrCreateTopic(topic).records.length,
         dropHistory: name => {
             const topic = getOrCreateTopic(name);
             topic.firstOffset = topic.records.length;
--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -18,6 +18,8 @@
     host: string;
     port: number;
     maxLeaseMilliseconds: number;
+    /** The highest term that this instance knows of; records of it may be lost. */
+    latestTerm: () => number;
 }
 
 /** When the append that the store confirmed was sent, on both clocks: the process may have been suspended since. */
@@ -35,23 +37,52 @@
     confirmation: LeadershipConfirmation;
 }
 
-/** Returns what is assumed of the previous leader if records cannot be read: it may have led until now and granted the longest leases. */
-const assumePreviousLeader = (maxLeaseMilliseconds: number, now: number): assignment.PreviousLeader => ({
+/** Returns what is assumed of the previous leader if its record cannot be read or is lost: it may have granted the longest leases. */
+const assumePreviousLeader = (
+    maxLeaseMilliseconds: number,
+    recordSeenAt: number,
+    areAssignmentsUncertain: boolean,
+): assignment.PreviousLeader => ({
     record: {
         identifier: "",
         host: "",
         port: 0,
         term: 0,
+        era: undefined,
         beat: 0,
         isResigned: false,
         longestLeaseMilliseconds: maxLeaseMilliseconds,
         previousCommandsMilliseconds: 0,
         previousLeasesMilliseconds: 0,
+        unknownLeasesMilliseconds: 0,
     },
-    recordSeenAt: now,
+    recordSeenAt,
     terminatedBy: undefined,
+    areAssignmentsUncertain,
 });
 
+/** Returns what is known or assumed of the previous leader. */
+const describePreviousLeader = (
+    { watch, timers, maxLeaseMilliseconds, ...instance }: CampaignOptions,
+    stored: ownershipReader.OwnershipSnapshot,
+): assignment.PreviousLeader => {
+    if (watch.isLeaderUncertain()) {
+        return assumePreviousLeader(maxLeaseMilliseconds, watch.unchangedSince(), true);
+    }
+    if (stored.leader === undefined && stored.unreadableKeys.size > 0) {
+        return assumePreviousLeader(maxLeaseMilliseconds, timers.now(), false);
+    }
+    // A leader record with the address of this instance was written by an earlier process of it. A refused connection proves
+    // nothing: the path may be cut. Neither does the response that a process does not lead: it may learn later that it has won.
+    const hasTerminated = assignment.isSameAddress(stored.leader, instance);
+    return {
+        record: stored.leader,
+        recordSeenAt: watch.unchangedSince(),
+        terminatedBy: hasTerminated ? timers.now() : undefined,
+        areAssignmentsUncertain: false,
+    };
+};
+
 /**
  * Appends a leader record of this instance, unless another record was appended after the topic was read.
  *
@@ -64,21 +95,14 @@
     stored: ownershipReader.OwnershipSnapshot,
 ): Promise<WonCampaign | undefined> => {
     const { watch, timers, log, identifier, host, port, maxLeaseMilliseconds } = options;
-    // A leader record with the address of this instance was written by an earlier process of it. A refused connection proves
-    // nothing: the path may be cut. Neither does the response that a process does not lead: it may learn later that it has won.
-    const hasTerminated = assignment.isSameAddress(stored.leader, options);
-    const isUnknown = stored.leader === undefined && stored.unreadableKeys.size > 0;
-    const previousLeader = isUnknown ? assumePreviousLeader(maxLeaseMilliseconds, timers.now()) : {
-        record: stored.leader,
-        recordSeenAt: watch.unchangedSince(),
-        terminatedBy: hasTerminated ? timers.now() : undefined,
-    };
+    const previousLeader = describePreviousLeader(options, stored);
     const previousLeaders = assignment.previousLeaderTimes(previousLeader, maxLeaseMilliseconds);
     const record: assignment.LeaderRecord = {
         identifier,
         host,
         port,
-        term: (stored.leader?.term ?? 0) + 1,
+        term: Math.max(stored.leader?.term ?? 0, options.latestTerm()) + 1,
+        era: stored.end.era,
         beat: 0,
         isResigned: false,
         longestLeaseMilliseconds: maxLeaseMilliseconds,
@@ -91,13 +115,21 @@
     if (response.result !== platform.AppendResult.appended) {
         log.write("campaign-failed", { term: record.term, result: response.result, reason: response.reason });
         await options.readSnapshot();
-        // An append without a response may still have taken effect.
-        if (watch.snapshot()?.leader?.identifier !== identifier) {
+        // An append without a response may still have taken effect. The store may also contain an older record of this process.
+        const { leader } = watch.snapshot() ?? stored;
+        const isWon = leader?.identifier === identifier && leader.term === record.term && leader.era === record.era;
+        if (!isWon || watch.snapshot()?.isLeaderOutdated !== false) {
             return undefined;
         }
     }
-    const snapshot = { ...(watch.snapshot() ?? stored), leader: record };
+    const snapshot = { ...(watch.snapshot() ?? stored), leader: record, isLeaderOutdated: false };
     snapshot.end = response.result === platform.AppendResult.appended ? response.end : snapshot.end;
-    log.write("leadership-won", { term: record.term, before: stored.leader?.identifier, end: snapshot.end });
+    log.write("leadership-won", {
+        term: record.term,
+        before: stored.leader?.identifier,
+        era: snapshot.end.era,
+        end: snapshot.end.offset,
+        unknownLeases: record.unknownLeasesMilliseconds > 0 ? Math.round(record.unknownLeasesMilliseconds) : undefined,
+    });
     return { record, snapshot, previousLeaders, confirmation };
 };
--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -1,9 +1,10 @@
 /** Serves the instances that follow this one while it leads. */
 import * as foundation from "@mulberryseam/foundation";
+import type * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
 import * as net from "node:net";
 import type * as leaderSession from "./leaderSession";
-import type * as topicExchange from "./topicExchange";
+import * as topicExchange from "./topicExchange";
 import type * as topicTask from "./topicTask";
 
 /** Address and dependencies of the follower server. */
@@ -89,25 +90,26 @@
     const createHeartbeat = (session: leaderSession.LeaderSession): protocol.RoutingMessage => ({
         kind: "beat",
         term: session.term,
+        era: session.era(),
         record: session.acknowledgedRecordNumber(),
         proofAge: session.confirmationAge(),
         instances: followers.size + 1,
         topics: options.topics.positions(),
     });
-    const encodedSnapshots = new Map<string, { end: number; content: Uint8Array | undefined; }>();
+    const encodedSnapshots = new Map<string, { end: platform.Position; content: Uint8Array | undefined; }>();
     /** Returns undefined for a snapshot that is too large to be sent; followers then read the store. */
     const encodeSnapshot = (
         topic: string,
         { records, end }: topicTask.TopicSnapshot,
     ): Uint8Array | undefined => {
         const encoded = encodedSnapshots.get(topic);
-        if (encoded?.end === end) {
+        if (encoded?.end.offset === end.offset) {
             return encoded.content;
         }
         const content = protocol.encodeTopicContent([...records]);
         const wasTooLarge = encoded !== undefined && encoded.content === undefined;
         if (content === undefined && !wasTooLarge) {
-            options.log.write("snapshot-too-large", { topic, end, records: records.length });
+            options.log.write("snapshot-too-large", { topic, era: end.era, end: end.offset, records: records.length });
         }
         encodedSnapshots.set(topic, { end, content });
         return content;
@@ -119,10 +121,10 @@
                 const snapshot = knownTopics.has(topic) ? undefined : options.topics.snapshot(topic);
                 if (snapshot !== undefined) {
                     knownTopics.add(topic);
-                    const { end, age } = snapshot;
+                    const position = topicExchange.toTopicPosition(topic, snapshot);
                     const content = encodeSnapshot(topic, snapshot);
                     if (content !== undefined) {
-                        connection.sendState({ kind: protocol.RoutingMessageKind.snapshot, topic, end, age, content });
+                        connection.sendState({ kind: protocol.RoutingMessageKind.snapshot, ...position, content });
                     }
                 }
             }
--- a/packages/entry/src/keyRouting.ts
+++ b/packages/entry/src/keyRouting.ts
@@ -29,10 +29,16 @@
         isInitialized: service => views.get(service)?.isInitialized() === true,
         applyMessage: ({ service, changes, owners }) =>
             getOrCreate(service).apply(changes.map(change => ({ ...change, owner: owners[change.owner] }))),
-        applySnapshot: ({ assignments }) => {
+        applySnapshot: ({ assignments, outdatedAssignments }) => {
             for (const [service, { ranges }] of assignments) {
                 getOrCreate(service).apply(ranges);
             }
+            for (const [service, { ranges }] of outdatedAssignments) {
+                // What a leader has told is newer, and owners hold their keys until their leases end.
+                if (!getOrCreate(service).isInitialized()) {
+                    getOrCreate(service).apply(ranges);
+                }
+            }
         },
     };
 };
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -4,7 +4,7 @@
 import type * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
 import * as net from "node:net";
-import type * as topicExchange from "./topicExchange";
+import * as topicExchange from "./topicExchange";
 
 /** Dependencies and handlers of a leader link. */
 export interface LeaderLinkOptions {
@@ -36,6 +36,8 @@
     lastConfirmedAt: () => number;
     /** Time at which the store confirmed the leader record of the latest heartbeat; undefined for any other record. */
     confirmationTimeOf: (record: assignment.LeaderRecord) => number | undefined;
+    /** The highest term of a leader that has sent heartbeats; 0 before any. */
+    latestTerm: () => number;
     /** Identifier of the last leader whose address refused a connection or responded that it does not lead, until it sends a heartbeat. */
     unavailableLeader: () => string | undefined;
     /** Number of instances of the site, as reported by the leader. */
@@ -82,17 +84,19 @@
     let lastHeartbeatAt = -Infinity;
     let lastConfirmedAt = -Infinity;
     let confirmedAt = -Infinity;
-    let confirmedRecord: { identifier: string; recordNumber: number; } | undefined;
+    let confirmedRecord: Pick<assignment.LeaderRecord, "identifier" | "term" | "era" | "beat"> | undefined;
+    let latestTerm = 0;
     let instanceCount = assumedInstanceCount;
     let reportedInstanceCount = 0;
     let isStopping = false;
 
     /** `topicEnds` holds the end of each topic that the leader last reported on the connection. */
     const onTopicPosition = (
-        topicEnds: Map<string, number>,
-        { topic, end, age }: protocol.TopicPosition,
+        topicEnds: Map<string, platform.Position>,
+        { topic, age, ...message }: protocol.TopicPosition,
         records: platform.StoredRecord[],
     ): void => {
+        const end = topicExchange.toPosition(message);
         // Records before the first position on a connection are unknown.
         const from = topicEnds.get(topic) ?? end;
         topicEnds.set(topic, end);
@@ -103,13 +107,13 @@
         message: protocol.RoutingMessage,
         connection: protocol.RoutingConnection,
         leader: assignment.LeaderRecord,
-        topicEnds: Map<string, number>,
+        topicEnds: Map<string, platform.Position>,
     ): void => {
         switch (message.kind) {
             case protocol.RoutingMessageKind.news:
                 onTopicPosition(
                     topicEnds,
-                    { topic: message.topic, end: message.end, age: 0 },
+                    { topic: message.topic, era: message.era, end: message.end, age: 0 },
                     message.records.map(toStoredRecord),
                 );
                 return;
@@ -119,7 +123,8 @@
                     connection.close();
                     return;
                 }
-                const { topic, end, age } = message;
+                const { topic, age } = message;
+                const end = topicExchange.toPosition(message);
                 topicEnds.set(topic, end);
                 options.topics.onSnapshot(topic, { records: records.val.map(toStoredRecord), end, age });
                 return;
@@ -130,7 +135,13 @@
                 unavailableLeader = unavailableLeader === leader.identifier ? undefined : unavailableLeader;
                 confirmedAt = lastHeartbeatAt - message.proofAge;
                 lastConfirmedAt = Math.max(lastConfirmedAt, confirmedAt);
-                confirmedRecord = { identifier: leader.identifier, recordNumber: message.record };
+                confirmedRecord = {
+                    identifier: leader.identifier,
+                    term: message.term,
+                    era: message.era,
+                    beat: message.record,
+                };
+                latestTerm = Math.max(latestTerm, message.term);
                 instanceCount = Math.max(1, message.instances);
                 reportedInstanceCount = instanceCount;
                 return;
@@ -159,7 +170,7 @@
         if (socket === undefined) {
             return;
         }
-        const topicEnds = new Map<string, number>();
+        const topicEnds = new Map<string, platform.Position>();
         const connection = protocol.createRoutingConnection(socket, {
             idleTimeoutMilliseconds: options.idleTimeoutMilliseconds,
             failures: options.failures,
@@ -213,9 +224,11 @@
         lastConfirmedAt: () => lastConfirmedAt,
         confirmationTimeOf: record => {
             const isConfirmed = confirmedRecord?.identifier === record.identifier
-                && confirmedRecord.recordNumber === record.beat;
+                && confirmedRecord.term === record.term && confirmedRecord.beat === record.beat
+                && confirmedRecord.era === (record.era ?? confirmedRecord.era);
             return isConfirmed ? confirmedAt : undefined;
         },
+        latestTerm: () => latestTerm,
         unavailableLeader: () => unavailableLeader,
         instanceCount: () => instanceCount,
         reportedInstanceCount: () => reportedInstanceCount,
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -6,13 +6,13 @@
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
-import * as relay from "@mulberryseam/relay";
-import * as routing from "@mulberryseam/routing";
+import type * as routing from "@mulberryseam/routing";
 import type * as campaign from "./campaign";
 import * as leaseCommandSender from "./leaseCommandSender";
 import * as leavingUpstreams from "./leavingUpstreams";
 import * as ownershipReader from "./ownershipReader";
 import * as ownershipWriter from "./ownershipWriter";
+import * as servicePlanner from "./servicePlanner";
 
 /** Dependencies and limits of a leader session. */
 export interface LeaderSessionOptions {
@@ -58,6 +58,8 @@
     /** Resigns leadership, so that a successor need not wait for the leader lease to expire. */
     resign: () => Promise<void>;
     term: number;
+    /** Era of the store in which this instance leads. */
+    era: () => number;
     /** Number of the last leader record that the store has acknowledged. */
     acknowledgedRecordNumber: () => number;
     /** Time since the store last confirmed this leadership, in milliseconds. */
@@ -73,27 +75,9 @@
 /** Maximum wait for an append in flight before resigning, in milliseconds. */
 const maxResignWaitMilliseconds = 600;
 const resignPollMilliseconds = 20;
-/** Time without a response after which an owner's keys are reassigned, in milliseconds: several probes. */
-const unresponsiveMilliseconds = 900;
-/** Minimum period for which capacity is computed, in seconds: a new leader has not observed any load yet. */
-const minLoadSeconds = 0.5;
-/** Delay of the first assignment of keys, in milliseconds, so that upstreams can register when a site starts. */
-const initialAssignmentDelayMilliseconds = 2500;
 /** Weight of a new measurement in an upstream's average service time. */
 const serviceTimeSmoothing = 0.3;
 
-interface KeyedService {
-    leaseManager: assignment.LeaseManager;
-    load: assignment.KeyLoad;
-}
-
-const toOwner = (upstream: routing.Upstream): assignment.Owner => ({
-    identifier: upstream.identifier,
-    startedAt: upstream.startedAt,
-    host: upstream.host,
-    port: upstream.port,
-});
-
 /**
  * Creates the message that sends routing changes to followers.
  *
@@ -124,29 +108,18 @@
     };
 };
 
-/** Returns a service's leases and load, which are created on first use. */
-const findOrCreate = (services: Map<string, KeyedService>, name: string): KeyedService => {
-    const existing = services.get(name);
-    if (existing !== undefined) {
-        return existing;
-    }
-    const created = { leaseManager: assignment.createLeaseManager(), load: assignment.createKeyLoad() };
-    services.set(name, created);
-    return created;
-};
-
 const applySnapshot = (
-    services: Map<string, KeyedService>,
+    services: Map<string, servicePlanner.KeyedService>,
     snapshot: ownershipReader.OwnershipSnapshot,
     previousLeasesUntil: number,
 ): void => {
     for (const [name, stored] of snapshot.assignments) {
-        findOrCreate(services, name).leaseManager.setAssignment(stored, previousLeasesUntil);
+        servicePlanner.findOrCreate(services, name).leaseManager.setAssignment(stored, previousLeasesUntil);
     }
 };
 
 const setPendingPlans = (
-    services: Map<string, KeyedService>,
+    services: Map<string, servicePlanner.KeyedService>,
     plans: readonly assignment.ServiceAssignment[],
 ): void =>
     services.forEach(({ leaseManager }, name) =>
@@ -167,7 +140,7 @@
 /** Records the requested keys and the service times that a follower reports. */
 const recordLoad = (
     { samples, speeds }: protocol.FollowerReport,
-    services: ReadonlyMap<string, KeyedService>,
+    services: ReadonlyMap<string, servicePlanner.KeyedService>,
     serviceTimes: Map<string, number>,
 ): void => {
     for (const { service, keys, weight } of samples) {
@@ -187,9 +160,9 @@
  * @returns the session; the caller drives it by {@link LeaderSession.tick}
  */
 export const createLeaderSession = (options: LeaderSessionOptions): LeaderSession => {
-    const { directory, timers, log, failures } = options;
+    const { timers, log, failures } = options;
     const leaderLease = assignment.createLeaderLease(options.maxLeaseMilliseconds);
-    const services = new Map<string, KeyedService>();
+    const services = new Map<string, servicePlanner.KeyedService>();
     const serviceTimes = new Map<string, number>();
     const startedAt = timers.now();
     let confirmedAt = options.confirmation.sentAt;
@@ -221,6 +194,7 @@
         end: options.snapshot.end,
         lastAppendAt: options.confirmation.sentAt,
         onLeadershipConfirmed,
+        isUndisputed: () => false,
         onSnapshot: snapshot => {
             applySnapshot(services, snapshot, -Infinity);
             // After a conflict, the plans were certainly not stored.
@@ -233,69 +207,13 @@
         },
     });
 
-    const listCandidates = (service: string, { leaseManager, load }: KeyedService): assignment.Candidate[] => {
-        const now = timers.now();
-        const entries = directory.findByService(service).filter(({ upstream, leavingSince }) => {
-            const since = leaseManager.unresponsiveSince(toOwner(upstream), now);
-            const isUnresponsive = since !== undefined && now - since >= unresponsiveMilliseconds;
-            return leavingSince === undefined && !isUnresponsive && options.mayOwnKeys(service, upstream);
-        });
-        const upstreams = entries.map(({ upstream }) => ({
-            owner: toOwner(upstream),
-            slots: upstream.slots,
-            serviceMilliseconds: serviceTimes.get(upstream.identifier),
-            maxRequestsPerSecond: options.toleratedPerSecond?.(upstream),
-        }));
-        const loadSeconds = Math.max(minLoadSeconds, load.windowSeconds());
-        return assignment.estimateCapacities(upstreams, loadSeconds, relay.assumedServiceMilliseconds);
-    };
-
-    /**
-     * Whether a range can move to another owner. A previous leader that has not yet seen this one may still renew
-     * leases. An upstream refuses to renew keys that it has released, but one that restarted in between has lost that
-     * state and accepts. So an owner that may still run keeps its ranges until the previous leader can no longer send
-     * commands.
-     */
-    const canMove = (leaseManager: assignment.LeaseManager, range: assignment.KeyRange): boolean => {
-        const now = timers.now();
-        const canPreviousLeaderRenew = now < options.previousLeaders.previousCommandsUntil && range.owner !== undefined;
-        return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
-    };
-
-    /** An assignment that cannot be read has holders and tokens that are not known. */
-    const isUnreadable = (service: string): boolean =>
-        options.snapshot.unreadableKeys.has(assignment.assignmentKey(service));
-
-    const createFirstAssignment = (service: string, keysPerRange: number): assignment.ServiceAssignment => {
-        const empty = assignment.createEmptyAssignment(service, keysPerRange);
-        // No append uses more tokens than there are keys, and each one has a record at least.
-        return isUnreadable(service) ? { ...empty, nextToken: 1 + options.snapshot.end * assignment.keyCount } : empty;
-    };
-
-    const planService = (name: string): assignment.ServiceAssignment | undefined => {
-        const keyedService = findOrCreate(services, name);
-        const { leaseManager, load } = keyedService;
-        const settledAssignment = leaseManager.settledAssignment();
-        if (settledAssignment === undefined && timers.now() - startedAt < initialAssignmentDelayMilliseconds) {
-            return undefined;
-        }
-        const candidates = listCandidates(name, keyedService);
-        if (
-            settledAssignment === undefined && isUnreadable(name)
-            && timers.now() < options.previousLeaders.previousLeasesUntil
-        ) {
-            return undefined;
-        }
-        const initialRangeKeys = Math.ceil(assignment.keyCount / assignment.initialRangeCount(candidates.length));
-        return assignment.balance({
-            assignment: settledAssignment ?? createFirstAssignment(name, initialRangeKeys),
-            candidates,
-            loadSums: load.prefixSums(),
-            isMoving: leaseManager.isMoving,
-            canMove: range => canMove(leaseManager, range),
-            isFenced: leaseManager.isFenced,
-        });
-    };
+    const planner = servicePlanner.createServicePlanner({
+        ...options,
+        services,
+        serviceTimes,
+        startedAt,
+        appendPosition: writer.end,
+    });
 
     const commit = async (): Promise<void> => {
         if (writer.needsRead()) {
@@ -308,7 +226,7 @@
         const plans = hasUnconfirmedPlans || !areEvacuationsKnown
             ? []
             : options.keyedServices().map(name =>
-                failures.run("assignment", () => planService(name), { service: name })
+                failures.run("assignment", () => planner.plan(name), { service: name })
             ).filter(plan => plan !== undefined);
         const now = timers.now();
         services.forEach(({ load }) => load.decay(now - lastDecayAt));
@@ -402,6 +320,7 @@
             log.write("leadership-resigned", { term: options.record.term });
         },
         term: options.record.term,
+        era: writer.era,
         acknowledgedRecordNumber: writer.acknowledgedRecordNumber,
         confirmationAge: () => timers.now() - confirmedAt,
     };
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -14,7 +14,7 @@
 import type * as leavingUpstreams from "./leavingUpstreams";
 import type * as ownershipReader from "./ownershipReader";
 import * as ownershipWatch from "./ownershipWatch";
-import type * as topicExchange from "./topicExchange";
+import * as topicExchange from "./topicExchange";
 
 /** Dependencies of the ownership task. */
 export interface OwnershipTaskOptions {
@@ -62,7 +62,7 @@
      */
     contactAge: () => number;
     /** Relays to the followers the records that this instance has read; does nothing unless it leads. */
-    relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: number) => void;
+    relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: platform.Position) => void;
     /** Identifies this process among the delegates. */
     identifier: string;
     /** The instances of this failure domain that accept requests of each other, including this one. */
@@ -143,6 +143,8 @@
     let missingSince: number | undefined;
     let isStepRunning = false;
     let isResigning = false;
+    /** The last term in which this instance led; 0 if it has not. */
+    let ownTerm = 0;
 
     const delegate: protocol.Delegate = { identifier, host: settings.host, port: settings.delegatePort };
     const { failureDomain } = settings;
@@ -192,6 +194,7 @@
         timers,
         log,
         confirmationTimeOf: link.confirmationTimeOf,
+        isFirstStart: settings.isFirstStart,
     });
 
     const readSnapshot = async (): Promise<void> => {
@@ -219,11 +222,13 @@
             host: settings.host,
             port: settings.peerPort,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
+            latestTerm: () => Math.max(ownTerm, link.latestTerm()),
         }, stored);
         if (won === undefined) {
             return;
         }
         link.close();
+        ownTerm = won.record.term;
         session = leaderSession.createLeaderSession({
             ...options,
             ...won,
@@ -267,8 +272,10 @@
         else if (nextStep === assignment.LeadershipStep.campaign && known !== undefined && !isResigning) {
             await runCampaign(known);
         }
-        const leader = watch.snapshot()?.leader;
-        if (leader !== undefined && leader.identifier !== identifier && !leader.isResigned && session === undefined) {
+        const { leader, isLeaderOutdated } = watch.snapshot() ?? {};
+        const isFollowable = leader !== undefined && leader.identifier !== identifier && !leader.isResigned
+            && isLeaderOutdated === false;
+        if (isFollowable && session === undefined) {
             link.follow(leader);
         }
     };
@@ -321,7 +328,8 @@
                 : session.confirmationAge(),
         relayRecords: (topic, records, end) => {
             if (session !== undefined) {
-                followers.broadcast({ kind: "news", topic, end, records: [...records] });
+                const position = topicExchange.toTopicPosition(topic, { end, age: 0 });
+                followers.broadcast({ kind: "news", ...position, records: [...records] });
             }
         },
         resign: async () => {
--- a/packages/entry/src/ownershipWatch.ts
+++ b/packages/entry/src/ownershipWatch.ts
@@ -11,6 +11,8 @@
     log: foundation.EventLog;
     /** Returns when the store confirmed a leader record, as reported by the leader; undefined if unknown. */
     confirmationTimeOf: (record: assignment.LeaderRecord) => number | undefined;
+    /** Whether the site starts for the first time, so that no leader record can have been lost. */
+    isFirstStart: boolean;
 }
 
 /** Newest known content of the ownership topic; times are on the clock of the instance. */
@@ -24,10 +26,15 @@
     /** Forgets the content, which is known to be outdated. */
     forget: () => void;
     /** Returns what the next step towards leadership depends on. */
-    leadershipState: () => Pick<assignment.LeadershipInput, "leader" | "hasRead" | "lastReadAt" | "unchangedSince">;
+    leadershipState: () => Pick<
+        assignment.LeadershipInput,
+        "leader" | "hasRead" | "lastReadAt" | "unchangedSince" | "isLeaderUncertain"
+    >;
     lastSuccessfulReadAt: () => number;
-    /** Time by which the leader record was stored. */
+    /** Time by which the leader record was stored, or by which the store had returned from an older copy. */
     unchangedSince: () => number;
+    /** Whether another instance than the leader record says may have led before the store returned from an older copy. */
+    isLeaderUncertain: () => boolean;
     /** Shortest time that a read took, in milliseconds; undefined before the first one. */
     storeRoundTripMilliseconds: () => number | undefined;
 }
@@ -46,6 +53,16 @@
     let lastReadAt = -Infinity;
     let lastSuccessfulReadAt = timers.now();
     let storeRoundTripMilliseconds: number | undefined;
+    let latestEra: number | undefined;
+    let hasReturned = false;
+    const isLeaderUncertain = (): boolean => {
+        if (snapshot === undefined) {
+            return false;
+        }
+        const mayBeLost = hasReturned || !options.isFirstStart;
+        const isMissing = snapshot.leader === undefined && !snapshot.unreadableKeys.has(assignment.leaderKey);
+        return snapshot.isLeaderOutdated || (isMissing && mayBeLost);
+    };
     return {
         read: async () => {
             const startedAt = timers.now();
@@ -53,11 +70,19 @@
             const latest = await ownershipReader.readOwnership(store, log);
             lastSuccessfulReadAt = timers.now();
             storeRoundTripMilliseconds = Math.min(storeRoundTripMilliseconds ?? Infinity, timers.now() - startedAt);
-            unchangedSince = assignment.recordStoredBy({ leader: snapshot?.leader, storedBy: unchangedSince }, {
-                leader: latest.leader,
-                endedAt: timers.now(),
-                confirmedAt: latest.leader === undefined ? undefined : options.confirmationTimeOf(latest.leader),
-            });
+            const isNewEra = latestEra !== undefined && latest.end.era !== latestEra;
+            const endedAt = timers.now();
+            // What was known of the leader says nothing about one that led before the return.
+            unchangedSince = isNewEra ? endedAt : assignment.recordStoredBy(
+                { leader: snapshot?.leader, storedBy: unchangedSince },
+                {
+                    leader: latest.leader,
+                    endedAt,
+                    confirmedAt: latest.leader === undefined ? undefined : options.confirmationTimeOf(latest.leader),
+                },
+            );
+            hasReturned ||= isNewEra;
+            latestEra = latest.end.era;
             snapshot = latest;
             return latest;
         },
@@ -73,9 +98,11 @@
             hasRead: snapshot !== undefined,
             lastReadAt,
             unchangedSince,
+            isLeaderUncertain: isLeaderUncertain(),
         }),
         lastSuccessfulReadAt: () => lastSuccessfulReadAt,
         unchangedSince: () => unchangedSince,
+        isLeaderUncertain,
         storeRoundTripMilliseconds: () => storeRoundTripMilliseconds,
     };
 };
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -15,14 +15,16 @@
     /** The leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
     previousLeaders: assignment.PreviousLeaderTimes;
-    /** Offset at which the next record is appended. */
-    end: number;
+    /** Position at which the next record is appended. */
+    end: platform.Position;
     /** Time at which the append of the record was sent. */
     lastAppendAt: number;
     /** Called when the response to a call sent at `sentAt` confirms that this instance leads. */
     onLeadershipConfirmed: (sentAt: number) => void;
     /** Called with the content of the topic after a resynchronization; it may differ from the last append. */
     onSnapshot: (snapshot: ownershipReader.OwnershipSnapshot) => void;
+    /** Whether no successor of this leader can have changed an assignment before the store returned from an older copy. */
+    isUndisputed: () => boolean;
     /** Called when the topic shows that this instance no longer leads; `newTerm` is undefined if there is no leader. */
     onSuperseded: (newTerm: number | undefined) => void;
 }
@@ -45,6 +47,10 @@
     /** Whether an append of plans may still take effect, so that no other plan can be made. */
     hasUnconfirmedPlans: () => boolean;
     lastAppendAt: () => number;
+    /** Position at which the next record is appended. */
+    end: () => platform.Position;
+    /** Era in which this instance leads. */
+    era: () => number;
     /** Number of the last leader record that the store has acknowledged. */
     acknowledgedRecordNumber: () => number;
 }
@@ -75,14 +81,15 @@
                 { key: assignment.leaderKey, value: assignment.encodeLeader(nextRecord) },
                 ...plans.map(plan => ({
                     key: assignment.assignmentKey(plan.service),
-                    value: assignment.encodeAssignment(plan),
+                    value: assignment.encodeAssignment(plan, end.era),
                 })),
             ]);
             if (response.result !== platform.AppendResult.appended) {
                 log.write("append-failed", {
                     result: response.result,
                     reason: response.reason,
-                    end,
+                    era: end.era,
+                    end: end.offset,
                     plans: plans.length,
                 });
                 needsRead = true;
@@ -100,7 +107,8 @@
         resynchronize: async () => {
             const snapshot = await ownershipReader.readOwnership(store, log);
             const { leader } = snapshot;
-            if (leader?.identifier !== record.identifier || leader.term !== record.term) {
+            const claim = assignment.claimLeadership(record, leader, snapshot.end.era, options.isUndisputed());
+            if (leader === undefined || claim !== assignment.LeadershipClaim.confirmed) {
                 options.onSuperseded(leader?.term);
                 return;
             }
@@ -112,6 +120,8 @@
         needsRead: () => needsRead,
         hasUnconfirmedPlans: () => hasUnconfirmedPlans,
         lastAppendAt: () => lastAppendAt,
+        end: () => end,
+        era: () => end.era,
         acknowledgedRecordNumber: () => acknowledgedRecordNumber,
     };
 };
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -5,7 +5,7 @@
 import type * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as documentEvent from "./documentEvent";
-import type * as topicExchange from "./topicExchange";
+import * as topicExchange from "./topicExchange";
 import * as topicTask from "./topicTask";
 import * as warmupFingerprint from "./warmupFingerprint";
 
@@ -22,7 +22,7 @@
     /** Whether this instance leads, and so reads the topics for the other instances. */
     isLeading: () => boolean;
     /** Relays changed records of a topic to the followers. */
-    relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: number) => void;
+    relayRecords: (topic: string, records: readonly platform.StoredRecord[], end: platform.Position) => void;
     onDocument: (document: routing.RoutingDocument) => void;
     /**
      * Called with each registry entry that is applied, with the time at which it was received, and whether it belongs to the registry as
@@ -272,7 +272,7 @@
             positions: () =>
                 [...tasks].flatMap(([topic, task]) => {
                     const position = task.position();
-                    return position === undefined ? [] : [{ topic, ...position }];
+                    return position === undefined ? [] : [topicExchange.toTopicPosition(topic, position)];
                 }),
             snapshot: topic => tasks.get(topic)?.snapshot(),
             onRelayed: (topic, relayed) => tasks.get(topic)?.onRelayed(relayed),
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -32,7 +32,7 @@
     /** Returns the same text for equivalent values. */
     fingerprintOf: (key: string, value: Buffer) => string;
     /** Called with the records that change the state, in topic order. */
-    onChanges: (records: readonly platform.StoredRecord[], end: number, origin: ChangeOrigin) => void;
+    onChanges: (records: readonly platform.StoredRecord[], end: platform.Position, origin: ChangeOrigin) => void;
     /** Called when the state is confirmed to be current, after `onChanges` for the same update. */
     onContact: (source: TopicSourceValue) => void;
     onFailure: (reason: string) => void;
@@ -40,10 +40,10 @@
 
 /** Records that another instance has read. */
 export interface RelayedRecords {
-    /** Offset from which the records include every change. */
-    from: number;
-    /** Offset after the last record. */
-    end: number;
+    /** Position from which the records include every change. */
+    from: platform.Position;
+    /** Position after the last record. */
+    end: platform.Position;
     /** Time since the other instance read the topic, in milliseconds. */
     age: number;
     records: readonly platform.StoredRecord[];
@@ -52,7 +52,7 @@
 /** The newest record of every key, and how long ago an instance knew that they were. */
 export interface TopicSnapshot {
     records: readonly platform.StoredRecord[];
-    end: number;
+    end: platform.Position;
     age: number;
 }
 
@@ -66,8 +66,8 @@
     onSnapshot: (snapshot: TopicSnapshot) => void;
     /** Returns the newest record of every key; undefined before the first response. */
     snapshot: () => TopicSnapshot | undefined;
-    /** Offset up to which the topic is known, and the age of the state; undefined before the first response. */
-    position: () => { end: number; age: number; } | undefined;
+    /** Position up to which the topic is known, and the age of the state; undefined before the first response. */
+    position: () => { end: platform.Position; age: number; } | undefined;
 }
 
 /** Bounds of the delay after failed calls, in milliseconds: short compared to the time in which changes must apply. */
@@ -95,7 +95,7 @@
     const filter = changeFilter.createChangeFilter(fingerprintOf);
     const startedAt = timers.now();
     const newestRecords = new Map<string, platform.StoredRecord>();
-    let offset: number | undefined;
+    let position: platform.Position | undefined;
     let lastUpdateAt = -Infinity;
     /** Messages to other instances contain finite numbers only. */
     const age = (): number => Math.min(maxAgeMilliseconds, timers.now() - lastUpdateAt);
@@ -103,7 +103,7 @@
 
     const notifyChanges = (
         changes: readonly platform.StoredRecord[],
-        end: number,
+        end: platform.Position,
         source: TopicSourceValue,
     ): void => {
         for (const change of changes) {
@@ -116,15 +116,25 @@
         }
         if (changes.length > 0) {
             const origin = { source, maxAgeMilliseconds: timers.now() - lastUpdateAt };
-            failures.run("topic", () => options.onChanges(changes, end, origin), { topic, end });
+            failures.run("topic", () => options.onChanges(changes, end, origin), {
+                topic,
+                era: end.era,
+                end: end.offset,
+            });
         }
     };
-    const advance = (records: readonly platform.StoredRecord[], end: number, source: TopicSourceValue): void => {
-        const knownOffset = offset ?? 0;
+    const isBefore = (end: platform.Position): boolean =>
+        position !== undefined && platform.comparePositions(end, position) < 0;
+    const advance = (
+        known: platform.Position,
+        records: readonly platform.StoredRecord[],
+        end: platform.Position,
+        source: TopicSourceValue,
+    ): void => {
         // The leader may have relayed some of these records while the read was in flight.
-        const changes = filter.apply(records.filter(record => record.offset >= knownOffset));
-        offset = Math.max(knownOffset, end);
-        notifyChanges(changes, offset, source);
+        const changes = filter.apply(records.filter(record => record.offset >= known.offset));
+        position = isBefore(end) ? known : end;
+        notifyChanges(changes, position, source);
     };
     const onContact = (updatedAt: number, source: TopicSourceValue): void => {
         lastUpdateAt = Math.max(lastUpdateAt, updatedAt);
@@ -135,14 +145,14 @@
     const readSnapshot = async (): Promise<void> => {
         const { records, end } = await store.readSnapshot(topic);
         // The leader may have sent a newer snapshot while the read was in flight.
-        if (end < (offset ?? 0)) {
+        if (isBefore(end)) {
             return;
         }
-        offset = end;
-        notifyChanges(filter.replace(records, end), end, TopicSource.store);
+        position = end;
+        notifyChanges(filter.replace(records, end.offset), end, TopicSource.store);
         onContact(timers.now(), TopicSource.store);
     };
-    const readNext = async (from: number): Promise<void> => {
+    const readNext = async (from: platform.Position): Promise<void> => {
         const cancelled = new Promise<undefined>(resolve => {
             cancelRead = () => resolve(undefined);
         });
@@ -153,15 +163,15 @@
             return;
         }
         if (response.isHistoryExpired) {
-            offset = undefined;
+            position = undefined;
             return;
         }
-        advance(response.records, response.end, TopicSource.store);
+        advance(position ?? from, response.records, response.end, TopicSource.store);
         onContact(timers.now(), TopicSource.store);
     };
     const run = async (): Promise<void> => {
         while (!owner.isDisposed()) {
-            const readDelay = offset === undefined
+            const readDelay = position === undefined
                 ? startedAt + options.initialWaitMilliseconds() - timers.now()
                 : lastUpdateAt + options.maxAgeMilliseconds() - timers.now();
             if (readDelay > 0) {
@@ -169,7 +179,7 @@
                 continue;
             }
             try {
-                await (offset === undefined ? readSnapshot() : readNext(offset));
+                await (position === undefined ? readSnapshot() : readNext(position));
             }
             catch (error) {
                 failures.run("topic", () => options.onFailure((error as Error).message), { topic });
@@ -181,29 +191,29 @@
     return {
         refresh: () => cancelRead(),
         onRelayed: ({ from, end, age, records }) => {
-            if (offset === undefined || from > offset || end < offset) {
+            if (position === undefined || platform.comparePositions(from, position) > 0 || isBefore(end)) {
                 return;
             }
-            advance(records, end, TopicSource.leader);
+            advance(position, records, end, TopicSource.leader);
             // The heartbeats of a leader that cannot reach the store do not confirm the state.
             if (age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
             }
         },
         onSnapshot: ({ records, end, age }) => {
-            if (end < (offset ?? 0)) {
+            if (isBefore(end)) {
                 return;
             }
-            offset = end;
-            notifyChanges(filter.replace(records, end), end, TopicSource.leader);
+            position = end;
+            notifyChanges(filter.replace(records, end.offset), end, TopicSource.leader);
             if (age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
             }
         },
         snapshot: () =>
-            offset === undefined
+            position === undefined
                 ? undefined
-                : { records: [...newestRecords.values()], end: offset, age: age() },
-        position: () => offset === undefined ? undefined : { end: offset, age: age() },
+                : { records: [...newestRecords.values()], end: position, age: age() },
+        position: () => position === undefined ? undefined : { end: position, age: age() },
     };
 };
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -1,7 +1,7 @@
 /** When a new leader may send lease commands, counted from the append of its first record. */
 import * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
-import type * as platform from "@mulberryseam/platform";
+import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as test from "node:test";
@@ -55,20 +55,20 @@
             service: "records",
             nextToken: 2,
             ranges: [{ first: 0, last: assignment.keyCount - 1, owner, token: 1, previousOwner: undefined }],
-        }),
+        }, 0),
     ]]);
-    let end = 1;
+    let end: platform.Position = { era: 0, offset: 1 };
     const store: platform.StoreClient = {
         readSnapshot: () =>
-            Promise.resolve({ records: [...stored].map(([key, value]) => ({ key, value, offset: end - 1 })), end }),
+            Promise.resolve({ records: [...stored].map(([key, value]) => ({ key, value, offset: 0 })), end }),
         readFrom: () => Promise.reject(new Error("not used")),
         append: async (...[, expectedEnd, records]) => {
-            if (areAppendsLost || expectedEnd !== end) {
+            if (areAppendsLost || platform.comparePositions(expectedEnd, end) !== 0) {
                 await foundation.pause(timers, 1000);
-                return { result: "failed", end: 0, reason: "no response" };
+                return { result: "failed", end: expectedEnd, reason: "no response" };
             }
             records.forEach(({ key, value }) => value !== undefined && stored.set(key, value));
-            end += records.length;
+            end = platform.advancePosition(end, records.length);
             const appendedEnd = end;
             await foundation.pause(timers, appendDelay / 2);
             if (nextSuspension > 0) {
@@ -79,6 +79,7 @@
             await foundation.pause(timers, appendDelay / 2);
             return { result: "appended", end: appendedEnd, reason: "" };
         },
+        eraSeenAt: () => 0,
         close: () => undefined,
     };
     const grantTimes: number[] = [];
@@ -115,7 +116,13 @@
             areAppendsLost = areLost;
         },
         lead: async () => {
-            const options = { store, timers, log: discardingLog, confirmationTimeOf: () => undefined };
+            const options = {
+                store,
+                timers,
+                log: discardingLog,
+                confirmationTimeOf: () => undefined,
+                isFirstStart: true,
+            };
             const watch = ownershipWatch.createOwnershipWatch(options);
             let won: campaign.WonCampaign | undefined;
             const pending = campaign.campaign({
@@ -128,6 +135,7 @@
                 host,
                 port: 1,
                 maxLeaseMilliseconds,
+                latestTerm: () => 0,
             }, await watch.read()).then(result => {
                 won = result;
             });
@@ -159,11 +167,13 @@
                 host: leaderHost,
                 port: 1,
                 term: 4,
+                era: 0,
                 beat: 2,
                 isResigned: false,
                 longestLeaseMilliseconds: maxLeaseMilliseconds,
                 previousCommandsMilliseconds: 0,
                 previousLeasesMilliseconds: 0,
+                unknownLeasesMilliseconds: 0,
             };
             stored.set(assignment.leaderKey, assignment.encodeLeader(record));
         },
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -52,7 +52,7 @@
         failureDomain,
         timers,
         topics: {
-            positions: () => knownTopics.map(name => ({ topic: name, end: 5, age: 0 })),
+            positions: () => knownTopics.map(name => ({ topic: name, era: 1, end: 5, age: 0 })),
             snapshot: () => undefined,
             onRelayed: () => undefined,
             onSnapshot: (...[, snapshot]) => follower.snapshots.push(snapshot),
@@ -73,6 +73,7 @@
     const session = {
         onReport: (report: protocol.FollowerReport) => reports.push(report),
         term: 1,
+        era: () => 1,
         acknowledgedRecordNumber: () => 1,
         confirmationAge: () => confirmationAge,
         routingMessages: () => [],
@@ -94,8 +95,8 @@
             port,
             session: () => session,
             topics: {
-                positions: () => [{ topic, end: 7, age: 0 }],
-                snapshot: () => ({ records, end: 7, age: 100 }),
+                positions: () => [{ topic, era: 1, end: 7, age: 0 }],
+                snapshot: () => ({ records, end: { era: 1, offset: 7 }, age: 100 }),
                 onRelayed: () => undefined,
                 onSnapshot: () => undefined,
             },
@@ -153,7 +154,7 @@
             const first = join("first", "north-a");
             const second = join("second", "north-a", [topic]);
             await waitFor(() => first.snapshots.length === 1 && second.link.isLeaderHealthy());
-            earl.expect(first.snapshots).toEqual([{ records, end: 7, age: 100 }]);
+            earl.expect(first.snapshots).toEqual([{ records, end: { era: 1, offset: 7 }, age: 100 }]);
             await waitFor(() => second.delegates.length === 3);
             earl.expect([first.snapshots.length, second.snapshots.length]).toEqual([1, 0]);
             earl.expect((transferredBytes.get("snapshot north-a") ?? 0) > records[0].value.length).toEqual(true);
@@ -242,6 +243,7 @@
     const beat: protocol.RoutingMessage = {
         kind: "beat",
         term: 1,
+        era: 1,
         record: 1,
         proofAge: 0,
         instances: 2,
--- a/packages/entry/test/leaseCommandFailures.test.ts
+++ b/packages/entry/test/leaseCommandFailures.test.ts
@@ -1,7 +1,7 @@
 /** How a leader goes on after an exception while it sends a lease command. */
 import * as assignment from "@mulberryseam/assignment";
 import * as foundation from "@mulberryseam/foundation";
-import type * as platform from "@mulberryseam/platform";
+import * as platform from "@mulberryseam/platform";
 import * as routing from "@mulberryseam/routing";
 import * as earl from "earl";
 import * as test from "node:test";
@@ -16,11 +16,13 @@
     host: "127.0.0.1",
     port: 1,
     term: 1,
+    era: 1,
     beat: 1,
     isResigned: false,
     longestLeaseMilliseconds: 10_000,
     previousCommandsMilliseconds: 0,
     previousLeasesMilliseconds: 0,
+    unknownLeasesMilliseconds: 0,
 };
 const firstKeys = [0, 100, 200];
 
@@ -39,15 +41,16 @@
     const directory = routing.createUpstreamDirectory();
     directory.onEntry(upstream, timers.now());
     const grantedKeys: number[] = [];
-    let end = 1;
+    let end: platform.Position = { era: 1, offset: 1 };
     const session = leaderSession.createLeaderSession({
         store: {
             readSnapshot: () => Promise.reject(new Error("not used")),
             readFrom: () => Promise.reject(new Error("not used")),
             append: (...[, , records]) => {
-                end += records.length;
+                end = platform.advancePosition(end, records.length);
                 return Promise.resolve({ result: "appended", end, reason: "" });
             },
+            eraSeenAt: () => 0,
             close: () => undefined,
         },
         leaseClient: {
@@ -68,6 +71,8 @@
         record,
         snapshot: {
             leader: undefined,
+            isLeaderOutdated: false,
+            outdatedAssignments: new Map(),
             assignments: new Map([["records", {
                 service: "records",
                 nextToken: 10,
@@ -82,7 +87,11 @@
             unreadableKeys: new Set(),
             end,
         },
-        previousLeaders: { previousCommandsUntil: -Infinity, previousLeasesUntil: -Infinity },
+        previousLeaders: {
+            previousCommandsUntil: -Infinity,
+            previousLeasesUntil: -Infinity,
+            unknownLeasesUntil: -Infinity,
+        },
         confirmation: { sentAt: timers.now(), wallClock: timers.wallClock() },
         maxLeaseMilliseconds: 10_000,
         keyedServices: () => [],
--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -26,13 +26,14 @@
     const owner = foundation.createOwner();
     const leaderRecords: assignment.LeaderRecord[] = [];
     const store: platform.StoreClient = {
-        readSnapshot: () => Promise.resolve({ records: [], end: 0 }),
+        readSnapshot: () => Promise.resolve({ records: [], end: { era: 0, offset: 0 } }),
         readFrom: () => Promise.reject(new Error("not used")),
         append: async (...[, , [{ value }]]) => {
             leaderRecords.push(assignment.decodeLeader(value as Buffer).unwrap());
             await foundation.pause(timers, appendMilliseconds);
-            return { result: "appended", end: leaderRecords.length, reason: "" };
+            return { result: "appended", end: { era: 0, offset: leaderRecords.length }, reason: "" };
         },
+        eraSeenAt: () => 0,
         close: () => undefined,
     };
     const log: foundation.EventLog = { write: () => undefined, sample: () => undefined };
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -119,14 +119,15 @@
         readSnapshot: topic => {
             const newest = new Map(recordsOf(topic).map(record => [record.key, record]));
             const present = [...newest.values()].filter(record => record.value !== undefined);
-            return Promise.resolve({ records: present, end: recordsOf(topic).length });
+            return Promise.resolve({ records: present, end: { era: 1, offset: recordsOf(topic).length } });
         },
-        readFrom: async (topic, offset) => {
+        readFrom: async (topic, { offset }) => {
             await foundation.pause(timers, stepMilliseconds);
-            const end = recordsOf(topic).length;
+            const end = { era: 1, offset: recordsOf(topic).length };
             return { records: recordsOf(topic).slice(offset), end, isHistoryExpired: offset < historyStart };
         },
         append: () => Promise.reject(new Error("not used")),
+        eraSeenAt: () => 0,
         close: () => undefined,
     };
     const lines: [string, foundation.EventFields | undefined][] = [];
--- a/packages/entry/test/stalledFollower.test.ts
+++ b/packages/entry/test/stalledFollower.test.ts
@@ -8,6 +8,7 @@
 import * as test from "node:test";
 import * as followerServer from "../src/followerServer";
 import type * as leaderSession from "../src/leaderSession";
+import * as topicExchange from "../src/topicExchange";
 import * as topicTask from "../src/topicTask";
 import * as leaderLinks from "./fixtures/leaderLinks";
 
@@ -97,6 +98,7 @@
         onReport: () => undefined,
         term: 1,
         acknowledgedRecordNumber: () => 1,
+        era: () => 1,
         confirmationAge: () => 0,
         routingMessages: () => [],
     } as unknown as leaderSession.LeaderSession;
@@ -105,8 +107,8 @@
         port,
         session: () => session,
         topics: {
-            positions: () => [{ topic, end: records.length, age: 0 }],
-            snapshot: () => ({ records, end: records.length, age: 0 }),
+            positions: () => [{ topic, era: 1, end: records.length, age: 0 }],
+            snapshot: () => ({ records, end: endOf(records), age: 0 }),
             onRelayed: () => undefined,
             onSnapshot: () => undefined,
         },
@@ -123,6 +125,8 @@
     return { server, records, events };
 };
 
+const endOf = (records: readonly platform.StoredRecord[]): platform.Position => ({ era: 1, offset: records.length });
+
 /** Starts a follower that reads the store only if the leader does not confirm its state, or sends none in the initial wait. */
 const startFollower = (
     port: number,
@@ -134,10 +138,11 @@
     const failures = foundation.createTransparentFailureBoundary();
     const task = topicTask.startTopicTask({
         store: {
-            readSnapshot: () => Promise.resolve({ records: [...records], end: records.length }),
-            readFrom: (...[, from]) =>
-                Promise.resolve({ records: records.slice(from), end: records.length, isHistoryExpired: false }),
+            readSnapshot: () => Promise.resolve({ records: [...records], end: endOf(records) }),
+            readFrom: (...[, { offset }]) =>
+                Promise.resolve({ records: records.slice(offset), end: endOf(records), isHistoryExpired: false }),
             append: () => Promise.reject(new Error("not used")),
+            eraSeenAt: () => 0,
             close: () => undefined,
         },
         topic,
@@ -158,7 +163,8 @@
         failures,
         idleTimeoutMilliseconds,
         topics: {
-            positions: () => [position()].flatMap(known => known === undefined ? [] : [{ topic, ...known }]),
+            positions: () =>
+                [position()].flatMap(known => known === undefined ? [] : [topicExchange.toTopicPosition(topic, known)]),
             snapshot: () => undefined,
             onRelayed: (...[, relayed]) => task.onRelayed(relayed),
             onSnapshot: (...[, snapshot]) => task.onSnapshot(snapshot),
@@ -186,10 +192,10 @@
         const publish = (key: string, value: Buffer): void => {
             const record = { key, value, offset: records.length };
             records.push(record);
-            server.broadcast({ kind: "news", topic, end: records.length, records: [record] });
+            server.broadcast({ kind: "news", topic, era: 1, end: records.length, records: [record] });
         };
         try {
-            earl.expect(await waitFor(() => follower.position()?.end === 1)).toEqual(true);
+            earl.expect(await waitFor(() => follower.position()?.end.offset === 1)).toEqual(true);
             path.setStalled(true);
             for (let index = 0; index < stalledRecordCount; index += 1) {
                 publish(`stalled ${index}`, Buffer.alloc(stalledRecordBytes, index));
@@ -197,7 +203,7 @@
             await new Promise(resolve => setTimeout(resolve, stallMilliseconds));
             path.setStalled(false);
             publish("last", Buffer.from("entry"));
-            const isKnown = await waitFor(() => follower.position()?.end === records.length);
+            const isKnown = await waitFor(() => follower.position()?.end.offset === records.length);
             const known = follower.snapshot()?.records.map(({ key }) => key).sort();
             earl.expect([isKnown, known]).toEqual([true, records.map(({ key }) => key).sort()]);
             earl.expect(path.connectionCount()).toEqual(2);
@@ -228,7 +234,7 @@
         fill(records, 7, () => crypto.randomBytes(recordBytes));
         const path = await startPath(leaderPort, owner, 4 * recordBytes);
         const follower = startFollower(path.port, records, timers, owner);
-        const isKnown = await waitFor(() => follower.position()?.end === records.length);
+        const isKnown = await waitFor(() => follower.position()?.end.offset === records.length);
         earl.expect([isKnown, path.connectionCount(), events]).toEqual([true, 1, []]);
     });
 });
@@ -250,16 +256,21 @@
             fill(records, count, createValue);
             const path = await startPath(leaderPort, owner);
             const followers = [1, 2].map(() => startFollower(path.port, records, timers, owner, 500));
-            const isAtEnd = (): boolean => followers.every(({ position }) => position()?.end === records.length);
+            const isAtEnd = (): boolean => followers.every(({ position }) => position()?.end.offset === records.length);
             const isKnown = await waitFor(isAtEnd);
             // The followers may have read the store before the leader refuses to send its snapshot.
             await waitFor(() => events.length > 0);
             const record = { key: "last", value: Buffer.from("entry"), offset: records.length };
             records.push(record);
-            server.broadcast({ kind: "news", topic, end: records.length, records: [record] });
+            server.broadcast({ kind: "news", topic, era: 1, end: records.length, records: [record] });
             const isNewsKnown = await waitFor(isAtEnd);
             earl.expect([isKnown, isNewsKnown, path.connectionCount()]).toEqual([true, true, 2]);
-            earl.expect(events).toEqual([["snapshot-too-large", { topic, end: count + 1, records: count + 1 }]]);
+            earl.expect(events).toEqual([["snapshot-too-large", {
+                topic,
+                era: 1,
+                end: count + 1,
+                records: count + 1,
+            }]]);
         });
     }
 });
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -12,6 +12,8 @@
     offset,
 });
 
+const positionAt = (offset: number, era = 1): platform.Position => ({ era, offset });
+
 const nextRecord = createRecord("config", "next", 7);
 
 const flush = async (): Promise<void> => {
@@ -36,7 +38,7 @@
     read: (call: number) => Promise<platform.RecordBatch>,
     maxAge = 0,
     initialWait = 0,
-    readSnapshot: () => Promise<platform.Snapshot> = () => Promise.resolve({ records: [], end: 7 }),
+    readSnapshot: () => Promise<platform.Snapshot> = () => Promise.resolve({ records: [], end: positionAt(7) }),
 ): Fixture => {
     const timers = foundation.createVirtualTimerService();
     const owner = foundation.createOwner();
@@ -47,11 +49,12 @@
     const contacts: topicTask.TopicSourceValue[] = [];
     const store: platform.StoreClient = {
         readSnapshot,
-        readFrom: (...[, offset]) => {
+        readFrom: (...[, { offset }]) => {
             reads.push(offset);
             return read(reads.length);
         },
         append: () => Promise.reject(new Error("not used")),
+        eraSeenAt: () => 0,
         close: () => undefined,
     };
     const task = topicTask.startTopicTask({
@@ -85,7 +88,9 @@
 test.describe("following a topic", () => {
     test.it("reads again from the same offset after a lost read is cancelled", async () => {
         const fixture = createFixture(call =>
-            call === 2 ? Promise.resolve({ records: [nextRecord], end: 8, isHistoryExpired: false }) : neverResolves()
+            call === 2
+                ? Promise.resolve({ records: [nextRecord], end: positionAt(8), isHistoryExpired: false })
+                : neverResolves()
         );
         await advance(fixture);
         earl.expect(fixture.changes).toEqual([]);
@@ -99,7 +104,7 @@
 
     test.it("reads a snapshot when the history at its offset has expired", async () => {
         const fixture = createFixture(call =>
-            call === 1 ? Promise.resolve({ records: [], end: 7, isHistoryExpired: true }) : neverResolves()
+            call === 1 ? Promise.resolve({ records: [], end: positionAt(7), isHistoryExpired: true }) : neverResolves()
         );
         await advance(fixture);
         await advance(fixture);
@@ -113,7 +118,7 @@
             call === 1
                 ? Promise.reject(new Error("away"))
                 : call === 2
-                ? Promise.resolve({ records: [nextRecord], end: 8, isHistoryExpired: false })
+                ? Promise.resolve({ records: [nextRecord], end: positionAt(8), isHistoryExpired: false })
                 : neverResolves()
         );
         await advance(fixture);
@@ -127,7 +132,7 @@
     test.it("backs off while the store is unavailable and resets the backoff after a response", async () => {
         const fixture = createFixture(call =>
             call === 20
-                ? Promise.resolve({ records: [], end: 7, isHistoryExpired: false })
+                ? Promise.resolve({ records: [], end: positionAt(7), isHistoryExpired: false })
                 : Promise.reject(new Error("away"))
         );
         const countCalls = async (milliseconds: number): Promise<number> => {
@@ -152,11 +157,11 @@
         await flush();
         fixture.timers.advance(500);
         await flush();
-        fixture.task.onSnapshot({ records: [nextRecord], end: 8, age: 200 });
-        fixture.task.onSnapshot({ records: [createRecord("config", "older", 5)], end: 6, age: 200 });
+        fixture.task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 200 });
+        fixture.task.onSnapshot({ records: [createRecord("config", "older", 5)], end: positionAt(6), age: 200 });
         earl.expect(fixture.changes).toEqual([nextRecord]);
         earl.expect(fixture.contacts).toEqual(["leader"]);
-        earl.expect(fixture.task.snapshot()).toEqual({ records: [nextRecord], end: 8, age: 200 });
+        earl.expect(fixture.task.snapshot()).toEqual({ records: [nextRecord], end: positionAt(8), age: 200 });
         fixture.timers.advance(500);
         await flush();
         earl.expect(fixture.reads).toEqual([]);
@@ -172,17 +177,20 @@
         await advanceBy(1400);
         earl.expect(alone.task.position()).toEqual(undefined);
         await advanceBy(200);
-        earl.expect(alone.task.position()?.end).toEqual(7);
+        earl.expect(alone.task.position()?.end.offset).toEqual(7);
         await alone.owner.dispose();
     });
 
     test.it("reads the store only when the records relayed by the leader are too old", async () => {
-        const fixture = createFixture(() => Promise.resolve({ records: [], end: 8, isHistoryExpired: false }), 800);
+        const fixture = createFixture(
+            () => Promise.resolve({ records: [], end: positionAt(8), isHistoryExpired: false }),
+            800,
+        );
         await flush();
         for (let heartbeat = 0; heartbeat < 10; heartbeat += 1) {
             fixture.timers.advance(250);
             await flush();
-            fixture.task.onRelayed({ from: 7, end: 7, age: 300, records: [] });
+            fixture.task.onRelayed({ from: positionAt(7), end: positionAt(7), age: 300, records: [] });
         }
         earl.expect(fixture.reads).toEqual([]);
         for (let elapsed = 0; elapsed < 600; elapsed += 50) {
@@ -197,9 +205,9 @@
         const fixture = createFixture(() => Promise.reject(new Error("away")), 800);
         await flush();
         const before = fixture.contacts.length;
-        fixture.task.onRelayed({ from: 7, end: 7, age: 3000, records: [] });
+        fixture.task.onRelayed({ from: positionAt(7), end: positionAt(7), age: 3000, records: [] });
         earl.expect(fixture.contacts.length).toEqual(before);
-        fixture.task.onRelayed({ from: 7, end: 7, age: 100, records: [] });
+        fixture.task.onRelayed({ from: positionAt(7), end: positionAt(7), age: 100, records: [] });
         earl.expect(fixture.contacts[before]).toEqual("leader");
         await fixture.owner.dispose();
     });
@@ -208,18 +216,33 @@
         const fixture = createFixture(neverResolves, 800);
         await flush();
         const relayed = createRecord("config", "next", 8);
-        fixture.task.onRelayed({ from: 7, end: 9, age: 0, records: [relayed] });
-        fixture.task.onRelayed({ from: 12, end: 13, age: 0, records: [createRecord("config", "later", 12)] });
+        fixture.task.onRelayed({ from: positionAt(7), end: positionAt(9), age: 0, records: [relayed] });
+        fixture.task.onRelayed({
+            from: positionAt(12),
+            end: positionAt(13),
+            age: 0,
+            records: [createRecord("config", "later", 12)],
+        });
         earl.expect(fixture.changes).toEqual([relayed]);
-        earl.expect(fixture.task.position()?.end).toEqual(9);
+        earl.expect(fixture.task.position()?.end.offset).toEqual(9);
         await fixture.owner.dispose();
     });
 
     test.it("tells the source of a change and how old it is at most", async () => {
         const fixture = createFixture(neverResolves, 800);
         await advance(fixture);
-        fixture.task.onRelayed({ from: 7, end: 9, age: 100, records: [createRecord("config", "next", 8)] });
-        fixture.task.onRelayed({ from: 9, end: 10, age: 0, records: [createRecord("config", "later", 9)] });
+        fixture.task.onRelayed({
+            from: positionAt(7),
+            end: positionAt(9),
+            age: 100,
+            records: [createRecord("config", "next", 8)],
+        });
+        fixture.task.onRelayed({
+            from: positionAt(9),
+            end: positionAt(10),
+            age: 0,
+            records: [createRecord("config", "later", 9)],
+        });
         earl.expect(fixture.origins).toEqual([
             { source: "leader", maxAgeMilliseconds: 300 },
             { source: "leader", maxAgeMilliseconds: 100 },
@@ -234,13 +257,18 @@
                 call === 1
                     ? Promise.resolve({
                         records: [createRecord("upstream", "ready", 7), draining],
-                        end: 9,
+                        end: positionAt(9),
                         isHistoryExpired: false,
                     })
                     : neverResolves(),
         );
         await advance(fixture);
-        fixture.task.onRelayed({ from: 7, end: 9, age: 0, records: [createRecord("upstream", "ready", 7)] });
+        fixture.task.onRelayed({
+            from: positionAt(7),
+            end: positionAt(9),
+            age: 0,
+            records: [createRecord("upstream", "ready", 7)],
+        });
         earl.expect(fixture.changes[fixture.changes.length - 1]).toEqual(draining);
         await fixture.owner.dispose();
     });
@@ -251,13 +279,13 @@
         const draining = createRecord("upstream", "draining", 8);
         const fixture = createFixture(neverResolves, 800, 0, () =>
             new Promise(resolve => {
-                respond = () => resolve({ records: [ready], end: 5 });
+                respond = () => resolve({ records: [ready], end: positionAt(5) });
             }));
         await flush();
-        fixture.task.onSnapshot({ records: [draining], end: 9, age: 0 });
+        fixture.task.onSnapshot({ records: [draining], end: positionAt(9), age: 0 });
         respond();
         await flush();
-        earl.expect(fixture.task.snapshot()).toEqual({ records: [draining], end: 9, age: 0 });
+        earl.expect(fixture.task.snapshot()).toEqual({ records: [draining], end: positionAt(9), age: 0 });
         earl.expect(fixture.changes).toEqual([draining]);
         await fixture.owner.dispose();
     });
@@ -266,7 +294,7 @@
 test.describe("a topic that was never confirmed", () => {
     test.it("has a finite age, which other instances accept in a heartbeat", async () => {
         const { task, owner } = createFixture(neverResolves, 1000, 10_000);
-        task.onSnapshot({ records: [nextRecord], end: 8, age: 5000 });
+        task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 5000 });
         earl.expect(Number.isFinite(task.position()?.age)).toEqual(true);
         earl.expect(Number.isFinite(task.snapshot()?.age)).toEqual(true);
         await owner.dispose();
@@ -313,15 +341,20 @@
         const reads: number[] = [];
         const batches = [[createRecord("odd", "1", 2), createRecord("sound", "1", 3)], [createRecord("next", "1", 4)]];
         const store: platform.StoreClient = {
-            readSnapshot: () => Promise.resolve({ records: [createRecord("odd", "0", 0)], end: 2 }),
-            readFrom: (...[, offset]) => {
-                reads.push(offset);
+            readSnapshot: () => Promise.resolve({ records: [createRecord("odd", "0", 0)], end: positionAt(2) }),
+            readFrom: (...[, from]) => {
+                reads.push(from.offset);
                 const records = batches.shift();
                 return records === undefined
                     ? Promise.reject(new Error("the store is down"))
-                    : Promise.resolve({ records, end: offset + records.length, isHistoryExpired: false });
+                    : Promise.resolve({
+                        records,
+                        end: positionAt(from.offset + records.length),
+                        isHistoryExpired: false,
+                    });
             },
             append: () => Promise.reject(new Error("not used")),
+            eraSeenAt: () => 0,
             close: () => undefined,
         };
         topicTask.startTopicTask({
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -42,7 +42,13 @@
 
 const leavingUpstreamSchema = zod.object({ identifier: zod.string(), startedAt: zod.number(), age: numberSchema });
 
-const topicPositionSchema = zod.object({ topic: zod.string(), end: zod.int(), age: zod.number() });
+/** Era of the store; releases that do not know eras leave it out. */
+const eraSchema = zod.int().min(0).default(0);
+
+/** A position in a topic of the store; an offset names a record only within its era. */
+const positionFields = { era: eraSchema, end: zod.int() };
+
+const topicPositionSchema = zod.object({ topic: zod.string(), ...positionFields, age: zod.number() });
 
 const delegateSchema = zod.object({ identifier: zod.string(), host: zod.ipv4(), port: portSchema });
 
@@ -72,6 +78,8 @@
     zod.object({
         kind: zod.literal(RoutingMessageKind.beat),
         term: zod.int(),
+        /** Era in which the leader leads. */
+        era: eraSchema,
         /** Sequence number of the leader's last record that the store has acknowledged. */
         record: zod.int(),
         /** Time since the store last confirmed the leadership, in milliseconds. */
@@ -85,14 +93,14 @@
     zod.object({
         kind: zod.literal(RoutingMessageKind.news),
         topic: zod.string(),
-        end: zod.int(),
+        ...positionFields,
         records: zod.array(topicRecordSchema),
     }),
     /** The newest record of every key of a topic; sent once to each follower, before the first update of the topic. */
     zod.object({
         kind: zod.literal(RoutingMessageKind.snapshot),
         topic: zod.string(),
-        end: zod.int(),
+        ...positionFields,
         age: zod.number(),
         /** The records; see `encodeTopicContent`. */
         content: zod.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array),
@@ -127,7 +135,7 @@
 /** An instance that accepts requests of the other instances of its failure domain. */
 export type Delegate = zod.infer<typeof delegateSchema>;
 
-/** Offset up to which an instance has read a topic of the store, and the age of that read in milliseconds. */
+/** Era and offset up to which an instance has read a topic of the store, and the age of that read in milliseconds. */
 export type TopicPosition = zod.infer<typeof topicPositionSchema>;
 
 /** Records of a topic of the store, forwarded by the leader. */
