--- a/packages/assignment/src/index.ts
+++ b/packages/assignment/src/index.ts
@@ -6,6 +6,7 @@
 export { createEmptyAssignment, isSameOwner, keyCount, ownerName, ownerNameWithAddress } from "./keyRange";
 export type { KeyRange, Owner, ServiceAssignment } from "./keyRange";
 export {
+    addLostTerm,
     createLeaderLease,
     leaderLeaseMilliseconds,
     normalKeyLeaseMilliseconds,
--- a/packages/assignment/src/leaderLease.ts
+++ b/packages/assignment/src/leaderLease.ts
@@ -124,6 +124,22 @@
     unknownLeasesMilliseconds: Math.max(0, unknownLeasesUntil - now),
 });
 
+/**
+ * Returns the times until which earlier leaders may affect upstreams, for a leader that goes on after the store returned from an older copy.
+ * Another instance may have won a term that is lost, too late to change an assignment, and renews leases until it learns of the return.
+ *
+ * @param times - what the leader knew before
+ * @param returnSeenAt - time at which it learned of the return
+ * @returns the times
+ */
+export const addLostTerm = (times: PreviousLeaderTimes, returnSeenAt: number): PreviousLeaderTimes => ({
+    ...times,
+    previousCommandsUntil: Math.max(
+        times.previousCommandsUntil,
+        returnSeenAt + leaderLeaseMilliseconds + maxCommandDeliveryMilliseconds,
+    ),
+});
+
 /** Tracks whether a leader is allowed to send lease commands. */
 export interface LeaderLease {
     /** Records that the store confirmed leadership in response to a call sent at `sentAt`. */
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -172,6 +172,9 @@
     let nextCommitAt = startedAt;
     let lastDecayAt = startedAt;
     let unconfirmedPlans: assignment.ServiceAssignment[] = [];
+    let { previousLeaders } = options;
+    /** Whether the store has returned from a copy that lacks records of this leader, which are not stored again yet. */
+    let areRecordsLost = false;
 
     const onLeadershipConfirmed = (sentAt: number): void => {
         confirmedAt = sentAt;
@@ -190,11 +193,20 @@
         timers,
         log,
         record: options.record,
-        previousLeaders: options.previousLeaders,
+        previousLeaders: () => previousLeaders,
         end: options.snapshot.end,
         lastAppendAt: options.confirmation.sentAt,
         onLeadershipConfirmed,
-        isUndisputed: () => false,
+        isUndisputed: hasReturned => {
+            leaderLease.detectSuspension(timers.now(), timers.wallClock());
+            return leaderLease.isUndisputedAt(hasReturned ? options.store.eraSeenAt() : timers.now());
+        },
+        onRecordsLost: () => {
+            areRecordsLost = true;
+            previousLeaders = assignment.addLostTerm(previousLeaders, timers.now());
+            unconfirmedPlans = [];
+            setPendingPlans(services, []);
+        },
         onSnapshot: snapshot => {
             applySnapshot(services, snapshot, -Infinity);
             // After a conflict, the plans were certainly not stored.
@@ -212,6 +224,7 @@
         services,
         serviceTimes,
         startedAt,
+        previousLeaders: () => previousLeaders,
         appendPosition: writer.end,
     });
 
@@ -231,7 +244,8 @@
         const now = timers.now();
         services.forEach(({ load }) => load.decay(now - lastDecayAt));
         lastDecayAt = now;
-        const isRecordDue = hasUnconfirmedPlans || timers.now() - writer.lastAppendAt() >= recordIntervalMilliseconds;
+        const isRecordDue = hasUnconfirmedPlans || areRecordsLost
+            || timers.now() - writer.lastAppendAt() >= recordIntervalMilliseconds;
         if (plans.length === 0 && !isRecordDue) {
             return;
         }
@@ -241,6 +255,7 @@
         }
         if (await writer.append(plans, false, options.maxLeaseMilliseconds)) {
             unconfirmedPlans = [];
+            areRecordsLost = false;
             setPendingPlans(services, []);
             for (const plan of plans) {
                 services.get(plan.service)?.leaseManager.setAssignment(plan, -Infinity);
@@ -258,7 +273,7 @@
         nextCommitAt = Infinity;
         try {
             await commit();
-            const needsImmediateCommit = writer.needsRead() || writer.hasUnconfirmedPlans();
+            const needsImmediateCommit = writer.needsRead() || writer.hasUnconfirmedPlans() || areRecordsLost;
             const delayMilliseconds = needsImmediateCommit ? 0 : rebalanceIntervalMilliseconds;
             // Another commit may have been requested meanwhile.
             nextCommitAt = Math.min(nextCommitAt, timers.now() + delayMilliseconds);
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -14,7 +14,7 @@
     log: foundation.EventLog;
     /** The leader record, as appended to the topic. */
     record: assignment.LeaderRecord;
-    previousLeaders: assignment.PreviousLeaderTimes;
+    previousLeaders: () => assignment.PreviousLeaderTimes;
     /** Position at which the next record is appended. */
     end: platform.Position;
     /** Time at which the append of the record was sent. */
@@ -23,8 +23,16 @@
     onLeadershipConfirmed: (sentAt: number) => void;
     /** Called with the content of the topic after a resynchronization; it may differ from the last append. */
     onSnapshot: (snapshot: ownershipReader.OwnershipSnapshot) => void;
-    /** Whether no successor of this leader can have changed an assignment before the store returned from an older copy. */
-    isUndisputed: () => boolean;
+    /**
+     * Whether no successor of this leader can have changed an assignment: before the store returned from an older copy if it has, else until
+     * now.
+     */
+    isUndisputed: (hasReturned: boolean) => boolean;
+    /**
+     * Called when the topic contains no record of the era that it is in, and this instance goes on leading. Its last records, and plans
+     * that were not confirmed, are lost or belong to another history.
+     */
+    onRecordsLost: () => void;
     /** Called when the topic shows that this instance no longer leads; `newTerm` is undefined if there is no leader. */
     onSuperseded: (newTerm: number | undefined) => void;
 }
@@ -72,7 +80,7 @@
             const sentAt = timers.now();
             const nextRecord = {
                 ...record,
-                ...assignment.passOnPreviousLeaders(options.previousLeaders, sentAt),
+                ...assignment.passOnPreviousLeaders(options.previousLeaders(), sentAt),
                 beat: record.beat + 1,
                 isResigned,
                 longestLeaseMilliseconds,
@@ -107,14 +115,23 @@
         resynchronize: async () => {
             const snapshot = await ownershipReader.readOwnership(store, log);
             const { leader } = snapshot;
-            const claim = assignment.claimLeadership(record, leader, snapshot.end.era, options.isUndisputed());
-            if (leader === undefined || claim !== assignment.LeadershipClaim.confirmed) {
+            const { era } = snapshot.end;
+            const isUndisputed = options.isUndisputed(era !== end.era)
+                && !snapshot.unreadableKeys.has(assignment.leaderKey);
+            const claim = assignment.claimLeadership(record, leader, era, isUndisputed);
+            if (claim === assignment.LeadershipClaim.lost) {
                 options.onSuperseded(leader?.term);
                 return;
             }
-            record = leader;
             end = snapshot.end;
             needsRead = false;
+            if (claim === assignment.LeadershipClaim.reclaimable) {
+                record = { ...record, era };
+                hasUnconfirmedPlans = false;
+                options.onRecordsLost();
+                return;
+            }
+            record = leader ?? record;
             options.onSnapshot(snapshot);
         },
         needsRead: () => needsRead,
--- a/packages/entry/src/servicePlanner.ts
+++ b/packages/entry/src/servicePlanner.ts
@@ -21,7 +21,7 @@
     timers: foundation.TimerService;
     /** The ownership topic at the start of the term. */
     snapshot: ownershipReader.OwnershipSnapshot;
-    previousLeaders: assignment.PreviousLeaderTimes;
+    previousLeaders: () => assignment.PreviousLeaderTimes;
     startedAt: number;
     /** Position at which the next plan is appended. */
     appendPosition: () => platform.Position;
@@ -102,7 +102,7 @@
      */
     const canMove = (leaseManager: assignment.LeaseManager, range: assignment.KeyRange): boolean => {
         const now = timers.now();
-        const canPreviousLeaderRenew = now < previousLeaders.previousCommandsUntil && range.owner !== undefined;
+        const canPreviousLeaderRenew = now < previousLeaders().previousCommandsUntil && range.owner !== undefined;
         return !canPreviousLeaderRenew && !leaseManager.isHolderUncertain(range, now);
     };
 
@@ -111,7 +111,7 @@
 
     /** Time until which owners that are not known may hold keys of a service without an assignment. */
     const unknownOwnersUntil = (service: string): number => {
-        const { unknownLeasesUntil, previousLeasesUntil } = previousLeaders;
+        const { unknownLeasesUntil, previousLeasesUntil } = previousLeaders();
         return isUnreadable(service) ? Math.max(unknownLeasesUntil, previousLeasesUntil) : unknownLeasesUntil;
     };
 
