--- a/packages/assignment/src/records.ts
+++ b/packages/assignment/src/records.ts
@@ -34,6 +34,8 @@
     previousLeasesMilliseconds: number;
     /** Time after this record in which owners that no stored assignment names may hold keys, in milliseconds. */
     unknownLeasesMilliseconds: number;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era. */
+    isSettled: boolean;
 }
 
 const leaderSchema = zod.object({
@@ -48,6 +50,7 @@
     previousCommandsMilliseconds: zod.number().default(0),
     previousLeasesMilliseconds: zod.number().default(0),
     unknownLeasesMilliseconds: zod.number().default(0),
+    isSettled: zod.boolean().default(true),
 });
 
 const assignmentSchema = zod.object({
--- a/packages/assignment/test/leadership.test.ts
+++ b/packages/assignment/test/leadership.test.ts
@@ -15,6 +15,7 @@
     previousCommandsMilliseconds: 0,
     previousLeasesMilliseconds: 0,
     unknownLeasesMilliseconds: 0,
+    isSettled: true,
 };
 
 const createPreviousLeader = (change: Partial<assignment.PreviousLeader>): assignment.PreviousLeader => ({
--- a/packages/entry/src/campaign.ts
+++ b/packages/entry/src/campaign.ts
@@ -20,6 +20,8 @@
     maxLeaseMilliseconds: number;
     /** The highest term that this instance knows of; records of it may be lost. */
     latestTerm: () => number;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era. */
+    areTopicsSettled: () => boolean;
 }
 
 /** When the append that the store confirmed was sent, on both clocks: the process may have been suspended since. */
@@ -55,6 +57,7 @@
         previousCommandsMilliseconds: 0,
         previousLeasesMilliseconds: 0,
         unknownLeasesMilliseconds: 0,
+        isSettled: false,
     },
     recordSeenAt,
     terminatedBy: undefined,
@@ -106,6 +109,7 @@
         beat: 0,
         isResigned: false,
         longestLeaseMilliseconds: maxLeaseMilliseconds,
+        isSettled: options.areTopicsSettled(),
         ...assignment.passOnPreviousLeaders(previousLeaders, timers.now()),
     };
     const confirmation = { sentAt: timers.now(), wallClock: timers.wallClock() };
--- a/packages/entry/src/collectedMetrics.ts
+++ b/packages/entry/src/collectedMetrics.ts
@@ -3,6 +3,7 @@
 import type * as relay from "@mulberryseam/relay";
 import * as promClient from "prom-client";
 import type * as sitePlaces from "./sitePlaces";
+import type * as storeReturns from "./storeReturns";
 
 /** Values that are read each time the metrics are collected. */
 export interface MetricsGauges {
@@ -24,6 +25,10 @@
     averageSlowness: () => readonly (readonly [string, number])[];
     /** Multiple of the usual service time within which nearly every response comes, of each service with a known tail. */
     tailFactors: () => readonly (readonly [string, number])[];
+    /** Era of the store, which rises with each return from an older copy; 0 before any response. */
+    storeEra: () => number;
+    /** What became of the records that such returns have lost. */
+    storeReturns: () => readonly storeReturns.ReturnCount[];
     /** Bytes exchanged so far. */
     traffic: () => readonly foundation.TrafficTotal[];
     /** What is left in the failure domains that are evacuated. */
@@ -140,6 +145,17 @@
         "Multiple of the usual service time within which nearly every response comes, of services with a known tail.",
         gauges.tailFactors,
     );
+    addGauge(
+        "mulberryseam_store_era",
+        "Era of the store; it rises when the store returns from an older copy.",
+        gauges.storeEra,
+    );
+    addCounter(
+        "mulberryseam_returned_records_total",
+        "Records that were lost when the store returned from an older copy, and what became of them.",
+        ["topic", "outcome"],
+        () => gauges.storeReturns().map(({ topic, outcome, count }) => [{ topic, outcome }, count] as const),
+    );
     addCounter(
         "mulberryseam_traffic_bytes_total",
         "Bytes exchanged, by purpose, distance and direction.",
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,6 +13,7 @@
 import type * as inForce from "./settingsInForce";
 import * as sitePlaces from "./sitePlaces";
 import * as siteView from "./siteView";
+import * as storeReturns from "./storeReturns";
 
 /** A running instance. */
 export interface Entry {
@@ -51,6 +52,27 @@
     await foundation.listenOn(server, address.host, address.port, error => failures.report("readiness server", error));
 };
 
+/** Creates the client of the store, and a function that returns the latest era that the store has stated. */
+const createStore = (
+    { storeAddress }: platform.InstanceSettings,
+    timers: foundation.TimerService,
+    traffic: foundation.TrafficAccount,
+    owner: foundation.Owner,
+): { store: platform.StoreClient; storeEra: () => number; } => {
+    let latestEra = 0;
+    const store = platform.createStoreClient(
+        storeAddress.host,
+        storeAddress.port,
+        timers,
+        transfer => traffic.add(foundation.TrafficPurpose.store, foundation.TrafficReach.unknown, transfer),
+        era => {
+            latestEra = era;
+        },
+    );
+    owner.onCleanup(() => store.close());
+    return { store, storeEra: () => latestEra };
+};
+
 /** Creates the function that applies what upstreams say of themselves. */
 const createNoticeHandler = (
     leaving: leavingUpstreams.LeavingUpstreams,
@@ -151,14 +173,8 @@
     const timers = foundation.createTimerService(error => failures.report("timer", error));
     const owner = foundation.createOwner();
     const traffic = foundation.createTrafficAccount();
-    const { host: storeHost, port: storePort } = settings.storeAddress;
-    const store = platform.createStoreClient(
-        storeHost,
-        storePort,
-        timers,
-        transfer => traffic.add(foundation.TrafficPurpose.store, foundation.TrafficReach.unknown, transfer),
-    );
-    owner.onCleanup(() => store.close());
+    const returns = storeReturns.createStoreReturns(log);
+    const { store, storeEra } = createStore(settings, timers, traffic, owner);
     const directory = routing.createUpstreamDirectory();
     const leaving = leavingUpstreams.createLeavingUpstreams({ directory, timers, log });
     const random = foundation.createRandom(process.pid ^ Date.now());
@@ -175,6 +191,8 @@
         failures,
         isLeading: () => ownership.isLeading(),
         relayRecords: (topic, records, end) => ownership.relayRecords(topic, records, end),
+        isEraEstablished: era => ownership.isEraEstablished(era),
+        storeReturns: returns,
         onDocument: document => callerServer.setLimits(document.limits),
         onUpstreamEntry: (upstream, isInitial, now) => cold.rates.onEntry(upstream, isInitial, now),
         onEvacuationRecord: (...record) => places.onEvacuationRecord(...record),
@@ -211,6 +229,8 @@
         keyedServices,
         mayOwnKeys: places.mayOwnKeys,
         areEvacuationsRecent: view.isDocumentTopicRecent,
+        areTopicsSettled: view.isSettled,
+        storeReturns: returns,
         leaving,
         collectServiceTimes: () => pool.collectServiceTimes(keyedServices()),
         toleratedPerSecond: upstream => cold.rates.toleratedPerSecond(upstream, timers.now()),
@@ -288,6 +308,8 @@
             averageSlowness: pool.observations.averageSlowness,
             tailFactors: pool.observations.tailFactors,
             traffic: traffic.totals,
+            storeEra,
+            storeReturns: returns.counts,
             evacuationRemains: () => places.listRemains({ ...pool, ...ownership }),
             capacities: pool.capacities,
             outstandingBytes: pool.outstandingBytes,
@@ -315,7 +337,7 @@
 
     const isReady = (): boolean =>
         !isStopping && !isolation.isIsolated() && view.documentInForce() !== undefined && view.isRegistryKnown()
-        && ownership.isReady();
+        && !view.mayBeOutdated() && ownership.isReady();
     await startReadinessServer(settings.readinessAddress, isReady, failures, owner);
 
     const housekeeping = timers.onInterval(housekeepingIntervalMilliseconds, () => {
--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -32,8 +32,8 @@
     failureDomain: string;
     /** Undefined once the follower is about to stop. */
     delegate: protocol.Delegate | undefined;
-    /** Topics whose content the follower has got. */
-    knownTopics: Set<string>;
+    /** Topics whose content the follower has got, and the era of it. */
+    knownTopics: Map<string, number>;
 }
 
 /** Connections from followers. */
@@ -114,17 +114,27 @@
         encodedSnapshots.set(topic, { end, content });
         return content;
     };
-    /** Sends each follower the topics that it has not got yet: this instance may learn of some after the follower has joined. */
+    /**
+     * Sends each follower the topics that it has not got yet: this instance may learn of some, or of a return of the store from an older copy,
+     * after the follower has joined.
+     */
     const sendSnapshots = (): void => {
-        for (const { topic } of options.topics.positions()) {
+        for (const { topic, era } of options.topics.positions()) {
             for (const [connection, { knownTopics }] of followers) {
-                const snapshot = knownTopics.has(topic) ? undefined : options.topics.snapshot(topic);
+                const isKnown = (knownTopics.get(topic) ?? -1) >= era;
+                const snapshot = isKnown ? undefined : options.topics.snapshot(topic);
                 if (snapshot !== undefined) {
-                    knownTopics.add(topic);
+                    knownTopics.set(topic, snapshot.end.era);
                     const position = topicExchange.toTopicPosition(topic, snapshot);
                     const content = encodeSnapshot(topic, snapshot);
                     if (content !== undefined) {
-                        connection.sendState({ kind: protocol.RoutingMessageKind.snapshot, ...position, content });
+                        const { mayBeOutdated } = snapshot;
+                        connection.sendState({
+                            kind: protocol.RoutingMessageKind.snapshot,
+                            ...position,
+                            mayBeOutdated,
+                            content,
+                        });
                     }
                 }
             }
@@ -156,8 +166,12 @@
                         connection.close();
                         return;
                     }
-                    const { failureDomain, delegate, knownTopics } = message;
-                    followers.set(connection, { failureDomain, delegate, knownTopics: new Set(knownTopics) });
+                    const { failureDomain, delegate, knownEras } = message;
+                    // A release that does not know eras cannot tell one content from another.
+                    const knownTopics = new Map(
+                        message.knownTopics.map(topic => [topic, knownEras[topic] ?? Infinity]),
+                    );
+                    followers.set(connection, { failureDomain, delegate, knownTopics });
                     sendSnapshots();
                     connection.send(createHeartbeat(session));
                     session.routingMessages().forEach(connection.sendState);
--- a/packages/entry/src/leaderLink.ts
+++ b/packages/entry/src/leaderLink.ts
@@ -97,8 +97,9 @@
         records: platform.StoredRecord[],
     ): void => {
         const end = topicExchange.toPosition(message);
-        // Records before the first position on a connection are unknown.
-        const from = topicEnds.get(topic) ?? end;
+        // Records before the first position on a connection, and before the first of an era, are unknown.
+        const known = topicEnds.get(topic);
+        const from = known?.era === end.era ? known : end;
         topicEnds.set(topic, end);
         options.topics.onRelayed(topic, { from, end, age, records });
     };
@@ -123,10 +124,15 @@
                     connection.close();
                     return;
                 }
-                const { topic, age } = message;
+                const { topic, age, mayBeOutdated } = message;
                 const end = topicExchange.toPosition(message);
                 topicEnds.set(topic, end);
-                options.topics.onSnapshot(topic, { records: records.val.map(toStoredRecord), end, age });
+                options.topics.onSnapshot(topic, {
+                    records: records.val.map(toStoredRecord),
+                    end,
+                    age,
+                    mayBeOutdated,
+                });
                 return;
             }
             case protocol.RoutingMessageKind.beat:
@@ -188,13 +194,15 @@
         openConnection = { connection, identifier: leader.identifier };
         const { failureDomain, delegate } = options;
         const version = protocol.routingProtocolVersion;
+        const positions = options.topics.positions();
         connection.send({
             kind: protocol.RoutingMessageKind.join,
             version,
             identifier,
             failureDomain,
             delegate,
-            knownTopics: options.topics.positions().map(({ topic }) => topic),
+            knownTopics: positions.map(({ topic }) => topic),
+            knownEras: Object.fromEntries(positions.map(({ topic, era }) => [topic, era])),
         });
         if (isStopping) {
             connection.send({ kind: protocol.RoutingMessageKind.stopping });
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -13,6 +13,7 @@
 import * as ownershipReader from "./ownershipReader";
 import * as ownershipWriter from "./ownershipWriter";
 import * as servicePlanner from "./servicePlanner";
+import type * as storeReturns from "./storeReturns";
 
 /** Dependencies and limits of a leader session. */
 export interface LeaderSessionOptions {
@@ -38,6 +39,9 @@
     toleratedPerSecond?: (upstream: routing.Upstream) => number | undefined;
     /** Whether the evacuations are known as they were a short time ago. */
     areEvacuationsRecent: () => boolean;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era. */
+    areTopicsSettled: () => boolean;
+    storeReturns: Pick<storeReturns.StoreReturns, "onStoredAgain">;
     /** Sends a message to every follower and applies it on this instance. */
     broadcast: (message: protocol.RoutingMessage) => void;
     /** Called when another instance has become leader and this session has stopped. */
@@ -196,6 +200,7 @@
         previousLeaders: () => previousLeaders,
         end: options.snapshot.end,
         lastAppendAt: options.confirmation.sentAt,
+        areTopicsSettled: options.areTopicsSettled,
         onLeadershipConfirmed,
         isUndisputed: hasReturned => {
             leaderLease.detectSuspension(timers.now(), timers.wallClock());
@@ -265,6 +270,7 @@
             unconfirmedPlans = [];
             if (areRecordsLost) {
                 areRecordsLost = false;
+                options.storeReturns.onStoredAgain(platform.Topic.ownership, plans.length + 1);
                 log.write("ownership-stored-again", {
                     term: options.record.term,
                     era: writer.era(),
--- a/packages/entry/src/ownershipTask.ts
+++ b/packages/entry/src/ownershipTask.ts
@@ -14,6 +14,7 @@
 import type * as leavingUpstreams from "./leavingUpstreams";
 import type * as ownershipReader from "./ownershipReader";
 import * as ownershipWatch from "./ownershipWatch";
+import type * as storeReturns from "./storeReturns";
 import * as topicExchange from "./topicExchange";
 
 /** Dependencies of the ownership task. */
@@ -32,6 +33,9 @@
     mayOwnKeys: (service: string, upstream: routing.Upstream) => boolean;
     /** Whether the evacuations are known as they were a short time ago. */
     areEvacuationsRecent: () => boolean;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era. */
+    areTopicsSettled: () => boolean;
+    storeReturns: storeReturns.StoreReturns;
     /** Returns the service times of the keyed upstreams measured since the last call, in milliseconds. */
     collectServiceTimes: () => [string, number][];
     /** Returns the requests a second that an upstream tolerates while it is cold; undefined if nothing limits them. */
@@ -52,6 +56,11 @@
     /** Number of instances as reported by a leader, or connected to this one if it leads; 0 if it is unknown. */
     reportedInstanceCount: () => number;
     isLeading: () => boolean;
+    /**
+     * Whether an instance has led in an era of the store for long enough that operators and upstreams have written again what was lost before
+     * it, or the site starts for the first time.
+     */
+    isEraEstablished: (era: number) => boolean;
     /** Plans the assignment anew, if this instance leads. */
     planNow: () => void;
     /** Number of keys whose owner is counted, if this instance leads; 0 otherwise. */
@@ -116,6 +125,17 @@
     return leavingUpstreams.length > 0 ? { ...report, leaving: leavingUpstreams } : report;
 };
 
+/** Returns the leader of another instance that the store names, unless it has resigned or its record is of another era. */
+const findFollowableLeader = (
+    known: ownershipReader.OwnershipSnapshot | undefined,
+    ownIdentifier: string,
+): assignment.LeaderRecord | undefined => {
+    if (known?.leader === undefined || known.isLeaderOutdated || known.leader.isResigned) {
+        return undefined;
+    }
+    return known.leader.identifier === ownIdentifier ? undefined : known.leader;
+};
+
 /**
  * Starts the ownership task.
  *
@@ -222,6 +242,7 @@
             host: settings.host,
             port: settings.peerPort,
             maxLeaseMilliseconds: settings.maxLeaseMilliseconds,
+            areTopicsSettled: options.areTopicsSettled,
             latestTerm: () => Math.max(ownTerm, link.latestTerm()),
         }, stored);
         if (won === undefined) {
@@ -272,10 +293,8 @@
         else if (nextStep === assignment.LeadershipStep.campaign && known !== undefined && !isResigning) {
             await runCampaign(known);
         }
-        const { leader, isLeaderOutdated } = watch.snapshot() ?? {};
-        const isFollowable = leader !== undefined && leader.identifier !== identifier && !leader.isResigned
-            && isLeaderOutdated === false;
-        if (isFollowable && session === undefined) {
+        const leader = findFollowableLeader(watch.snapshot(), identifier);
+        if (leader !== undefined && session === undefined) {
             link.follow(leader);
         }
     };
@@ -318,6 +337,7 @@
         instanceCount: () => session === undefined ? link.instanceCount() : followers.count() + 1,
         reportedInstanceCount: () => session === undefined ? link.reportedInstanceCount() : followers.count() + 1,
         isLeading: () => session !== undefined,
+        isEraEstablished: watch.isEraEstablished,
         planNow: () => session?.planNow(),
         ownedKeyCount: isCounted => session?.ownedKeyCount(isCounted) ?? 0,
         identifier,
--- a/packages/entry/src/ownershipWatch.ts
+++ b/packages/entry/src/ownershipWatch.ts
@@ -35,6 +35,8 @@
     unchangedSince: () => number;
     /** Whether another instance than the leader record says may have led before the store returned from an older copy. */
     isLeaderUncertain: () => boolean;
+    /** Whether what was lost before an era has been written again by now, as far as the leader record tells. */
+    isEraEstablished: (era: number) => boolean;
     /** Shortest time that a read took, in milliseconds; undefined before the first one. */
     storeRoundTripMilliseconds: () => number | undefined;
 }
@@ -102,6 +104,8 @@
         }),
         lastSuccessfulReadAt: () => lastSuccessfulReadAt,
         unchangedSince: () => unchangedSince,
+        isEraEstablished: era =>
+            snapshot?.end.era === era && !isLeaderUncertain() && (snapshot.leader?.isSettled ?? true),
         isLeaderUncertain,
         storeRoundTripMilliseconds: () => storeRoundTripMilliseconds,
     };
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -19,6 +19,8 @@
     end: platform.Position;
     /** Time at which the append of the record was sent. */
     lastAppendAt: number;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era. */
+    areTopicsSettled: () => boolean;
     /** Called when the response to a call sent at `sentAt` confirms that this instance leads. */
     onLeadershipConfirmed: (sentAt: number) => void;
     /** Called with the content of the topic after a resynchronization; it may differ from the last append. */
@@ -88,6 +90,7 @@
                 ...assignment.passOnPreviousLeaders(options.previousLeaders(), sentAt),
                 beat: record.beat + 1,
                 isResigned,
+                isSettled: options.areTopicsSettled(),
                 longestLeaseMilliseconds,
             };
             const response = await store.append(platform.Topic.ownership, end, [
--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -5,7 +5,10 @@
 import type * as relay from "@mulberryseam/relay";
 import * as routing from "@mulberryseam/routing";
 import * as documentEvent from "./documentEvent";
+import * as recordAges from "./recordAges";
+import type * as storeReturns from "./storeReturns";
 import * as topicExchange from "./topicExchange";
+import type * as topicState from "./topicState";
 import * as topicTask from "./topicTask";
 import * as warmupFingerprint from "./warmupFingerprint";
 
@@ -29,6 +32,9 @@
      * first known to this instance.
      */
     onUpstreamEntry?: (upstream: routing.Upstream, isInitial: boolean, now: number) => void;
+    /** Whether an instance has led in an era of the store for long enough that writers have written again what was lost before it. */
+    isEraEstablished: (era: number) => boolean;
+    storeReturns: storeReturns.StoreReturns;
     /** Called with each record of an evacuation; it is over once the record is deleted. */
     onEvacuationRecord: (failureDomain: string, isEvacuated: boolean, origin: topicTask.ChangeOrigin) => void;
 }
@@ -38,6 +44,10 @@
     /** Returns the document in force, or undefined until the first one is known. */
     documentInForce: () => relay.DocumentInForce | undefined;
     isRegistryKnown: () => boolean;
+    /** Whether documents or registry entries may be missing that other instances know of, as the store has lost them. */
+    mayBeOutdated: () => boolean;
+    /** Whether operators and upstreams have had the time to write again what was lost before the era of the store. */
+    isSettled: () => boolean;
     /** Whether the documents and evacuations are known as they were a short time ago. */
     isDocumentTopicRecent: () => boolean;
     /** Time since this instance or the leader last read the registry, in milliseconds; Infinity if it is unknown. */
@@ -226,6 +236,13 @@
     const isDocumentTopicRecent = (): boolean =>
         (tasks.get(platform.Topic.documents)?.position()?.age ?? Infinity) <= maxRecentDocumentAgeMilliseconds;
 
+    /** What is the same for both topics. */
+    const createReturnHandlers = (topic: platform.TopicName) => ({
+        isEraEstablished: options.isEraEstablished,
+        onStoreReturned: (storeReturn: topicState.TopicReturn) => options.storeReturns.onReturned(topic, storeReturn),
+        onSettled: (settlement: topicState.TopicSettlement, end: platform.Position) =>
+            options.storeReturns.onSettled(topic, settlement, end),
+    });
     const waitForLeader = (): number => isLeading() ? 0 : initialWaitMilliseconds;
     const documentTaskOptions: topicTask.TopicTaskOptions = {
         store,
@@ -238,6 +255,8 @@
         // A new leader that knows only an old state must not wait for a change of it before it plans.
         waitMilliseconds: () => isLeading() && isDocumentTopicRecent() ? leaderDocumentWaitMilliseconds : 0,
         fingerprintOf: (...[, value]) => value.toString("base64"),
+        compareAges: recordAges.compareOperatorRecords,
+        ...createReturnHandlers(platform.Topic.documents),
         onChanges: (records, end, origin) => {
             applyRecords(platform.Topic.documents, records, record => onOperatorRecord(record, origin));
             options.relayRecords(platform.Topic.documents, records, end);
@@ -255,6 +274,8 @@
         initialWaitMilliseconds: waitForLeader,
         waitMilliseconds: () => 0,
         fingerprintOf: upstreamFingerprint,
+        compareAges: recordAges.compareRegistryEntries,
+        ...createReturnHandlers(platform.Topic.upstreams),
         onChanges: (records, end) => {
             applyRecords(platform.Topic.upstreams, records, onUpstream);
             options.relayRecords(platform.Topic.upstreams, records, end);
@@ -266,6 +287,8 @@
     return {
         documentInForce: () => documentInForce,
         isRegistryKnown: () => isRegistryKnown,
+        mayBeOutdated: () => [...tasks.values()].some(task => task.mayBeOutdated()),
+        isSettled: () => [...tasks.values()].every(task => !task.isAwaiting()),
         isDocumentTopicRecent,
         registryAge: () => tasks.get(platform.Topic.upstreams)?.position()?.age ?? Infinity,
         topics: {
--- a/packages/entry/src/topicExchange.ts
+++ b/packages/entry/src/topicExchange.ts
@@ -8,7 +8,7 @@
     /** Returns the position up to which each topic is known. */
     positions: () => protocol.TopicPosition[];
     /** Returns the newest records of a topic; undefined if it is not known. */
-    snapshot: (topic: string) => topicTask.TopicSnapshot | undefined;
+    snapshot: (topic: string) => topicTask.TopicContent | undefined;
     /** Applies records that the leader has read from the store. */
     onRelayed: (topic: string, relayed: topicTask.RelayedRecords) => void;
     /** Applies the newest records of a topic, as the leader knows them. */
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -1,7 +1,8 @@
 /** Follows a keyed topic through the records that the leader relays, and reads the store when those are too old. */
 import * as foundation from "@mulberryseam/foundation";
 import * as platform from "@mulberryseam/platform";
-import * as changeFilter from "./changeFilter";
+import type * as returnedTopic from "./returnedTopic";
+import * as topicState from "./topicState";
 
 /** Sources of topic updates. */
 export const TopicSource = { store: "store", leader: "leader" } as const;
@@ -31,6 +32,13 @@
     waitMilliseconds: () => number;
     /** Returns the same text for equivalent values. */
     fingerprintOf: (key: string, value: Buffer) => string;
+    compareAges: returnedTopic.AgeComparison;
+    /** Whether an instance has led in the era for long enough that writers have written again what was lost before it. */
+    isEraEstablished: (era: number) => boolean;
+    /** Called when the store has returned from an older copy, before `onChanges` for the same update. */
+    onStoreReturned: (storeReturn: topicState.TopicReturn) => void;
+    /** Called when missing records are no longer awaited, after `onChanges` for the same update. */
+    onSettled: (settlement: topicState.TopicSettlement, end: platform.Position) => void;
     /** Called with the records that change the state, in topic order. */
     onChanges: (records: readonly platform.StoredRecord[], end: platform.Position, origin: ChangeOrigin) => void;
     /** Called when the state is confirmed to be current, after `onChanges` for the same update. */
@@ -54,6 +62,14 @@
     records: readonly platform.StoredRecord[];
     end: platform.Position;
     age: number;
+    /** Whether records may be missing that other instances know of. */
+    mayBeOutdated: boolean;
+}
+
+/** The state as the leader sends it. */
+export interface TopicContent extends TopicSnapshot {
+    /** Distinguishes states that end at the same position. */
+    revision: number;
 }
 
 /** A topic being followed. */
@@ -65,9 +81,13 @@
     /** Applies a snapshot that another instance has sent; ignores an older one. */
     onSnapshot: (snapshot: TopicSnapshot) => void;
     /** Returns the newest record of every key; undefined before the first response. */
-    snapshot: () => TopicSnapshot | undefined;
+    snapshot: () => TopicContent | undefined;
     /** Position up to which the topic is known, and the age of the state; undefined before the first response. */
     position: () => { end: platform.Position; age: number; } | undefined;
+    /** Whether writers may still write again what a return from an older copy has lost. */
+    isAwaiting: () => boolean;
+    /** Whether records may be missing that other instances know of, as this one has started after such a return. */
+    mayBeOutdated: () => boolean;
 }
 
 /** Bounds of the delay after failed calls, in milliseconds: short compared to the time in which changes must apply. */
@@ -92,65 +112,58 @@
     const fingerprintOf = (key: string, value: Buffer): string =>
         failures.run("topic record", () => options.fingerprintOf(key, value), { topic, key })
             ?? value.toString("base64");
-    const filter = changeFilter.createChangeFilter(fingerprintOf);
+    const compareAges: returnedTopic.AgeComparison = (key, known, candidate) =>
+        failures.run("topic record", () => options.compareAges(key, known, candidate), { topic, key });
+    const state = topicState.createTopicState({ fingerprintOf, compareAges });
     const startedAt = timers.now();
-    const newestRecords = new Map<string, platform.StoredRecord>();
-    let position: platform.Position | undefined;
+    let needsSnapshot = false;
+    /** Whether the state comes from an instance that has known the topic for long enough. */
+    let isTrusted = false;
     let lastUpdateAt = -Infinity;
     /** Messages to other instances contain finite numbers only. */
     const age = (): number => Math.min(maxAgeMilliseconds, timers.now() - lastUpdateAt);
     let cancelRead = (): void => undefined;
 
-    const notifyChanges = (
-        changes: readonly platform.StoredRecord[],
-        end: platform.Position,
-        source: TopicSourceValue,
-    ): void => {
-        for (const change of changes) {
-            if (change.value === undefined) {
-                newestRecords.delete(change.key);
-            }
-            else {
-                newestRecords.set(change.key, change);
-            }
+    /** Tells of changes; returns false if there was nothing that fits to the known state. */
+    const notify = (applied: topicState.TopicChanges | undefined, source: TopicSourceValue): boolean => {
+        const end = state.position();
+        if (applied === undefined || end === undefined) {
+            return false;
+        }
+        const { changes, storeReturn, settlement } = applied;
+        const context = { topic, era: end.era, end: end.offset };
+        if (storeReturn !== undefined) {
+            failures.run("topic", () => options.onStoreReturned(storeReturn), context);
         }
         if (changes.length > 0) {
             const origin = { source, maxAgeMilliseconds: timers.now() - lastUpdateAt };
-            failures.run("topic", () => options.onChanges(changes, end, origin), {
-                topic,
-                era: end.era,
-                end: end.offset,
-            });
+            failures.run("topic", () => options.onChanges(changes, end, origin), context);
         }
-    };
-    const isBefore = (end: platform.Position): boolean =>
-        position !== undefined && platform.comparePositions(end, position) < 0;
-    const advance = (
-        known: platform.Position,
-        records: readonly platform.StoredRecord[],
-        end: platform.Position,
-        source: TopicSourceValue,
-    ): void => {
-        // The leader may have relayed some of these records while the read was in flight.
-        const changes = filter.apply(records.filter(record => record.offset >= known.offset));
-        position = isBefore(end) ? known : end;
-        notifyChanges(changes, position, source);
+        if (settlement !== undefined) {
+            failures.run("topic", () => options.onSettled(settlement, end), context);
+        }
+        return true;
     };
     const onContact = (updatedAt: number, source: TopicSourceValue): void => {
         lastUpdateAt = Math.max(lastUpdateAt, updatedAt);
         backoff.reset();
         failures.run("topic", () => options.onContact(source), { topic });
+        notify(state.onConfirmed(timers.now()), source);
+    };
+    /** Whether records of a lost history may be missing that other instances know of. */
+    const mayBeOutdated = (): boolean => {
+        const era = state.position()?.era;
+        isTrusted ||= era !== undefined && (options.isEraEstablished(era) || !state.isAwaiting());
+        return !isTrusted;
     };
 
     const readSnapshot = async (): Promise<void> => {
         const { records, end } = await store.readSnapshot(topic);
+        needsSnapshot = false;
         // The leader may have sent a newer snapshot while the read was in flight.
-        if (isBefore(end)) {
-            return;
+        if (notify(state.applySnapshot(records, end, timers.now()), TopicSource.store)) {
+            onContact(timers.now(), TopicSource.store);
         }
-        position = end;
-        notifyChanges(filter.replace(records, end.offset), end, TopicSource.store);
-        onContact(timers.now(), TopicSource.store);
     };
     const readNext = async (from: platform.Position): Promise<void> => {
         const cancelled = new Promise<undefined>(resolve => {
@@ -163,23 +176,27 @@
             return;
         }
         if (response.isHistoryExpired) {
-            position = undefined;
+            needsSnapshot = state.position()?.era === from.era;
             return;
         }
-        advance(position ?? from, response.records, response.end, TopicSource.store);
-        onContact(timers.now(), TopicSource.store);
+        // The leader may have relayed some of these records, or content of a later era, while the read was in flight.
+        if (state.position()?.era === response.end.era) {
+            notify(state.applyRecords(response.records, response.end, timers.now()), TopicSource.store);
+            onContact(timers.now(), TopicSource.store);
+        }
     };
     const run = async (): Promise<void> => {
         while (!owner.isDisposed()) {
+            const position = state.position();
             const readDelay = position === undefined
                 ? startedAt + options.initialWaitMilliseconds() - timers.now()
                 : lastUpdateAt + options.maxAgeMilliseconds() - timers.now();
-            if (readDelay > 0) {
+            if (readDelay > 0 && !needsSnapshot) {
                 await foundation.pause(timers, Math.min(readDelay, checkIntervalMilliseconds));
                 continue;
             }
             try {
-                await (position === undefined ? readSnapshot() : readNext(position));
+                await (position === undefined || needsSnapshot ? readSnapshot() : readNext(position));
             }
             catch (error) {
                 failures.run("topic", () => options.onFailure((error as Error).message), { topic });
@@ -191,29 +208,40 @@
     return {
         refresh: () => cancelRead(),
         onRelayed: ({ from, end, age, records }) => {
-            if (position === undefined || platform.comparePositions(from, position) > 0 || isBefore(end)) {
+            const position = state.position();
+            if (position === undefined || platform.comparePositions(from, position) > 0) {
                 return;
             }
-            advance(position, records, end, TopicSource.leader);
+            const isApplied = notify(state.applyRecords(records, end, timers.now()), TopicSource.leader);
             // The heartbeats of a leader that cannot reach the store do not confirm the state.
-            if (age < options.maxAgeMilliseconds()) {
+            if (isApplied && age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
             }
         },
-        onSnapshot: ({ records, end, age }) => {
-            if (isBefore(end)) {
+        onSnapshot: ({ records, end, age, mayBeOutdated }) => {
+            if (!notify(state.applySnapshot(records, end, timers.now()), TopicSource.leader)) {
                 return;
             }
-            position = end;
-            notifyChanges(filter.replace(records, end.offset), end, TopicSource.leader);
+            isTrusted ||= !mayBeOutdated;
             if (age < options.maxAgeMilliseconds()) {
                 onContact(timers.now() - age, TopicSource.leader);
             }
         },
-        snapshot: () =>
-            position === undefined
-                ? undefined
-                : { records: [...newestRecords.values()], end: position, age: age() },
-        position: () => position === undefined ? undefined : { end: position, age: age() },
+        snapshot: () => {
+            const end = state.position();
+            return end === undefined ? undefined : {
+                records: state.records(),
+                revision: state.revision(),
+                end,
+                age: age(),
+                mayBeOutdated: mayBeOutdated(),
+            };
+        },
+        position: () => {
+            const end = state.position();
+            return end === undefined ? undefined : { end, age: age() };
+        },
+        isAwaiting: state.isAwaiting,
+        mayBeOutdated,
     };
 };
--- a/packages/entry/test/campaign.test.ts
+++ b/packages/entry/test/campaign.test.ts
@@ -136,6 +136,7 @@
                 port: 1,
                 maxLeaseMilliseconds,
                 latestTerm: () => 0,
+                areTopicsSettled: () => true,
             }, await watch.read()).then(result => {
                 won = result;
             });
@@ -156,6 +157,8 @@
                 keyedServices: () => ["records"],
                 mayOwnKeys: () => true,
                 areEvacuationsRecent: () => true,
+                areTopicsSettled: () => true,
+                storeReturns: { onStoredAgain: () => undefined },
                 broadcast: () => undefined,
                 onSuperseded: () => undefined,
             });
@@ -174,6 +177,7 @@
                 previousCommandsMilliseconds: 0,
                 previousLeasesMilliseconds: 0,
                 unknownLeasesMilliseconds: 0,
+                isSettled: true,
             };
             stored.set(assignment.leaderKey, assignment.encodeLeader(record));
         },
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -96,7 +96,7 @@
             session: () => session,
             topics: {
                 positions: () => [{ topic, era: 1, end: 7, age: 0 }],
-                snapshot: () => ({ records, end: { era: 1, offset: 7 }, age: 100 }),
+                snapshot: () => ({ records, revision: 1, end: { era: 1, offset: 7 }, age: 100, mayBeOutdated: false }),
                 onRelayed: () => undefined,
                 onSnapshot: () => undefined,
             },
@@ -154,7 +154,12 @@
             const first = join("first", "north-a");
             const second = join("second", "north-a", [topic]);
             await waitFor(() => first.snapshots.length === 1 && second.link.isLeaderHealthy());
-            earl.expect(first.snapshots).toEqual([{ records, end: { era: 1, offset: 7 }, age: 100 }]);
+            earl.expect(first.snapshots).toEqual([{
+                records,
+                end: { era: 1, offset: 7 },
+                age: 100,
+                mayBeOutdated: false,
+            }]);
             await waitFor(() => second.delegates.length === 3);
             earl.expect([first.snapshots.length, second.snapshots.length]).toEqual([1, 0]);
             earl.expect((transferredBytes.get("snapshot north-a") ?? 0) > records[0].value.length).toEqual(true);
--- a/packages/entry/test/leaseCommandFailures.test.ts
+++ b/packages/entry/test/leaseCommandFailures.test.ts
@@ -23,6 +23,7 @@
     previousCommandsMilliseconds: 0,
     previousLeasesMilliseconds: 0,
     unknownLeasesMilliseconds: 0,
+    isSettled: true,
 };
 const firstKeys = [0, 100, 200];
 
@@ -97,6 +98,8 @@
         keyedServices: () => [],
         mayOwnKeys: () => true,
         areEvacuationsRecent: () => true,
+        areTopicsSettled: () => true,
+        storeReturns: { onStoredAgain: () => undefined },
         broadcast: () => undefined,
         onSuperseded: () => undefined,
     });
--- a/packages/entry/test/ownershipTask.test.ts
+++ b/packages/entry/test/ownershipTask.test.ts
@@ -7,6 +7,7 @@
 import * as test from "node:test";
 import * as leavingUpstreams from "../src/leavingUpstreams";
 import * as ownershipTask from "../src/ownershipTask";
+import * as storeReturns from "../src/storeReturns";
 import * as instanceSettings from "./fixtures/instanceSettings";
 
 const settings = instanceSettings.createSettings();
@@ -50,6 +51,8 @@
         keyedServices: () => [],
         mayOwnKeys: () => true,
         areEvacuationsRecent: () => true,
+        areTopicsSettled: () => true,
+        storeReturns: storeReturns.createStoreReturns(log),
         collectServiceTimes: () => [],
         topics: {
             positions: () => [],
--- a/packages/entry/test/siteView.test.ts
+++ b/packages/entry/test/siteView.test.ts
@@ -7,6 +7,7 @@
 import * as test from "node:test";
 import * as sitePlaces from "../src/sitePlaces";
 import * as siteView from "../src/siteView";
+import * as storeReturns from "../src/storeReturns";
 
 type LogRecord = Record<string, unknown>;
 
@@ -142,6 +143,8 @@
         warmupRates: eligibilities.unlimitedWarmupRates,
     });
     const view = siteView.createSiteView({
+        isEraEstablished: () => true,
+        storeReturns: storeReturns.createStoreReturns(log),
         store,
         directory,
         regions,
--- a/packages/entry/test/topicTask.test.ts
+++ b/packages/entry/test/topicTask.test.ts
@@ -67,6 +67,10 @@
         initialWaitMilliseconds: () => initialWait,
         waitMilliseconds: () => 2500,
         fingerprintOf: (...[, value]) => value.toString(),
+        compareAges: () => undefined,
+        isEraEstablished: () => true,
+        onStoreReturned: () => undefined,
+        onSettled: () => undefined,
         onChanges: (records, ...[, origin]) => {
             changes.push(...records);
             origins.push(origin);
@@ -151,17 +155,30 @@
         earl.expect(await countCalls(400) >= 1).toEqual(true);
         await fixture.owner.dispose();
     });
+});
 
+test.describe("a topic that the leader sends", () => {
     test.it("starts from the leader's snapshot without reading the store, and reads it if none comes", async () => {
         const fixture = createFixture(() => neverResolves(), 800, 1500);
         await flush();
         fixture.timers.advance(500);
         await flush();
-        fixture.task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 200 });
-        fixture.task.onSnapshot({ records: [createRecord("config", "older", 5)], end: positionAt(6), age: 200 });
+        fixture.task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 200, mayBeOutdated: false });
+        fixture.task.onSnapshot({
+            records: [createRecord("config", "older", 5)],
+            end: positionAt(6),
+            age: 200,
+            mayBeOutdated: false,
+        });
         earl.expect(fixture.changes).toEqual([nextRecord]);
         earl.expect(fixture.contacts).toEqual(["leader"]);
-        earl.expect(fixture.task.snapshot()).toEqual({ records: [nextRecord], end: positionAt(8), age: 200 });
+        earl.expect(fixture.task.snapshot()).toEqual({
+            records: [nextRecord],
+            revision: 1,
+            end: positionAt(8),
+            age: 200,
+            mayBeOutdated: false,
+        });
         fixture.timers.advance(500);
         await flush();
         earl.expect(fixture.reads).toEqual([]);
@@ -282,10 +299,16 @@
                 respond = () => resolve({ records: [ready], end: positionAt(5) });
             }));
         await flush();
-        fixture.task.onSnapshot({ records: [draining], end: positionAt(9), age: 0 });
+        fixture.task.onSnapshot({ records: [draining], end: positionAt(9), age: 0, mayBeOutdated: false });
         respond();
         await flush();
-        earl.expect(fixture.task.snapshot()).toEqual({ records: [draining], end: positionAt(9), age: 0 });
+        earl.expect(fixture.task.snapshot()).toEqual({
+            records: [draining],
+            revision: 1,
+            end: positionAt(9),
+            age: 0,
+            mayBeOutdated: false,
+        });
         earl.expect(fixture.changes).toEqual([draining]);
         await fixture.owner.dispose();
     });
@@ -294,7 +317,7 @@
 test.describe("a topic that was never confirmed", () => {
     test.it("has a finite age, which other instances accept in a heartbeat", async () => {
         const { task, owner } = createFixture(neverResolves, 1000, 10_000);
-        task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 5000 });
+        task.onSnapshot({ records: [nextRecord], end: positionAt(8), age: 5000, mayBeOutdated: false });
         earl.expect(Number.isFinite(task.position()?.age)).toEqual(true);
         earl.expect(Number.isFinite(task.snapshot()?.age)).toEqual(true);
         await owner.dispose();
@@ -367,6 +390,10 @@
             initialWaitMilliseconds: () => 0,
             waitMilliseconds: () => 0,
             fingerprintOf: key => key === "odd" ? throwing() : key,
+            compareAges: throwing,
+            isEraEstablished: throwing,
+            onStoreReturned: throwing,
+            onSettled: throwing,
             onChanges: records => {
                 applied.push(...records.map(({ key, offset }) => `${key} ${offset}`));
                 throwing();
--- a/packages/protocol/src/routingMessages.ts
+++ b/packages/protocol/src/routingMessages.ts
@@ -71,6 +71,8 @@
         delegate: delegateSchema,
         /** Topics whose content the follower knows already. */
         knownTopics: zod.array(zod.string()),
+        /** Era of the store in which it knows each of them; releases that do not know eras leave it out. */
+        knownEras: zod.record(zod.string(), zod.int().min(0)).default({}),
     }),
     /** Response of an instance that is not the leader. */
     zod.object({ kind: zod.literal(RoutingMessageKind.notLeader) }),
@@ -102,6 +104,8 @@
         topic: zod.string(),
         ...positionFields,
         age: zod.number(),
+        /** Whether records may be missing that other instances know of. */
+        mayBeOutdated: zod.boolean().default(false),
         /** The records; see `encodeTopicContent`. */
         content: zod.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array),
     }),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,5 +14,5 @@
 export type { DocumentChange, NameChanges } from "./documentChange";
 export { createRouteTable, createSplitter } from "./routeTable";
 export type { RouteEntry, RouteTable, Splitter } from "./routeTable";
-export { createUpstreamDirectory, findIncarnation } from "./upstreamDirectory";
+export { createUpstreamDirectory, findIncarnation, reregistrationMilliseconds } from "./upstreamDirectory";
 export type { DirectoryEntry, Incarnation, LeavingIncarnation, UpstreamDirectory } from "./upstreamDirectory";
--- a/packages/routing/src/upstreamDirectory.ts
+++ b/packages/routing/src/upstreamDirectory.ts
@@ -49,7 +49,7 @@
 }
 
 /** Time after the store's recovery in which upstreams renew expired entries, in milliseconds. */
-const reregistrationMilliseconds = 2200;
+export const reregistrationMilliseconds = 2200;
 /** Time in which an upstream without an entry still serves requests that no other upstream can, in milliseconds. */
 const leavingRetentionMilliseconds = 1500;
 /** Time for which the announcement of an incarnation without an entry is kept: a store may put back an old entry. */
