--- a/packages/entry/src/followerServer.ts
+++ b/packages/entry/src/followerServer.ts
@@ -1,6 +1,5 @@
 /** Serves the instances that follow this one while it leads. */
 import * as foundation from "@mulberryseam/foundation";
-import type * as platform from "@mulberryseam/platform";
 import * as protocol from "@mulberryseam/protocol";
 import * as net from "node:net";
 import type * as leaderSession from "./leaderSession";
@@ -96,14 +95,15 @@
         instances: followers.size + 1,
         topics: options.topics.positions(),
     });
-    const encodedSnapshots = new Map<string, { end: platform.Position; content: Uint8Array | undefined; }>();
+    const encodedSnapshots = new Map<string, { revision: number; content: Uint8Array | undefined; }>();
     /** Returns undefined for a snapshot that is too large to be sent; followers then read the store. */
     const encodeSnapshot = (
         topic: string,
-        { records, end }: topicTask.TopicSnapshot,
+        { records, revision, end }: topicTask.TopicContent,
     ): Uint8Array | undefined => {
         const encoded = encodedSnapshots.get(topic);
-        if (encoded?.end.offset === end.offset) {
+        // Positions do not tell contents apart: offsets are given out again, and missing records are awaited for a time.
+        if (encoded?.revision === revision) {
             return encoded.content;
         }
         const content = protocol.encodeTopicContent([...records]);
@@ -111,7 +111,7 @@
         if (content === undefined && !wasTooLarge) {
             options.log.write("snapshot-too-large", { topic, era: end.era, end: end.offset, records: records.length });
         }
-        encodedSnapshots.set(topic, { end, content });
+        encodedSnapshots.set(topic, { revision, content });
         return content;
     };
     /**
--- a/packages/entry/test/followers.test.ts
+++ b/packages/entry/test/followers.test.ts
@@ -83,6 +83,8 @@
         run: (fixture: {
             server: followerServer.FollowerServer;
             ownDelegates: () => readonly protocol.Delegate[];
+            /** Changes what the leader knows of the topic. */
+            setContent: (changes: Partial<topicTask.TopicContent>) => void;
             join: (identifier: string, failureDomain: string, knownTopics?: string[]) => Follower;
         }) => Promise<void>,
     ): Promise<void> => {
@@ -90,13 +92,20 @@
         const timers = foundation.createTimerService();
         const [port] = await siteModule.reservePorts(1);
         let ownDelegates: readonly protocol.Delegate[] = [];
+        let content: topicTask.TopicContent = {
+            records,
+            revision: 1,
+            end: { era: 1, offset: 7 },
+            age: 100,
+            mayBeOutdated: false,
+        };
         const server = await followerServer.startFollowerServer({
             host,
             port,
             session: () => session,
             topics: {
-                positions: () => [{ topic, era: 1, end: 7, age: 0 }],
-                snapshot: () => ({ records, revision: 1, end: { era: 1, offset: 7 }, age: 100, mayBeOutdated: false }),
+                positions: () => [{ topic, era: content.end.era, end: content.end.offset, age: 0 }],
+                snapshot: () => content,
                 onRelayed: () => undefined,
                 onSnapshot: () => undefined,
             },
@@ -118,6 +127,9 @@
             await run({
                 server,
                 ownDelegates: () => ownDelegates,
+                setContent: changes => {
+                    content = { ...content, ...changes };
+                },
                 join: (identifier, failureDomain, knownTopics = []) => {
                     const follower = createFollower(timers, port, identifier, failureDomain, knownTopics);
                     links.push(follower.link);
@@ -149,6 +161,25 @@
         });
     });
 
+    // Guards against content that was encoded for another follower before the store gave out its end again (review case 9).
+    test.it("get the content of a new era, also if it ends at the same offset, whether they joined before or after", async () => {
+        await withLeader(async ({ join, setContent }) => {
+            const first = join("first", "north-a");
+            await waitFor(() => first.snapshots.length === 1);
+            const rewritten = [{ key: "upstream-1", value: Buffer.from("rewritten"), offset: 6 }];
+            setContent({ records: rewritten, revision: 2, end: { era: 2, offset: 7 } });
+            const second = join("second", "north-a");
+            await waitFor(() => first.snapshots.length === 2 && second.snapshots.length === 1);
+            const expected = { records: rewritten, end: { era: 2, offset: 7 }, age: 100, mayBeOutdated: false };
+            earl.expect([first.snapshots[1], second.snapshots[0]]).toEqual([expected, expected]);
+            // An awaited record that is dropped changes the content without moving its end.
+            setContent({ records: [], revision: 3 });
+            const third = join("third", "north-a");
+            await waitFor(() => third.snapshots.length === 1);
+            earl.expect(third.snapshots[0].records).toEqual([]);
+        });
+    });
+
     test.it("get the content of each topic once, unless they know it", async () => {
         await withLeader(async ({ join }) => {
             const first = join("first", "north-a");
