Assignment: a plan keeps the previous owner of refused keys that it has moved

Cause: the plan gave a new token without a previous owner to ranges that their owner had refused, also to those that it had just moved to another owner; these were then granted without a release. Found by the reviewer in reading; needs a refusal and a lost owner at once, which a return of the store can bring about.

Evidence: balance.test.ts, which fails before.

--- a/packages/assignment/src/balance.ts
+++ b/packages/assignment/src/balance.ts
@@ -211,7 +211,10 @@
     );
     sortedUnownedRanges.forEach(range => assignRange(range, range, leastLoaded(ownerLoads.values())));
 
-    const fencedRanges = ranges.filter(range => input.isFenced(range) && ownerLoadOf(range) !== undefined);
+    // A range that this plan has moved already has a new token, and its previous owner has to release it.
+    const fencedRanges = ranges.filter(range =>
+        range.token < firstToken && input.isFenced(range) && ownerLoadOf(range) !== undefined
+    );
     for (const range of fencedRanges) {
         ranges.splice(ranges.indexOf(range), 1, { ...range, token: nextToken, previousOwner: undefined });
         nextToken += 1;
--- a/packages/assignment/test/balance.test.ts
+++ b/packages/assignment/test/balance.test.ts
@@ -54,6 +54,36 @@
     && current.ranges[current.ranges.length - 1].last === assignment.keyCount - 1
     && current.ranges.every((range, index) => index === 0 || range.first === current.ranges[index - 1].last + 1);
 
+test.describe("the balance of keys that their owner has refused", () => {
+    const candidates = planFixture.createCandidates(4);
+    const initial = createInitialAssignment(candidates);
+    const [lost] = candidates;
+    const input = planFixture.createInput(initial, candidates, () => 0);
+    const isOwnedBy = (owner: assignment.Owner) => (range: assignment.KeyRange): boolean =>
+        assignment.isSameOwner(range.owner, owner);
+
+    test.it("gives them a new token at the same owner", () => {
+        const next = assignment.balance({ ...input, isFenced: isOwnedBy(lost.owner) });
+        const renewed = next?.ranges.filter(isOwnedBy(lost.owner)) ?? [];
+        earl.expect(renewed.length > 0).toEqual(true);
+        earl.expect(renewed.every(({ token }) => token >= initial.nextToken)).toEqual(true);
+    });
+
+    // Guards against a second owner: without the previous one, nobody waits until it has released the keys.
+    test.it("keeps the previous owner of those that the same plan moves to another one", () => {
+        const firstKeys = initial.ranges.filter(isOwnedBy(lost.owner)).map(({ first }) => first);
+        const next = assignment.balance({
+            ...input,
+            candidates: candidates.filter(candidate => candidate !== lost),
+            // The leader knows refusals by the bounds of a range.
+            isFenced: ({ first }) => firstKeys.includes(first),
+        });
+        const moved = next?.ranges.filter(({ first }) => firstKeys.includes(first)) ?? [];
+        earl.expect(moved.length).toEqual(firstKeys.length);
+        earl.expect(moved.map(({ previousOwner }) => previousOwner)).toEqual(moved.map(() => lost.owner));
+    });
+});
+
 test.describe("the balance of keys", () => {
     const candidates = planFixture.createCandidates(14);
 
