Soak, entry: sites whose store returns from an older copy

The emulated store returns from a copy: it raises its era, gives offsets out again, and puts lost records of operators and upstreams again at once or after a delay. Only the first process of an instance has the setting of a site that starts for the first time.

--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -2,8 +2,8 @@
 export { startEndlessUpstream } from "./endlessUpstream";
 export type { EndlessUpstream, EndlessUpstreamOptions } from "./endlessUpstream";
 export type { EmulatedQueue } from "./executionQueue";
-export { Rewrite, startEmulatedStore, StoreMode } from "./store";
-export type { EmulatedStore, RewriteValue, StoreModeValue } from "./store";
+export { startEmulatedStore, StoreMode } from "./store";
+export type { EmulatedStore, StoreModeValue } from "./store";
 export { startEmulatedUpstream, UpstreamMode } from "./upstream";
 export type {
     EmulatedArrival,
--- a/packages/emulator/src/store.ts
+++ b/packages/emulator/src/store.ts
@@ -16,16 +16,6 @@
     away: "away",
 } as const;
 
-/** When operators and upstreams write again the records that a return from a copy has lost. */
-export const Rewrite = {
-    atOnce: "atOnce",
-    /** A second after the return. */
-    later: "later",
-} as const;
-
-/** A value of {@link Rewrite}. */
-export type RewriteValue = typeof Rewrite[keyof typeof Rewrite];
-
 /** A value of {@link StoreMode}. */
 export type StoreModeValue = typeof StoreMode[keyof typeof StoreMode];
 
@@ -38,10 +28,10 @@
     /** Discards the history of a topic but keeps the newest record of each key. */
     dropHistory: (topic: string) => void;
     /**
-     * Returns from a copy that is as old as told, in milliseconds, and starts the next era. Records that were put since are put again, the
-     * newest one of each key.
+     * Returns from a copy that is as old as told, in milliseconds, and starts the next era. Records that were put since are put again after a
+     * delay, the newest one of each key.
      */
-    returnFromCopy: (ageMilliseconds: number, rewrite: RewriteValue) => void;
+    returnFromCopy: (ageMilliseconds: number, rewriteDelayMilliseconds: number) => void;
     /** Returns the offset behind the last record of a topic. */
     endOffset: (topic: string) => number;
     /** Returns the number of requests received. */
@@ -68,9 +58,6 @@
 const lengthBytes = 4;
 const offsetBytes = 8;
 
-/** Time after a return from a copy at which lost records are put again with {@link Rewrite.later}, in milliseconds. */
-const rewriteDelayMilliseconds = 1000;
-
 const decodeRecords = (bytes: Buffer): EncodedRecord[] => {
     const records: EncodedRecord[] = [];
     for (let position = 0; position + lengthBytes <= bytes.length;) {
@@ -199,7 +186,7 @@
                 server.closeAllConnections();
             }
         },
-        returnFromCopy: (ageMilliseconds, rewrite) => {
+        returnFromCopy: (ageMilliseconds, rewriteDelayMilliseconds) => {
             const copiedAt = performance.now() - ageMilliseconds;
             const putAgain: (() => void)[] = [];
             for (const topic of topics.values()) {
@@ -219,7 +206,7 @@
             era += 1;
             mode = StoreMode.serving;
             topics.forEach(topic => topic.waiters.splice(0).forEach(notify => notify()));
-            if (rewrite === Rewrite.atOnce) {
+            if (rewriteDelayMilliseconds === 0) {
                 putAgain.forEach(put => put());
             }
             else {
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -34,6 +34,8 @@
     upstreamBusy: "upstreamBusy",
     upstreamMisdirecting: "upstreamMisdirecting",
     domainEvacuated: "domainEvacuated",
+    storeReturned: "storeReturned",
+    storeReturnedTwice: "storeReturnedTwice",
 } as const;
 
 /** A value of {@link FaultKind}. */
@@ -67,6 +69,8 @@
 export const leaseRefusalKinds: readonly FaultKindValue[] = [FaultKind.upstreamMisdirecting];
 /** Operators that evacuate a failure domain for a time. */
 export const evacuationKinds: readonly FaultKindValue[] = [FaultKind.domainEvacuated];
+/** Returns of the store from an older copy. */
+export const returnKinds: readonly FaultKindValue[] = [FaultKind.storeReturned, FaultKind.storeReturnedTwice];
 const separateKinds: readonly FaultKindValue[] = [
     ...upstreamModeKinds,
     ...oddInputKinds,
@@ -74,6 +78,7 @@
     ...withdrawalKinds,
     ...leaseRefusalKinds,
     ...evacuationKinds,
+    ...returnKinds,
 ];
 
 /** A scheduled fault. */
@@ -106,6 +111,7 @@
 const meanSeriesGapMilliseconds = 2500;
 const meanLeaseRefusalGapMilliseconds = 4000;
 const meanEvacuationGapMilliseconds = 6000;
+const meanReturnGapMilliseconds = 6000;
 /** Distinguish the random numbers of these faults from those of the others. */
 const upstreamModeSeedOffset = 500_000;
 const oddInputSeedOffset = 600_000;
@@ -113,6 +119,7 @@
 const withdrawalSeedOffset = 900_000;
 const leaseRefusalSeedOffset = 1_100_000;
 const evacuationSeedOffset = 1_300_000;
+const returnSeedOffset = 1_500_000;
 
 const createFaults = (
     random: foundation.Random,
@@ -157,6 +164,7 @@
             ...createGroup(upstreamModeSeedOffset, upstreamModeKinds, meanUpstreamModeGapMilliseconds),
             ...createGroup(oddInputSeedOffset, oddInputKinds, meanOddInputGapMilliseconds),
             ...createGroup(withdrawalSeedOffset, withdrawalKinds, meanWithdrawalGapMilliseconds),
+            ...createGroup(returnSeedOffset, returnKinds, meanReturnGapMilliseconds),
             ...createGroup(leaseRefusalSeedOffset, leaseRefusalKinds, meanLeaseRefusalGapMilliseconds),
         ]),
     ];
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,6 +6,7 @@
     FaultKind,
     leaseRefusalKinds,
     oddInputKinds,
+    returnKinds,
     seriesKinds,
     withdrawalKinds,
 } from "./faults";
--- a/packages/soak/src/injections.ts
+++ b/packages/soak/src/injections.ts
@@ -37,6 +37,17 @@
 /** How long an evacuation lasts, besides the duration of the fault, in milliseconds: longer than the time that instances have for it. */
 const evacuationMilliseconds = 6000;
 
+/** For how long the store is away at most before it returns from a copy, and bounds of the age of the copy, in milliseconds. */
+const maxAwayMilliseconds = 1500;
+const minCopyAgeMilliseconds = 500;
+const maxCopyAgeMilliseconds = 6000;
+/** Time after which operators and upstreams write again what is lost, if they do not at once, in milliseconds. */
+const rewriteDelayMilliseconds = 1000;
+/** Time between two returns in series, in milliseconds: less than writers take to write their lost records again. */
+const secondReturnMilliseconds = 600;
+
+const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+
 /** Calls an action repeatedly until a number of calls is reached or the returned function is called. */
 const repeat = (count: number, intervalMilliseconds: number, action: (index: number) => void): () => void => {
     let index = 0;
@@ -149,6 +160,25 @@
             end();
         };
     };
+    const returnFromCopy = (): void => {
+        const ageMilliseconds = minCopyAgeMilliseconds + random.below(maxCopyAgeMilliseconds - minCopyAgeMilliseconds);
+        store.returnFromCopy(ageMilliseconds, random.fraction() < 0.5 ? 0 : rewriteDelayMilliseconds);
+    };
+    const injectReturn = async (returnCount: number): Promise<void> => {
+        for (let index = 0; index < returnCount; index += 1) {
+            // Some returns are not preceded by a time in which the store is away.
+            if (random.fraction() < 0.7) {
+                store.setMode(emulator.StoreMode.away);
+                await pause(Math.min(fault.durationMilliseconds, maxAwayMilliseconds));
+            }
+            returnFromCopy();
+            await pause(secondReturnMilliseconds);
+        }
+    };
+    const injectReturns = (returnCount: number): () => Promise<void> => {
+        const returned = injectReturn(returnCount);
+        return () => returned;
+    };
     const injections: Record<faults.FaultKindValue, () => () => void | Promise<void>> = {
         storeBusy: () => injectStoreMode(emulator.StoreMode.busy),
         storeLosing: () => injectStoreMode(emulator.StoreMode.losing),
@@ -189,6 +219,8 @@
         upstreamBusy: () => injectUpstreamMode(emulator.UpstreamMode.busy),
         upstreamMisdirecting: () => injectUpstreamMode(emulator.UpstreamMode.misdirecting),
         domainEvacuated: injectEvacuation,
+        storeReturned: () => injectReturns(1),
+        storeReturnedTwice: () => injectReturns(2),
         callersUnusual: () => startUnusualCallers(instance, fault),
     };
     return injections[fault.kind]();
--- a/packages/soak/src/instances.ts
+++ b/packages/soak/src/instances.ts
@@ -130,8 +130,12 @@
         bounds: warmupBounds,
         platform: { address: `127.0.0.1:${storeLink.port}` },
     };
+    const startTimes: number[] = [];
+    let child: childProcess.ChildProcess | undefined;
     const writeSettings = (content: SettingsContentValue): void => {
-        const text = JSON.stringify(settings);
+        // Only the first process of an instance starts together with the site.
+        const bootstrap = startTimes.length <= (child === undefined ? 0 : 1);
+        const text = JSON.stringify({ ...settings, bootstrap });
         const writers: Record<SettingsContentValue, () => void> = {
             original: () => fs.writeFileSync(settingsPath, text),
             changed: () =>
@@ -139,6 +143,7 @@
                     settingsPath,
                     JSON.stringify({
                         ...settings,
+                        bootstrap,
                         zone: "south-a",
                         bounds: { ...warmupBounds, drain: "3s", retryBudgetSlack: 40 },
                     }),
@@ -149,14 +154,12 @@
         };
         writers[content]();
     };
-    let child: childProcess.ChildProcess | undefined;
     let restartDelayMilliseconds = defaultRestartDelayMilliseconds;
     let isTerminated = false;
     let requestedBy: NodeJS.Signals | undefined;
     let lastProcessClosed = Promise.resolve();
     let restartTimer: NodeJS.Timeout | undefined;
     const ownEnds: string[] = [];
-    const startTimes: number[] = [];
     const logDescriptor = fs.openSync(options.logFile, "a");
     let peakMemoryBytes = 0;
     const memorySamples = setInterval(() => {
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -393,6 +393,7 @@
             ...soak.seriesKinds,
             ...soak.leaseRefusalKinds,
             ...soak.evacuationKinds,
+            ...soak.returnKinds,
         ];
         for (const kind of separateKinds) {
             earl.expect(soak.createSchedule(8, 60_000).faults.some(fault => fault.kind === kind)).toEqual(true);
@@ -400,7 +401,9 @@
         earl.expect(kinds.filter(kind => kind.startsWith("store")).length > 0).toEqual(true);
         const plannedKinds = soak.createSchedule(10, 60_000).faults.map(fault => fault.kind);
         earl.expect(plannedKinds.some(kind => soak.seriesKinds.includes(kind))).toEqual(true);
-        earl.expect(plannedKinds.some(kind => soak.oddInputKinds.includes(kind))).toEqual(false);
+        earl.expect(plannedKinds.some(kind => [...soak.oddInputKinds, ...soak.returnKinds].includes(kind))).toEqual(
+            false,
+        );
     });
 
     const properInputKinds = Object.values(soak.FaultKind).filter(kind =>
@@ -411,6 +414,7 @@
         [5, properInputKinds],
         [102, undefined],
         [7, [...soak.evacuationKinds, soak.FaultKind.instanceKilled, soak.FaultKind.documentStorm]],
+        [11, [...soak.returnKinds, soak.FaultKind.instanceKilled, soak.FaultKind.documentStorm]],
     ];
     for (const [seed, kinds] of runs) {
         test.it(`keep every guarantee under the faults of seed ${seed}`, async () => {
