Relay, platform: the protocol of a status line is checked by our own code

What callers saw: with Node.js 20.20.2, a response RTSP/1.0 200 OK of an upstream reached them as a success.

Cause: the relay left the check to the parser, and that of some releases takes other protocols.

Change: the bytes of a connection pass a check before the parser; a response whose status line, or that of an interim response before it, is none of HTTP/1.0 or HTTP/1.1 ends its attempt as one that may have run.

Evidence: statusLine.test.ts, without a parser. malformedResponses.test.ts passes here (Node.js 20.19.0, arm64), as it did before; it was not run with Node.js 20.20.2, which this machine does not have.

--- a/packages/foundation/src/index.ts
+++ b/packages/foundation/src/index.ts
@@ -26,6 +26,8 @@
 export type { Random } from "./random";
 export { createSharedInterval } from "./sharedInterval";
 export type { SharedInterval } from "./sharedInterval";
+export { createStatusLineCheck, watchStatusLines } from "./statusLine";
+export type { StatusLineCheck } from "./statusLine";
 export { createTimerService, maxDelayMilliseconds, pause } from "./timerService";
 export type { Subscription, TimerService } from "./timerService";
 export { createTrafficAccount, reachBetween, startTransfer, TrafficPurpose, TrafficReach } from "./trafficAccount";
--- a/packages/relay/src/attempt.ts
+++ b/packages/relay/src/attempt.ts
@@ -146,6 +146,21 @@
     return load;
 };
 
+/** Returns why a response cannot be the one to the request of an attempt; undefined if it can. */
+const findAttemptFault = (
+    response: http.IncomingMessage,
+    { requestIdentifier }: AttemptOptions,
+    isOnlyRequest: boolean,
+    isInProtocol: boolean,
+): string | undefined => {
+    if (!isInProtocol) {
+        return "the response is of another protocol";
+    }
+    return belongsTo(response, requestIdentifier, isOnlyRequest)
+        ? findResponseFault(response)
+        : "the response may belong to another request";
+};
+
 /** Returns a handler that does the same as another one, and never throws. */
 type Guard = <Parameters extends unknown[]>(
     handler: (...parameters: Parameters) => void,
@@ -343,6 +358,7 @@
             }
         };
         const startedAt = timers.now();
+        const hasValidStatusLine = foundation.watchStatusLines(request);
         let endTransfer: (() => foundation.Transfer) | undefined;
         const connectTimeout = timers.onDelay(options.connectTimeoutMilliseconds, () => {
             if (!isConnected) {
@@ -402,7 +418,8 @@
             "response",
             guard(response => {
                 currentResponse = response;
-                const report = applyHead(response, options, isNewConnection);
+                const isInProtocol = hasValidStatusLine();
+                const report = isInProtocol ? applyHead(response, options, isNewConnection) : undefined;
                 const isRequestUnfinished = !request.writableFinished;
                 const closeDelimitedEnd = isCloseDelimited(response, options.method)
                     ? watchCloseDelimitedEnd(
@@ -413,9 +430,7 @@
                     )
                     : undefined;
                 const isOnlyRequest = isNewConnection && !isRequestUnfinished;
-                const fault = abortReason ?? (belongsTo(response, options.requestIdentifier, isOnlyRequest)
-                    ? findResponseFault(response)
-                    : "the response may belong to another request");
+                const fault = abortReason ?? findAttemptFault(response, options, isOnlyRequest, isInProtocol);
                 if (fault !== undefined) {
                     response.on("error", () => undefined);
                     request.destroy();
