Emulator: the test of a full upstream controls the time of its executions

It took for granted that two requests on two connections arrive in the order of their sending, and that a third one arrives before 100 ms of real time have passed. Executions can now be timed by a timer service; the test waits for each arrival, and moves virtual time on itself.

--- a/packages/emulator/src/upstream.ts
+++ b/packages/emulator/src/upstream.ts
@@ -74,6 +74,8 @@
 export interface EmulatedUpstreamOptions {
     /** Returns the service time of the next request, in milliseconds; 0 by default. */
     serviceTimeMilliseconds?: () => number;
+    /** Times the execution of requests; real time by default. */
+    timers?: foundation.TimerService;
     /** Returns the current slowness of the machine in percent, which load reports then state and service times follow. */
     slownessPercent?: () => number;
     /** Called when the execution of a request starts. */
@@ -190,6 +192,14 @@
         options.onArrival?.(arrival);
         return arrival;
     };
+    const executeFor = (milliseconds: number, onEnd: () => void): void => {
+        if (options.timers === undefined) {
+            setTimeout(onEnd, milliseconds);
+        }
+        else {
+            options.timers.onDelay(milliseconds, onEnd);
+        }
+    };
     const server = http.createServer((request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", chunk => chunks.push(chunk as Buffer));
@@ -265,11 +275,13 @@
                     method: request.method ?? "",
                     key: key === undefined ? undefined : Number(key),
                 });
-                setTimeout(() => {
+                const serviceTimeMilliseconds = (options.serviceTimeMilliseconds?.() ?? 0)
+                    * (options.slownessPercent?.() ?? 100) / 100;
+                executeFor(serviceTimeMilliseconds, () => {
                     const signedHeaders = { ...commonHeaders, ...signature, "server-load": queue.load() };
                     finish();
                     sendResponse(response, 200, signedHeaders, `answer to ${requestIdentifier}`);
-                }, (options.serviceTimeMilliseconds?.() ?? 0) * (options.slownessPercent?.() ?? 100) / 100);
+                });
             });
         });
     });
--- a/packages/emulator/test/upstream.test.ts
+++ b/packages/emulator/test/upstream.test.ts
@@ -97,26 +97,45 @@
 
     test.it("that is full never responds, nor to anything after it on the connection, and reports its load", async () => {
         const fullIdentifiers: string[] = [];
+        const timers = foundation.createVirtualTimerService();
+        const serviceMilliseconds = 100;
         await withUpstream(async ({ upstream, arrivals, send }) => {
-            const accepted = [send("/orders/1"), send("/orders/2")];
-            while (arrivals.length < 2) {
-                await new Promise(resolve => setImmediate(resolve));
-            }
+            const waitFor = async (condition: () => boolean): Promise<void> => {
+                while (!condition()) {
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+            };
+            /** Sends a request on a connection of its own, and waits until it has arrived behind those sent before. */
+            const sendNext = async (path: string): Promise<{ response: Promise<http.IncomingMessage>; }> => {
+                const arrivalCount = arrivals.length + 1;
+                const response = send(path);
+                await waitFor(() => arrivals.length === arrivalCount);
+                return { response };
+            };
+            const accepted = [await sendNext("/orders/1"), await sendNext("/orders/2")];
             const socket = net.connect(upstream.port, "127.0.0.1");
             let received = "";
             socket.on("data", chunk => {
                 received += String(chunk);
             });
             socket.write("GET /orders/3 HTTP/1.1\r\nHost: a\r\nRequest-Id: full\r\n\r\n");
-            const [first, second] = await Promise.all(accepted);
+            await waitFor(() => fullIdentifiers.length === 1);
+            timers.advance(serviceMilliseconds);
+            const first = await accepted[0].response;
+            timers.advance(serviceMilliseconds);
+            const second = await accepted[1].response;
             earl.expect([first.headers["server-load"], second.headers["server-load"]]).toEqual(["1,1,1", "1,0,1"]);
             socket.write("GET /orders/4 HTTP/1.1\r\nHost: a\r\nRequest-Id: next\r\n\r\n");
-            earl.expect((await send("/orders/5")).statusCode).toEqual(200);
+            const last = send("/orders/5");
+            await waitFor(() => upstream.executionCount() === 3);
+            timers.advance(serviceMilliseconds);
+            earl.expect((await last).statusCode).toEqual(200);
             socket.destroy();
             earl.expect([received, fullIdentifiers, upstream.executionCount()]).toEqual(["", ["full"], 3]);
         }, {
             queue: { slots: 1, maxWaiting: 1 },
-            serviceTimeMilliseconds: () => 100,
+            timers,
+            serviceTimeMilliseconds: () => serviceMilliseconds,
             onFull: ({ requestIdentifier }) => fullIdentifiers.push(requestIdentifier),
         });
     });
