Ownership: a leader that stops while the store is away goes on to resign for 3 s

What callers saw in a trial with processes (SIGTERM 400 ms before the store returned from a copy): requests for all keys were refused for 10 s, as the resignation was tried once, failed, and nobody could name the last owners.

Change: the resignation is tried again for as long as the stopping instance takes callers, together with all assignments if they are lost.

Evidence: storeReturn.test.ts, fails with one attempt.

--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -354,6 +354,7 @@
             }
             isStopped = true;
             await ownershipWriter.resign(
+                timers,
                 writer,
                 () => areRecordsLost ? planner.storedAgain() : [],
                 leaderLease.maxKeyLeaseMilliseconds(timers.now()),
--- a/packages/entry/src/ownershipWriter.ts
+++ b/packages/entry/src/ownershipWriter.ts
@@ -67,7 +67,9 @@
     acknowledgedRecordNumber: () => number;
 }
 
-const maxResignAttempts = 2;
+/** Time for which a resignation is attempted, in milliseconds: that in which a stopping instance still takes callers. */
+const maxResignMilliseconds = 3000;
+const resignRetryMilliseconds = 150;
 
 /**
  * Creates an ownership writer.
@@ -154,31 +156,35 @@
 };
 
 /**
- * Appends the resignation of a leader, once more if the store has returned from an older copy or an earlier append took effect late.
+ * Appends the resignation of a leader, for some seconds if the store does not respond, returns from an older copy, or has carried out an
+ * earlier append late: without it, a successor waits for the leases that may be out.
  *
+ * @param timers - the timer service
  * @param writer - writes the records of the leader
  * @param listLostAssignments - returns the assignments that must be stored again
  * @param longestLeaseMilliseconds - longest lease that the leader has granted recently
  * @param log - receives an event if the store does not respond
  */
 export const resign = async (
+    timers: foundation.TimerService,
     writer: OwnershipWriter,
     listLostAssignments: () => assignment.ServiceAssignment[],
     longestLeaseMilliseconds: number,
     log: foundation.EventLog,
 ): Promise<void> => {
-    for (let attempt = 0; attempt < maxResignAttempts; attempt += 1) {
+    const startedAt = timers.now();
+    while (timers.now() - startedAt < maxResignMilliseconds) {
         try {
             if (writer.needsRead()) {
                 await writer.resynchronize();
             }
+            if (writer.isSuperseded() || await writer.append(listLostAssignments(), true, longestLeaseMilliseconds)) {
+                return;
+            }
         }
         catch (error) {
             log.write("ownership-read-failed", { reason: (error as Error).message });
-            return;
-        }
-        if (writer.isSuperseded() || await writer.append(listLostAssignments(), true, longestLeaseMilliseconds)) {
-            return;
         }
+        await foundation.pause(timers, resignRetryMilliseconds);
     }
 };
--- a/packages/entry/test/storeReturn.test.ts
+++ b/packages/entry/test/storeReturn.test.ts
@@ -104,6 +104,25 @@
         earl.expect(simulation.violations()).toEqual([]);
     });
 
+    // Guards against a planned stop while the store is away, after which all keys would be without an owner for seconds.
+    test.it("is kept when the leader resigns while the store is away, and no key loses its owner", async () => {
+        const simulation = await ownershipSimulation.createOwnershipSimulation(37, noFaults);
+        await simulation.run(6000);
+        simulation.setStoreUnavailable(true);
+        await simulation.run(400);
+        simulation.schedule(600, () => {
+            simulation.returnFromCopy(3000);
+            simulation.setStoreUnavailable(false);
+        });
+        await simulation.resignLeader();
+        for (let elapsed = 0; elapsed < 6000; elapsed += 200) {
+            simulation.requestKeys(0, 20_000);
+            await simulation.run(200);
+            earl.expect(simulation.heldKeyCount()).toEqual(everyKey);
+        }
+        earl.expect(simulation.violations()).toEqual([]);
+    });
+
     // Guards against tokens that go on from the copy when nobody remembers what is lost, also with the second return in a row.
     test.it("is kept by the first leader after two returns in series and the loss of all instances", async () => {
         const simulation = await ownershipSimulation.createOwnershipSimulation(36, noFaults);
