Entry: an instance that starts in an era that another one has led in counts as settled

Cause: leader records of an instance that had just started said that lost records may still be awaited, though nothing was lost. A follower that starts at that moment and gets no content from the leader would not have been ready for up to 2.2 s.

Change: only a known return, or content that may be outdated, keeps a leader's record from saying that the era is settled.

--- a/packages/entry/src/siteView.ts
+++ b/packages/entry/src/siteView.ts
@@ -288,7 +288,7 @@
         documentInForce: () => documentInForce,
         isRegistryKnown: () => isRegistryKnown,
         mayBeOutdated: () => [...tasks.values()].some(task => task.mayBeOutdated()),
-        isSettled: () => [...tasks.values()].every(task => !task.isAwaiting()),
+        isSettled: () => [...tasks.values()].every(task => task.isSettled()),
         isDocumentTopicRecent,
         registryAge: () => tasks.get(platform.Topic.upstreams)?.position()?.age ?? Infinity,
         topics: {
--- a/packages/entry/src/topicState.ts
+++ b/packages/entry/src/topicState.ts
@@ -49,8 +49,10 @@
     records: () => platform.StoredRecord[];
     /** Number of the changes so far, which distinguishes states that end at the same position. */
     revision: () => number;
-    /** Whether writers may still write again what is missing in the store; also for a time after the first content. */
+    /** Whether writers may still write again what a known return has lost. */
     isAwaiting: () => boolean;
+    /** Whether writers may still write again what is missing: after a known return, and after the first content, which one may precede. */
+    mayBeIncomplete: () => boolean;
     /** Applies the records of the era between the known position, or one before it, and `end`; returns undefined if they do not fit. */
     applyRecords: (
         records: readonly platform.StoredRecord[],
@@ -70,7 +72,7 @@
 /** Time after a return in which writers write their lost records again, in milliseconds. */
 export const rewriteMilliseconds = routing.reregistrationMilliseconds;
 /** Time without a confirmation after which writers may have been out of contact with the store too, in milliseconds. */
-const maxConfirmationGapMilliseconds = 1500;
+const maxConfirmationGapMilliseconds = 2500;
 /** Time for which deleted records are remembered, in milliseconds: the age of the oldest copy. */
 const deletedRetentionMilliseconds = 60_000;
 
@@ -150,7 +152,8 @@
         position: () => position,
         records: () => [...newestRecords.values()],
         revision: () => revision,
-        isAwaiting: () => settlesAt !== undefined,
+        isAwaiting: () => hasReturned,
+        mayBeIncomplete: () => settlesAt !== undefined,
         applyRecords: (records, end, now) => {
             if (position === undefined || end.era !== position.era || isBefore(end)) {
                 return undefined;
--- a/packages/entry/src/topicTask.ts
+++ b/packages/entry/src/topicTask.ts
@@ -84,10 +84,10 @@
     snapshot: () => TopicContent | undefined;
     /** Position up to which the topic is known, and the age of the state; undefined before the first response. */
     position: () => { end: platform.Position; age: number; } | undefined;
-    /** Whether writers may still write again what a return from an older copy has lost. */
-    isAwaiting: () => boolean;
-    /** Whether records may be missing that other instances know of, as this one has started after such a return. */
+    /** Whether records may be missing that other instances know of, as this one may have started after a return from an older copy. */
     mayBeOutdated: () => boolean;
+    /** Whether the store contains what is known of the topic, as writers have had the time to write again what it had lost. */
+    isSettled: () => boolean;
 }
 
 /** Bounds of the delay after failed calls, in milliseconds: short compared to the time in which changes must apply. */
@@ -153,7 +153,7 @@
     /** Whether records of a lost history may be missing that other instances know of. */
     const mayBeOutdated = (): boolean => {
         const era = state.position()?.era;
-        isTrusted ||= era !== undefined && (options.isEraEstablished(era) || !state.isAwaiting());
+        isTrusted ||= era !== undefined && (options.isEraEstablished(era) || !state.mayBeIncomplete());
         return !isTrusted;
     };
 
@@ -241,7 +241,7 @@
             const end = state.position();
             return end === undefined ? undefined : { end, age: age() };
         },
-        isAwaiting: state.isAwaiting,
         mayBeOutdated,
+        isSettled: () => !mayBeOutdated() && !state.isAwaiting(),
     };
 };
