Entry: content without an era is no return of the store

Change: a step from an era that is not stated is merged as before, and neither logged nor counted.

Evidence: topicState.test.ts.

--- a/packages/entry/src/topicState.ts
+++ b/packages/entry/src/topicState.ts
@@ -97,6 +97,7 @@
     let awaitedCount = 0;
     /** Whether a return is known whose lost records are still awaited. */
     let hasReturned = false;
+    let isReported = false;
     /** Time until which writers may write lost records again; at the start, the store may have returned unseen. */
     let settlesAt: number | undefined;
     let confirmedAt = -Infinity;
@@ -145,8 +146,10 @@
         awaitedCount = awaited.size;
         hasReturned = true;
         settlesAt = now + rewriteMilliseconds;
+        // Another release may have sent the content before, or the store may state eras since a short time ago.
+        isReported = previousEnd.era !== platform.unstatedEra;
         const { olderCount } = merged;
-        return { changes, storeReturn: { previousEnd, end, awaitedCount, olderCount } };
+        return isReported ? { changes, storeReturn: { previousEnd, end, awaitedCount, olderCount } } : { changes };
     };
     return {
         position: () => position,
@@ -194,7 +197,7 @@
             settlesAt = undefined;
             const dropped = [...awaited.values()];
             awaited.clear();
-            const settlement = hasReturned
+            const settlement = hasReturned && isReported
                 ? { writtenAgainCount: awaitedCount - dropped.length, droppedCount: dropped.length }
                 : undefined;
             hasReturned = false;
--- a/packages/entry/test/topicState.test.ts
+++ b/packages/entry/test/topicState.test.ts
@@ -133,6 +133,19 @@
         earl.expect(state.isAwaiting()).toEqual(true);
     });
 
+    // Guards against a return that operators are told of because a leader of the previous release stated no era.
+    test.it("merges content behind positions without an era too, and tells of no return", () => {
+        const state = topicState.createTopicState({ fingerprintOf: (...[, value]) => value.toString(), compareAges });
+        state.applySnapshot([createRecord("document", "2", 2)], positionAt(0, 3), 0);
+        const merged = state.applySnapshot([createRecord("document", "1", 0)], positionAt(1, 3), 100);
+        earl.expect(merged).toEqual({ changes: [] });
+        earl.expect(state.position()).toEqual(positionAt(1, 3));
+        for (let now = 200; now <= 4000; now += 100) {
+            earl.expect(state.onConfirmed(now).settlement).toEqual(undefined);
+        }
+        earl.expect(state.isAwaiting()).toEqual(false);
+    });
+
     // Guards against content of an earlier era that arrives late.
     test.it("ignores records and content of an earlier era", () => {
         const { state } = createFixture();
