Ownership: a leader that goes on after a return counts with longer leases of a lost term

Found by the project's own random test (storeReturn.test.ts, 1 of 300 further seeds): "upstream-2 is granted 31744-32255 with token while upstream-3 holds it", for 256 ms.

Cause: another instance had won a term and granted leases of 10 s on the same owners before both were lost with the store's last seconds. The leader that went on waited for that one's commands, but took the keys of an owner that it could not reach once its own lease of 3.5 s had ended.

Change: after a return, the leases of all owners count as lasting until the longest that another leader may have granted has ended; this matters only for owners that do not release their keys. The leader's records pass the time on.

--- a/packages/assignment/src/leaderLease.ts
+++ b/packages/assignment/src/leaderLease.ts
@@ -130,15 +130,22 @@
  *
  * @param times - what the leader knew before
  * @param returnSeenAt - time at which it learned of the return
+ * @param maxLeaseMilliseconds - longest lease that upstreams accept
  * @returns the times
  */
-export const addLostTerm = (times: PreviousLeaderTimes, returnSeenAt: number): PreviousLeaderTimes => ({
-    ...times,
-    previousCommandsUntil: Math.max(
-        times.previousCommandsUntil,
-        returnSeenAt + leaderLeaseMilliseconds + maxCommandDeliveryMilliseconds,
-    ),
-});
+export const addLostTerm = (
+    times: PreviousLeaderTimes,
+    returnSeenAt: number,
+    maxLeaseMilliseconds: number,
+): PreviousLeaderTimes => {
+    const commandsUntil = returnSeenAt + leaderLeaseMilliseconds + maxCommandDeliveryMilliseconds;
+    const leasesUntil = commandsUntil + maxLeaseMilliseconds * rangeLease.clockDriftFactor;
+    return {
+        ...times,
+        previousCommandsUntil: Math.max(times.previousCommandsUntil, commandsUntil),
+        previousLeasesUntil: Math.max(times.previousLeasesUntil, leasesUntil),
+    };
+};
 
 /** Tracks whether a leader is allowed to send lease commands. */
 export interface LeaderLease {
--- a/packages/assignment/src/leaseManager.ts
+++ b/packages/assignment/src/leaseManager.ts
@@ -41,6 +41,8 @@
      * granted meanwhile: the pending assignment does not account for such a grant, so the range would not be released.
      */
     setPendingAssignment: (pending: keyRange.ServiceAssignment | undefined) => void;
+    /** Takes into account that another leader may have renewed the leases of the owners, which then last until a time. */
+    assumeRenewals: (leaseUntil: number) => void;
     /** Whether the owner has seen a higher token for a range. */
     isFenced: (range: keyRange.KeyRange) => boolean;
     /** Returns the routing changes since the last call. */
@@ -280,6 +282,10 @@
                 }
             }
         },
+        assumeRenewals: leaseUntil =>
+            leases.forEach(lease => {
+                lease.leaseUntil = Math.max(lease.leaseUntil, leaseUntil);
+            }),
         isFenced: range => findByBounds(range.first, range.last)?.isFenced === true,
         drainChanges: () => {
             const drained = changes;
--- a/packages/entry/src/leaderSession.ts
+++ b/packages/entry/src/leaderSession.ts
@@ -208,7 +208,8 @@
         },
         onRecordsLost: () => {
             areRecordsLost = true;
-            previousLeaders = assignment.addLostTerm(previousLeaders, timers.now());
+            previousLeaders = assignment.addLostTerm(previousLeaders, timers.now(), options.maxLeaseMilliseconds);
+            services.forEach(({ leaseManager }) => leaseManager.assumeRenewals(previousLeaders.previousLeasesUntil));
             unconfirmedPlans = [];
             setPendingPlans(services, []);
         },
--- a/packages/entry/test/storeReturn.test.ts
+++ b/packages/entry/test/storeReturn.test.ts
@@ -147,7 +147,11 @@
     const runCount = Number(process.env.INTERLEAVINGS_RUNS ?? 12);
     const firstSeed = Number(process.env.INTERLEAVINGS_SEED ?? 1);
 
-    for (let seed = firstSeed; seed < firstSeed + runCount; seed += 1) {
+    /** Seeds with a violation in the past. 3079: a leader that went on did not know the longer leases that one of a lost term had granted. */
+    const failedSeeds = [3079];
+    const seeds = [...failedSeeds, ...Array.from({ length: runCount }, (...[, index]) => firstSeed + index)];
+
+    for (const seed of new Set(seeds)) {
         test.it(`is kept under random faults with returns, seed ${seed}`, async () => {
             const result = await randomFaults.runRandomFaults(seed, (simulation, random) => [
                 () => simulation.returnFromCopy(random.below(6000)),
