--- a/review/stand-ins-3/site.mjs
+++ b/review/stand-ins-3/site.mjs
@@ -87,10 +87,20 @@
         response.writeHead(status, { "content-length": bytes.length });
         response.end(bytes);
     };
+    let isSilent = false;
     const server = http.createServer(async (request, response) => {
         const chunks = [];
-        for await (const chunk of request) {
-            chunks.push(chunk);
+        try {
+            for await (const chunk of request) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            // The caller has closed its connection.
+            return;
+        }
+        if (isSilent) {
+            return;
         }
         const url = new URL(request.url, "http://store");
         const topic = topicOf(url.searchParams.get("topic"));
@@ -140,6 +150,10 @@
     return {
         port,
         put: (topic, key, value) => append(topicOf(topic), [{ key, value: Buffer.from(value) }]),
+        /** While the store is silent, it does nothing and answers nothing; what operators and upstreams put still counts. */
+        setSilent: value => {
+            isSilent = value;
+        },
     };
 };
 
