--- a/review/stand-ins-3/site.mjs
+++ b/review/stand-ins-3/site.mjs
@@ -40,6 +40,28 @@
     throw new Error("no free ports");
 };
 
+/** Port of the metrics of an instance, which is fixed. */
+const metricsPort = 9464;
+
+/** Returns a loopback network whose first addresses have the port of the metrics free, so that cases can run side by side. */
+const findNetwork = async count => {
+    for (let tries = 0; tries < 50; tries += 1) {
+        const network = `127.${100 + Math.floor(Math.random() * 100)}.${Math.floor(Math.random() * 250)}`;
+        try {
+            for (let index = 1; index <= count; index += 1) {
+                const probe = net.createServer();
+                await listen(probe, `${network}.${index}`, metricsPort);
+                await new Promise(resolve => probe.close(() => resolve()));
+            }
+            return network;
+        }
+        catch {
+            // Another instance uses it.
+        }
+    }
+    throw new Error("no free loopback network");
+};
+
 /** Creates the record of a run, which `record.txt` holds at its end. */
 export const createRecord = folder => {
     const startedAt = performance.now();
@@ -208,7 +230,9 @@
     const deploy = fs.readFileSync("deploy/system.toml", "utf8");
     const [, run] = /^run = "(.*)"$/m.exec(deploy);
     const started = [];
-    for (const { name, zone, host } of instances) {
+    const network = await findNetwork(instances.length);
+    for (const [index, { name, zone }] of instances.entries()) {
+        const host = `${network}.${index + 1}`;
         const first = await reservePorts(18, host);
         const settingsPath = path.join(temporary, `${name}.json`);
         const settings = {
